Reactor, gates, value types and the protocol

Maven reactor with Palantir format, Error Prone and Checkstyle as gates; ids, clock, result codes, time line, configuration records; platform interfaces; Thrift protocol with committed generated code and frames that refuse foreign, missing and repeated bytes.

--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/assignment/Assignment.java
@@ -0,0 +1,33 @@
+package org.hawthornglade.core.assignment;
+
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+
+/**
+ * The right of one instance to hold one replica of a model; it never expires.
+ *
+ * @param model the base model
+ * @param ordinal the replica's number, from 0
+ * @param instance who may load it
+ * @param state whether the holder keeps it or is to give it up
+ * @param configVersion the configuration version it was last changed for
+ */
+public record Assignment(ModelName model, int ordinal, InstanceId instance, AssignmentState state, long configVersion) {
+    /** The table that holds one row for each assignment. */
+    public static final String TABLE = "assignments";
+
+    /** Returns the row's key in {@link #TABLE}. */
+    public String key() {
+        return keyOf(model, ordinal);
+    }
+
+    /** Returns the row's key for a replica. */
+    public static String keyOf(ModelName model, int ordinal) {
+        return model.value() + "#" + ordinal;
+    }
+
+    /** Returns this assignment in another state. */
+    public Assignment with(AssignmentState newState) {
+        return new Assignment(model, ordinal, instance, newState, configVersion);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/config/ConfigurationJson.java
@@ -0,0 +1,36 @@
+package org.hawthornglade.core.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Either;
+import java.io.UncheckedIOException;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** The JSON form of a configuration, as stored in the table service and passed between processes. */
+public final class ConfigurationJson {
+    private static final JsonMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .build();
+
+    private ConfigurationJson() {}
+
+    /** Writes a configuration. */
+    public static String write(Configuration configuration) {
+        try {
+            return MAPPER.writeValueAsString(configuration);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads a configuration; left with {@link ResultCode#BAD_JSON} if the text is none. */
+    public static Either<Failure, Configuration> read(String json) {
+        try {
+            return Either.right(MAPPER.readValue(json, Configuration.class));
+        } catch (JsonProcessingException e) {
+            return Either.left(Failure.of(ResultCode.BAD_JSON, e.getOriginalMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/id/InstanceId.java
@@ -0,0 +1,36 @@
+package org.hawthornglade.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * An instance on the platform's list.
+ *
+ * @param value 1 to 128 characters out of letters, digits and {@code . _ - : /}
+ */
+public record InstanceId(@JsonValue String value) implements Comparable<InstanceId> {
+    /** Checks the value. */
+    @JsonCreator
+    public InstanceId {
+        Ids.check("instance id", value);
+    }
+
+    /**
+     * Makes an id of its text.
+     *
+     * @throws IllegalArgumentException if the text is no instance id
+     */
+    public static InstanceId of(String value) {
+        return new InstanceId(value);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.hawthornglade.core.id;
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/result/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes and typed failures. */
+package org.hawthornglade.core.result;
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** The clock: milliseconds everywhere. */
+package org.hawthornglade.core.time;
