--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/admission/DeadlineAdmissionQueue.java
@@ -0,0 +1,196 @@
+package org.hawthornglade.core.admission;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.OrganisationId;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.id.ServiceClass;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/**
+ * Queues that admit only what is predicted to be answered in time, shared by weight among classes and organisations.
+ *
+ * <p>A class may hold {@code maxQueued} requests. The last quarter of that is kept for organisations that hold less
+ * than their share of the class, so that one organisation's burst cannot lock out the others.
+ */
+public final class DeadlineAdmissionQueue implements AdmissionQueue {
+    private static final double OPEN_TO_ALL = 0.75;
+    private static final long MIN_RETRY_AFTER_MS = 100;
+
+    private final Map<ModelName, ModelQueue> queues = new HashMap<>();
+    private final Map<RequestId, WaitingRequest> waiting = new HashMap<>();
+    private final Map<ModelName, ServiceEstimate> estimates = new HashMap<>();
+    private final Map<ServiceClass, ClassUse> uses = new HashMap<>();
+    private AdmissionWeights weights;
+
+    /** Makes an empty queue. */
+    public DeadlineAdmissionQueue(AdmissionWeights weights) {
+        this.weights = weights;
+    }
+
+    @Override
+    public void configure(AdmissionWeights newWeights) {
+        weights = newWeights;
+    }
+
+    @Override
+    public Either<Failure, Admitted> offer(WaitingRequest request, ServiceEstimate estimate, long nowMs) {
+        estimates.put(request.model(), estimate);
+        ModelQueue queue = queues.computeIfAbsent(request.model(), model -> new ModelQueue(this::weightOf));
+        ClassUse use = uses.computeIfAbsent(request.serviceClass(), name -> new ClassUse());
+        int maxQueued = weights.maxQueuedOf(request.serviceClass());
+        if (use.total >= maxQueued) {
+            return Either.left(refuse(ResultCode.QUEUE_FULL, "the class's queue is full", slotFreesInMs(estimate)));
+        }
+        if (use.total >= OPEN_TO_ALL * maxQueued && use.overShare(request.organisation(), maxQueued)) {
+            return Either.left(refuse(
+                    ResultCode.ORGANISATION_OVER_SHARE,
+                    "the organisation holds its share of the class's queue",
+                    slotFreesInMs(estimate)));
+        }
+        long completionInMs = estimate.completionInMs(queue.ahead(request));
+        long leftMs = request.deadlineAtMs() - nowMs;
+        if (completionInMs > leftMs) {
+            return Either.left(unreachable(request, completionInMs, nowMs));
+        }
+        queue.add(request);
+        waiting.put(request.id(), request);
+        use.add(request.organisation());
+        return Either.right(new Admitted(request, completionInMs));
+    }
+
+    @Override
+    public Optional<WaitingRequest> next(ModelName model, long nowMs) {
+        ModelQueue queue = queues.get(model);
+        if (queue == null) {
+            return Optional.empty();
+        }
+        // Those whose deadline has passed stay for expire, which tells their callers.
+        Optional<WaitingRequest> next = queue.poll(nowMs);
+        next.ifPresent(this::forget);
+        return next;
+    }
+
+    @Override
+    public List<Refusal> expire(long nowMs) {
+        List<Refusal> refusals = new ArrayList<>();
+        queues.forEach((model, queue) -> {
+            for (WaitingRequest request : queue.removeExpired(nowMs)) {
+                forget(request);
+                long retryMs = estimates.get(model).completionInMs(queue.size());
+                refusals.add(new Refusal(
+                        request,
+                        refuse(
+                                ResultCode.DEADLINE_PASSED_WAITING,
+                                "the deadline passed while the request waited",
+                                retryMs - lifetimeMs(request))));
+            }
+        });
+        return refusals;
+    }
+
+    @Override
+    public List<Refusal> shed(ModelName model, ServiceEstimate estimate, long nowMs) {
+        estimates.put(model, estimate);
+        ModelQueue queue = queues.get(model);
+        if (queue == null) {
+            return List.of();
+        }
+        List<Refusal> refusals = new ArrayList<>();
+        for (WaitingRequest request : queue.removeUnreachable(estimate, nowMs)) {
+            forget(request);
+            refusals.add(new Refusal(request, unreachable(request, estimate.completionInMs(queue.size()), nowMs)));
+        }
+        return refusals;
+    }
+
+    @Override
+    public Optional<WaitingRequest> remove(RequestId id) {
+        WaitingRequest request = waiting.get(id);
+        if (request == null) {
+            return Optional.empty();
+        }
+        queues.get(request.model()).remove(request);
+        forget(request);
+        return Optional.of(request);
+    }
+
+    @Override
+    public QueueDemand demand(ModelName model, long nowMs) {
+        ModelQueue queue = queues.computeIfAbsent(model, name -> new ModelQueue(this::weightOf));
+        return queue.demand(request -> weights.weightOf(request.serviceClass()), nowMs);
+    }
+
+    @Override
+    public int size(ModelName model) {
+        ModelQueue queue = queues.get(model);
+        return queue == null ? 0 : queue.size();
+    }
+
+    private double weightOf(Flow.Key key) {
+        return weights.weightOf(key.serviceClass()) * weights.shareOf(key.organisation());
+    }
+
+    private void forget(WaitingRequest request) {
+        waiting.remove(request.id());
+        uses.get(request.serviceClass()).remove(request.organisation());
+    }
+
+    // A request with the same time to live would be in time once the excess has drained.
+    private static Failure unreachable(WaitingRequest request, long completionInMs, long nowMs) {
+        return refuse(
+                ResultCode.DEADLINE_NOT_REACHABLE,
+                "the answer is predicted " + completionInMs + " ms from now, the deadline is in "
+                        + (request.deadlineAtMs() - nowMs) + " ms",
+                completionInMs - lifetimeMs(request));
+    }
+
+    private static long lifetimeMs(WaitingRequest request) {
+        return request.deadlineAtMs() - request.arrivedAtMs();
+    }
+
+    private static long slotFreesInMs(ServiceEstimate estimate) {
+        return estimate.readyInMs() + estimate.serviceMs() / estimate.slots();
+    }
+
+    private static Failure refuse(ResultCode code, String message, long retryAfterMs) {
+        return Failure.retryAfter(code, message, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs));
+    }
+
+    /** How many requests of one class wait, by organisation. */
+    private final class ClassUse {
+        private final Map<OrganisationId, Integer> queued = new HashMap<>();
+        private double activeShare;
+        private int total;
+
+        boolean overShare(OrganisationId organisation, int maxQueued) {
+            double share = weights.shareOf(organisation);
+            int own = queued.getOrDefault(organisation, 0);
+            double shares = own == 0 ? activeShare + share : activeShare;
+            // A class with one organisation only still keeps room for a second one.
+            double limit = Math.min(OPEN_TO_ALL, share / shares) * maxQueued;
+            return own + 1 > limit;
+        }
+
+        void add(OrganisationId organisation) {
+            if (queued.merge(organisation, 1, Integer::sum) == 1) {
+                activeShare += weights.shareOf(organisation);
+            }
+            total++;
+        }
+
+        void remove(OrganisationId organisation) {
+            if (queued.merge(organisation, -1, Integer::sum) == 0) {
+                queued.remove(organisation);
+                activeShare -= weights.shareOf(organisation);
+            }
+            total--;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/admission/WaitingRequest.java
@@ -0,0 +1,26 @@
+package org.hawthornglade.core.admission;
+
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.OrganisationId;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.id.ServiceClass;
+
+/**
+ * A request that waits for an endpoint.
+ *
+ * @param id the request
+ * @param model the base model whose replicas can run it
+ * @param adapter the adapter it asks for; null if it asks for the base model
+ * @param serviceClass its class of service
+ * @param organisation who sent it
+ * @param arrivedAtMs when it arrived, in milliseconds
+ * @param deadlineAtMs when its whole answer is due, in milliseconds
+ */
+public record WaitingRequest(
+        RequestId id,
+        ModelName model,
+        ModelName adapter,
+        ServiceClass serviceClass,
+        OrganisationId organisation,
+        long arrivedAtMs,
+        long deadlineAtMs) {}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/load/FifoLoadOrder.java
@@ -0,0 +1,14 @@
+package org.hawthornglade.core.load;
+
+import java.util.Comparator;
+import java.util.List;
+
+/** Loads first what was wanted first. */
+public final class FifoLoadOrder implements LoadOrder {
+    private static final Comparator<LoadCandidate> ORDER = Comparator.comparingLong(LoadCandidate::wantedSinceMs);
+
+    @Override
+    public List<LoadCandidate> order(List<LoadCandidate> candidates, int availableMb, long nowMs) {
+        return MemoryFit.sortAndFit(candidates, ORDER, availableMb);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/load/OrderedEviction.java
@@ -0,0 +1,45 @@
+package org.hawthornglade.core.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Unloads in a fixed order of preference until enough memory is free. */
+public final class OrderedEviction implements Eviction {
+    private static final Comparator<Resident> LEAST_RECENTLY_USED = Comparator.comparingLong(Resident::lastUsedAtMs);
+    // The waiting that a reload is expected to cost an hour, for each MiB held.
+    private static final Comparator<Resident> CHEAPEST_TO_RELOAD = Comparator.comparingDouble(
+            resident -> resident.requestsPerHour() * resident.reloadMs() / Math.max(1, resident.memoryMb()));
+
+    private final Comparator<Resident> order;
+
+    private OrderedEviction(Comparator<Resident> order) {
+        this.order = order.thenComparing(Resident::name);
+    }
+
+    /** Unloads first what was used longest ago. */
+    public static OrderedEviction leastRecentlyUsed() {
+        return new OrderedEviction(LEAST_RECENTLY_USED);
+    }
+
+    /** Unloads first what costs the least waiting to bring back, and keeps what is dear to reload. */
+    public static OrderedEviction cheapestToReload() {
+        return new OrderedEviction(CHEAPEST_TO_RELOAD);
+    }
+
+    @Override
+    public List<Resident> choose(List<Resident> idle, int neededMb, long nowMs) {
+        List<Resident> sorted = new ArrayList<>(idle);
+        sorted.sort(order);
+        List<Resident> chosen = new ArrayList<>();
+        int freedMb = 0;
+        for (Resident resident : sorted) {
+            if (freedMb >= neededMb) {
+                break;
+            }
+            chosen.add(resident);
+            freedMb += resident.memoryMb();
+        }
+        return freedMb >= neededMb ? chosen : List.of();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/routing/AffinityChooser.java
@@ -0,0 +1,102 @@
+package org.hawthornglade.core.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses by the better of two random endpoints, with affinity to adapters and prompt prefixes bounded by load.
+ *
+ * <p>The load is the lagging report corrected by the entry's own requests. A prompt prefix has one preferred endpoint
+ * by rendezvous hashing, so affinity needs no cache events. Affinity gives way as soon as its endpoint is busier than
+ * the least busy one by more than a tolerance.
+ */
+public final class AffinityChooser implements EndpointChooser {
+    private final double affinityTolerance;
+
+    /**
+     * Makes a chooser.
+     *
+     * @param affinityTolerance by which share of its slots the endpoint of an affinity may be busier than the least
+     *     busy one; from 0 to 1
+     */
+    public AffinityChooser(double affinityTolerance) {
+        this.affinityTolerance = affinityTolerance;
+    }
+
+    @Override
+    public Optional<EndpointView> choose(RouteQuery query, List<EndpointView> candidates, RandomGenerator random) {
+        List<EndpointView> free = new ArrayList<>(candidates.size());
+        double leastBusy = Double.MAX_VALUE;
+        for (EndpointView endpoint : candidates) {
+            if (endpoint.hasFreeSlot()) {
+                free.add(endpoint);
+                leastBusy = Math.min(leastBusy, busyShare(endpoint));
+            }
+        }
+        if (free.size() <= 1) {
+            return free.stream().findFirst();
+        }
+        double limit = leastBusy + affinityTolerance;
+        List<EndpointView> pool = withAdapter(query, free, limit);
+        if (query.prefixHash() != 0) {
+            EndpointView preferred = preferred(query.prefixHash(), pool);
+            if (busyShare(preferred) <= limit) {
+                return Optional.of(preferred);
+            }
+        }
+        return Optional.of(betterOfTwo(query, pool, random));
+    }
+
+    private static List<EndpointView> withAdapter(RouteQuery query, List<EndpointView> free, double limit) {
+        if (query.adapter() == null) {
+            return free;
+        }
+        List<EndpointView> loaded = free.stream()
+                .filter(endpoint -> endpoint.adapterLoaded() && busyShare(endpoint) <= limit)
+                .toList();
+        return loaded.isEmpty() ? free : loaded;
+    }
+
+    private static EndpointView betterOfTwo(RouteQuery query, List<EndpointView> pool, RandomGenerator random) {
+        if (pool.size() == 1) {
+            return pool.get(0);
+        }
+        int first = random.nextInt(pool.size());
+        int second = random.nextInt(pool.size() - 1);
+        second = second >= first ? second + 1 : second;
+        return better(query, pool.get(first), pool.get(second));
+    }
+
+    // The own failure domain counts only between equally busy endpoints.
+    private static EndpointView better(RouteQuery query, EndpointView one, EndpointView other) {
+        int compared = Double.compare(busyShare(one), busyShare(other));
+        if (compared != 0) {
+            return compared < 0 ? one : other;
+        }
+        return other.domain().equals(query.domain()) && !one.domain().equals(query.domain()) ? other : one;
+    }
+
+    private static EndpointView preferred(long prefixHash, List<EndpointView> pool) {
+        EndpointView best = pool.get(0);
+        for (EndpointView endpoint : pool) {
+            if (mix(prefixHash, endpoint) > mix(prefixHash, best)) {
+                best = endpoint;
+            }
+        }
+        return best;
+    }
+
+    // The finaliser of the SplitMix64 generator.
+    private static long mix(long prefixHash, EndpointView endpoint) {
+        long z = prefixHash ^ (endpoint.instance().value().hashCode() * 0x9E3779B97F4A7C15L);
+        z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
+        return z ^ (z >>> 31);
+    }
+
+    private static double busyShare(EndpointView endpoint) {
+        return (double) endpoint.expectedRunning() / endpoint.maxConcurrent();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Which endpoint runs a request. */
+package org.hawthornglade.core.routing;
