--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/idle/GapHistogram.java
@@ -0,0 +1,46 @@
+package org.hawthornglade.core.idle;
+
+/** How long a model's idle gaps were: counts in bins whose width grows with the gap. */
+final class GapHistogram {
+    static final int BINS = 56;
+    private static final double FIRST_EDGE_MS = 1_000;
+    private static final double GROWTH = 1.25;
+
+    private final double[] weights = new double[BINS];
+    private double total;
+
+    /** Adds a gap; earlier ones count a little less from then on. */
+    void add(long gapMs, double decay) {
+        for (int bin = 0; bin < BINS; bin++) {
+            weights[bin] *= decay;
+        }
+        total = total * decay + 1;
+        weights[binOf(gapMs)] += 1;
+    }
+
+    double weight(int bin) {
+        return weights[bin];
+    }
+
+    double total() {
+        return total;
+    }
+
+    static int binOf(long gapMs) {
+        if (gapMs <= FIRST_EDGE_MS) {
+            return 0;
+        }
+        int bin = (int) Math.ceil(Math.log(gapMs / FIRST_EDGE_MS) / Math.log(GROWTH));
+        return Math.min(BINS - 1, bin);
+    }
+
+    /** Returns the longest gap of a bin, in milliseconds. */
+    static long upperMs(int bin) {
+        return Math.round(FIRST_EDGE_MS * Math.pow(GROWTH, bin));
+    }
+
+    /** Returns a middle gap of a bin, in milliseconds. */
+    static double middleMs(int bin) {
+        return bin == 0 ? FIRST_EDGE_MS / 2 : FIRST_EDGE_MS * Math.pow(GROWTH, bin - 0.5);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/idle/HistogramIdlePolicy.java
@@ -0,0 +1,103 @@
+package org.hawthornglade.core.idle;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.hawthornglade.core.id.ModelName;
+
+/**
+ * Keeps a model loaded for as long as its own idle gaps make that worth the price.
+ *
+ * <p>The idle gaps of each model are counted in a histogram, with those of all models as a prior while it has few of
+ * its own. Of all times to unload, and windows to load again ahead of a request, the plan takes the one with the lowest
+ * expected cost over those gaps: accelerator hours held at the operators' price, and cold starts at their load time.
+ */
+public final class HistogramIdlePolicy implements IdlePolicy {
+    private static final double HOUR_MS = 3_600_000;
+    private static final double SECOND_MS = 1_000;
+    private static final double DECAY = 0.97;
+    private static final double PRIOR_WEIGHT = 2;
+
+    private final IdlePrice price;
+    private final boolean prewarm;
+    private final GapHistogram all = new GapHistogram();
+    private final Map<ModelName, History> histories = new HashMap<>();
+
+    /**
+     * Makes a policy.
+     *
+     * @param price how cold starts weigh against idle accelerator hours
+     * @param prewarm whether models may be loaded ahead of a request
+     */
+    public HistogramIdlePolicy(IdlePrice price, boolean prewarm) {
+        this.price = price;
+        this.prewarm = prewarm;
+    }
+
+    @Override
+    public void onRequest(ModelName model, long nowMs) {
+        History history = histories.computeIfAbsent(model, name -> new History());
+        if (history.idleSinceMs >= 0) {
+            long gapMs = nowMs - history.idleSinceMs;
+            history.gaps.add(gapMs, DECAY);
+            all.add(gapMs, 1);
+            history.plan = null;
+        }
+        history.idleSinceMs = -1;
+    }
+
+    @Override
+    public IdlePlan plan(ModelName model, long idleSinceMs, ReplicaCost cost) {
+        History history = histories.computeIfAbsent(model, name -> new History());
+        history.idleSinceMs = idleSinceMs;
+        if (history.plan == null || !cost.equals(history.planCost)) {
+            history.plan = cheapest(history.gaps, cost);
+            history.planCost = cost;
+        }
+        return history.plan.from(idleSinceMs);
+    }
+
+    private Offsets cheapest(GapHistogram gaps, ReplicaCost cost) {
+        double[] probability = new double[GapHistogram.BINS];
+        double[] middleMs = new double[GapHistogram.BINS];
+        double priorTotal = Math.max(1, all.total());
+        for (int bin = 0; bin < GapHistogram.BINS; bin++) {
+            double prior = PRIOR_WEIGHT * all.weight(bin) / priorTotal;
+            probability[bin] = (gaps.weight(bin) + prior) / (gaps.total() + PRIOR_WEIGHT);
+            middleMs[bin] = GapHistogram.middleMs(bin);
+        }
+        return new PlanSearch(probability, middleMs, price, cost).cheapest(prewarm);
+    }
+
+    /** One model's gaps and the plan that follows from them. */
+    private static final class History {
+        private final GapHistogram gaps = new GapHistogram();
+        private long idleSinceMs = -1;
+        private Offsets plan;
+        private ReplicaCost planCost;
+    }
+
+    /** A plan relative to the begin of the gap. */
+    record Offsets(long unloadAfterMs, long prewarmAfterMs, long prewarmUntilMs) {
+        IdlePlan from(long idleSinceMs) {
+            return new IdlePlan(
+                    plus(idleSinceMs, unloadAfterMs),
+                    plus(idleSinceMs, prewarmAfterMs),
+                    plus(idleSinceMs, prewarmUntilMs));
+        }
+
+        private static long plus(long baseMs, long offsetMs) {
+            return offsetMs == IdlePlan.NEVER ? IdlePlan.NEVER : baseMs + offsetMs;
+        }
+    }
+
+    /** Returns the cost in cold-start seconds of holding accelerators for a time. */
+    static double holdingCost(IdlePrice price, ReplicaCost cost, double heldMs) {
+        return heldMs / HOUR_MS * cost.accelerators() * price.coldSecondsPerIdleHour();
+    }
+
+    /** Returns the cost in cold-start seconds of one cold start. */
+    static double coldCost(IdlePrice price, ReplicaCost cost) {
+        double seconds = cost.reloadMs() / SECOND_MS;
+        return seconds * Math.pow(seconds / price.referenceLoadSeconds(), price.tailExponent() - 1);
+    }
+}
