--- a/platform/src/main/java/org/hawthornglade/platform/engine/CachedCheckpoint.java
+++ b/core/src/main/java/org/hawthornglade/core/engine/CachedCheckpoint.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.core.engine;
 
 import org.hawthornglade.core.id.ModelName;
 
--- a/platform/src/main/java/org/hawthornglade/platform/engine/CheckpointTier.java
+++ b/core/src/main/java/org/hawthornglade/core/engine/CheckpointTier.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.core.engine;
 
 /** Where an engine would take a checkpoint from, nearest first. */
 public enum CheckpointTier {
--- a/platform/src/main/java/org/hawthornglade/platform/engine/LoadState.java
+++ b/core/src/main/java/org/hawthornglade/core/engine/LoadState.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.core.engine;
 
 /** How far an engine has a model. */
 public enum LoadState {
--- a/platform/src/main/java/org/hawthornglade/platform/instance/InstanceInfo.java
+++ b/core/src/main/java/org/hawthornglade/core/instance/InstanceInfo.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.instance;
+package org.hawthornglade.core.instance;
 
 import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.InstanceId;
--- a/platform/src/main/java/org/hawthornglade/platform/instance/InstanceRole.java
+++ b/core/src/main/java/org/hawthornglade/core/instance/InstanceRole.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.instance;
+package org.hawthornglade.core.instance;
 
 /** What runs on an instance. */
 public enum InstanceRole {
--- a/platform/src/main/java/org/hawthornglade/platform/instance/InstanceState.java
+++ b/core/src/main/java/org/hawthornglade/core/instance/InstanceState.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.instance;
+package org.hawthornglade.core.instance;
 
 /** What the platform says of an instance. */
 public enum InstanceState {
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/instance/package-info.java
@@ -0,0 +1,2 @@
+/** Instances as the platform lists them. */
+package org.hawthornglade.core.instance;
