--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/AttemptBook.java
@@ -0,0 +1,78 @@
+package org.hawthornglade.core.agent;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.id.ModelName;
+
+/** The attempts that run at an agent, those that ended lately, and the tombstones of those that must never start. */
+final class AttemptBook {
+    /** How long an ended attempt and a tombstone are remembered; longer than any deadline. */
+    static final long MEMORY_MS = 15 * 60_000L;
+
+    private static final int MAX_REMEMBERED = 50_000;
+
+    private final Map<AttemptId, AttemptRequest> running = new HashMap<>();
+    private final Map<ModelName, Integer> runningByModel = new HashMap<>();
+    private final LinkedHashMap<AttemptId, Past> past = new LinkedHashMap<>();
+
+    boolean isRunning(AttemptId id) {
+        return running.containsKey(id);
+    }
+
+    boolean isTombstoned(AttemptId id) {
+        Past known = past.get(id);
+        return known != null && !known.started;
+    }
+
+    boolean hasEnded(AttemptId id) {
+        Past known = past.get(id);
+        return known != null && known.started;
+    }
+
+    int running() {
+        return running.size();
+    }
+
+    int running(ModelName model) {
+        return runningByModel.getOrDefault(model, 0);
+    }
+
+    void start(AttemptRequest attempt) {
+        running.put(attempt.id(), attempt);
+        if (attempt.model() != null) {
+            runningByModel.merge(attempt.model(), 1, Integer::sum);
+        }
+    }
+
+    /** Returns the attempt that ended, or null if it did not run. */
+    AttemptRequest end(AttemptId id, long nowMs) {
+        AttemptRequest attempt = running.remove(id);
+        if (attempt == null) {
+            return null;
+        }
+        if (attempt.model() != null) {
+            runningByModel.computeIfPresent(attempt.model(), (model, count) -> count == 1 ? null : count - 1);
+        }
+        remember(id, true, nowMs);
+        return attempt;
+    }
+
+    void bury(AttemptId id, long nowMs) {
+        remember(id, false, nowMs);
+    }
+
+    void forgetOld(long nowMs) {
+        past.values().removeIf(known -> nowMs - known.atMs > MEMORY_MS);
+    }
+
+    private void remember(AttemptId id, boolean started, long nowMs) {
+        past.put(id, new Past(started, nowMs));
+        if (past.size() > MAX_REMEMBERED) {
+            past.remove(past.keySet().iterator().next());
+        }
+    }
+
+    private record Past(boolean started, long atMs) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/AttemptRequest.java
@@ -0,0 +1,18 @@
+package org.hawthornglade.core.agent;
+
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.RequestId;
+
+/**
+ * An attempt that an entry asks an agent to run.
+ *
+ * @param id the attempt
+ * @param request the request it belongs to
+ * @param entry the entry that sent it
+ * @param model the base model; null for a call to a plain service
+ * @param adapter the adapter; null if none
+ * @param deadlineAtMs when its answer is due, in milliseconds by the agent's clock
+ */
+public record AttemptRequest(
+        AttemptId id, RequestId request, String entry, ModelName model, ModelName adapter, long deadlineAtMs) {}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/DemandBook.java
@@ -0,0 +1,49 @@
+package org.hawthornglade.core.agent;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.report.ModelDemand;
+
+/** What all entries connected to an agent want, by model. */
+final class DemandBook {
+    private final Map<String, Map<ModelName, ModelDemand>> byEntry = new TreeMap<>();
+
+    void report(String entryId, List<ModelDemand> demand) {
+        Map<ModelName, ModelDemand> byModel = new HashMap<>();
+        demand.forEach(wanted -> byModel.put(wanted.model(), wanted));
+        byEntry.put(entryId, byModel);
+    }
+
+    void forget(String entryId) {
+        byEntry.remove(entryId);
+    }
+
+    int queued(ModelName model) {
+        return byEntry.values().stream()
+                .filter(demand -> demand.containsKey(model))
+                .mapToInt(demand -> demand.get(model).queued())
+                .sum();
+    }
+
+    double waitingWeight(ModelName model) {
+        return byEntry.values().stream()
+                .filter(demand -> demand.containsKey(model))
+                .mapToDouble(demand -> demand.get(model).waitingWeight())
+                .sum();
+    }
+
+    Set<ModelName> adaptersWanted(ModelName base) {
+        Set<ModelName> wanted = new TreeSet<>();
+        for (Map<ModelName, ModelDemand> demand : byEntry.values()) {
+            if (demand.containsKey(base) && demand.get(base).queued() > 0) {
+                wanted.addAll(demand.get(base).adapters());
+            }
+        }
+        return wanted;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The decisions of an entry: admission, routing, retries and refusals. */
+package org.hawthornglade.core.entry;
