--- a/core/src/main/java/org/hawthornglade/core/agent/AgentDecider.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentDecider.java
@@ -61,9 +61,7 @@
         } else if (event instanceof AgentEvent.CancelRequested cancel) {
             cancel(cancel.attempt(), nowMs, commands);
         } else if (event instanceof AgentEvent.DemandReported reported) {
-            demand.report(reported.entryId(), reported.demand());
-        } else if (event instanceof AgentEvent.EntryLost lost) {
-            demand.forget(lost.entryId());
+            demand.report(reported.entryId(), reported.demand(), nowMs);
         } else if (event instanceof AgentEvent.ConfigurationApplied applied) {
             configuration = applied.configuration();
         } else if (event instanceof AgentEvent.EndpointFound) {
@@ -74,6 +72,7 @@
             drain(drain.reason(), commands);
         } else if (event instanceof AgentEvent.Tick) {
             attempts.forgetOld(nowMs);
+            demand.forgetOld(nowMs);
         } else {
             takeEngineEvent(event, nowMs);
         }
--- a/core/src/main/java/org/hawthornglade/core/agent/AgentEvent.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentEvent.java
@@ -50,9 +50,6 @@
     /** An entry told what it wants; it replaces what the same entry told before. */
     record DemandReported(String entryId, long bootId, List<ModelDemand> demand) implements AgentEvent {}
 
-    /** The connection to an entry ended. */
-    record EntryLost(String entryId) implements AgentEvent {}
-
     /** An entry sent an attempt. */
     record AttemptArrived(AttemptRequest attempt) implements AgentEvent {}
 
--- a/core/src/main/java/org/hawthornglade/core/agent/DemandBook.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/DemandBook.java
@@ -11,16 +11,22 @@
 
 /** What all entries connected to an agent want, by model. */
 final class DemandBook {
+    /** How long an entry's demand counts after its last report. */
+    static final long DEMAND_TIMEOUT_MS = 3_000;
+
     private final Map<String, Map<ModelName, ModelDemand>> byEntry = new TreeMap<>();
+    private final Map<String, Long> reportedAtMs = new HashMap<>();
 
-    void report(String entryId, List<ModelDemand> demand) {
+    void report(String entryId, List<ModelDemand> demand, long nowMs) {
         Map<ModelName, ModelDemand> byModel = new HashMap<>();
         demand.forEach(wanted -> byModel.put(wanted.model(), wanted));
         byEntry.put(entryId, byModel);
+        reportedAtMs.put(entryId, nowMs);
     }
 
-    void forget(String entryId) {
-        byEntry.remove(entryId);
+    void forgetOld(long nowMs) {
+        reportedAtMs.values().removeIf(atMs -> nowMs - atMs > DEMAND_TIMEOUT_MS);
+        byEntry.keySet().retainAll(reportedAtMs.keySet());
     }
 
     int queued(ModelName model) {
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/auth/Purposes.java
@@ -0,0 +1,13 @@
+package org.hawthornglade.node.auth;
+
+/** What a proof is made for, so that one cannot serve for another. */
+public final class Purposes {
+    /** The agent's proof over the entry's nonce. */
+    public static final String AGENT_HELLO = "agent-hello";
+    /** The entry's proof over the agent's nonce. */
+    public static final String ENTRY_HELLO = "entry-hello";
+    /** The entry's proof over an attempt's id and path. */
+    public static final String ATTEMPT = "attempt";
+
+    private Purposes() {}
+}
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/auth/package-info.java
@@ -0,0 +1,2 @@
+/** Proof that a peer holds the cluster key. */
+package org.hawthornglade.node.auth;
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/log/TimelineLog.java
@@ -0,0 +1,54 @@
+package org.hawthornglade.node.log;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Locale;
+import java.util.function.Consumer;
+import org.hawthornglade.core.event.TimelineEvent;
+
+/** Writes each time line event as one line of key=value pairs. */
+public final class TimelineLog implements Consumer<TimelineEvent> {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    @Override
+    public void accept(TimelineEvent event) {
+        LOG.atInfo().log("%s", line(event));
+    }
+
+    /** Returns the line for an event. */
+    public static String line(TimelineEvent event) {
+        StringBuilder line = new StringBuilder(160);
+        add(line, "event", event.kind().name().toLowerCase(Locale.ROOT));
+        add(line, "process", event.process());
+        add(line, "seq", Long.toString(event.sequence()));
+        add(line, "request", event.request());
+        add(line, "attempt", event.attempt());
+        add(line, "model", event.model());
+        add(line, "instance", event.instance());
+        add(line, "config", event.configVersion() == 0 ? null : Long.toString(event.configVersion()));
+        add(line, "code", Integer.toString(event.code()));
+        add(line, "detail", event.detail().isEmpty() ? null : event.detail());
+        return line.toString();
+    }
+
+    private static void add(StringBuilder line, String key, String value) {
+        if (value == null) {
+            return;
+        }
+        if (line.length() > 0) {
+            line.append(' ');
+        }
+        line.append(key).append('=').append(quoted(value));
+    }
+
+    private static String quoted(String value) {
+        if (value.chars().noneMatch(c -> c <= ' ' || c == '"' || c == '=')) {
+            return value;
+        }
+        return '"'
+                + value.replace("\\", "\\\\")
+                        .replace("\"", "\\\"")
+                        .replace("\n", "\\n")
+                        .replace("\r", "\\r")
+                + '"';
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/loop/DecisionLoop.java
@@ -0,0 +1,105 @@
+package org.hawthornglade.node.loop;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.hawthornglade.core.Decider;
+import org.hawthornglade.core.time.Clock;
+
+/**
+ * Hands events to a decider one by one on a thread of its own and passes its commands on.
+ *
+ * @param <E> the decider's events
+ * @param <C> the decider's commands
+ */
+public final class DecisionLoop<E, C> implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long STOP_TIMEOUT_MS = 5_000;
+
+    private final LinkedBlockingQueue<E> events = new LinkedBlockingQueue<>();
+    private final Decider<E, C> decider;
+    private final Clock clock;
+    private final Consumer<C> runner;
+    private final E tick;
+    private final long tickMs;
+    private final Thread thread;
+    private volatile boolean closed;
+
+    /**
+     * Creates a loop that is not started.
+     *
+     * @param name the thread's name
+     * @param decider takes the events
+     * @param clock tells the decider the time
+     * @param runner carries a command out; must not block
+     * @param tick the event that tells that time has passed
+     * @param tickMs how often it is sent, in milliseconds
+     */
+    public DecisionLoop(String name, Decider<E, C> decider, Clock clock, Consumer<C> runner, E tick, long tickMs) {
+        this.decider = decider;
+        this.clock = clock;
+        this.runner = runner;
+        this.tick = tick;
+        this.tickMs = tickMs;
+        this.thread = new Thread(this::run, name);
+        this.thread.setDaemon(true);
+    }
+
+    /** Starts the thread; to be called once. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Adds an event; never blocks. */
+    public void submit(E event) {
+        events.add(event);
+    }
+
+    /** Returns how many events wait. */
+    public int backlog() {
+        return events.size();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+        try {
+            thread.join(STOP_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        long nextTickMs = clock.nowMs() + tickMs;
+        while (!closed) {
+            E event;
+            try {
+                event = events.poll(Math.max(0, nextTickMs - clock.nowMs()), TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                return;
+            }
+            if (event != null) {
+                handle(event);
+            }
+            if (clock.nowMs() >= nextTickMs) {
+                handle(tick);
+                nextTickMs = clock.nowMs() + tickMs;
+            }
+        }
+    }
+
+    private void handle(E event) {
+        try {
+            for (C command : decider.on(event, clock.nowMs())) {
+                runner.accept(command);
+            }
+        } catch (RuntimeException e) {
+            // One bad event must not end the process's decisions.
+            LOG.atSevere().withCause(e).log(
+                    "event=decision_failed on=%s", event.getClass().getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/loop/package-info.java
@@ -0,0 +1,2 @@
+/** The thread that carries a role's decisions. */
+package org.hawthornglade.node.loop;
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics by Micrometer, shown as a Prometheus page. */
+package org.hawthornglade.node.metrics;
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/package-info.java
@@ -0,0 +1,2 @@
+/** What both roles share. */
+package org.hawthornglade.node;
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/settings/JsonSettings.java
@@ -0,0 +1,25 @@
+package org.hawthornglade.node.settings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import io.dropwizard.configuration.EnvironmentVariableSubstitutor;
+import io.dropwizard.configuration.JsonConfigurationFactory;
+import io.dropwizard.configuration.SubstitutingSourceProvider;
+import io.dropwizard.core.Configuration;
+import io.dropwizard.core.setup.Bootstrap;
+
+/** Makes Dropwizard read settings as JSON with comments, with {@code ${NAME}} taken from the environment. */
+public final class JsonSettings {
+    private JsonSettings() {}
+
+    /** Prepares a bootstrap. */
+    public static <T extends Configuration> void prepare(Bootstrap<T> bootstrap) {
+        bootstrap.setConfigurationSourceProvider(new SubstitutingSourceProvider(
+                bootstrap.getConfigurationSourceProvider(), new EnvironmentVariableSubstitutor(true)));
+        bootstrap.setConfigurationFactoryFactory((type, validator, mapper, prefix) -> {
+            mapper.enable(JsonParser.Feature.ALLOW_COMMENTS);
+            mapper.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+            return new JsonConfigurationFactory<>(type, validator, mapper, prefix);
+        });
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings in JSON with comments. */
+package org.hawthornglade.node.settings;
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/wire/WireForms.java
@@ -0,0 +1,156 @@
+package org.hawthornglade.node.wire;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.event.TimelineEvent;
+import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.report.AgentView;
+import org.hawthornglade.core.report.ModelDemand;
+import org.hawthornglade.core.report.ReplicaPhase;
+import org.hawthornglade.core.report.ReplicaView;
+import org.hawthornglade.protocol.gen.AgentReport;
+import org.hawthornglade.protocol.gen.Demand;
+import org.hawthornglade.protocol.gen.Event;
+import org.hawthornglade.protocol.gen.Replica;
+import org.hawthornglade.protocol.gen.ReplicaState;
+
+/** Turns the values of core into structures of the protocol, and back. */
+public final class WireForms {
+    private WireForms() {}
+
+    /** Writes demand. */
+    public static Demand write(ModelDemand demand) {
+        return new Demand(
+                demand.model().value(),
+                demand.queued(),
+                demand.running(),
+                demand.waitingWeight(),
+                demand.oldestWaitMs(),
+                demand.earliestDeadlineInMs(),
+                names(demand.adapters()),
+                demand.sinceLastRequestMs(),
+                demand.received());
+    }
+
+    /** Reads demand; throws IllegalArgumentException if a name is not valid. */
+    public static ModelDemand read(Demand demand) {
+        return new ModelDemand(
+                ModelName.of(demand.getModel()),
+                demand.getQueued(),
+                demand.getRunning(),
+                demand.getWaitingWeight(),
+                demand.getOldestWaitMs(),
+                demand.getEarliestDeadlineInMs(),
+                models(demand.getAdapters()),
+                demand.getSinceLastRequestMs(),
+                demand.getReceived());
+    }
+
+    /** Writes what an agent says of itself. */
+    public static AgentReport write(AgentView view, long configAppliedAtMs) {
+        List<Replica> replicas = view.replicas().stream().map(WireForms::write).toList();
+        return new AgentReport(
+                view.instance().value(),
+                view.bootId(),
+                view.revision(),
+                view.configVersion(),
+                view.draining(),
+                new ArrayList<>(replicas),
+                view.running(),
+                view.freeMemoryMb(),
+                view.failureDomain().value(),
+                view.endpointReachable(),
+                view.service() == null ? "" : view.service().value(),
+                view.serviceMaxConcurrent(),
+                configAppliedAtMs);
+    }
+
+    /** Reads what an agent says of itself; throws IllegalArgumentException if a name is not valid. */
+    public static AgentView read(AgentReport report) {
+        return new AgentView(
+                InstanceId.of(report.getInstanceId()),
+                FailureDomain.of(report.getFailureDomain()),
+                report.getBootId(),
+                report.getRevision(),
+                report.getConfigVersion(),
+                report.isDraining(),
+                report.isEngineReachable(),
+                report.getReplicas().stream().map(WireForms::read).toList(),
+                report.getRunning(),
+                report.getFreeMemoryMb(),
+                report.getServiceName().isEmpty() ? null : ServiceName.of(report.getServiceName()),
+                report.getServiceMaxConcurrent());
+    }
+
+    /** Writes a time line event. */
+    public static Event write(TimelineEvent event) {
+        return new Event(
+                        event.timeMs(),
+                        event.process(),
+                        event.bootId(),
+                        event.sequence(),
+                        event.kind().name(),
+                        event.configVersion(),
+                        event.code(),
+                        event.detail())
+                .setRequest(event.request())
+                .setAttempt(event.attempt())
+                .setModel(event.model())
+                .setInstance(event.instance());
+    }
+
+    /** Reads a time line event; throws IllegalArgumentException if its kind is not known. */
+    public static TimelineEvent read(Event event) {
+        return new TimelineEvent(
+                event.getTimeMs(),
+                event.getProcess(),
+                event.getBootId(),
+                event.getSequence(),
+                EventKind.valueOf(event.getKind()),
+                event.getRequest(),
+                event.getAttempt(),
+                event.getModel(),
+                event.getInstance(),
+                event.getConfigVersion(),
+                event.getCode(),
+                event.getDetail());
+    }
+
+    private static Replica write(ReplicaView view) {
+        return new Replica(
+                view.model().value(),
+                view.ordinal(),
+                ReplicaState.valueOf(view.phase().name()),
+                view.running(),
+                view.maxConcurrent(),
+                view.readyInMs(),
+                view.loadEstimateMs(),
+                names(view.adapters()),
+                view.version());
+    }
+
+    private static ReplicaView read(Replica replica) {
+        return new ReplicaView(
+                ModelName.of(replica.getModel()),
+                replica.getOrdinal(),
+                ReplicaPhase.valueOf(replica.getState().name()),
+                replica.getRunning(),
+                replica.getMaxConcurrent(),
+                replica.getReadyInMs(),
+                replica.getLoadEstimateMs(),
+                models(replica.getAdapters()),
+                replica.getVersion());
+    }
+
+    private static List<String> names(List<ModelName> models) {
+        return new ArrayList<>(models.stream().map(ModelName::value).toList());
+    }
+
+    private static List<ModelName> models(List<String> names) {
+        return names.stream().map(ModelName::of).toList();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/hawthornglade/node/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Between the values of core and the structures on the wire. */
+package org.hawthornglade.node.wire;
