--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentSettings.java
@@ -0,0 +1,135 @@
+package org.hawthornglade.agent;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotBlank;
+import jakarta.validation.constraints.NotNull;
+import java.net.URI;
+import java.util.Optional;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.node.settings.NodeSettings;
+
+/** The settings of an agent. */
+public final class AgentSettings extends NodeSettings {
+    @NotNull
+    private URI endpointUri;
+
+    private String serviceName;
+
+    @NotBlank
+    private String controlHost = "127.0.0.1";
+
+    @Min(0)
+    @Max(65_535)
+    private int controlPort;
+
+    @Min(20)
+    @Max(10_000)
+    private long reportIntervalMs = 200;
+
+    @Min(0)
+    @Max(86_400_000)
+    private long keepAliveMs = 300_000;
+
+    @Min(100)
+    @Max(3_600_000)
+    private long drainTimeoutMs = 120_000;
+
+    @Min(1_024)
+    @Max(64 * 1024 * 1024)
+    private int maxBodyBytes = 4 * 1024 * 1024;
+
+    @JsonProperty
+    public URI getEndpointUri() {
+        return endpointUri;
+    }
+
+    /** Sets the address of the engine or plain service beside the agent. */
+    @JsonProperty
+    public void setEndpointUri(URI value) {
+        endpointUri = value;
+    }
+
+    /** Returns the plain service at the endpoint; empty if it is an engine. */
+    public Optional<ServiceName> service() {
+        return Optional.ofNullable(serviceName).map(ServiceName::of);
+    }
+
+    @JsonProperty
+    public String getServiceName() {
+        return serviceName;
+    }
+
+    /** Sets the name of the plain service at the endpoint; left out for an engine. */
+    @JsonProperty
+    public void setServiceName(String value) {
+        serviceName = value;
+    }
+
+    @JsonProperty
+    public String getControlHost() {
+        return controlHost;
+    }
+
+    /** Sets the IP number that the control connection listens on. */
+    @JsonProperty
+    public void setControlHost(String value) {
+        controlHost = value;
+    }
+
+    @JsonProperty
+    public int getControlPort() {
+        return controlPort;
+    }
+
+    /** Sets the port that the control connection listens on. */
+    @JsonProperty
+    public void setControlPort(int value) {
+        controlPort = value;
+    }
+
+    @JsonProperty
+    public long getReportIntervalMs() {
+        return reportIntervalMs;
+    }
+
+    /** Sets how often the endpoint is asked for its state, in milliseconds. */
+    @JsonProperty
+    public void setReportIntervalMs(long value) {
+        reportIntervalMs = value;
+    }
+
+    @JsonProperty
+    public long getKeepAliveMs() {
+        return keepAliveMs;
+    }
+
+    /** Sets how long a model stays loaded after its last request, in milliseconds. */
+    @JsonProperty
+    public void setKeepAliveMs(long value) {
+        keepAliveMs = value;
+    }
+
+    @JsonProperty
+    public long getDrainTimeoutMs() {
+        return drainTimeoutMs;
+    }
+
+    /** Sets how long a planned stop waits for requests in progress, in milliseconds. */
+    @JsonProperty
+    public void setDrainTimeoutMs(long value) {
+        drainTimeoutMs = value;
+    }
+
+    @JsonProperty
+    public int getMaxBodyBytes() {
+        return maxBodyBytes;
+    }
+
+    /** Sets the largest request body that is taken, in bytes. */
+    @JsonProperty
+    public void setMaxBodyBytes(int value) {
+        maxBodyBytes = value;
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/package-info.java
@@ -0,0 +1,2 @@
+/** The rows in the table service that concern this instance. */
+package org.hawthornglade.agent.assignment;
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/AttemptDesk.java
@@ -0,0 +1,108 @@
+package org.hawthornglade.agent.attempt;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Consumer;
+import org.hawthornglade.core.agent.AgentEvent;
+import org.hawthornglade.core.agent.AttemptRequest;
+import org.hawthornglade.core.agent.CancelResult;
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Where threads that carry attempts and cancels wait for the decision on them. */
+public final class AttemptDesk {
+    private final ConcurrentHashMap<AttemptId, CompletableFuture<Optional<Failure>>> arrivals =
+            new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<AttemptId, CompletableFuture<CancelResult>> cancels = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<AttemptId, Runnable> running = new ConcurrentHashMap<>();
+    private final Consumer<AgentEvent> events;
+
+    /** Creates a desk that passes events on. */
+    public AttemptDesk(Consumer<AgentEvent> events) {
+        this.events = events;
+    }
+
+    /**
+     * Asks whether an attempt may start.
+     *
+     * @return empty if it may; else why not, in which case it never will
+     * @throws InterruptedException if the waiting thread is interrupted
+     */
+    public Optional<Failure> arrive(AttemptRequest attempt) throws InterruptedException {
+        CompletableFuture<Optional<Failure>> decision = new CompletableFuture<>();
+        if (arrivals.putIfAbsent(attempt.id(), decision) != null) {
+            return Optional.of(Failure.of(ResultCode.DUPLICATE_ATTEMPT, "this attempt is here already"));
+        }
+        try {
+            events.accept(new AgentEvent.AttemptArrived(attempt));
+            return get(decision);
+        } finally {
+            arrivals.remove(attempt.id());
+        }
+    }
+
+    /**
+     * Gives an attempt up.
+     *
+     * @throws InterruptedException if the waiting thread is interrupted
+     */
+    public CancelResult cancel(AttemptId id) throws InterruptedException {
+        CompletableFuture<CancelResult> mine = new CompletableFuture<>();
+        CompletableFuture<CancelResult> earlier = cancels.putIfAbsent(id, mine);
+        if (earlier != null) {
+            return get(earlier);
+        }
+        try {
+            events.accept(new AgentEvent.CancelRequested(id));
+            return get(mine);
+        } finally {
+            cancels.remove(id);
+        }
+    }
+
+    /** Notes how a running attempt is stopped. */
+    public void running(AttemptId id, Runnable stop) {
+        running.put(id, stop);
+    }
+
+    /** Notes that an attempt has ended. */
+    public void ended(AttemptId id) {
+        running.remove(id);
+        events.accept(new AgentEvent.AttemptEnded(id));
+    }
+
+    /** Hands the decision on an arrival to who waits for it. */
+    public void decided(AttemptId id, Optional<Failure> refusal) {
+        CompletableFuture<Optional<Failure>> waiting = arrivals.get(id);
+        if (waiting != null) {
+            waiting.complete(refusal);
+        }
+    }
+
+    /** Hands the answer to a cancel to who waits for it. */
+    public void cancelled(AttemptId id, CancelResult result) {
+        CompletableFuture<CancelResult> waiting = cancels.get(id);
+        if (waiting != null) {
+            waiting.complete(result);
+        }
+    }
+
+    /** Stops a running attempt. */
+    public void stop(AttemptId id) {
+        Runnable stop = running.get(id);
+        if (stop != null) {
+            stop.run();
+        }
+    }
+
+    private static <T> T get(CompletableFuture<T> future) throws InterruptedException {
+        try {
+            return future.get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a decision never fails", e);
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/EndpointCall.java
@@ -0,0 +1,21 @@
+package org.hawthornglade.agent.attempt;
+
+import java.util.List;
+import org.hawthornglade.protocol.gen.Header;
+
+/**
+ * A call to an endpoint.
+ *
+ * @param method the HTTP method
+ * @param path the path and query
+ * @param contentType the content type of the body; null if there is none
+ * @param headers further headers to send
+ * @param body the body; empty if there is none
+ */
+@SuppressWarnings("ArrayRecordComponent") // never compared
+public record EndpointCall(String method, String path, String contentType, List<Header> headers, byte[] body) {
+    /** Copies the list. */
+    public EndpointCall {
+        headers = List.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control connection: Thrift, called by entries. */
+package org.hawthornglade.agent.control;
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The agent role: one process beside each endpoint. */
+package org.hawthornglade.agent;
