--- /dev/null
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/Policies.java
@@ -0,0 +1,120 @@
+package org.hawthornglade.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hawthornglade.core.admission.DeadlineAdmissionQueue;
+import org.hawthornglade.core.admission.FifoAdmissionQueue;
+import org.hawthornglade.core.idle.FixedKeepAlive;
+import org.hawthornglade.core.idle.HistogramIdlePolicy;
+import org.hawthornglade.core.idle.IdlePrice;
+import org.hawthornglade.core.load.AdapterLoadLimit;
+import org.hawthornglade.core.load.AdaptiveLoadConcurrency;
+import org.hawthornglade.core.load.FifoLoadOrder;
+import org.hawthornglade.core.load.FixedLoadConcurrency;
+import org.hawthornglade.core.load.LeastCommittedPlacement;
+import org.hawthornglade.core.load.LocalCopyPlacement;
+import org.hawthornglade.core.load.OrderedEviction;
+import org.hawthornglade.core.load.OrdinalWakeRule;
+import org.hawthornglade.core.load.PopularityLoadOrder;
+import org.hawthornglade.core.load.ReplicaWakeRule;
+import org.hawthornglade.core.load.SmithLoadOrder;
+import org.hawthornglade.core.routing.AffinityChooser;
+import org.hawthornglade.core.routing.LeastReportedLoadChooser;
+import org.hawthornglade.core.routing.RandomChooser;
+
+/** The sets of policies that are compared. */
+final class Policies {
+    private static final long MINUTE_MS = 60_000;
+    private static final int[] KEEP_ALIVE_MINUTES = {1, 2, 5, 10, 20, 30, 45, 60, 120, 240};
+    private static final int BASELINE_LOADS = 4;
+    private static final long AGEING_MS = 60_000;
+    private static final long COMMITMENT_PENALTY_MS = 10_000;
+    private static final double AFFINITY_TOLERANCE = 0.25;
+    private static final double PACK_BELOW = 0.5;
+    private static final double TAIL_EXPONENT = 2;
+    // From this price on an idle accelerator is dearer than the prefix hits that spreading brings.
+    private static final double PACK_FROM_PRICE = 60;
+    private static final ReplicaWakeRule WAKE_ALL = (ordinal, input) -> input.queued() > 0;
+
+    private Policies() {}
+
+    /** FIFO everywhere, least reported load, one keep-alive for all models. */
+    static PolicySet baseline(int keepAliveMinutes) {
+        return new PolicySet(
+                "baseline-" + keepAliveMinutes + "min",
+                FifoAdmissionQueue::new,
+                FifoLoadOrder::new,
+                () -> new FixedLoadConcurrency(BASELINE_LOADS),
+                () -> new FixedLoadConcurrency(1),
+                OrderedEviction::leastRecentlyUsed,
+                () -> WAKE_ALL,
+                () -> FixedKeepAlive.ofMs(keepAliveMinutes * MINUTE_MS),
+                LeastReportedLoadChooser::new,
+                new LeastCommittedPlacement(),
+                false);
+    }
+
+    /** The baselines with all keep-alive values from which the best one is taken. */
+    static List<PolicySet> baselines() {
+        List<PolicySet> sets = new ArrayList<>();
+        for (int minutes : KEEP_ALIVE_MINUTES) {
+            sets.add(baseline(minutes));
+        }
+        return sets;
+    }
+
+    /** The policies chosen for a deployment. */
+    static PolicySet chosen(Deployment deployment) {
+        boolean pack = deployment.idle().coldSecondsPerIdleHour() >= PACK_FROM_PRICE;
+        IdlePrice price = IdlePrice.convex(deployment.idle(), TAIL_EXPONENT);
+        return new PolicySet(
+                "chosen",
+                DeadlineAdmissionQueue::new,
+                () -> new SmithLoadOrder(AGEING_MS),
+                () -> new AdaptiveLoadConcurrency(2, 8),
+                AdapterLoadLimit::new,
+                OrderedEviction::cheapestToReload,
+                OrdinalWakeRule::new,
+                () -> new HistogramIdlePolicy(price, true),
+                () -> new AffinityChooser(AFFINITY_TOLERANCE, pack ? PACK_BELOW : 0),
+                new LocalCopyPlacement(COMMITMENT_PENALTY_MS),
+                true);
+    }
+
+    /** The chosen policies with one of them replaced, for each alternative that was weighed. */
+    static List<PolicySet> variants(Deployment deployment, PolicySet baseline) {
+        PolicySet chosen = chosen(deployment);
+        List<PolicySet> sets = new ArrayList<>();
+        sets.add(chosen);
+        sets.add(chosen.withAdmission("fifo-queue", FifoAdmissionQueue::new));
+        sets.add(chosen.withOrder("fifo-loads", FifoLoadOrder::new));
+        sets.add(chosen.withOrder("popularity-loads", PopularityLoadOrder::new));
+        sets.add(chosen.withConcurrency("fixed-1-load", () -> new FixedLoadConcurrency(1)));
+        sets.add(chosen.withConcurrency("fixed-4-loads", () -> new FixedLoadConcurrency(4)));
+        sets.add(chosen.withAdapterConcurrency("one-adapter", () -> new FixedLoadConcurrency(1)));
+        sets.add(chosen.withEviction("lru-eviction", OrderedEviction::leastRecentlyUsed));
+        sets.add(chosen.withWakeRule("wake-all", () -> WAKE_ALL));
+        sets.add(chosen.withIdle("best-keep-alive", baseline.idle()));
+        sets.add(chosen.withIdle("linear-price", () -> new HistogramIdlePolicy(linear(deployment), true)));
+        sets.add(
+                chosen.withIdle("no-prewarm", () -> new HistogramIdlePolicy(convex(deployment, TAIL_EXPONENT), false)));
+        sets.add(chosen.withIdle("exponent-1.5", () -> new HistogramIdlePolicy(convex(deployment, 1.5), true)));
+        sets.add(chosen.withIdle("exponent-3", () -> new HistogramIdlePolicy(convex(deployment, 3), true)));
+        sets.add(chosen.withChooser("spread", () -> new AffinityChooser(AFFINITY_TOLERANCE)));
+        sets.add(chosen.withChooser("pack", () -> new AffinityChooser(AFFINITY_TOLERANCE, PACK_BELOW)));
+        sets.add(chosen.withChooser("least-reported", LeastReportedLoadChooser::new));
+        sets.add(chosen.withChooser("random", RandomChooser::new));
+        sets.add(chosen.withPlacement("least-committed", new LeastCommittedPlacement()));
+        sets.add(chosen.withFixedRetries("fixed-retries"));
+        sets.add(baseline.withPlacement("baseline-local-copies", new LocalCopyPlacement(COMMITMENT_PENALTY_MS)));
+        return sets;
+    }
+
+    private static IdlePrice linear(Deployment deployment) {
+        return IdlePrice.linear(deployment.idle());
+    }
+
+    private static IdlePrice convex(Deployment deployment, double exponent) {
+        return IdlePrice.convex(deployment.idle(), exponent);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/PolicySet.java
@@ -0,0 +1,191 @@
+package org.hawthornglade.bench.experiment;
+
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.hawthornglade.core.admission.AdmissionQueue;
+import org.hawthornglade.core.admission.AdmissionWeights;
+import org.hawthornglade.core.idle.IdlePolicy;
+import org.hawthornglade.core.load.Eviction;
+import org.hawthornglade.core.load.LoadConcurrency;
+import org.hawthornglade.core.load.LoadOrder;
+import org.hawthornglade.core.load.ReplicaPlacement;
+import org.hawthornglade.core.load.ReplicaWakeRule;
+import org.hawthornglade.core.routing.EndpointChooser;
+
+/**
+ * One choice for each decision.
+ *
+ * @param name how results name it
+ * @param admission makes an entry's queues
+ * @param order makes an agent's load order
+ * @param concurrency makes an agent's limit of loads from the weight store
+ * @param adapterConcurrency makes an agent's limit of adapter loads
+ * @param eviction makes an agent's choice of what makes room
+ * @param wakeRule makes an agent's rule for further replicas
+ * @param idle makes an agent's idle policy
+ * @param chooser makes an entry's choice of endpoints
+ * @param placement who gets which replica
+ * @param retryBudget whether retries are limited to a share of the traffic instead of a fixed count
+ */
+record PolicySet(
+        String name,
+        Function<AdmissionWeights, AdmissionQueue> admission,
+        Supplier<LoadOrder> order,
+        Supplier<LoadConcurrency> concurrency,
+        Supplier<LoadConcurrency> adapterConcurrency,
+        Supplier<Eviction> eviction,
+        Supplier<ReplicaWakeRule> wakeRule,
+        Supplier<IdlePolicy> idle,
+        Supplier<EndpointChooser> chooser,
+        ReplicaPlacement placement,
+        boolean retryBudget) {
+    PolicySet withAdmission(String newName, Function<AdmissionWeights, AdmissionQueue> other) {
+        return new PolicySet(
+                newName,
+                other,
+                order,
+                concurrency,
+                adapterConcurrency,
+                eviction,
+                wakeRule,
+                idle,
+                chooser,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withOrder(String newName, Supplier<LoadOrder> other) {
+        return new PolicySet(
+                newName,
+                admission,
+                other,
+                concurrency,
+                adapterConcurrency,
+                eviction,
+                wakeRule,
+                idle,
+                chooser,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withConcurrency(String newName, Supplier<LoadConcurrency> other) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                other,
+                adapterConcurrency,
+                eviction,
+                wakeRule,
+                idle,
+                chooser,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withAdapterConcurrency(String newName, Supplier<LoadConcurrency> other) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                concurrency,
+                other,
+                eviction,
+                wakeRule,
+                idle,
+                chooser,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withEviction(String newName, Supplier<Eviction> other) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                concurrency,
+                adapterConcurrency,
+                other,
+                wakeRule,
+                idle,
+                chooser,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withWakeRule(String newName, Supplier<ReplicaWakeRule> other) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                concurrency,
+                adapterConcurrency,
+                eviction,
+                other,
+                idle,
+                chooser,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withIdle(String newName, Supplier<IdlePolicy> other) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                concurrency,
+                adapterConcurrency,
+                eviction,
+                wakeRule,
+                other,
+                chooser,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withChooser(String newName, Supplier<EndpointChooser> other) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                concurrency,
+                adapterConcurrency,
+                eviction,
+                wakeRule,
+                idle,
+                other,
+                placement,
+                retryBudget);
+    }
+
+    PolicySet withPlacement(String newName, ReplicaPlacement other) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                concurrency,
+                adapterConcurrency,
+                eviction,
+                wakeRule,
+                idle,
+                chooser,
+                other,
+                retryBudget);
+    }
+
+    PolicySet withFixedRetries(String newName) {
+        return new PolicySet(
+                newName,
+                admission,
+                order,
+                concurrency,
+                adapterConcurrency,
+                eviction,
+                wakeRule,
+                idle,
+                chooser,
+                placement,
+                false);
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/idle/GapHistogram.java
+++ b/core/src/main/java/org/hawthornglade/core/idle/GapHistogram.java
@@ -6,6 +6,16 @@
     private static final double FIRST_EDGE_MS = 1_000;
     private static final double GROWTH = 1.25;
 
+    private static final long[] UPPER_MS = new long[BINS];
+    private static final double[] MIDDLE_MS = new double[BINS];
+
+    static {
+        for (int bin = 0; bin < BINS; bin++) {
+            UPPER_MS[bin] = Math.round(FIRST_EDGE_MS * Math.pow(GROWTH, bin));
+            MIDDLE_MS[bin] = bin == 0 ? FIRST_EDGE_MS / 2 : FIRST_EDGE_MS * Math.pow(GROWTH, bin - 0.5);
+        }
+    }
+
     private final double[] weights = new double[BINS];
     private double total;
 
@@ -36,11 +46,11 @@
 
     /** Returns the longest gap of a bin, in milliseconds. */
     static long upperMs(int bin) {
-        return Math.round(FIRST_EDGE_MS * Math.pow(GROWTH, bin));
+        return UPPER_MS[bin];
     }
 
     /** Returns a middle gap of a bin, in milliseconds. */
     static double middleMs(int bin) {
-        return bin == 0 ? FIRST_EDGE_MS / 2 : FIRST_EDGE_MS * Math.pow(GROWTH, bin - 0.5);
+        return MIDDLE_MS[bin];
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/idle/HistogramIdlePolicy.java
+++ b/core/src/main/java/org/hawthornglade/core/idle/HistogramIdlePolicy.java
@@ -16,6 +16,7 @@
     private static final double SECOND_MS = 1_000;
     private static final double DECAY = 0.97;
     private static final double PRIOR_WEIGHT = 2;
+    private static final double REPLAN_SHARE = 0.1;
 
     private final IdlePrice price;
     private final boolean prewarm;
@@ -40,7 +41,7 @@
             long gapMs = nowMs - history.idleSinceMs;
             history.gaps.add(gapMs, DECAY);
             all.add(gapMs, 1);
-            history.plan = null;
+            history.newGaps++;
         }
         history.idleSinceMs = -1;
     }
@@ -49,9 +50,10 @@
     public IdlePlan plan(ModelName model, long idleSinceMs, ReplicaCost cost) {
         History history = histories.computeIfAbsent(model, name -> new History());
         history.idleSinceMs = idleSinceMs;
-        if (history.plan == null || !cost.equals(history.planCost)) {
+        if (history.mustPlan(cost)) {
             history.plan = cheapest(history.gaps, cost);
             history.planCost = cost;
+            history.newGaps = 0;
         }
         return history.plan.from(idleSinceMs);
     }
@@ -74,6 +76,12 @@
         private long idleSinceMs = -1;
         private Offsets plan;
         private ReplicaCost planCost;
+        private int newGaps;
+
+        // One more gap among many moves the plan little, and a search costs far more than a look-up.
+        boolean mustPlan(ReplicaCost cost) {
+            return plan == null || !cost.equals(planCost) || newGaps > REPLAN_SHARE * gaps.total();
+        }
     }
 
     /** A plan relative to the begin of the gap. */
--- a/core/src/main/java/org/hawthornglade/core/idle/PlanSearch.java
+++ b/core/src/main/java/org/hawthornglade/core/idle/PlanSearch.java
@@ -4,10 +4,13 @@
 
 /** Finds the plan with the lowest expected cost over a distribution of idle gaps. */
 final class PlanSearch {
+    // A window that opens where hardly any gap ends is never the cheapest.
+    private static final double MIN_WINDOW_PROBABILITY = 0.01;
+
     private final double[] probability;
     private final double[] suffix;
     private final double[] middleMs;
-    private final IdlePrice price;
+    private final double costPerHeldMs;
     private final ReplicaCost cost;
     private final double coldCost;
     private double bestCost = Double.MAX_VALUE;
@@ -17,7 +20,7 @@
         this.probability = probability;
         this.suffix = suffixSums(probability);
         this.middleMs = middleMs;
-        this.price = price;
+        this.costPerHeldMs = HistogramIdlePolicy.holdingCost(price, cost, 1);
         this.cost = cost;
         this.coldCost = HistogramIdlePolicy.coldCost(price, cost)
                 + HistogramIdlePolicy.holdingCost(price, cost, (double) cost.reloadMs());
@@ -43,7 +46,7 @@
             before += probability[from - 1];
             // Loading begins early enough to be done when the window opens.
             long startMs = GapHistogram.upperMs(from - 1) - cost.reloadMs();
-            if (startMs <= keepMs) {
+            if (startMs <= keepMs || probability[from] < MIN_WINDOW_PROBABILITY) {
                 continue;
             }
             considerEnds(keepMs, kept + before * (holding(keepMs) + coldCost), from, startMs);
@@ -93,6 +96,6 @@
     }
 
     private double holding(double heldMs) {
-        return HistogramIdlePolicy.holdingCost(price, cost, heldMs);
+        return heldMs * costPerHeldMs;
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/load/OrdinalWakeRule.java
+++ b/core/src/main/java/org/hawthornglade/core/load/OrdinalWakeRule.java
@@ -7,6 +7,9 @@
  * answered later by them than by this replica after its own load.
  */
 public final class OrdinalWakeRule implements ReplicaWakeRule {
+    // A further replica must at least halve the wait, unless a deadline would pass.
+    private static final int WORTHWHILE_GAIN = 2;
+
     @Override
     public boolean shouldLoad(int ordinal, WakeInput input) {
         if (input.queued() == 0) {
@@ -22,6 +25,6 @@
         long drainMs = input.lowerReadyInMs() + input.queued() * input.serviceMs() / input.lowerSlots();
         boolean faster = input.expectedLoadMs() < drainMs;
         boolean late = input.earliestDeadlineInMs() < drainMs + input.serviceMs();
-        return faster && (late || input.queued() > input.lowerSlots());
+        return (faster && late) || WORTHWHILE_GAIN * input.expectedLoadMs() < drainMs;
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/routing/AffinityChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/routing/AffinityChooser.java
@@ -14,15 +14,27 @@
  */
 public final class AffinityChooser implements EndpointChooser {
     private final double affinityTolerance;
+    private final double packBelow;
 
     /**
-     * Makes a chooser.
+     * Makes a chooser that spreads requests.
      *
      * @param affinityTolerance by which share of its slots the endpoint of an affinity may be busier than the least
      *     busy one; from 0 to 1
      */
     public AffinityChooser(double affinityTolerance) {
+        this(affinityTolerance, 0);
+    }
+
+    /**
+     * Makes a chooser that fills endpoints one after the other, so that the others fall idle and can be unloaded.
+     *
+     * @param affinityTolerance as for the chooser that spreads
+     * @param packBelow up to which share of its slots an endpoint is filled before the next; 0 to spread
+     */
+    public AffinityChooser(double affinityTolerance, double packBelow) {
         this.affinityTolerance = affinityTolerance;
+        this.packBelow = packBelow;
     }
 
     @Override
@@ -38,6 +50,10 @@
         if (free.size() <= 1) {
             return free.stream().findFirst();
         }
+        Optional<EndpointView> packed = firstBelow(free);
+        if (packed.isPresent()) {
+            return packed;
+        }
         double limit = leastBusy + affinityTolerance;
         List<EndpointView> pool = withAdapter(query, free, limit);
         if (query.prefixHash() != 0) {
@@ -49,6 +65,18 @@
         return Optional.of(betterOfTwo(query, pool, random));
     }
 
+    // All entries fill in the same order without telling each other: that of the instance ids.
+    private Optional<EndpointView> firstBelow(List<EndpointView> free) {
+        EndpointView first = null;
+        for (EndpointView endpoint : free) {
+            boolean room = busyShare(endpoint) < packBelow;
+            if (room && (first == null || endpoint.instance().compareTo(first.instance()) < 0)) {
+                first = endpoint;
+            }
+        }
+        return Optional.ofNullable(first);
+    }
+
     private static List<EndpointView> withAdapter(RouteQuery query, List<EndpointView> free, double limit) {
         if (query.adapter() == null) {
             return free;
