--- a/bench/src/main/java/org/hawthornglade/bench/experiment/Policies.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/Policies.java
@@ -73,7 +73,7 @@
                 () -> new SmithLoadOrder(AGEING_MS),
                 () -> new AdaptiveLoadConcurrency(2, 8),
                 AdapterLoadLimit::new,
-                OrderedEviction::cheapestToReload,
+                () -> OrderedEviction.cheapestToReload(TAIL_EXPONENT),
                 OrdinalWakeRule::new,
                 () -> new HistogramIdlePolicy(price, true),
                 () -> new AffinityChooser(AFFINITY_TOLERANCE, pack ? PACK_BELOW : 0),
@@ -93,6 +93,9 @@
         sets.add(chosen.withConcurrency("fixed-4-loads", () -> new FixedLoadConcurrency(4)));
         sets.add(chosen.withAdapterConcurrency("one-adapter", () -> new FixedLoadConcurrency(1)));
         sets.add(chosen.withEviction("lru-eviction", OrderedEviction::leastRecentlyUsed));
+        sets.add(chosen.withEviction("eviction-exponent-1", () -> OrderedEviction.cheapestToReload(1)));
+        sets.add(chosen.withEviction("eviction-exponent-3", () -> OrderedEviction.cheapestToReload(3)));
+        sets.add(chosen.withEviction("eviction-exponent-4", () -> OrderedEviction.cheapestToReload(4)));
         sets.add(chosen.withWakeRule("wake-all", () -> WAKE_ALL));
         sets.add(chosen.withIdle("best-keep-alive", baseline.idle()));
         sets.add(chosen.withIdle("linear-price", () -> new HistogramIdlePolicy(linear(deployment), true)));
--- a/core/src/main/java/org/hawthornglade/core/admission/FifoAdmissionQueue.java
+++ b/core/src/main/java/org/hawthornglade/core/admission/FifoAdmissionQueue.java
@@ -53,10 +53,11 @@
     public List<Refusal> expire(long nowMs) {
         List<Refusal> refusals = new ArrayList<>();
         for (LinkedHashMap<RequestId, WaitingRequest> queue : queues.values()) {
-            queue.values().stream()
-                    .filter(request -> request.deadlineAtMs() <= nowMs)
-                    .map(FifoAdmissionQueue::expired)
-                    .forEach(refusals::add);
+            for (WaitingRequest request : queue.values()) {
+                if (request.deadlineAtMs() <= nowMs) {
+                    refusals.add(expired(request));
+                }
+            }
         }
         refusals.forEach(refusal -> remove(refusal.request().id()));
         return refusals;
--- a/core/src/main/java/org/hawthornglade/core/load/OrderedEviction.java
+++ b/core/src/main/java/org/hawthornglade/core/load/OrderedEviction.java
@@ -7,9 +7,6 @@
 /** Unloads in a fixed order of preference until enough memory is free. */
 public final class OrderedEviction implements Eviction {
     private static final Comparator<Resident> LEAST_RECENTLY_USED = Comparator.comparingLong(Resident::lastUsedAtMs);
-    // The waiting that a reload is expected to cost an hour, for each MiB held.
-    private static final Comparator<Resident> CHEAPEST_TO_RELOAD = Comparator.comparingDouble(
-            resident -> resident.requestsPerHour() * resident.reloadMs() / Math.max(1, resident.memoryMb()));
 
     private final Comparator<Resident> order;
 
@@ -22,9 +19,15 @@
         return new OrderedEviction(LEAST_RECENTLY_USED);
     }
 
-    /** Unloads first what costs the least waiting to bring back, and keeps what is dear to reload. */
-    public static OrderedEviction cheapestToReload() {
-        return new OrderedEviction(CHEAPEST_TO_RELOAD);
+    /**
+     * Unloads first what costs the least waiting to bring back for the memory it holds, and keeps what is dear to reload.
+     *
+     * @param tailExponent how much more a long load weighs than several short ones of the same sum; 1 for not at all
+     */
+    public static OrderedEviction cheapestToReload(double tailExponent) {
+        return new OrderedEviction(Comparator.comparingDouble(resident -> resident.requestsPerHour()
+                * Math.pow((double) resident.reloadMs(), tailExponent)
+                / Math.max(1, resident.memoryMb())));
     }
 
     @Override
