--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/StandinHealthCheck.java
@@ -0,0 +1,36 @@
+package org.hawthornglade.standin;
+
+import com.codahale.metrics.health.HealthCheck;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+
+/** Healthy while every stand-in takes connections. */
+final class StandinHealthCheck extends HealthCheck {
+    private static final int CONNECT_TIMEOUT_MS = 500;
+
+    private final Standins standins;
+
+    StandinHealthCheck(Standins standins) {
+        this.standins = standins;
+    }
+
+    @Override
+    protected Result check() {
+        List<String> closed = standins.names().stream()
+                .filter(name -> !takesConnections(name))
+                .toList();
+        return closed.isEmpty() ? Result.healthy() : Result.unhealthy("no connection to " + closed);
+    }
+
+    private boolean takesConnections(String name) {
+        try (Socket socket = new Socket()) {
+            socket.connect(
+                    new InetSocketAddress(standins.uri(name).getHost(), standins.port(name)), CONNECT_TIMEOUT_MS);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/AnswerEncoder.java
@@ -0,0 +1,76 @@
+package org.hawthornglade.standin.engine;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** Writes one answer in the OpenAI form, as server-sent events or as one JSON object. */
+final class AnswerEncoder {
+    private final String id;
+    private final InferenceRequest request;
+    private final long createdSeconds;
+    private final StringBuilder whole = new StringBuilder();
+    private int tokens;
+
+    AnswerEncoder(String id, InferenceRequest request, long createdSeconds) {
+        this.id = id;
+        this.request = request;
+        this.createdSeconds = createdSeconds;
+    }
+
+    /** Returns the bytes that a token adds; none if the answer comes as one object. */
+    byte[] token(String text) {
+        boolean first = tokens == 0;
+        tokens++;
+        if (!request.stream()) {
+            whole.append(text);
+            return new byte[0];
+        }
+        String quoted = quote(text);
+        return event(request.chat() ? delta(quoted, first) : "\"text\":" + quoted, "null");
+    }
+
+    private static String delta(String quoted, boolean first) {
+        return first
+                ? "\"delta\":{\"role\":\"assistant\",\"content\":" + quoted + "}"
+                : "\"delta\":{\"content\":" + quoted + "}";
+    }
+
+    /** Returns the bytes that end the answer. */
+    byte[] end(String finishReason) {
+        String finish = quote(finishReason);
+        if (!request.stream()) {
+            return object(finish).getBytes(StandardCharsets.UTF_8);
+        }
+        byte[] last = event(request.chat() ? "\"delta\":{}" : "\"text\":\"\"", finish);
+        byte[] mark = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+        byte[] both = new byte[last.length + mark.length];
+        System.arraycopy(last, 0, both, 0, last.length);
+        System.arraycopy(mark, 0, both, last.length, mark.length);
+        return both;
+    }
+
+    private byte[] event(String payload, String finish) {
+        String type = request.chat() ? "chat.completion.chunk" : "text_completion";
+        String json = "data: {" + head(type) + ",\"choices\":[{\"index\":0," + payload + ",\"finish_reason\":" + finish
+                + "}]}\n\n";
+        return json.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private String object(String finish) {
+        String text = quote(whole.toString());
+        String payload =
+                request.chat() ? "\"message\":{\"role\":\"assistant\",\"content\":" + text + "}" : "\"text\":" + text;
+        String type = request.chat() ? "chat.completion" : "text_completion";
+        return "{" + head(type) + ",\"choices\":[{\"index\":0," + payload + ",\"finish_reason\":" + finish
+                + "}],\"usage\":{\"completion_tokens\":" + tokens + "}}";
+    }
+
+    private String head(String type) {
+        return "\"id\":" + quote(id) + ",\"object\":\"" + type + "\",\"created\":" + createdSeconds + ",\"model\":"
+                + quote(request.model().value());
+    }
+
+    private static String quote(String text) {
+        return "\"" + new String(JsonStringEncoder.getInstance().quoteAsString(text)) + "\"";
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/CheckpointCache.java
@@ -0,0 +1,37 @@
+package org.hawthornglade.standin.engine;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.platform.engine.CachedCheckpoint;
+import org.hawthornglade.platform.engine.CheckpointTier;
+
+/** Which checkpoints lie near one engine. */
+final class CheckpointCache {
+    private record Key(ModelName model, String version) {}
+
+    private final Map<Key, CheckpointTier> tiers =
+            new TreeMap<>(Comparator.comparing(Key::model).thenComparing(Key::version));
+
+    CheckpointCache(List<CachedCheckpoint> first) {
+        first.forEach(checkpoint -> keep(checkpoint.model(), checkpoint.version(), checkpoint.tier()));
+    }
+
+    CheckpointTier tier(ModelName model, String version) {
+        return tiers.getOrDefault(new Key(model, version), CheckpointTier.REMOTE);
+    }
+
+    /** Notes where a checkpoint lies; a nearer place is never given up for a farther one. */
+    void keep(ModelName model, String version, CheckpointTier tier) {
+        tiers.merge(new Key(model, version), tier, (was, is) -> was.compareTo(is) <= 0 ? was : is);
+    }
+
+    List<CachedCheckpoint> list() {
+        return tiers.entrySet().stream()
+                .map(entry -> new CachedCheckpoint(
+                        entry.getKey().model(), entry.getKey().version(), entry.getValue()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/EngineResource.java
@@ -0,0 +1,81 @@
+package org.hawthornglade.standin.engine;
+
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.platform.engine.EngineModel;
+import org.hawthornglade.platform.engine.EngineOrder;
+import org.hawthornglade.standin.http.Answers;
+
+/** The control side of an engine over HTTP, and what observers ask. */
+@Path("/engine")
+@Produces(MediaType.APPLICATION_JSON)
+public final class EngineResource {
+    private final InMemoryEngine engine;
+    private final HeldModels held;
+
+    /** Creates the control routes of an engine. */
+    public EngineResource(InMemoryEngine engine, HeldModels held) {
+        this.engine = engine;
+        this.held = held;
+    }
+
+    @POST
+    @Path("orders")
+    @Consumes(MediaType.APPLICATION_JSON)
+    public Response order(EngineOrder order) {
+        return Answers.of(engine.order(order));
+    }
+
+    @GET
+    @Path("report")
+    public Response report() {
+        return Answers.of(engine.report());
+    }
+
+    /** Cancels a request; 404 if the engine does not know it. */
+    @POST
+    @Path("requests/{id}/cancel")
+    public Response cancel(@PathParam("id") String id) {
+        boolean known = engine.inference().cancel(id);
+        return Response.status(known ? Response.Status.OK : Response.Status.NOT_FOUND)
+                .entity("{\"cancelled\":" + known + "}")
+                .build();
+    }
+
+    /** Returns what the engine holds now, without lag. */
+    @GET
+    @Path("models")
+    public List<EngineModel> models() {
+        return engine.state().models();
+    }
+
+    @GET
+    @Path("violations")
+    public List<Violation> violations() {
+        return engine.state().violations();
+    }
+
+    /** Returns how many engines of this process hold each model, now and at most. */
+    @GET
+    @Path("held")
+    public Map<ModelName, HeldModels.Count> held() {
+        return held.counts();
+    }
+
+    /** Ends this run of the engine and begins another. */
+    @POST
+    @Path("restart")
+    public Response restart() {
+        engine.restart();
+        return Answers.ok(engine.state().report());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/EngineState.java
@@ -0,0 +1,261 @@
+package org.hawthornglade.standin.engine;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.platform.engine.CheckpointTier;
+import org.hawthornglade.platform.engine.EngineModel;
+import org.hawthornglade.platform.engine.EngineOrder;
+import org.hawthornglade.platform.engine.EngineReport;
+import org.hawthornglade.platform.engine.LoadState;
+import org.hawthornglade.platform.engine.OrderAnswer;
+import org.hawthornglade.standin.fault.FaultGate;
+import org.hawthornglade.standin.time.Timers;
+
+/**
+ * What one engine holds, and how orders change it.
+ *
+ * <p>Memory is taken when a load is ordered and given back when an unload has ended.
+ */
+public final class EngineState {
+    private static final long ADAPTER_MS_PER_REQUEST_BEYOND_KNEE = 1;
+
+    private final EngineSettings settings;
+    private final FaultGate faults;
+    private final Timers timers;
+    private final CheckpointLoader loader;
+    private final HeldModels held;
+    private final Map<ModelName, HeldModel> models = new TreeMap<>();
+    private final List<Violation> violations = new ArrayList<>();
+    private final ReportHistory history;
+    private final CheckpointCache cache;
+    private long orderSequence;
+    private long fencingNumber;
+    private long bootId;
+    private Consumer<ModelName> cutRequests = model -> {};
+
+    /** Creates an engine that holds nothing. */
+    public EngineState(
+            EngineSettings settings, FaultGate faults, Timers timers, CheckpointLoader loader, HeldModels held) {
+        this.settings = settings;
+        this.faults = faults;
+        this.timers = timers;
+        this.loader = loader;
+        this.held = held;
+        this.history = new ReportHistory(settings.reportLagMs());
+        this.cache = new CheckpointCache(settings.cached());
+        this.bootId = timers.clock().nowMs();
+        noteChange();
+    }
+
+    /** Sets who breaks off the running requests of a model that goes away. */
+    void onCut(Consumer<ModelName> next) {
+        cutRequests = next;
+    }
+
+    /** Takes an order in; see {@link org.hawthornglade.platform.engine.EngineControl#order}. */
+    public synchronized Either<Failure, OrderAnswer> order(EngineOrder order) {
+        if (order.kind() == null || (order.kind() != EngineOrder.Kind.FENCE && order.model() == null)) {
+            return refuse(ResultCode.ENGINE_REFUSED, "the order names no kind or no model");
+        }
+        if (order.fencingNumber() < fencingNumber) {
+            violate(Violation.Kind.STALE_ORDER, order.model(), order.fencingNumber() + " below " + fencingNumber);
+            if (settings.checksFencing()) {
+                return refuse(ResultCode.STALE_FENCING_NUMBER, "a higher number was seen: " + fencingNumber);
+            }
+        }
+        fencingNumber = Math.max(fencingNumber, order.fencingNumber());
+        Either<Failure, OrderAnswer> answer =
+                switch (order.kind()) {
+                    case LOAD -> load(order);
+                    case UNLOAD -> unload(order);
+                    case FENCE -> accept();
+                };
+        noteChange();
+        return answer;
+    }
+
+    private Either<Failure, OrderAnswer> load(EngineOrder order) {
+        HeldModel present = models.get(order.model());
+        if (present != null) {
+            boolean same = present.version.equals(order.version());
+            boolean coming = present.state == LoadState.LOADING || present.state == LoadState.READY;
+            return same && coming
+                    ? accept()
+                    : refuse(ResultCode.ENGINE_REFUSED, "held as " + present.state + ", version " + present.version);
+        }
+        if (order.version() == null || order.memoryMb() < 0) {
+            return refuse(ResultCode.ENGINE_REFUSED, "the order names no version or a negative size");
+        }
+        if (order.base() != null && !isReady(order.base())) {
+            return refuse(ResultCode.ENGINE_REFUSED, "the base model is not ready");
+        }
+        if (usedMb() + order.memoryMb() > settings.memoryMb()) {
+            String detail = usedMb() + " MiB used, " + order.memoryMb() + " more asked of " + settings.memoryMb();
+            violate(Violation.Kind.OVERCOMMIT, order.model(), detail);
+            return refuse(ResultCode.MEMORY_EXHAUSTED, detail);
+        }
+        begin(new HeldModel(order));
+        return accept();
+    }
+
+    private void begin(HeldModel model) {
+        models.put(model.name, model);
+        held.change(model.name, 1);
+        boolean crashes = faults.nextLoadCrashes();
+        if (model.base != null) {
+            timers.after(adapterLoadMs(), () -> loadEnded(model, !crashes));
+            return;
+        }
+        CheckpointTier tier = cache.tier(model.name, model.version);
+        loader.load(model.name, model.version, model.memoryMb, tier, crashes, loaded -> loadEnded(model, loaded));
+    }
+
+    /** Adapters load slower while more requests run than the knee allows. */
+    private long adapterLoadMs() {
+        int running = models.values().stream().mapToInt(model -> model.running).sum();
+        int beyond = Math.max(0, running - settings.adapterKnee());
+        return settings.adapterLoadMs() + beyond * ADAPTER_MS_PER_REQUEST_BEYOND_KNEE;
+    }
+
+    private synchronized void loadEnded(HeldModel model, boolean loaded) {
+        if (models.get(model.name) != model || model.state != LoadState.LOADING) {
+            return;
+        }
+        model.state = loaded ? LoadState.READY : LoadState.HALF_PRESENT;
+        if (loaded && model.base == null) {
+            cache.keep(model.name, model.version, CheckpointTier.DISK);
+        }
+        noteChange();
+    }
+
+    private Either<Failure, OrderAnswer> unload(EngineOrder order) {
+        HeldModel model = models.get(order.model());
+        if (model == null || model.state == LoadState.UNLOADING) {
+            return accept();
+        }
+        List<HeldModel> going = new ArrayList<>(List.of(model));
+        models.values().stream().filter(other -> model.name.equals(other.base)).forEach(going::add);
+        going.forEach(this::beginUnload);
+        timers.after(settings.unloadMs(), () -> unloadEnded(going));
+        return accept();
+    }
+
+    private void beginUnload(HeldModel model) {
+        if (model.running > 0) {
+            violate(Violation.Kind.CUT_REQUESTS, model.name, model.running + " running");
+            cutRequests.accept(model.name);
+        }
+        if (model.state == LoadState.READY && model.base == null) {
+            cache.keep(model.name, model.version, CheckpointTier.MEMORY);
+        }
+        model.state = LoadState.UNLOADING;
+    }
+
+    private synchronized void unloadEnded(List<HeldModel> going) {
+        going.forEach(this::remove);
+        noteChange();
+    }
+
+    private void remove(HeldModel model) {
+        if (models.remove(model.name, model)) {
+            held.change(model.name, -1);
+        }
+    }
+
+    /** Ends this run and begins another: loads stay half present, all else is gone, and requests are forgotten. */
+    public synchronized void restart() {
+        bootId++;
+        orderSequence = 0;
+        fencingNumber = 0;
+        for (HeldModel model : List.copyOf(models.values())) {
+            cutRequests.accept(model.name);
+            model.running = 0;
+            if (model.state == LoadState.LOADING) {
+                model.state = LoadState.HALF_PRESENT;
+            }
+            if (model.state != LoadState.HALF_PRESENT) {
+                remove(model);
+            }
+        }
+        noteChange();
+    }
+
+    /** Returns the report, as old as the settings say. */
+    public synchronized EngineReport report() {
+        return history.at(timers.clock().nowMs());
+    }
+
+    /** Returns what the engine holds now, without lag. */
+    public synchronized List<EngineModel> models() {
+        return models.values().stream().map(HeldModel::toReport).toList();
+    }
+
+    /** Returns what the engine never should have been ordered. */
+    public synchronized List<Violation> violations() {
+        return List.copyOf(violations);
+    }
+
+    /** Returns which run of the engine this is. */
+    public synchronized long bootId() {
+        return bootId;
+    }
+
+    /** Notes that a request of a model begins; false if the model is not ready. */
+    synchronized boolean beginRequest(ModelName model) {
+        if (!isReady(model)) {
+            return false;
+        }
+        models.get(model).running++;
+        noteChange();
+        return true;
+    }
+
+    /** Notes that a request of a model has ended. */
+    synchronized void endRequest(ModelName model) {
+        HeldModel present = models.get(model);
+        if (present != null && present.running > 0) {
+            present.running--;
+            noteChange();
+        }
+    }
+
+    private boolean isReady(ModelName model) {
+        HeldModel present = models.get(model);
+        return present != null && present.state == LoadState.READY;
+    }
+
+    private int usedMb() {
+        return models.values().stream().mapToInt(model -> model.memoryMb).sum();
+    }
+
+    private Either<Failure, OrderAnswer> accept() {
+        orderSequence++;
+        return Either.right(new OrderAnswer(orderSequence));
+    }
+
+    private static Either<Failure, OrderAnswer> refuse(ResultCode code, String message) {
+        return Either.left(Failure.of(code, message));
+    }
+
+    private void violate(Violation.Kind kind, ModelName model, String detail) {
+        violations.add(new Violation(timers.clock().nowMs(), kind, model, detail));
+    }
+
+    private void noteChange() {
+        history.changed(new EngineReport(
+                timers.clock().nowMs(),
+                orderSequence,
+                bootId,
+                settings.checksFencing() ? fencingNumber : 0,
+                settings.memoryMb(),
+                models(),
+                cache.list()));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/HeldModel.java
@@ -0,0 +1,27 @@
+package org.hawthornglade.standin.engine;
+
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.platform.engine.EngineModel;
+import org.hawthornglade.platform.engine.EngineOrder;
+import org.hawthornglade.platform.engine.LoadState;
+
+/** One model or adapter in an engine's memory. */
+final class HeldModel {
+    final ModelName name;
+    final String version;
+    final ModelName base;
+    final int memoryMb;
+    LoadState state = LoadState.LOADING;
+    int running;
+
+    HeldModel(EngineOrder order) {
+        this.name = order.model();
+        this.version = order.version();
+        this.base = order.base();
+        this.memoryMb = order.memoryMb();
+    }
+
+    EngineModel toReport() {
+        return new EngineModel(name, version, base, state, memoryMb, running);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/Inference.java
@@ -0,0 +1,200 @@
+package org.hawthornglade.standin.engine;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.standin.fault.FaultGate;
+import org.hawthornglade.standin.time.Timers;
+
+/** The requests of one engine: some run at once, the rest wait in the order of their arrival. */
+public final class Inference {
+    private static final long KEEP_ENDED_MS = 60_000;
+    private static final long STALL_CHECK_MS = 20;
+    private static final long MS_PER_SECOND = 1_000;
+
+    /** One request that runs. */
+    private final class Run {
+        private final Generation generation;
+        private final AnswerEncoder encoder;
+        private final int tokens;
+        private final String promptMark;
+        private final String runMark;
+        private int produced;
+        private long dueMs;
+
+        private Run(Generation generation, long runNumber) {
+            InferenceRequest request = generation.request();
+            this.generation = generation;
+            this.encoder =
+                    new AnswerEncoder(generation.id(), request, timers.clock().nowMs() / MS_PER_SECOND);
+            this.tokens = request.maxTokens() == 0
+                    ? settings.naturalTokens()
+                    : Math.min(request.maxTokens(), settings.naturalTokens());
+            this.promptMark = AnswerText.promptMark(request.prompt());
+            this.runMark = Long.toHexString(runNumber);
+        }
+
+        private void begin() {
+            dueMs = timers.clock().nowMs() + settings.firstTokenMs();
+            timers.after(settings.firstTokenMs(), this::step);
+        }
+
+        private void step() {
+            if (generation.ended()) {
+                return;
+            }
+            if (faults.script().stallStreams()) {
+                dueMs = timers.clock().nowMs() + STALL_CHECK_MS;
+                timers.after(STALL_CHECK_MS, this::step);
+                return;
+            }
+            if (produced == tokens) {
+                finish(generation, encoder.end(tokens < settings.naturalTokens() ? "length" : "stop"));
+                return;
+            }
+            generation.append(encoder.token(AnswerText.token(produced, promptMark, runMark)), false);
+            produced++;
+            dueMs += produced == tokens ? 0 : settings.betweenTokenMs();
+            timers.after(dueMs - timers.clock().nowMs(), this::step);
+        }
+    }
+
+    private final EngineSettings settings;
+    private final EngineState engine;
+    private final FaultGate faults;
+    private final Timers timers;
+    private final Map<String, Generation> byId = new HashMap<>();
+    private final Deque<Run> waiting = new ArrayDeque<>();
+    private int running;
+    private long requestNumber;
+    private long runNumber;
+
+    /** Creates the requests of an engine. */
+    public Inference(EngineSettings settings, EngineState engine, FaultGate faults, Timers timers) {
+        this.settings = settings;
+        this.engine = engine;
+        this.faults = faults;
+        this.timers = timers;
+        this.runNumber = engine.bootId() << Byte.SIZE;
+        engine.onCut(this::cutModel);
+    }
+
+    /**
+     * Takes a request in.
+     *
+     * @param requestId names it in this run of the engine; null lets the engine name it
+     * @return left with MODEL_NOT_LOADED, or with DUPLICATE_ATTEMPT if the name was used in this run
+     */
+    public Either<Failure, Generation> start(String requestId, InferenceRequest request) {
+        if (requestId != null && find(requestId).isPresent()) {
+            return Either.left(Failure.of(ResultCode.DUPLICATE_ATTEMPT, "the request id is in use: " + requestId));
+        }
+        if (!engine.beginRequest(request.model())) {
+            return Either.left(
+                    Failure.of(ResultCode.MODEL_NOT_LOADED, "The model `" + request.model() + "` does not exist."));
+        }
+        Run run = admit(requestId, request);
+        if (run != null) {
+            run.begin();
+            return Either.right(run.generation);
+        }
+        return Either.right(find(requestId).orElseThrow());
+    }
+
+    /** Returns the request's run if it may begin now; else it waits. */
+    private synchronized Run admit(String requestId, InferenceRequest request) {
+        requestNumber++;
+        runNumber++;
+        String id = requestId == null ? "request-" + requestNumber : requestId;
+        Generation generation = new Generation(id, request);
+        byId.put(id, generation);
+        Run run = new Run(generation, runNumber);
+        if (running < settings.maxConcurrent()) {
+            running++;
+            return run;
+        }
+        waiting.addLast(run);
+        return null;
+    }
+
+    /** Returns a request of this run of the engine, also one that ended not long ago. */
+    public synchronized Optional<Generation> find(String requestId) {
+        return Optional.ofNullable(byId.get(requestId));
+    }
+
+    /** Cancels a request; false if there is none of this name. */
+    public boolean cancel(String requestId) {
+        Optional<Generation> generation = find(requestId);
+        generation.ifPresent(this::cut);
+        return generation.isPresent();
+    }
+
+    private void cut(Generation generation) {
+        if (generation.cut()) {
+            ended(generation);
+        }
+    }
+
+    private void cutModel(ModelName model) {
+        List<Generation> all = all();
+        all.stream()
+                .filter(generation -> generation.request().model().equals(model))
+                .forEach(this::cut);
+    }
+
+    /** Cuts and forgets all requests, as a new run of the engine does; names are given out anew. */
+    public void forgetAll() {
+        all().forEach(this::cut);
+        clear();
+    }
+
+    private synchronized void clear() {
+        byId.clear();
+        requestNumber = 0;
+    }
+
+    private synchronized List<Generation> all() {
+        return List.copyOf(byId.values());
+    }
+
+    private void finish(Generation generation, byte[] last) {
+        if (generation.append(last, true)) {
+            ended(generation);
+        }
+    }
+
+    private void ended(Generation generation) {
+        engine.endRequest(generation.request().model());
+        timers.after(KEEP_ENDED_MS, () -> forget(generation));
+        Run next = next(generation);
+        if (next != null) {
+            next.begin();
+        }
+    }
+
+    private synchronized void forget(Generation generation) {
+        byId.remove(generation.id(), generation);
+    }
+
+    /** Gives the place of an ended request to one that waits. */
+    private synchronized Run next(Generation ended) {
+        if (waiting.removeIf(run -> run.generation == ended)) {
+            return null;
+        }
+        while (!waiting.isEmpty()) {
+            Run run = waiting.removeFirst();
+            if (!run.generation.ended()) {
+                return run;
+            }
+        }
+        running--;
+        return null;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/ReportHistory.java
@@ -0,0 +1,49 @@
+package org.hawthornglade.standin.engine;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.hawthornglade.platform.engine.EngineReport;
+
+/** Gives an engine's report as it was some time ago. */
+final class ReportHistory {
+    private final long lagMs;
+    private final Deque<EngineReport> reports = new ArrayDeque<>();
+
+    ReportHistory(long lagMs) {
+        this.lagMs = lagMs;
+    }
+
+    /** Notes the report after a change, and forgets what can no longer be asked for. */
+    void changed(EngineReport report) {
+        if (lagMs == 0) {
+            reports.clear();
+        }
+        reports.addLast(report);
+        dropBefore(report.takenAtMs() - lagMs);
+    }
+
+    EngineReport at(long nowMs) {
+        long takenAtMs = nowMs - lagMs;
+        dropBefore(takenAtMs);
+        EngineReport report = reports.getFirst();
+        return new EngineReport(
+                Math.max(takenAtMs, report.takenAtMs()),
+                report.orderSequence(),
+                report.bootId(),
+                report.fencingNumber(),
+                report.memoryMb(),
+                report.models(),
+                report.cached());
+    }
+
+    /** Keeps the last report taken at or before the time, and all later ones. */
+    private void dropBefore(long timeMs) {
+        while (reports.size() > 1) {
+            EngineReport first = reports.removeFirst();
+            if (reports.getFirst().takenAtMs() > timeMs) {
+                reports.addFirst(first);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/StreamWriter.java
@@ -0,0 +1,96 @@
+package org.hawthornglade.standin.engine;
+
+import jakarta.servlet.AsyncContext;
+import jakarta.servlet.ServletOutputStream;
+import jakarta.servlet.WriteListener;
+import jakarta.servlet.http.HttpServletRequest;
+import java.io.IOException;
+import org.hawthornglade.standin.http.Connections;
+
+/** Writes a growing answer to one connection without holding a thread. */
+final class StreamWriter implements WriteListener {
+    private static final int MAX_WRITE_BYTES = 16 * 1024;
+    private static final int WRITES_BEFORE_CUT = 2;
+
+    private final AsyncContext context;
+    private final ServletOutputStream out;
+    private final Generation generation;
+    private final Runnable reader = this::pump;
+    private final boolean cutsHalfWay;
+    private int offset;
+    private int writes;
+    private boolean unflushed;
+    private boolean done;
+
+    StreamWriter(AsyncContext context, Generation generation, int offset, boolean cutsHalfWay) throws IOException {
+        this.context = context;
+        this.out = context.getResponse().getOutputStream();
+        this.generation = generation;
+        this.offset = offset;
+        this.cutsHalfWay = cutsHalfWay;
+    }
+
+    void start() {
+        generation.follow(reader);
+        out.setWriteListener(this);
+    }
+
+    @Override
+    public void onWritePossible() {
+        pump();
+    }
+
+    @Override
+    public void onError(Throwable cause) {
+        stop();
+    }
+
+    private synchronized void pump() {
+        try {
+            while (!done && out.isReady()) {
+                if (!step()) {
+                    return;
+                }
+            }
+        } catch (IOException | IllegalStateException e) {
+            stop();
+        }
+    }
+
+    /** Writes, flushes or ends; false if there is nothing to do now. */
+    private boolean step() throws IOException {
+        byte[] next = generation.from(offset, MAX_WRITE_BYTES);
+        if (next.length > 0) {
+            out.write(next);
+            offset += next.length;
+            unflushed = true;
+            writes++;
+            return true;
+        }
+        if (unflushed) {
+            unflushed = false;
+            out.flush();
+            return true;
+        }
+        if (cutsHalfWay && writes >= WRITES_BEFORE_CUT) {
+            stop();
+            return false;
+        }
+        if (generation.endedAt(offset)) {
+            stop();
+        }
+        return false;
+    }
+
+    private synchronized void stop() {
+        if (done) {
+            return;
+        }
+        done = true;
+        generation.leave(reader);
+        if (cutsHalfWay) {
+            Connections.cut((HttpServletRequest) context.getRequest());
+        }
+        context.complete();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that a stand-in shows on request. */
+package org.hawthornglade.standin.fault;
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/http/FaultResource.java
@@ -0,0 +1,33 @@
+package org.hawthornglade.standin.http;
+
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import org.hawthornglade.standin.fault.FaultGate;
+import org.hawthornglade.standin.fault.FaultScript;
+
+/** Shows and replaces the faults of a stand-in. */
+@Path("/faults")
+@Produces(MediaType.APPLICATION_JSON)
+@Consumes(MediaType.APPLICATION_JSON)
+public final class FaultResource {
+    private final FaultGate faults;
+
+    FaultResource(FaultGate faults) {
+        this.faults = faults;
+    }
+
+    @GET
+    public FaultScript get() {
+        return faults.script();
+    }
+
+    @PUT
+    public FaultScript put(FaultScript script) {
+        faults.set(script);
+        return faults.script();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP side of the stand-ins. */
+package org.hawthornglade.standin.http;
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/instance/InstanceResource.java
@@ -0,0 +1,69 @@
+package org.hawthornglade.standin.instance;
+
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.platform.instance.InstanceInfo;
+import org.hawthornglade.platform.instance.InstanceState;
+import org.hawthornglade.standin.http.Answers;
+
+/** The instance list over HTTP; the changes are for those who run the platform. */
+@Path("/instances")
+@Produces(MediaType.APPLICATION_JSON)
+@Consumes(MediaType.APPLICATION_JSON)
+public final class InstanceResource {
+    /**
+     * Asks for another state of an instance.
+     *
+     * @param state the next state
+     */
+    public record StateChange(InstanceState state) {}
+
+    /**
+     * Asks for another lag of the list.
+     *
+     * @param lagMs how late changes show, in milliseconds
+     */
+    public record LagChange(long lagMs) {}
+
+    private final InMemoryInstanceList list;
+
+    /** Creates the routes of an instance list. */
+    public InstanceResource(InMemoryInstanceList list) {
+        this.list = list;
+    }
+
+    @GET
+    public Response list() {
+        return Answers.of(list.list());
+    }
+
+    /** Adds or replaces a line. */
+    @PUT
+    public Response put(InstanceInfo line) {
+        list.put(line);
+        return Answers.ok(line);
+    }
+
+    /** Changes the state of a line; 404 if there is none. */
+    @PUT
+    @Path("{id}/state")
+    public Response setState(@PathParam("id") String id, StateChange change) {
+        return list.setState(InstanceId.of(id), change.state())
+                ? Answers.ok(change)
+                : Response.status(Response.Status.NOT_FOUND).build();
+    }
+
+    @PUT
+    @Path("lag")
+    public Response setLag(LagChange change) {
+        list.setLagMs(change.lagMs());
+        return Answers.ok(change);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a plain service. */
+package org.hawthornglade.standin.service;
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/table/TableResource.java
@@ -0,0 +1,58 @@
+package org.hawthornglade.standin.table;
+
+import io.vavr.control.Either;
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.QueryParam;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.standin.http.Answers;
+
+/** The table service over HTTP. */
+@Path("/tables")
+@Produces(MediaType.APPLICATION_JSON)
+@Consumes(MediaType.APPLICATION_JSON)
+public final class TableResource {
+    private final InMemoryTableService tables;
+
+    /** Creates the routes of a table service. */
+    public TableResource(InMemoryTableService tables) {
+        this.tables = tables;
+    }
+
+    @POST
+    @Path("transact")
+    public Response transact(Transaction transaction) {
+        return Answers.of(tables.transact(transaction));
+    }
+
+    /** Reads one row; 404 if it is absent. */
+    @GET
+    @Path("rows/{table}/{key}")
+    public Response read(@PathParam("table") String table, @PathParam("key") String key) {
+        Either<Failure, Response> answer = tables.read(table, key)
+                .map(row -> row.map(Answers::ok)
+                        .orElseGet(
+                                () -> Response.status(Response.Status.NOT_FOUND).build()));
+        return answer.getOrElseGet(Answers::refused);
+    }
+
+    @GET
+    @Path("rows/{table}")
+    public Response scan(@PathParam("table") String table, @QueryParam("prefix") String prefix) {
+        return Answers.of(tables.scan(table, prefix == null ? "" : prefix));
+    }
+
+    /** Counts the calls; no call of the service itself. */
+    @GET
+    @Path("calls")
+    public CallCounts calls() {
+        return tables.calls();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/table/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the transactional table service. */
+package org.hawthornglade.standin.table;
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/time/SystemTimers.java
@@ -0,0 +1,51 @@
+package org.hawthornglade.standin.time;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.hawthornglade.core.time.Clock;
+
+/** Timers by the system's clock, on a few daemon threads. */
+public final class SystemTimers implements Timers {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int THREADS = 2;
+
+    private final Clock clock = Clock.system();
+    private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(THREADS, action -> {
+        Thread thread = new Thread(action, "standin-timer");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /** Starts the threads when the first action is set. */
+    public SystemTimers() {
+        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        executor.setRemoveOnCancelPolicy(true);
+    }
+
+    @Override
+    public Clock clock() {
+        return clock;
+    }
+
+    @Override
+    public void after(long delayMs, Runnable action) {
+        if (executor.isShutdown()) {
+            return;
+        }
+        executor.schedule(() -> run(action), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
+    }
+
+    private static void run(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOG.atWarning().withCause(e).log("event=timer_action_failed");
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/time/package-info.java
@@ -0,0 +1,2 @@
+/** Delayed actions by a real or a manual clock. */
+package org.hawthornglade.standin.time;
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/weight/InMemoryWeightStore.java
@@ -0,0 +1,117 @@
+package org.hawthornglade.standin.weight;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.standin.fault.FaultGate;
+import org.hawthornglade.standin.time.RateLimit;
+import org.hawthornglade.standin.time.Timers;
+
+/** A weight store in memory: fetches share its bandwidth, and few may begin in a second. */
+public final class InMemoryWeightStore implements WeightStore {
+    private static final long TICK_MS = 20;
+    private static final double MS_PER_SECOND = 1_000.0;
+    private static final double PERCENT = 100.0;
+    private static final double NOTHING_LEFT_MB = 1e-6;
+
+    private static final class Transfer {
+        private final long beganMs;
+        private final Consumer<Either<Failure, FetchResult>> done;
+        private double remainingMb;
+
+        private Transfer(FetchRequest request, long beganMs, Consumer<Either<Failure, FetchResult>> done) {
+            this.remainingMb = request.sizeMb();
+            this.beganMs = beganMs;
+            this.done = done;
+        }
+    }
+
+    private final WeightStoreSettings settings;
+    private final FaultGate faults;
+    private final Timers timers;
+    private final RateLimit starts;
+    private final List<Transfer> active = new ArrayList<>();
+    private long settledAtMs;
+    private boolean ticking;
+
+    /** Creates a store that holds every checkpoint. */
+    public InMemoryWeightStore(WeightStoreSettings settings, FaultGate faults, Timers timers) {
+        this.settings = settings;
+        this.faults = faults;
+        this.timers = timers;
+        this.starts = new RateLimit(settings.loadsPerSecond(), timers.clock());
+    }
+
+    @Override
+    public void fetch(FetchRequest request, Consumer<Either<Failure, FetchResult>> done) {
+        long waitMs = begin(request, done);
+        if (waitMs > 0) {
+            done.accept(Either.left(
+                    Failure.retryAfter(ResultCode.PLATFORM_RATE_LIMITED, "too many loads a second", waitMs)));
+        }
+    }
+
+    /** Returns how many fetches run now. */
+    public synchronized int activeFetches() {
+        return active.size();
+    }
+
+    private synchronized long begin(FetchRequest request, Consumer<Either<Failure, FetchResult>> done) {
+        long waitMs = starts.takeOrWaitMs();
+        if (waitMs > 0) {
+            return waitMs;
+        }
+        settle();
+        active.add(new Transfer(request, timers.clock().nowMs(), done));
+        keepTicking();
+        return 0;
+    }
+
+    private void keepTicking() {
+        if (ticking || active.isEmpty()) {
+            return;
+        }
+        ticking = true;
+        timers.after(Math.min(TICK_MS, nextEndInMs()), this::tick);
+    }
+
+    private void tick() {
+        List<Transfer> ended = takeEnded();
+        long nowMs = timers.clock().nowMs();
+        ended.forEach(transfer -> transfer.done.accept(Either.right(new FetchResult(nowMs - transfer.beganMs))));
+    }
+
+    private synchronized List<Transfer> takeEnded() {
+        ticking = false;
+        settle();
+        List<Transfer> ended = active.stream()
+                .filter(transfer -> transfer.remainingMb <= NOTHING_LEFT_MB)
+                .toList();
+        active.removeAll(ended);
+        keepTicking();
+        return ended;
+    }
+
+    private void settle() {
+        long nowMs = timers.clock().nowMs();
+        double movedMb = (nowMs - settledAtMs) / MS_PER_SECOND * speedMbPerSecond();
+        active.forEach(transfer -> transfer.remainingMb -= movedMb);
+        settledAtMs = nowMs;
+    }
+
+    private long nextEndInMs() {
+        double leastMb = active.stream()
+                .mapToDouble(transfer -> transfer.remainingMb)
+                .min()
+                .orElse(0);
+        return (long) Math.ceil(Math.max(0, leastMb) / speedMbPerSecond() * MS_PER_SECOND);
+    }
+
+    private double speedMbPerSecond() {
+        double share = Math.min(1.0, (double) settings.fullSpeedFetches() / Math.max(1, active.size()));
+        return settings.fetchMbPerSecond() * share * faults.script().speedPercent() / PERCENT;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/weight/WeightResource.java
@@ -0,0 +1,29 @@
+package org.hawthornglade.standin.weight;
+
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.container.AsyncResponse;
+import jakarta.ws.rs.container.Suspended;
+import jakarta.ws.rs.core.MediaType;
+import org.hawthornglade.standin.http.Answers;
+
+/** The weight store over HTTP; a fetch is answered when it has ended, and moves no bytes. */
+@Path("/weights")
+@Produces(MediaType.APPLICATION_JSON)
+@Consumes(MediaType.APPLICATION_JSON)
+public final class WeightResource {
+    private final InMemoryWeightStore store;
+
+    /** Creates the routes of a weight store. */
+    public WeightResource(InMemoryWeightStore store) {
+        this.store = store;
+    }
+
+    @POST
+    @Path("fetch")
+    public void fetch(FetchRequest request, @Suspended AsyncResponse answer) {
+        store.fetch(request, result -> answer.resume(Answers.of(result)));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/weight/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the rate-limited weight store. */
+package org.hawthornglade.standin.weight;
