--- a/standin/src/main/java/org/hawthornglade/standin/engine/CheckpointCache.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/CheckpointCache.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.hawthornglade.core.engine.CachedCheckpoint;
+import org.hawthornglade.core.engine.CheckpointTier;
 import org.hawthornglade.core.id.ModelName;
-import org.hawthornglade.platform.engine.CachedCheckpoint;
-import org.hawthornglade.platform.engine.CheckpointTier;
 
 /** Which checkpoints lie near one engine. */
 final class CheckpointCache {
--- a/standin/src/main/java/org/hawthornglade/standin/engine/CheckpointLoader.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/CheckpointLoader.java
@@ -1,9 +1,9 @@
 package org.hawthornglade.standin.engine;
 
 import java.util.function.Consumer;
+import org.hawthornglade.core.engine.CheckpointTier;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.engine.CheckpointTier;
 import org.hawthornglade.standin.time.Timers;
 import org.hawthornglade.standin.weight.FetchRequest;
 import org.hawthornglade.standin.weight.WeightStore;
--- a/standin/src/main/java/org/hawthornglade/standin/engine/EngineResource.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/EngineResource.java
@@ -10,9 +10,9 @@
 import jakarta.ws.rs.core.Response;
 import java.util.List;
 import java.util.Map;
+import org.hawthornglade.core.engine.EngineModel;
+import org.hawthornglade.core.engine.EngineOrder;
 import org.hawthornglade.core.id.ModelName;
-import org.hawthornglade.platform.engine.EngineModel;
-import org.hawthornglade.platform.engine.EngineOrder;
 import org.hawthornglade.standin.http.Answers;
 
 /** The control side of an engine over HTTP, and what observers ask. */
--- a/standin/src/main/java/org/hawthornglade/standin/engine/EngineSettings.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/EngineSettings.java
@@ -1,7 +1,7 @@
 package org.hawthornglade.standin.engine;
 
 import java.util.List;
-import org.hawthornglade.platform.engine.CachedCheckpoint;
+import org.hawthornglade.core.engine.CachedCheckpoint;
 import org.hawthornglade.standin.StandinSettings;
 import org.hawthornglade.standin.fault.FaultScript;
 
--- a/standin/src/main/java/org/hawthornglade/standin/engine/HeldModel.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/HeldModel.java
@@ -1,9 +1,9 @@
 package org.hawthornglade.standin.engine;
 
+import org.hawthornglade.core.engine.EngineModel;
+import org.hawthornglade.core.engine.EngineOrder;
+import org.hawthornglade.core.engine.LoadState;
 import org.hawthornglade.core.id.ModelName;
-import org.hawthornglade.platform.engine.EngineModel;
-import org.hawthornglade.platform.engine.EngineOrder;
-import org.hawthornglade.platform.engine.LoadState;
 
 /** One model or adapter in an engine's memory. */
 final class HeldModel {
--- a/standin/src/main/java/org/hawthornglade/standin/engine/InMemoryEngine.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/InMemoryEngine.java
@@ -1,10 +1,10 @@
 package org.hawthornglade.standin.engine;
 
 import io.vavr.control.Either;
+import org.hawthornglade.core.engine.EngineOrder;
+import org.hawthornglade.core.engine.EngineReport;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.platform.engine.EngineControl;
-import org.hawthornglade.platform.engine.EngineOrder;
-import org.hawthornglade.platform.engine.EngineReport;
 import org.hawthornglade.platform.engine.OrderAnswer;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.time.Timers;
--- a/standin/src/main/java/org/hawthornglade/standin/engine/ReportHistory.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/ReportHistory.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.hawthornglade.platform.engine.EngineReport;
+import org.hawthornglade.core.engine.EngineReport;
 
 /** Gives an engine's report as it was some time ago. */
 final class ReportHistory {
--- a/standin/src/main/java/org/hawthornglade/standin/http/FaultFilter.java
+++ b/standin/src/main/java/org/hawthornglade/standin/http/FaultFilter.java
@@ -61,6 +61,7 @@
             case REFUSE -> refuse(decision, response);
             case LOSE_REPLY -> loseReply(request, response, chain);
             case FREEZE -> request.startAsync().setTimeout(0);
+            default -> throw new IllegalStateException("unknown fault: " + decision.kind());
         }
     }
 
--- a/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.eclipse.jetty.ee10.servlet.FilterHolder;
 import org.eclipse.jetty.ee10.servlet.ServletContextHandler;
 import org.eclipse.jetty.ee10.servlet.ServletHolder;
@@ -31,6 +33,13 @@
     private static final int IDLE_TIMEOUT_MS = 300_000;
     private static final int BACKLOG = 1_024;
 
+    /** Jersey warns of every resource that is registered as an instance, without need. */
+    private static final Logger JERSEY_PROVIDERS = Logger.getLogger("org.glassfish.jersey.internal.inject.Providers");
+
+    static {
+        JERSEY_PROVIDERS.setLevel(Level.SEVERE);
+    }
+
     private final Server server;
     private final Timers timers;
     private final Map<String, ServerConnector> connectors = new LinkedHashMap<>();
@@ -87,6 +96,7 @@
         ResourceConfig config = new ResourceConfig();
         config.property(ServerProperties.WADL_FEATURE_DISABLE, true);
         config.register(new JacksonJsonProvider(JsonMapper.builder().build()));
+        config.property(ServerProperties.RESPONSE_SET_STATUS_OVER_SEND_ERROR, true);
         config.register(new FaultResource(host.faults()));
         host.resources().forEach(config::register);
         return config;
--- a/standin/src/main/java/org/hawthornglade/standin/instance/InMemoryInstanceList.java
+++ b/standin/src/main/java/org/hawthornglade/standin/instance/InMemoryInstanceList.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceState;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.instance.InstanceInfo;
 import org.hawthornglade.platform.instance.InstanceList;
-import org.hawthornglade.platform.instance.InstanceState;
 import org.hawthornglade.standin.time.Timers;
 
 /** An instance list in memory, whose lines change later than the truth. */
--- a/standin/src/main/java/org/hawthornglade/standin/instance/InstanceListSettings.java
+++ b/standin/src/main/java/org/hawthornglade/standin/instance/InstanceListSettings.java
@@ -1,7 +1,7 @@
 package org.hawthornglade.standin.instance;
 
 import java.util.List;
-import org.hawthornglade.platform.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceInfo;
 import org.hawthornglade.standin.StandinSettings;
 import org.hawthornglade.standin.fault.FaultScript;
 
--- a/standin/src/main/java/org/hawthornglade/standin/instance/InstanceResource.java
+++ b/standin/src/main/java/org/hawthornglade/standin/instance/InstanceResource.java
@@ -9,8 +9,8 @@
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import org.hawthornglade.core.id.InstanceId;
-import org.hawthornglade.platform.instance.InstanceInfo;
-import org.hawthornglade.platform.instance.InstanceState;
+import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceState;
 import org.hawthornglade.standin.http.Answers;
 
 /** The instance list over HTTP; the changes are for those who run the platform. */
--- a/standin/src/main/java/org/hawthornglade/standin/table/InMemoryTableService.java
+++ b/standin/src/main/java/org/hawthornglade/standin/table/InMemoryTableService.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -23,7 +24,7 @@
 public final class InMemoryTableService implements TableService {
     private record RowKey(String table, String key) {}
 
-    private final Map<String, TreeMap<String, Row>> tables = new TreeMap<>();
+    private final Map<String, NavigableMap<String, Row>> tables = new TreeMap<>();
     private final RateLimit writes;
     private final RateLimit reads;
     private long revision;
@@ -116,7 +117,7 @@
         rows(write.table()).put(write.key(), new Row(write.table(), write.key(), revision, write.json()));
     }
 
-    private TreeMap<String, Row> rows(String table) {
+    private NavigableMap<String, Row> rows(String table) {
         return tables.computeIfAbsent(table, name -> new TreeMap<>());
     }
 }
--- a/standin/src/main/java/org/hawthornglade/standin/time/SystemTimers.java
+++ b/standin/src/main/java/org/hawthornglade/standin/time/SystemTimers.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.standin.time;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.hawthornglade.core.time.Clock;
@@ -33,7 +34,7 @@
         if (executor.isShutdown()) {
             return;
         }
-        executor.schedule(() -> run(action), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> unused = executor.schedule(() -> run(action), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
     }
 
     private static void run(Runnable action) {
