--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/EntrySettings.java
@@ -0,0 +1,117 @@
+package org.hawthornglade.entry;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import java.util.List;
+import org.hawthornglade.node.settings.NodeSettings;
+
+/** The settings of an entry. */
+public final class EntrySettings extends NodeSettings {
+    @Valid
+    @NotNull
+    private List<CallerKey> callerKeys = List.of();
+
+    @Valid
+    @NotNull
+    private List<OperatorToken> operatorTokens = List.of();
+
+    @Min(1_024)
+    @Max(64 * 1024 * 1024)
+    private int maxBodyBytes = 4 * 1024 * 1024;
+
+    @Min(1_024)
+    @Max(256 * 1024 * 1024)
+    private int maxAnswerBytes = 16 * 1024 * 1024;
+
+    @Min(50)
+    @Max(2_000)
+    private long heartbeatMs = 250;
+
+    @Min(500)
+    @Max(30_000)
+    private long silenceTimeoutMs = 2_000;
+
+    @Min(100)
+    @Max(3_600_000)
+    private long stopTimeoutMs = 120_000;
+
+    @JsonProperty
+    public List<CallerKey> getCallerKeys() {
+        return callerKeys;
+    }
+
+    /** Sets the keys of callers. */
+    @JsonProperty
+    public void setCallerKeys(List<CallerKey> value) {
+        callerKeys = List.copyOf(value);
+    }
+
+    @JsonProperty
+    public List<OperatorToken> getOperatorTokens() {
+        return operatorTokens;
+    }
+
+    /** Sets the tokens of operators. */
+    @JsonProperty
+    public void setOperatorTokens(List<OperatorToken> value) {
+        operatorTokens = List.copyOf(value);
+    }
+
+    @JsonProperty
+    public int getMaxBodyBytes() {
+        return maxBodyBytes;
+    }
+
+    /** Sets the largest request body that is taken, in bytes. */
+    @JsonProperty
+    public void setMaxBodyBytes(int value) {
+        maxBodyBytes = value;
+    }
+
+    @JsonProperty
+    public int getMaxAnswerBytes() {
+        return maxAnswerBytes;
+    }
+
+    /** Sets the largest answer that is collected before it is passed on whole, in bytes. */
+    @JsonProperty
+    public void setMaxAnswerBytes(int value) {
+        maxAnswerBytes = value;
+    }
+
+    @JsonProperty
+    public long getHeartbeatMs() {
+        return heartbeatMs;
+    }
+
+    /** Sets how often an entry and an agent exchange reports when nothing changes, in milliseconds. */
+    @JsonProperty
+    public void setHeartbeatMs(long value) {
+        heartbeatMs = value;
+    }
+
+    @JsonProperty
+    public long getSilenceTimeoutMs() {
+        return silenceTimeoutMs;
+    }
+
+    /** Sets after how much silence a control connection is given up, in milliseconds. */
+    @JsonProperty
+    public void setSilenceTimeoutMs(long value) {
+        silenceTimeoutMs = value;
+    }
+
+    @JsonProperty
+    public long getStopTimeoutMs() {
+        return stopTimeoutMs;
+    }
+
+    /** Sets how long a planned stop waits for requests in progress, in milliseconds. */
+    @JsonProperty
+    public void setStopTimeoutMs(long value) {
+        stopTimeoutMs = value;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/package-info.java
@@ -0,0 +1,2 @@
+/** Sending requests to agents and passing their answers on. */
+package org.hawthornglade.entry.attempt;
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/package-info.java
@@ -0,0 +1,2 @@
+/** At-most-once execution: claims in the table service. */
+package org.hawthornglade.entry.claim;
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/control/AgentLink.java
@@ -0,0 +1,157 @@
+package org.hawthornglade.entry.control;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.thrift.TException;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.config.ConfigurationJson;
+import org.hawthornglade.core.entry.EntryEvent;
+import org.hawthornglade.core.event.EventDraft;
+import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.report.ModelDemand;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.node.wire.WireForms;
+import org.hawthornglade.protocol.gen.AgentReport;
+import org.hawthornglade.protocol.gen.ConfigurationSnapshot;
+import org.hawthornglade.protocol.gen.EntryReport;
+
+/** The control link to one agent: connects, exchanges reports, and reconnects with a growing, jittered wait. */
+final class AgentLink implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long MIN_RECONNECT_MS = 100;
+    private static final long MAX_RECONNECT_MS = 2_000;
+    private static final long SEEN_NOTHING = -1;
+
+    private final AgentAddress address;
+    private final LinkContext context;
+    private final Thread thread;
+    private final DemandPusher pusher;
+    private final CommandChannel commands;
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final AtomicLong sequence = new AtomicLong();
+    private volatile AgentConnection connection;
+
+    AgentLink(AgentAddress address, LinkContext context) {
+        this.address = address;
+        this.context = context;
+        this.commands = new CommandChannel(address, context);
+        this.pusher = new DemandPusher("demand-" + address.instance(), this::push);
+        this.thread = new Thread(this::run, "link-" + address.instance());
+        this.thread.setDaemon(true);
+    }
+
+    void start() {
+        thread.start();
+        pusher.start();
+    }
+
+    AgentAddress address() {
+        return address;
+    }
+
+    /** Gives the demand that the agent is told. */
+    void demand(List<ModelDemand> wanted) {
+        pusher.offer(wanted);
+    }
+
+    /** Calls the agent outside the exchange of reports. */
+    <T> Either<Failure, T> call(CommandChannel.Command<T> command) {
+        return commands.call(command);
+    }
+
+    @Override
+    public void close() {
+        closed.countDown();
+        pusher.close();
+        AgentConnection open = connection;
+        if (open != null) {
+            open.close();
+        }
+        commands.close();
+    }
+
+    private void run() {
+        long reconnectMs = MIN_RECONNECT_MS;
+        boolean goOn = true;
+        while (goOn) {
+            boolean conversed = converse();
+            reconnectMs = conversed ? MIN_RECONNECT_MS : Math.min(MAX_RECONNECT_MS, reconnectMs * 2);
+            goOn = pause(context.jitter().applyAsLong(reconnectMs));
+        }
+    }
+
+    /** Exchanges reports until the connection fails; returns whether there was at least one exchange. */
+    private boolean converse() {
+        boolean reported = false;
+        try (AgentConnection open =
+                AgentConnection.open(address, context.entryId(), context.keys(), context.silenceTimeoutMs())) {
+            connection = open;
+            long seenRevision = SEEN_NOTHING;
+            while (closed.getCount() > 0) {
+                AgentReport report = open.client().exchange(entryReport(seenRevision, context.heartbeatMs()));
+                if (!reported) {
+                    reported = true;
+                    record(EventKind.PEER_CONNECTED);
+                }
+                seenRevision = report.getRevision();
+                context.events().accept(new EntryEvent.AgentReported(WireForms.read(report)));
+                synchronizeConfiguration(open, report.getConfigVersion());
+            }
+        } catch (TException | IllegalArgumentException e) {
+            LOG.atFine().withCause(e).log("event=link_failed instance=%s", address.instance());
+        }
+        connection = null;
+        if (reported) {
+            context.events().accept(new EntryEvent.AgentLost(address.instance()));
+            record(EventKind.PEER_LOST);
+        }
+        return reported;
+    }
+
+    private void push() {
+        // What fails to be told now is told by the next exchange.
+        commands.call(client -> client.exchange(entryReport(SEEN_NOTHING, 0)));
+    }
+
+    private EntryReport entryReport(long seenRevision, long waitMs) {
+        return new EntryReport(
+                context.entryId(),
+                context.bootId(),
+                sequence.incrementAndGet(),
+                context.configuration().current().version(),
+                pusher.latest().stream().map(WireForms::write).toList(),
+                seenRevision,
+                waitMs,
+                false);
+    }
+
+    /** Whoever is behind is brought up: the agent by an offer, this entry by a fetch. */
+    private void synchronizeConfiguration(AgentConnection open, long agentVersion) throws TException {
+        ConfigurationHolder holder = context.configuration();
+        Configuration mine = holder.current();
+        if (agentVersion < mine.version()) {
+            open.client().offerConfiguration(new ConfigurationSnapshot(mine.version(), ConfigurationJson.write(mine)));
+        } else if (agentVersion > mine.version()) {
+            ConfigurationSnapshot snapshot = open.client().fetchConfiguration();
+            ConfigurationJson.read(snapshot.getJson()).peek(holder::offer);
+        }
+    }
+
+    /** Waits; returns false when the link was closed. */
+    private boolean pause(long waitMs) {
+        try {
+            return !closed.await(waitMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            return false;
+        }
+    }
+
+    private void record(EventKind kind) {
+        context.timeline().record(EventDraft.of(kind).instance(address.instance()));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/control/AgentLinks.java
@@ -0,0 +1,107 @@
+package org.hawthornglade.entry.control;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hawthornglade.core.entry.EntryEvent;
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceRole;
+import org.hawthornglade.core.instance.InstanceState;
+import org.hawthornglade.core.report.ModelDemand;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.protocol.gen.CancelOutcome;
+import org.hawthornglade.protocol.gen.Event;
+
+/**
+ * The links to all agents that the instance list names.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class AgentLinks implements AutoCloseable {
+    private static final int MAX_EVENTS = 10_000;
+
+    private final LinkContext context;
+    private final Map<InstanceId, AgentLink> links = new ConcurrentHashMap<>();
+
+    /** Creates a set without links. */
+    public AgentLinks(LinkContext context) {
+        this.context = context;
+    }
+
+    /** Takes in a new instance list: opens links to new agents and closes those to instances that are gone. */
+    public synchronized void listed(List<InstanceInfo> instances) {
+        Map<InstanceId, AgentAddress> wanted = new HashMap<>();
+        for (InstanceInfo info : instances) {
+            if (info.role() != InstanceRole.ENTRY && info.state() != InstanceState.GONE) {
+                wanted.put(info.id(), new AgentAddress(info.id(), info.host(), info.httpPort(), info.controlPort()));
+            }
+        }
+        for (AgentLink link : new ArrayList<>(links.values())) {
+            if (!link.address().equals(wanted.get(link.address().instance()))) {
+                links.remove(link.address().instance());
+                link.close();
+            }
+        }
+        wanted.values().forEach(address -> links.computeIfAbsent(address.instance(), id -> open(address)));
+        context.events().accept(new EntryEvent.InstancesListed(instances));
+    }
+
+    /** Tells all agents what is wanted. */
+    public void demand(List<ModelDemand> demand) {
+        links.values().forEach(link -> link.demand(demand));
+    }
+
+    /** Returns where an agent is reached, if it is known. */
+    public Optional<AgentAddress> address(InstanceId instance) {
+        return Optional.ofNullable(links.get(instance)).map(AgentLink::address);
+    }
+
+    /** Gives up an attempt; left if the agent cannot be asked, so that nothing is known of the attempt. */
+    public Either<Failure, CancelOutcome> cancel(InstanceId instance, AttemptId attempt) {
+        return call(instance, client -> client.cancel(attempt.value()).getOutcome());
+    }
+
+    /** Has an instance take no new work. */
+    public Either<Failure, Boolean> drain(InstanceId instance, String reason) {
+        return call(instance, client -> {
+            client.drain(reason);
+            return true;
+        });
+    }
+
+    /** Fetches the time lines of all agents; an agent that does not answer is left out. */
+    public List<Event> timelines() {
+        List<Event> events = new ArrayList<>();
+        for (AgentLink link : links.values()) {
+            link.call(client -> client.timeline(0, MAX_EVENTS)).peek(events::addAll);
+        }
+        return events;
+    }
+
+    @Override
+    public synchronized void close() {
+        links.values().forEach(AgentLink::close);
+        links.clear();
+    }
+
+    private AgentLink open(AgentAddress address) {
+        AgentLink link = new AgentLink(address, context);
+        link.start();
+        return link;
+    }
+
+    private <T> Either<Failure, T> call(InstanceId instance, CommandChannel.Command<T> command) {
+        AgentLink link = links.get(instance);
+        if (link == null) {
+            return Either.left(Failure.of(ResultCode.UNKNOWN_INSTANCE, "no agent of instance " + instance));
+        }
+        return link.call(command);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/control/package-info.java
@@ -0,0 +1,2 @@
+/** Control connections to agents. */
+package org.hawthornglade.entry.control;
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry role: callers and operators on one side, agents on the other. */
+package org.hawthornglade.entry;
