--- a/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
@@ -136,7 +136,9 @@
         if (outcome.answerBegun() || nowMs >= request.deadlineAtMs()) {
             return false;
         }
-        boolean safe = outcome.execution() == Execution.NOT_RUN || request.idempotent();
+        ResultCode code = outcome.failure().code();
+        boolean notRun = outcome.execution() == Execution.NOT_RUN && code != ResultCode.CLAIM_NOT_POSSIBLE;
+        boolean safe = (notRun && code.comeBack()) || request.idempotent();
         return safe && attemptCounts.getOrDefault(request.id(), 0) < MAX_ATTEMPTS;
     }
 
@@ -147,6 +149,9 @@
         if (outcome.answerBegun()) {
             return Failure.of(ResultCode.ANSWER_INCOMPLETE, outcome.failure().message());
         }
+        if (outcome.failure().code() == ResultCode.CALL_IN_PROGRESS) {
+            return outcome.failure();
+        }
         ResultCode code = request.idempotent() ? ResultCode.ENDPOINT_FAILED : ResultCode.OUTCOME_UNKNOWN;
         long retryAfterMs = code.comeBack() ? COME_BACK_MS : 0;
         return new Failure(code, outcome.failure().message(), retryAfterMs);
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/Frames.java
@@ -0,0 +1,16 @@
+package org.hawthornglade.entry.attempt;
+
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.protocol.gen.Frame;
+
+/** Reads what refusing and failing frames say. */
+final class Frames {
+    private Frames() {}
+
+    static Failure failure(Frame frame) {
+        ResultCode code = ResultCode.ofNumber(frame.getCode()).orElse(ResultCode.INTERNAL_ERROR);
+        String message = frame.isSetMessage() ? frame.getMessage() : "";
+        return new Failure(code, message, Math.max(0, frame.getRetryAfterMs()));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/WholeAnswer.java
@@ -0,0 +1,29 @@
+package org.hawthornglade.entry.attempt;
+
+import java.util.List;
+import org.hawthornglade.protocol.gen.Header;
+
+/**
+ * An endpoint's whole answer.
+ *
+ * @param status its HTTP status
+ * @param headers its headers
+ * @param body its body
+ */
+@SuppressWarnings("ArrayRecordComponent") // never compared
+public record WholeAnswer(int status, List<Header> headers, byte[] body) {
+    /** Copies the list. */
+    public WholeAnswer {
+        headers = List.copyOf(headers);
+    }
+
+    /** Returns the content type; null if the answer names none. */
+    public String contentType() {
+        for (Header header : headers) {
+            if (header.getName().equalsIgnoreCase("content-type")) {
+                return header.getValue();
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ModelList.java
@@ -0,0 +1,29 @@
+package org.hawthornglade.entry.caller;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * The answer to {@code GET /v1/models}.
+ *
+ * @param object always {@code list}
+ * @param data the models
+ */
+public record ModelList(String object, List<Entry> data) {
+    /** Copies the list. */
+    public ModelList {
+        data = List.copyOf(data);
+    }
+
+    /**
+     * One model.
+     *
+     * @param id its name
+     * @param object always {@code model}
+     * @param ownedBy who serves it
+     */
+    public record Entry(
+            String id,
+            String object,
+            @JsonProperty("owned_by") String ownedBy) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ModelsResource.java
@@ -0,0 +1,149 @@
+package org.hawthornglade.entry.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.Context;
+import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.core.StreamingOutput;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.List;
+import org.hawthornglade.core.entry.AttemptOutcome;
+import org.hawthornglade.core.entry.IncomingRequest;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.entry.attempt.CallerRequest;
+import org.hawthornglade.entry.attempt.OutboundCall;
+import org.hawthornglade.entry.attempt.RequestRunner;
+import org.hawthornglade.entry.attempt.RunningAnswer;
+
+/** The OpenAI-compatible routes. */
+@Path("/v1")
+@Produces(MediaType.APPLICATION_JSON)
+public final class ModelsResource {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final CallerKeys keys;
+    private final RequestFactory requests;
+    private final RequestRunner runner;
+    private final int maxBodyBytes;
+
+    /** Creates the resource. */
+    public ModelsResource(CallerKeys keys, RequestFactory requests, RequestRunner runner, int maxBodyBytes) {
+        this.keys = keys;
+        this.requests = requests;
+        this.runner = runner;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /** Completes a conversation. */
+    @POST
+    @Path("/chat/completions")
+    @Consumes(MediaType.WILDCARD)
+    public Response chat(@Context HttpHeaders headers, InputStream in) throws IOException, InterruptedException {
+        return complete("/v1/chat/completions", headers, in);
+    }
+
+    /** Completes a text. */
+    @POST
+    @Path("/completions")
+    @Consumes(MediaType.WILDCARD)
+    public Response text(@Context HttpHeaders headers, InputStream in) throws IOException, InterruptedException {
+        return complete("/v1/completions", headers, in);
+    }
+
+    /** Lists the models that the caller's organisation may use. */
+    @GET
+    @Path("/models")
+    public Response models(@Context HttpHeaders headers) {
+        Either<Failure, Caller> caller = keys.authenticate(headers.getHeaderString(HttpHeaders.AUTHORIZATION));
+        if (caller.isLeft()) {
+            return Responses.failure(requests.nextId(), caller.getLeft());
+        }
+        List<ModelList.Entry> entries = requests.modelsOf(caller.get().organisation()).stream()
+                .map(name -> new ModelList.Entry(name.value(), "model", "hawthornglade"))
+                .toList();
+        return Response.ok(new ModelList("list", entries)).build();
+    }
+
+    private Response complete(String path, HttpHeaders headers, InputStream in)
+            throws IOException, InterruptedException {
+        RequestId id = requests.nextId();
+        Either<Failure, Caller> caller = keys.authenticate(headers.getHeaderString(HttpHeaders.AUTHORIZATION));
+        if (caller.isLeft()) {
+            return Responses.failure(id, caller.getLeft());
+        }
+        byte[] body = in.readNBytes(maxBodyBytes + 1);
+        Either<Failure, CompletionBody> parsed = parse(body);
+        if (parsed.isLeft()) {
+            return Responses.failure(id, parsed.getLeft());
+        }
+        Either<Failure, IncomingRequest> request = requests.onModel(
+                id, caller.get(), parsed.get().model(), headers.getHeaderString(CallerHeaders.DEADLINE));
+        if (request.isLeft()) {
+            return Responses.failure(id, request.getLeft());
+        }
+        OutboundCall call = new OutboundCall("POST", path, MediaType.APPLICATION_JSON, List.of(), body);
+        CallerRequest checked = new CallerRequest(request.get(), call, null);
+        return parsed.get().stream() ? stream(checked) : whole(checked);
+    }
+
+    private Response whole(CallerRequest request) throws InterruptedException {
+        RequestId id = request.request().id();
+        return runner.whole(request)
+                .fold(failure -> Responses.failure(id, failure), answer -> Responses.whole(id, answer));
+    }
+
+    private Response stream(CallerRequest request) throws InterruptedException {
+        RequestId id = request.request().id();
+        Either<Failure, RunningAnswer> begun = runner.begin(request);
+        if (begun.isLeft()) {
+            return Responses.failure(id, begun.getLeft());
+        }
+        RunningAnswer running = begun.get();
+        StreamingOutput output = out -> {
+            AttemptOutcome outcome = runner.passOn(running, out);
+            if (!outcome.isComplete()) {
+                out.write(EventStreams.error(outcome.failure()));
+                out.flush();
+            }
+        };
+        return Response.status(running.answer().status())
+                .type(EVENT_STREAM)
+                .header(Responses.REQUEST_ID, id.value())
+                .header(HttpHeaders.CACHE_CONTROL, "no-cache")
+                .entity(output)
+                .build();
+    }
+
+    private Either<Failure, CompletionBody> parse(byte[] body) {
+        if (body.length > maxBodyBytes) {
+            return Either.left(
+                    Failure.of(ResultCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes"));
+        }
+        JsonNode tree;
+        try {
+            tree = MAPPER.readTree(body);
+        } catch (JsonProcessingException e) {
+            return Either.left(Failure.of(ResultCode.BAD_JSON, e.getOriginalMessage()));
+        } catch (IOException e) {
+            return Either.left(Failure.of(ResultCode.BAD_JSON, "the body cannot be read"));
+        }
+        if (!tree.path("model").isTextual()) {
+            return Either.left(Failure.of(ResultCode.BAD_REQUEST, "the field model is missing"));
+        }
+        return Either.right(new CompletionBody(
+                tree.get("model").asText(), tree.path("stream").asBoolean(false)));
+    }
+}
