--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/chart/ChartLoader.java
@@ -0,0 +1,122 @@
+package org.hawthornglade.core.chart;
+
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Reads chart files, JSON with comments, and refuses those that are not sound. */
+public final class ChartLoader {
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
+
+    private ChartLoader() {}
+
+    /**
+     * Reads a chart from a resource beside this class.
+     *
+     * @param resource the file's name, such as {@code replica.json}
+     * @param states the enum of the states
+     * @param events the enum of the events
+     * @throws ChartException with all faults if the file is missing or not a sound chart
+     */
+    public static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> load(
+            String resource, Class<S> states, Class<E> events) {
+        try (InputStream in = ChartLoader.class.getResourceAsStream(resource)) {
+            if (in == null) {
+                throw new ChartException(resource, List.of("no such resource"));
+            }
+            return check(MAPPER.readValue(in, ChartFile.class), states, events);
+        } catch (IOException e) {
+            throw new ChartException(resource, List.of(e.getMessage()));
+        }
+    }
+
+    /** Makes a chart of a file's content; throws with all faults. */
+    static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> check(
+            ChartFile file, Class<S> states, Class<E> events) {
+        List<String> faults = new ArrayList<>();
+        Optional<S> initial = constant(states, file.initial(), "initial state", faults);
+        Set<S> terminal = EnumSet.noneOf(states);
+        file.terminal()
+                .forEach(
+                        text -> constant(states, text, "terminal state", faults).ifPresent(terminal::add));
+        List<Transition<S, E>> edges = edges(file, states, events, faults);
+        Set<String> ignored = ignored(file, states, events, faults);
+        if (!faults.isEmpty()) {
+            throw new ChartException(file.name(), faults);
+        }
+        faults.addAll(duplicates(edges, ignored));
+        if (!faults.isEmpty()) {
+            throw new ChartException(file.name(), faults);
+        }
+        StateChart<S, E> chart = new StateChart<>(file.name(), file.about(), initial.orElseThrow(), terminal, edges);
+        faults.addAll(ChartCheck.faults(chart, states, events, ignored));
+        if (!faults.isEmpty()) {
+            throw new ChartException(file.name(), faults);
+        }
+        return chart;
+    }
+
+    private static <S extends Enum<S>, E extends Enum<E>> List<Transition<S, E>> edges(
+            ChartFile file, Class<S> states, Class<E> events, List<String> faults) {
+        List<Transition<S, E>> edges = new ArrayList<>();
+        for (ChartFile.Edge edge : file.transitions()) {
+            Optional<S> from = constant(states, edge.from(), "state", faults);
+            Optional<E> on = constant(events, edge.on(), "event", faults);
+            Optional<S> to = constant(states, edge.to(), "state", faults);
+            if (from.isPresent() && on.isPresent() && to.isPresent()) {
+                edges.add(new Transition<>(from.get(), on.get(), to.get()));
+            }
+        }
+        return edges;
+    }
+
+    private static <S extends Enum<S>, E extends Enum<E>> Set<String> ignored(
+            ChartFile file, Class<S> states, Class<E> events, List<String> faults) {
+        Set<String> ignored = new HashSet<>();
+        for (ChartFile.Ignored entry : file.ignored()) {
+            Optional<S> state = constant(states, entry.in(), "state", faults);
+            for (String text : entry.on()) {
+                Optional<E> event = constant(events, text, "event", faults);
+                if (state.isPresent() && event.isPresent() && !ignored.add(pair(state.get(), event.get()))) {
+                    faults.add("ignores " + pair(state.get(), event.get()) + " twice");
+                }
+            }
+        }
+        return ignored;
+    }
+
+    private static <S extends Enum<S>, E extends Enum<E>> List<String> duplicates(
+            List<Transition<S, E>> edges, Set<String> ignored) {
+        List<String> faults = new ArrayList<>();
+        Set<String> seen = new HashSet<>(ignored);
+        for (Transition<S, E> edge : edges) {
+            if (!seen.add(pair(edge.from(), edge.event()))) {
+                faults.add("two rules for " + pair(edge.from(), edge.event()));
+            }
+        }
+        return faults;
+    }
+
+    private static <T extends Enum<T>> Optional<T> constant(
+            Class<T> type, String text, String what, List<String> faults) {
+        for (T constant : type.getEnumConstants()) {
+            if (constant.name().equals(text)) {
+                return Optional.of(constant);
+            }
+        }
+        faults.add("unknown " + what + " '" + text + "'");
+        return Optional.empty();
+    }
+
+    static String pair(Enum<?> state, Enum<?> event) {
+        return state + "/" + event;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/chart/StateChart.java
@@ -0,0 +1,97 @@
+package org.hawthornglade.core.chart;
+
+import com.google.common.collect.ImmutableTable;
+import com.google.common.collect.Table;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A checked state chart: which event leads from which state to which.
+ *
+ * <p>Immutable. In each state that is not terminal every event either has a transition or is declared as ignored.
+ *
+ * @param <S> the states
+ * @param <E> the events
+ */
+public final class StateChart<S extends Enum<S>, E extends Enum<E>> {
+    private final String name;
+    private final String about;
+    private final S initial;
+    private final Set<S> terminal;
+    private final ImmutableTable<S, E, S> targets;
+    private final List<Transition<S, E>> transitions;
+
+    StateChart(String name, String about, S initial, Set<S> terminal, List<Transition<S, E>> transitions) {
+        this.name = name;
+        this.about = about;
+        this.initial = initial;
+        this.terminal = Set.copyOf(terminal);
+        this.transitions = List.copyOf(transitions);
+        ImmutableTable.Builder<S, E, S> builder = ImmutableTable.builder();
+        transitions.forEach(edge -> builder.put(edge.from(), edge.event(), edge.to()));
+        this.targets = builder.buildOrThrow();
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String about() {
+        return about;
+    }
+
+    public S initial() {
+        return initial;
+    }
+
+    /** Returns whether nothing leaves a state. */
+    public boolean isTerminal(S state) {
+        return terminal.contains(state);
+    }
+
+    public Set<S> terminal() {
+        return terminal;
+    }
+
+    /** Returns the edges in the order of the file. */
+    public List<Transition<S, E>> transitions() {
+        return transitions;
+    }
+
+    /** Returns where an event leads from a state; empty if it changes nothing there. */
+    public Optional<S> target(S state, E event) {
+        return Optional.ofNullable(targets.get(state, event));
+    }
+
+    /** Returns every edge as a table of state, event and next state. */
+    public Table<S, E, S> asTable() {
+        return targets;
+    }
+
+    /** Starts a run of the chart in its initial state. */
+    public ChartInstance<S, E> start() {
+        return new ChartInstance<>(this, initial);
+    }
+
+    /** Starts a run of the chart in a given state. */
+    public ChartInstance<S, E> startIn(S state) {
+        return new ChartInstance<>(this, state);
+    }
+
+    /** Returns the states that can be reached from the initial one, itself included. */
+    Set<S> reachable() {
+        Set<S> reached = EnumSet.of(initial);
+        boolean grown = true;
+        while (grown) {
+            grown = false;
+            for (Transition<S, E> edge : transitions) {
+                if (reached.contains(edge.from())) {
+                    grown |= reached.add(edge.to());
+                }
+            }
+        }
+        return reached;
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/config/ConfigurationJson.java
+++ b/core/src/main/java/org/hawthornglade/core/config/ConfigurationJson.java
@@ -12,6 +12,8 @@
 public final class ConfigurationJson {
     private static final JsonMapper MAPPER = JsonMapper.builder()
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            // Nodes of two releases run side by side: the older one skips what it does not know.
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .build();
 
     private ConfigurationJson() {}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/config/FaultCollector.java
@@ -0,0 +1,73 @@
+package org.hawthornglade.core.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Gathers faults so that all are reported at once. */
+final class FaultCollector {
+    private final List<Fault> faults = new ArrayList<>();
+
+    List<Fault> faults() {
+        return List.copyOf(faults);
+    }
+
+    void invalid(String path, String message) {
+        faults.add(new Fault(path, message, Fault.Kind.INVALID));
+    }
+
+    void overBudget(String path, String message) {
+        faults.add(new Fault(path, message, Fault.Kind.OVER_BUDGET));
+    }
+
+    void present(String path, Object value) {
+        if (value == null || value.toString().isEmpty()) {
+            invalid(path, "is missing");
+        }
+    }
+
+    void range(String path, long value, long min, long max) {
+        if (value < min || value > max) {
+            invalid(path, "is " + value + ", must be from " + min + " to " + max);
+        }
+    }
+
+    void positive(String path, double value, double max) {
+        if (!(value > 0 && value <= max)) {
+            invalid(path, "is " + value + ", must be above 0 and at most " + max);
+        }
+    }
+
+    void known(String path, Object name, Collection<?> names, String what) {
+        if (name == null) {
+            invalid(path, "is missing");
+            return;
+        }
+        if (!names.contains(name)) {
+            invalid(path, "names the unknown " + what + " '" + name + "'");
+        }
+    }
+
+    <T> void allKnown(String path, List<T> list, Collection<T> names, String what) {
+        Set<T> seen = new HashSet<>();
+        for (int i = 0; i < list.size(); i++) {
+            known(path + "/" + i, list.get(i), names, what);
+            if (!seen.add(list.get(i))) {
+                invalid(path + "/" + i, "names '" + list.get(i) + "' twice");
+            }
+        }
+    }
+
+    /** Checks that a name is there and is not in the set yet; adds it. */
+    void unique(String path, Object name, Set<Object> seen) {
+        if (name == null) {
+            invalid(path, "is missing");
+            return;
+        }
+        if (!seen.add(name)) {
+            invalid(path, "'" + name + "' stands twice");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/placement/AssignmentRow.java
@@ -0,0 +1,11 @@
+package org.hawthornglade.core.placement;
+
+import org.hawthornglade.core.assignment.Assignment;
+
+/**
+ * An assignment as it was read.
+ *
+ * @param assignment the value
+ * @param revision the revision of its row
+ */
+public record AssignmentRow(Assignment assignment, long revision) {}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/placement/PlacementResult.java
@@ -0,0 +1,17 @@
+package org.hawthornglade.core.placement;
+
+import java.util.List;
+
+/**
+ * What one pass of placement decided.
+ *
+ * @param changes the row changes to write
+ * @param unplaced the replicas for which there is no room
+ */
+public record PlacementResult(List<RowChange> changes, List<UnplacedReplica> unplaced) {
+    /** Copies the lists. */
+    public PlacementResult {
+        changes = List.copyOf(changes);
+        unplaced = List.copyOf(unplaced);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/plan/Differences.java
@@ -0,0 +1,66 @@
+package org.hawthornglade.core.plan;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.hawthornglade.core.config.AdapterSpec;
+import org.hawthornglade.core.config.ClassSpec;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ModelSpec;
+import org.hawthornglade.core.config.OrganisationSpec;
+import org.hawthornglade.core.config.ServiceSpec;
+
+/** Lists what differs between two configurations. */
+public final class Differences {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private final List<Change> changes = new ArrayList<>();
+
+    private Differences() {}
+
+    /** Returns the differences by section and, within one, in the order of the entries. */
+    public static List<Change> between(Configuration before, Configuration after) {
+        Differences all = new Differences();
+        all.section("organisations", before.organisations(), after.organisations(), OrganisationSpec::id);
+        all.section("classes", before.classes(), after.classes(), ClassSpec::name);
+        all.section("models", before.models(), after.models(), ModelSpec::name);
+        all.section("adapters", before.adapters(), after.adapters(), AdapterSpec::name);
+        all.section("services", before.services(), after.services(), ServiceSpec::name);
+        all.section("idle", List.of(before.idle()), List.of(after.idle()), spec -> "");
+        return List.copyOf(all.changes);
+    }
+
+    private <S> void section(String section, List<S> before, List<S> after, Function<S, Object> nameOf) {
+        Map<String, S> old = new LinkedHashMap<>();
+        before.forEach(spec -> old.put(String.valueOf(nameOf.apply(spec)), spec));
+        for (S spec : after) {
+            String name = String.valueOf(nameOf.apply(spec));
+            S previous = old.remove(name);
+            if (previous == null) {
+                changes.add(new Change(Change.Kind.ADD, section, name, List.of()));
+            } else if (!previous.equals(spec)) {
+                changes.add(new Change(Change.Kind.CHANGE, section, name, fields(previous, spec)));
+            }
+        }
+        old.keySet().forEach(name -> changes.add(new Change(Change.Kind.REMOVE, section, name, List.of())));
+    }
+
+    private static List<Change.FieldChange> fields(Object before, Object after) {
+        JsonNode old = MAPPER.valueToTree(before);
+        JsonNode fresh = MAPPER.valueToTree(after);
+        List<Change.FieldChange> fields = new ArrayList<>();
+        for (Iterator<String> names = fresh.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!fresh.get(name).equals(old.get(name))) {
+                fields.add(new Change.FieldChange(
+                        name, String.valueOf(old.get(name)), fresh.get(name).toString()));
+            }
+        }
+        return fields;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/plan/Planner.java
@@ -0,0 +1,82 @@
+package org.hawthornglade.core.plan;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hawthornglade.core.assignment.Assignment;
+import org.hawthornglade.core.assignment.AssignmentState;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ConfigurationValidator;
+import org.hawthornglade.core.config.Fault;
+import org.hawthornglade.core.id.OfficeId;
+import org.hawthornglade.core.id.PlanId;
+import org.hawthornglade.core.placement.AssignmentRow;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Makes the plan that shows what an intent would change. */
+public final class Planner {
+    private Planner() {}
+
+    /**
+     * Makes a plan.
+     *
+     * @param id the id of the new plan
+     * @param office who asks
+     * @param intent what is stated
+     * @param world what is known now
+     * @param nowMs the time, in milliseconds since the Unix epoch
+     * @return left with INTENT_INVALID, or INTENT_DOES_NOT_FIT if only budgets are exceeded, and all faults
+     */
+    public static Either<PlanRefusal, Plan> plan(PlanId id, OfficeId office, Intent intent, World world, long nowMs) {
+        IntentApplier applier = new IntentApplier(intent, world.configuration());
+        Configuration result = applier.apply(office, id);
+        List<Fault> faults = new ArrayList<>(applier.faults());
+        faults.addAll(ConfigurationValidator.validate(result));
+        if (!faults.isEmpty()) {
+            return Either.left(refusal(faults));
+        }
+        return Either.right(new PlanBuilder(id, office, intent, world, result).build(nowMs));
+    }
+
+    private static PlanRefusal refusal(List<Fault> faults) {
+        boolean budgetsOnly = faults.stream().allMatch(fault -> fault.kind() == Fault.Kind.OVER_BUDGET);
+        ResultCode code = budgetsOnly ? ResultCode.INTENT_DOES_NOT_FIT : ResultCode.INTENT_INVALID;
+        String message =
+                faults.size() == 1 ? faults.get(0).toString() : faults.size() + " faults, the first: " + faults.get(0);
+        return new PlanRefusal(Failure.of(code, message), faults);
+    }
+
+    /** Returns what earlier confirms still have under way. */
+    public static UnderWay underWay(World world) {
+        List<Assignment> releasing = world.rows().stream()
+                .map(AssignmentRow::assignment)
+                .filter(assignment -> assignment.state() == AssignmentState.RELEASING)
+                .toList();
+        List<NodeVersion> behind = world.nodes().stream()
+                .filter(node -> node.version() < world.configuration().version())
+                .toList();
+        return new UnderWay(releasing, behind);
+    }
+
+    /** Returns the other plans, newest first, each with the entries that it changes as well. */
+    static List<OpenPlan> others(PlanId id, List<Change> changes, World world) {
+        Set<String> mine = changes.stream().map(Change::subject).collect(Collectors.toSet());
+        return world.openPlans().stream()
+                .filter(plan -> !plan.id().equals(id))
+                .sorted((a, b) -> Long.compare(b.madeAtMs(), a.madeAtMs()))
+                .map(plan -> new OpenPlan(
+                        plan.id(),
+                        plan.office(),
+                        plan.intent().reason(),
+                        plan.madeAtMs(),
+                        plan.baseVersion() != world.configuration().version(),
+                        plan.changes().stream()
+                                .map(Change::subject)
+                                .filter(mine::contains)
+                                .toList()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/plan/Unload.java
@@ -0,0 +1,21 @@
+package org.hawthornglade.core.plan;
+
+import java.util.List;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.OrganisationId;
+
+/**
+ * A model or adapter that will be unloaded from an instance.
+ *
+ * @param model the model or adapter
+ * @param instance where it may be loaded now
+ * @param organisations who may call it now
+ * @param reason why it goes
+ */
+public record Unload(ModelName model, InstanceId instance, List<OrganisationId> organisations, String reason) {
+    /** Copies the list. */
+    public Unload {
+        organisations = List.copyOf(organisations);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/plan/World.java
@@ -0,0 +1,30 @@
+package org.hawthornglade.core.plan;
+
+import java.util.List;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.placement.AssignmentRow;
+import org.hawthornglade.core.placement.PlacementInstance;
+
+/**
+ * What is known when a plan is made.
+ *
+ * @param configuration the newest confirmed configuration
+ * @param instances the listed engine instances
+ * @param rows the assignment rows
+ * @param nodes the configuration version of each process
+ * @param openPlans the plans of all offices that were not confirmed
+ */
+public record World(
+        Configuration configuration,
+        List<PlacementInstance> instances,
+        List<AssignmentRow> rows,
+        List<NodeVersion> nodes,
+        List<Plan> openPlans) {
+    /** Copies the lists. */
+    public World {
+        instances = List.copyOf(instances);
+        rows = List.copyOf(rows);
+        nodes = List.copyOf(nodes);
+        openPlans = List.copyOf(openPlans);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/plan/package-info.java
@@ -0,0 +1,2 @@
+/** What operators state, and the plan that shows what it would change. */
+package org.hawthornglade.core.plan;
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/chart/ChartLoaderTest.java
@@ -0,0 +1,75 @@
+package org.hawthornglade.core.chart;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.hawthornglade.core.result.ResultCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class ChartLoaderTest {
+    enum Light {
+        RED,
+        GREEN,
+        BROKEN
+    }
+
+    enum Signal {
+        TICK,
+        FAIL
+    }
+
+    private static final ChartFile.Edge GO = new ChartFile.Edge("RED", "TICK", "GREEN");
+    private static final ChartFile.Edge STOP = new ChartFile.Edge("GREEN", "TICK", "RED");
+    private static final ChartFile.Edge FAIL = new ChartFile.Edge("RED", "FAIL", "BROKEN");
+    private static final ChartFile.Ignored NO_FAIL = new ChartFile.Ignored("GREEN", List.of("FAIL"));
+
+    static Stream<Arguments> unsound() {
+        return Stream.of(
+                Arguments.of("two rules for RED/TICK", List.of(GO, GO, STOP, FAIL), List.of(NO_FAIL)),
+                Arguments.of("no rule for FAIL in state GREEN", List.of(GO, STOP, FAIL), List.of()),
+                Arguments.of("state BROKEN is unreachable", List.of(GO, STOP), List.of(NO_FAIL)),
+                Arguments.of("event FAIL has no transition", List.of(GO, STOP), List.of(NO_FAIL)),
+                Arguments.of(
+                        "state GREEN is a dead end",
+                        List.of(GO, FAIL),
+                        List.of(new ChartFile.Ignored("GREEN", List.of("FAIL", "TICK")))),
+                Arguments.of("no way from GREEN to a terminal state", List.of(GO, FAIL), List.of(NO_FAIL)),
+                Arguments.of(
+                        "terminal state BROKEN has a transition on TICK",
+                        List.of(GO, STOP, FAIL, new ChartFile.Edge("BROKEN", "TICK", "RED")),
+                        List.of(NO_FAIL)),
+                Arguments.of(
+                        "unknown state 'BLUE'",
+                        List.of(GO, STOP, FAIL, new ChartFile.Edge("BLUE", "TICK", "RED")),
+                        List.of(NO_FAIL)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("unsound")
+    void refusesUnsoundCharts(String fault, List<ChartFile.Edge> edges, List<ChartFile.Ignored> ignored) {
+        ChartFile file = new ChartFile("light", "A light.", "RED", List.of("BROKEN"), edges, ignored);
+        ChartException e = assertThrows(ChartException.class, () -> ChartLoader.check(file, Light.class, Signal.class));
+        assertThat(e).hasMessageThat().contains(fault);
+    }
+
+    @Test
+    void refusesAMissingFile() {
+        assertThrows(ChartException.class, () -> ChartLoader.load("none.json", Light.class, Signal.class));
+    }
+
+    @Test
+    void anEventWithoutEffectKeepsTheState() {
+        ChartFile file =
+                new ChartFile("light", "A light.", "RED", List.of("BROKEN"), List.of(GO, STOP, FAIL), List.of(NO_FAIL));
+        ChartInstance<Light, Signal> run =
+                ChartLoader.check(file, Light.class, Signal.class).start();
+        assertThat(run.fire(Signal.TICK).get()).isEqualTo(Light.GREEN);
+        assertThat(run.fire(Signal.FAIL).getLeft().code()).isEqualTo(ResultCode.INTERNAL_ERROR);
+        assertThat(run.state()).isEqualTo(Light.GREEN);
+    }
+}
