--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentApplication.java
@@ -0,0 +1,31 @@
+package org.hawthornglade.agent;
+
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.dropwizard.core.Application;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import org.hawthornglade.agent.attempt.AttemptsResource;
+import org.hawthornglade.node.metrics.Metrics;
+import org.hawthornglade.node.settings.JsonSettings;
+
+/** The agent as a Dropwizard application. */
+public final class AgentApplication extends Application<AgentSettings> {
+    @Override
+    public String getName() {
+        return "agent";
+    }
+
+    @Override
+    public void initialize(Bootstrap<AgentSettings> bootstrap) {
+        JsonSettings.prepare(bootstrap);
+    }
+
+    @Override
+    public void run(AgentSettings settings, Environment environment) {
+        Injector injector = Guice.createInjector(new AgentModule(settings));
+        environment.lifecycle().manage(injector.getInstance(AgentProcess.class));
+        environment.jersey().register(injector.getInstance(AttemptsResource.class));
+        environment.jersey().register(injector.getInstance(Metrics.class));
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
@@ -0,0 +1,203 @@
+package org.hawthornglade.agent;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.hawthornglade.agent.assignment.FenceStore;
+import org.hawthornglade.agent.assignment.TableWatcher;
+import org.hawthornglade.agent.attempt.AttemptDesk;
+import org.hawthornglade.agent.attempt.AttemptsResource;
+import org.hawthornglade.agent.attempt.EndpointClient;
+import org.hawthornglade.agent.control.ControlContext;
+import org.hawthornglade.agent.control.ViewBoard;
+import org.hawthornglade.agent.endpoint.EndpointPoller;
+import org.hawthornglade.agent.endpoint.EnginePoller;
+import org.hawthornglade.agent.endpoint.ServicePoller;
+import org.hawthornglade.core.agent.AgentDecider;
+import org.hawthornglade.core.agent.AgentEvent;
+import org.hawthornglade.core.agent.AgentIdentity;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.node.auth.ClusterKeys;
+import org.hawthornglade.node.log.TimelineLog;
+import org.hawthornglade.node.loop.EventQueue;
+import org.hawthornglade.platform.configuration.AssignmentStore;
+import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.platform.engine.HttpEngineControl;
+import org.hawthornglade.platform.http.PlatformHttp;
+import org.hawthornglade.platform.http.PlatformHttpSettings;
+import org.hawthornglade.platform.table.HttpTableService;
+import org.hawthornglade.platform.table.TableService;
+
+/** Puts an agent together. */
+public final class AgentModule extends AbstractModule {
+    private static final int POOL_TIMEOUT_MS = 1_000;
+    private static final int PLATFORM_CONNECTIONS = 4;
+    private static final int ENDPOINT_CONNECTIONS = 1_024;
+
+    private final AgentSettings settings;
+
+    /** Creates a module for one agent's settings. */
+    public AgentModule(AgentSettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    protected void configure() {
+        bind(AgentSettings.class).toInstance(settings);
+    }
+
+    @Provides
+    @Singleton
+    Clock clock() {
+        return Clock.system();
+    }
+
+    @Provides
+    @Singleton
+    Timeline timeline(Clock clock) {
+        return new Timeline(settings.getProcessName(), settings.getTimelineCapacity(), clock, new TimelineLog());
+    }
+
+    @Provides
+    @Singleton
+    AgentIdentity identity(Timeline timeline) {
+        return new AgentIdentity(
+                InstanceId.of(settings.getInstanceId()),
+                FailureDomain.of(settings.getFailureDomain()),
+                timeline.bootId(),
+                settings.service().orElse(null));
+    }
+
+    @Provides
+    @Singleton
+    AgentDecider decider(AgentIdentity identity) {
+        return new AgentDecider(identity, settings.getKeepAliveMs());
+    }
+
+    @Provides
+    @Singleton
+    EventQueue<AgentEvent> events() {
+        return new EventQueue<>();
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationHolder configuration(EventQueue<AgentEvent> events) {
+        ConfigurationHolder holder = new ConfigurationHolder();
+        holder.addListener(applied -> events.submit(new AgentEvent.ConfigurationApplied(applied)));
+        return holder;
+    }
+
+    @Provides
+    @Singleton
+    ViewBoard views() {
+        return new ViewBoard();
+    }
+
+    @Provides
+    @Singleton
+    AttemptDesk desk(EventQueue<AgentEvent> events) {
+        return new AttemptDesk(events::submit);
+    }
+
+    @Provides
+    @Singleton
+    ClusterKeys keys() {
+        return new ClusterKeys(settings.getClusterKeys());
+    }
+
+    @Provides
+    @Singleton
+    PlatformHttp http() {
+        return new PlatformHttp(new PlatformHttpSettings(
+                settings.getPlatform().getConnectTimeoutMs(),
+                settings.getPlatform().getResponseTimeoutMs(),
+                POOL_TIMEOUT_MS,
+                PLATFORM_CONNECTIONS));
+    }
+
+    @Provides
+    @Singleton
+    TableService table(PlatformHttp http) {
+        return new HttpTableService(settings.getPlatform().getTableServiceUri(), http);
+    }
+
+    @Provides
+    @Singleton
+    TableWatcher tableWatcher(
+            TableService table, AgentIdentity identity, ConfigurationHolder holder, EventQueue<AgentEvent> events) {
+        return new TableWatcher(
+                identity.instance(),
+                new FenceStore(table, identity.instance()),
+                new AssignmentStore(table),
+                new ConfigurationStore(table),
+                holder,
+                events::submit);
+    }
+
+    @Provides
+    @Singleton
+    ExecutorService orders() {
+        return Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "engine-orders");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    @Provides
+    @Singleton
+    EnginePoller enginePoller(PlatformHttp http, EventQueue<AgentEvent> events, ExecutorService orders) {
+        return new EnginePoller(new HttpEngineControl(settings.getEndpointUri(), http), events::submit, orders);
+    }
+
+    @Provides
+    @Singleton
+    EndpointPoller endpointPoller(AgentIdentity identity, EnginePoller enginePoller, EventQueue<AgentEvent> events) {
+        return identity.servesModels() ? enginePoller : new ServicePoller(settings.getEndpointUri(), events::submit);
+    }
+
+    @Provides
+    @Singleton
+    EndpointClient endpointClient() {
+        CloseableHttpClient client = HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setMaxConnPerRoute(ENDPOINT_CONNECTIONS)
+                        .setMaxConnTotal(ENDPOINT_CONNECTIONS)
+                        .build())
+                .disableAutomaticRetries()
+                .disableRedirectHandling()
+                .disableCookieManagement()
+                .disableContentCompression()
+                .build();
+        return new EndpointClient(client, settings.getEndpointUri());
+    }
+
+    @Provides
+    @Singleton
+    AttemptsResource attempts(AttemptDesk desk, EndpointClient endpoint, ClusterKeys keys, Clock clock) {
+        return new AttemptsResource(desk, endpoint, keys, clock, settings.getMaxBodyBytes());
+    }
+
+    @Provides
+    @Singleton
+    ControlContext control(
+            AgentIdentity identity,
+            ClusterKeys keys,
+            EventQueue<AgentEvent> events,
+            ViewBoard views,
+            AttemptDesk desk,
+            ConfigurationHolder holder,
+            Timeline timeline) {
+        return new ControlContext(identity.instance(), keys, events, views, desk, holder, timeline);
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentProcess.java
@@ -0,0 +1,103 @@
+package org.hawthornglade.agent;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import io.dropwizard.lifecycle.Managed;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.thrift.transport.TTransportException;
+import org.hawthornglade.agent.assignment.TableWatcher;
+import org.hawthornglade.agent.attempt.AttemptDesk;
+import org.hawthornglade.agent.control.ControlContext;
+import org.hawthornglade.agent.control.ControlServer;
+import org.hawthornglade.agent.control.ViewBoard;
+import org.hawthornglade.agent.endpoint.EndpointPoller;
+import org.hawthornglade.agent.endpoint.EnginePoller;
+import org.hawthornglade.core.agent.AgentCommand;
+import org.hawthornglade.core.agent.AgentDecider;
+import org.hawthornglade.core.agent.AgentEvent;
+import org.hawthornglade.core.event.EventDraft;
+import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.node.loop.DecisionLoop;
+import org.hawthornglade.node.loop.EventQueue;
+import org.hawthornglade.node.loop.PeriodicTasks;
+
+/** The running parts of an agent: starts them in order, and on a stop drains before it ends them. */
+@Singleton
+public final class AgentProcess implements Managed {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final AgentSettings settings;
+    private final EventQueue<AgentEvent> events;
+    private final EndpointPoller endpoint;
+    private final TableWatcher table;
+    private final Timeline timeline;
+    private final ControlServer control;
+    private final DecisionLoop<AgentEvent, AgentCommand> loop;
+    private final PeriodicTasks endpointTasks = new PeriodicTasks("endpoint");
+    private final PeriodicTasks tableTasks = new PeriodicTasks("table");
+    private final CountDownLatch drained = new CountDownLatch(1);
+
+    /** Creates the parts; nothing runs before {@link #start}. */
+    @Inject
+    public AgentProcess(
+            AgentSettings settings,
+            EventQueue<AgentEvent> events,
+            AgentDecider decider,
+            Clock clock,
+            AttemptDesk desk,
+            ViewBoard views,
+            Timeline timeline,
+            EnginePoller engine,
+            EndpointPoller endpoint,
+            TableWatcher table,
+            ControlContext controlContext) {
+        this.settings = settings;
+        this.events = events;
+        this.endpoint = endpoint;
+        this.table = table;
+        this.timeline = timeline;
+        this.control = new ControlServer(
+                controlContext, new InetSocketAddress(settings.getControlHost(), settings.getControlPort()));
+        AgentCommandRunner runner = new AgentCommandRunner(
+                desk,
+                views,
+                timeline,
+                engine::give,
+                row -> tableTasks.once(() -> table.release(row)),
+                drained::countDown);
+        this.loop = new DecisionLoop<>(
+                "agent-decisions", events, decider, clock, runner, new AgentEvent.Tick(), settings.getTickMs());
+    }
+
+    @Override
+    public void start() throws TTransportException {
+        timeline.record(EventDraft.of(EventKind.PROCESS_STARTED).instance(settings.getInstanceId()));
+        loop.start();
+        endpointTasks.repeat(settings.getReportIntervalMs(), endpoint::poll);
+        tableTasks.repeat(settings.getPlatform().getTableReadIntervalMs(), table::poll);
+        control.start();
+    }
+
+    /** Takes no new work, waits until what runs has ended, and stops; called before the HTTP server ends. */
+    public void drain() throws InterruptedException {
+        timeline.record(EventDraft.of(EventKind.PROCESS_STOPPING).instance(settings.getInstanceId()));
+        events.submit(new AgentEvent.DrainRequested("process stopping"));
+        if (!drained.await(settings.getDrainTimeoutMs(), TimeUnit.MILLISECONDS)) {
+            LOG.atWarning().log("event=drain_timeout limit_ms=%d", settings.getDrainTimeoutMs());
+        }
+    }
+
+    @Override
+    public void stop() throws InterruptedException {
+        drain();
+        control.stop();
+        endpointTasks.close();
+        tableTasks.close();
+        loop.close();
+    }
+}
--- a/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
@@ -42,8 +42,7 @@
 
     private Either<Failure, Long> takeAfter(Optional<Row> row) {
         long number = numberOf(row) + 1;
-        Condition unchanged =
-                row.map(Condition::unchanged).orElseGet(() -> Condition.absent(TABLE, instance.value()));
+        Condition unchanged = row.map(Condition::unchanged).orElseGet(() -> Condition.absent(TABLE, instance.value()));
         Write write = Write.put(TABLE, instance.value(), Long.toString(number));
         return table.transact(new Transaction(List.of(unchanged), List.of(write)))
                 .flatMap(outcome -> outcome.committed() ? Either.right(number) : Either.left(overtaken()));
--- a/agent/src/main/java/org/hawthornglade/agent/control/ControlContext.java
+++ b/agent/src/main/java/org/hawthornglade/agent/control/ControlContext.java
@@ -1,20 +1,19 @@
 package org.hawthornglade.agent.control;
 
 import org.hawthornglade.agent.attempt.AttemptDesk;
-import org.hawthornglade.core.agent.AgentCommand;
 import org.hawthornglade.core.agent.AgentEvent;
 import org.hawthornglade.core.config.ConfigurationHolder;
 import org.hawthornglade.core.event.Timeline;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.node.auth.ClusterKeys;
-import org.hawthornglade.node.loop.DecisionLoop;
+import org.hawthornglade.node.loop.EventQueue;
 
 /**
  * What all control sessions of an agent share.
  *
  * @param instance the agent's instance
  * @param keys the cluster keys
- * @param loop takes events
+ * @param events takes events
  * @param views shows the agent's state
  * @param desk cancels attempts
  * @param configuration the configuration in force
@@ -23,7 +22,7 @@
 public record ControlContext(
         InstanceId instance,
         ClusterKeys keys,
-        DecisionLoop<AgentEvent, AgentCommand> loop,
+        EventQueue<AgentEvent> events,
         ViewBoard views,
         AttemptDesk desk,
         ConfigurationHolder configuration,
--- a/agent/src/main/java/org/hawthornglade/agent/control/ControlSession.java
+++ b/agent/src/main/java/org/hawthornglade/agent/control/ControlSession.java
@@ -72,7 +72,7 @@
     public AgentReport exchange(EntryReport report) throws ControlFailure {
         requireProved();
         List<ModelDemand> demand = readDemand(report);
-        context.loop().submit(new AgentEvent.DemandReported(report.getEntryId(), report.getBootId(), demand));
+        context.events().submit(new AgentEvent.DemandReported(report.getEntryId(), report.getBootId(), demand));
         try {
             long waitMs = Math.min(MAX_WAIT_MS, Math.max(0, report.getWaitMs()));
             AgentView view = context.views().awaitNewer(report.getSeenRevision(), waitMs);
@@ -130,7 +130,7 @@
     @Override
     public void drain(String reason) throws ControlFailure {
         requireProved();
-        context.loop().submit(new AgentEvent.DrainRequested(reason));
+        context.events().submit(new AgentEvent.DrainRequested(reason));
     }
 
     private void requireProved() throws ControlFailure {
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class a command. */
+package org.hawthornglade.app;
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryApplication.java
@@ -0,0 +1,34 @@
+package org.hawthornglade.entry;
+
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.dropwizard.core.Application;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import org.hawthornglade.entry.caller.ModelsResource;
+import org.hawthornglade.entry.caller.ServicesResource;
+import org.hawthornglade.node.metrics.Metrics;
+import org.hawthornglade.node.settings.JsonSettings;
+
+/** The entry as a Dropwizard application. */
+public final class EntryApplication extends Application<EntrySettings> {
+    @Override
+    public String getName() {
+        return "entry";
+    }
+
+    @Override
+    public void initialize(Bootstrap<EntrySettings> bootstrap) {
+        JsonSettings.prepare(bootstrap);
+    }
+
+    @Override
+    public void run(EntrySettings settings, Environment environment) {
+        Injector injector = Guice.createInjector(new EntryModule(settings));
+        environment.lifecycle().manage(injector.getInstance(EntryProcess.class));
+        environment.jersey().register(injector.getInstance(ModelsResource.class));
+        environment.jersey().register(injector.getInstance(ServicesResource.class));
+        environment.jersey().register(injector.getInstance(Metrics.class));
+        environment.healthChecks().register("configuration", injector.getInstance(ConfigurationHealth.class));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryCommandRunner.java
@@ -0,0 +1,52 @@
+package org.hawthornglade.entry;
+
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.hawthornglade.core.entry.EntryCommand;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.entry.attempt.PendingRequests;
+import org.hawthornglade.entry.control.AgentLinks;
+
+/** Carries out an entry's commands; nothing here blocks. */
+public final class EntryCommandRunner implements Consumer<EntryCommand> {
+    private final PendingRequests pending;
+    private final AgentLinks links;
+    private final Timeline timeline;
+    private final Executor background;
+    private final Runnable stopped;
+
+    /**
+     * Creates a runner.
+     *
+     * @param pending takes the decisions on requests
+     * @param links reaches agents
+     * @param timeline records events
+     * @param background runs calls to agents, which block
+     * @param stopped called once when no request is left after a stop was asked for
+     */
+    public EntryCommandRunner(
+            PendingRequests pending, AgentLinks links, Timeline timeline, Executor background, Runnable stopped) {
+        this.pending = pending;
+        this.links = links;
+        this.timeline = timeline;
+        this.background = background;
+        this.stopped = stopped;
+    }
+
+    @Override
+    public void accept(EntryCommand command) {
+        if (command instanceof EntryCommand.Dispatch dispatch) {
+            pending.decided(dispatch.request(), dispatch);
+        } else if (command instanceof EntryCommand.Refuse refuse) {
+            pending.decided(refuse.request(), refuse);
+        } else if (command instanceof EntryCommand.Abandon abandon) {
+            background.execute(() -> links.cancel(abandon.instance(), abandon.attempt()));
+        } else if (command instanceof EntryCommand.PublishDemand publish) {
+            links.demand(publish.demand());
+        } else if (command instanceof EntryCommand.RecordEvent record) {
+            timeline.record(record.event());
+        } else if (command instanceof EntryCommand.StopFinished) {
+            stopped.run();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -0,0 +1,208 @@
+package org.hawthornglade.entry;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import java.util.concurrent.ThreadLocalRandom;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.util.Timeout;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.entry.EntryDecider;
+import org.hawthornglade.core.entry.EntryEvent;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.entry.attempt.AttemptClient;
+import org.hawthornglade.entry.attempt.PendingRequests;
+import org.hawthornglade.entry.attempt.RequestRunner;
+import org.hawthornglade.entry.caller.CallerKeys;
+import org.hawthornglade.entry.caller.ModelsResource;
+import org.hawthornglade.entry.caller.RequestFactory;
+import org.hawthornglade.entry.caller.ServicesResource;
+import org.hawthornglade.entry.claim.Claims;
+import org.hawthornglade.entry.claim.TableClaims;
+import org.hawthornglade.entry.control.AgentLinks;
+import org.hawthornglade.entry.control.LinkContext;
+import org.hawthornglade.node.auth.ClusterKeys;
+import org.hawthornglade.node.log.TimelineLog;
+import org.hawthornglade.node.loop.EventQueue;
+import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.platform.http.PlatformHttp;
+import org.hawthornglade.platform.http.PlatformHttpSettings;
+import org.hawthornglade.platform.instance.HttpInstanceList;
+import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.platform.table.HttpTableService;
+import org.hawthornglade.platform.table.TableService;
+
+/** Puts an entry together. */
+public final class EntryModule extends AbstractModule {
+    private static final int POOL_TIMEOUT_MS = 1_000;
+    private static final int PLATFORM_CONNECTIONS = 16;
+    private static final int AGENT_CONNECTIONS = 1_024;
+    private static final int MAX_AGENT_CONNECTIONS = 8_192;
+    private static final int AGENT_CONNECT_TIMEOUT_MS = 500;
+
+    private final EntrySettings settings;
+
+    /** Creates a module for one entry's settings. */
+    public EntryModule(EntrySettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    protected void configure() {
+        bind(EntrySettings.class).toInstance(settings);
+    }
+
+    @Provides
+    @Singleton
+    Clock clock() {
+        return Clock.system();
+    }
+
+    @Provides
+    @Singleton
+    Timeline timeline(Clock clock) {
+        return new Timeline(settings.getProcessName(), settings.getTimelineCapacity(), clock, new TimelineLog());
+    }
+
+    @Provides
+    @Singleton
+    EventQueue<EntryEvent> events() {
+        return new EventQueue<>();
+    }
+
+    @Provides
+    @Singleton
+    EntryDecider decider() {
+        return new EntryDecider();
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationHolder configuration(EventQueue<EntryEvent> events) {
+        ConfigurationHolder holder = new ConfigurationHolder();
+        holder.addListener(applied -> events.submit(new EntryEvent.ConfigurationApplied(applied)));
+        return holder;
+    }
+
+    @Provides
+    @Singleton
+    ClusterKeys keys() {
+        return new ClusterKeys(settings.getClusterKeys());
+    }
+
+    @Provides
+    @Singleton
+    PlatformHttp http() {
+        return new PlatformHttp(new PlatformHttpSettings(
+                settings.getPlatform().getConnectTimeoutMs(),
+                settings.getPlatform().getResponseTimeoutMs(),
+                POOL_TIMEOUT_MS,
+                PLATFORM_CONNECTIONS));
+    }
+
+    @Provides
+    @Singleton
+    TableService table(PlatformHttp http) {
+        return new HttpTableService(settings.getPlatform().getTableServiceUri(), http);
+    }
+
+    @Provides
+    @Singleton
+    InstanceList instances(PlatformHttp http) {
+        return new HttpInstanceList(settings.getPlatform().getInstanceListUri(), http);
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationStore configurations(TableService table) {
+        return new ConfigurationStore(table);
+    }
+
+    @Provides
+    @Singleton
+    Claims claims(TableService table, Clock clock) {
+        return new TableClaims(table, clock);
+    }
+
+    @Provides
+    @Singleton
+    PendingRequests pending() {
+        return new PendingRequests();
+    }
+
+    @Provides
+    @Singleton
+    AgentLinks links(ClusterKeys keys, ConfigurationHolder holder, Timeline timeline, EventQueue<EntryEvent> events) {
+        return new AgentLinks(new LinkContext(
+                settings.getProcessName(),
+                timeline.bootId(),
+                keys,
+                holder,
+                timeline,
+                events::submit,
+                waitMs -> waitMs / 2 + ThreadLocalRandom.current().nextLong(waitMs),
+                settings.getHeartbeatMs(),
+                (int) settings.getSilenceTimeoutMs()));
+    }
+
+    @Provides
+    @Singleton
+    AttemptClient attempts(ClusterKeys keys) {
+        ConnectionConfig limits = ConnectionConfig.custom()
+                .setConnectTimeout(Timeout.ofMilliseconds(AGENT_CONNECT_TIMEOUT_MS))
+                .build();
+        CloseableHttpClient client = HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setMaxConnPerRoute(AGENT_CONNECTIONS)
+                        .setMaxConnTotal(MAX_AGENT_CONNECTIONS)
+                        .setDefaultConnectionConfig(limits)
+                        .build())
+                .disableAutomaticRetries()
+                .disableRedirectHandling()
+                .disableCookieManagement()
+                .disableContentCompression()
+                .build();
+        return new AttemptClient(client, keys, settings.getProcessName());
+    }
+
+    @Provides
+    @Singleton
+    RequestRunner runner(
+            PendingRequests pending,
+            EventQueue<EntryEvent> events,
+            AttemptClient client,
+            AgentLinks links,
+            Claims claims,
+            Clock clock) {
+        return new RequestRunner(pending, events::submit, client, links, claims, clock, settings.getMaxAnswerBytes());
+    }
+
+    @Provides
+    @Singleton
+    RequestFactory requests(ConfigurationHolder holder, Clock clock, Timeline timeline) {
+        String prefix = settings.getProcessName() + "-" + Long.toString(timeline.bootId(), Character.MAX_RADIX);
+        return new RequestFactory(holder, clock, prefix);
+    }
+
+    @Provides
+    @Singleton
+    CallerKeys callers() {
+        return new CallerKeys(settings.getCallerKeys(), settings.getOperatorTokens());
+    }
+
+    @Provides
+    @Singleton
+    ModelsResource models(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
+        return new ModelsResource(keys, requests, runner, settings.getMaxBodyBytes());
+    }
+
+    @Provides
+    @Singleton
+    ServicesResource services(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
+        return new ServicesResource(keys, requests, runner, settings.getMaxBodyBytes());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryProcess.java
@@ -0,0 +1,108 @@
+package org.hawthornglade.entry;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import io.dropwizard.lifecycle.Managed;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.entry.EntryCommand;
+import org.hawthornglade.core.entry.EntryDecider;
+import org.hawthornglade.core.entry.EntryEvent;
+import org.hawthornglade.core.event.EventDraft;
+import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.entry.attempt.PendingRequests;
+import org.hawthornglade.entry.control.AgentLinks;
+import org.hawthornglade.node.loop.DecisionLoop;
+import org.hawthornglade.node.loop.EventQueue;
+import org.hawthornglade.node.loop.PeriodicTasks;
+import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.platform.instance.InstanceList;
+
+/** The running parts of an entry: starts them in order, and on a stop lets requests end first. */
+@Singleton
+public final class EntryProcess implements Managed {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final EntrySettings settings;
+    private final EventQueue<EntryEvent> events;
+    private final AgentLinks links;
+    private final InstanceList instances;
+    private final ConfigurationStore configurations;
+    private final ConfigurationHolder holder;
+    private final Timeline timeline;
+    private final DecisionLoop<EntryEvent, EntryCommand> loop;
+    private final PeriodicTasks instanceTasks = new PeriodicTasks("instances");
+    private final PeriodicTasks tableTasks = new PeriodicTasks("table");
+    private final PeriodicTasks cancelTasks = new PeriodicTasks("cancels");
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    /** Creates the parts; nothing runs before {@link #start}. */
+    @Inject
+    public EntryProcess(
+            EntrySettings settings,
+            EventQueue<EntryEvent> events,
+            EntryDecider decider,
+            Clock clock,
+            PendingRequests pending,
+            AgentLinks links,
+            InstanceList instances,
+            ConfigurationStore configurations,
+            ConfigurationHolder holder,
+            Timeline timeline) {
+        this.settings = settings;
+        this.events = events;
+        this.links = links;
+        this.instances = instances;
+        this.configurations = configurations;
+        this.holder = holder;
+        this.timeline = timeline;
+        EntryCommandRunner runner =
+                new EntryCommandRunner(pending, links, timeline, cancelTasks::once, stopped::countDown);
+        this.loop = new DecisionLoop<>(
+                "entry-decisions", events, decider, clock, runner, new EntryEvent.Tick(), settings.getTickMs());
+    }
+
+    @Override
+    public void start() {
+        timeline.record(EventDraft.of(EventKind.PROCESS_STARTED).instance(settings.getInstanceId()));
+        loop.start();
+        instanceTasks.repeat(settings.getPlatform().getInstanceListIntervalMs(), this::readInstances);
+        tableTasks.repeat(settings.getPlatform().getTableReadIntervalMs(), this::readConfiguration);
+    }
+
+    @Override
+    public void stop() throws InterruptedException {
+        timeline.record(EventDraft.of(EventKind.PROCESS_STOPPING).instance(settings.getInstanceId()));
+        events.submit(new EntryEvent.StopRequested());
+        if (!stopped.await(settings.getStopTimeoutMs(), TimeUnit.MILLISECONDS)) {
+            LOG.atWarning().log("event=stop_timeout limit_ms=%d", settings.getStopTimeoutMs());
+        }
+        instanceTasks.close();
+        tableTasks.close();
+        cancelTasks.close();
+        links.close();
+        loop.close();
+    }
+
+    private void readInstances() {
+        instances
+                .list()
+                .peek(links::listed)
+                .peekLeft(failure -> LOG.atWarning().log(
+                        "event=instance_list_failed code=%d detail=\"%s\"",
+                        failure.code().number(), failure.message()));
+    }
+
+    private void readConfiguration() {
+        configurations
+                .newerThan(holder.current().version())
+                .peek(newer -> newer.ifPresent(holder::offer))
+                .peekLeft(failure -> LOG.atWarning().log(
+                        "event=configuration_read_failed code=%d detail=\"%s\"",
+                        failure.code().number(), failure.message()));
+    }
+}
--- a/entry/src/main/java/org/hawthornglade/entry/caller/ServicesResource.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ServicesResource.java
@@ -11,7 +11,6 @@
 import jakarta.ws.rs.core.Context;
 import jakarta.ws.rs.core.HttpHeaders;
 import jakarta.ws.rs.core.MediaType;
-import jakarta.ws.rs.core.Request;
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.core.UriInfo;
 import java.io.IOException;
@@ -43,17 +42,12 @@
         this.maxBodyBytes = maxBodyBytes;
     }
 
-    /** Passes any method on. */
+    /** Passes a GET on. */
     @GET
     @Path("/{path: .*}")
-    public Response get(
-            @PathParam("service") String service,
-            @Context Request request,
-            @Context UriInfo uri,
-            @Context HttpHeaders headers,
-            InputStream in)
+    public Response get(@PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers)
             throws IOException, InterruptedException {
-        return call(service, request.getMethod(), uri, headers, in);
+        return call(service, "GET", uri, headers, InputStream.nullInputStream());
     }
 
     /** Passes a POST on. */
--- a/node/src/main/java/org/hawthornglade/node/loop/DecisionLoop.java
+++ b/node/src/main/java/org/hawthornglade/node/loop/DecisionLoop.java
@@ -1,8 +1,6 @@
 package org.hawthornglade.node.loop;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hawthornglade.core.Decider;
 import org.hawthornglade.core.time.Clock;
@@ -17,7 +15,7 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long STOP_TIMEOUT_MS = 5_000;
 
-    private final LinkedBlockingQueue<E> events = new LinkedBlockingQueue<>();
+    private final EventQueue<E> events;
     private final Decider<E, C> decider;
     private final Clock clock;
     private final Consumer<C> runner;
@@ -30,13 +28,22 @@
      * Creates a loop that is not started.
      *
      * @param name the thread's name
+     * @param events where the events come from
      * @param decider takes the events
      * @param clock tells the decider the time
      * @param runner carries a command out; must not block
      * @param tick the event that tells that time has passed
      * @param tickMs how often it is sent, in milliseconds
      */
-    public DecisionLoop(String name, Decider<E, C> decider, Clock clock, Consumer<C> runner, E tick, long tickMs) {
+    public DecisionLoop(
+            String name,
+            EventQueue<E> events,
+            Decider<E, C> decider,
+            Clock clock,
+            Consumer<C> runner,
+            E tick,
+            long tickMs) {
+        this.events = events;
         this.decider = decider;
         this.clock = clock;
         this.runner = runner;
@@ -51,16 +58,6 @@
         thread.start();
     }
 
-    /** Adds an event; never blocks. */
-    public void submit(E event) {
-        events.add(event);
-    }
-
-    /** Returns how many events wait. */
-    public int backlog() {
-        return events.size();
-    }
-
     @Override
     public void close() {
         closed = true;
@@ -77,7 +74,7 @@
         while (!closed) {
             E event;
             try {
-                event = events.poll(Math.max(0, nextTickMs - clock.nowMs()), TimeUnit.MILLISECONDS);
+                event = events.poll(Math.max(0, nextTickMs - clock.nowMs()));
             } catch (InterruptedException e) {
                 return;
             }
--- a/standin/src/main/java/org/hawthornglade/standin/StandinApplication.java
+++ b/standin/src/main/java/org/hawthornglade/standin/StandinApplication.java
@@ -1,6 +1,8 @@
 package org.hawthornglade.standin;
 
 import com.google.common.flogger.FluentLogger;
+import io.dropwizard.configuration.EnvironmentVariableSubstitutor;
+import io.dropwizard.configuration.SubstitutingSourceProvider;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
@@ -17,6 +19,8 @@
 
     @Override
     public void initialize(Bootstrap<StandinConfiguration> bootstrap) {
+        bootstrap.setConfigurationSourceProvider(new SubstitutingSourceProvider(
+                bootstrap.getConfigurationSourceProvider(), new EnvironmentVariableSubstitutor(true)));
         bootstrap.setConfigurationFactoryFactory(new JsonWithCommentsFactory<>());
     }
 
