--- a/core/src/main/java/org/hawthornglade/core/config/Configuration.java
+++ b/core/src/main/java/org/hawthornglade/core/config/Configuration.java
@@ -51,6 +51,12 @@
         return new Configuration(0, "", "", 0, null, null, null, null, null, null);
     }
 
+    /** Returns this configuration with the time of its confirm. */
+    public Configuration confirmedAt(long timeMs) {
+        return new Configuration(
+                version, office, planId, timeMs, organisations, classes, models, adapters, services, idle);
+    }
+
     /** Returns the base model with this name, if there is one. */
     public Optional<ModelSpec> model(ModelName name) {
         return models.stream().filter(spec -> spec.name().equals(name)).findFirst();
--- a/core/src/main/java/org/hawthornglade/core/plan/Planner.java
+++ b/core/src/main/java/org/hawthornglade/core/plan/Planner.java
@@ -70,13 +70,10 @@
                 .map(plan -> new OpenPlan(
                         plan.id(),
                         plan.office(),
-                        plan.intent().reason(),
+                        plan.reason(),
                         plan.madeAtMs(),
                         plan.baseVersion() != world.configuration().version(),
-                        plan.changes().stream()
-                                .map(Change::subject)
-                                .filter(mine::contains)
-                                .toList()))
+                        plan.subjects().stream().filter(mine::contains).toList()))
                 .toList();
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/plan/World.java
+++ b/core/src/main/java/org/hawthornglade/core/plan/World.java
@@ -19,7 +19,7 @@
         List<PlacementInstance> instances,
         List<AssignmentRow> rows,
         List<NodeVersion> nodes,
-        List<Plan> openPlans) {
+        List<PlanSummary> openPlans) {
     /** Copies the lists. */
     public World {
         instances = List.copyOf(instances);
--- a/core/src/test/java/org/hawthornglade/core/plan/PlannerTest.java
+++ b/core/src/test/java/org/hawthornglade/core/plan/PlannerTest.java
@@ -24,7 +24,7 @@
     private static final PlanId ID = PlanId.of("plan-1");
     private static final OfficeId NORTH = OfficeId.of("north");
 
-    private static World world(List<AssignmentRow> rows, List<Plan> openPlans) {
+    private static World world(List<AssignmentRow> rows, List<PlanSummary> openPlans) {
         List<PlacementInstance> instances = List.of(
                 new PlacementInstance(InstanceId.of("a"), FailureDomain.of("east"), 1_500, 1, Availability.AVAILABLE),
                 new PlacementInstance(InstanceId.of("b"), FailureDomain.of("west"), 1_500, 1, Availability.AVAILABLE));
@@ -99,7 +99,7 @@
                         world(List.of(), List.of()),
                         4_000)
                 .get();
-        Plan plan = plan(intent, world(List.of(), List.of(other)));
+        Plan plan = plan(intent, world(List.of(), List.of(PlanSummary.of(other))));
 
         assertThat(plan.otherPlans().get(0).touchesSame()).containsExactly("models/quote");
         assertThat(plan.warnings()).contains("plan plan-0 of office south also changes models/quote");
