--- a/agent/src/main/java/org/hawthornglade/agent/AgentApplication.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentApplication.java
@@ -5,6 +5,7 @@
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
+import org.glassfish.jersey.server.ServerProperties;
 import org.hawthornglade.agent.attempt.AttemptsResource;
 import org.hawthornglade.node.metrics.Metrics;
 import org.hawthornglade.node.settings.JsonSettings;
@@ -23,6 +24,8 @@
 
     @Override
     public void run(AgentSettings settings, Environment environment) {
+        // Without this, Jersey holds back the first 8 KiB of each stream.
+        environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
         Injector injector = Guice.createInjector(new AgentModule(settings));
         environment.lifecycle().manage(injector.getInstance(AgentProcess.class));
         environment.jersey().register(injector.getInstance(AttemptsResource.class));
--- a/entry/src/main/java/org/hawthornglade/entry/EntryApplication.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryApplication.java
@@ -5,6 +5,7 @@
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
+import org.glassfish.jersey.server.ServerProperties;
 import org.hawthornglade.entry.caller.ModelsResource;
 import org.hawthornglade.entry.caller.ServicesResource;
 import org.hawthornglade.node.metrics.Metrics;
@@ -24,6 +25,8 @@
 
     @Override
     public void run(EntrySettings settings, Environment environment) {
+        // Without this, Jersey holds back the first 8 KiB of each stream.
+        environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
         Injector injector = Guice.createInjector(new EntryModule(settings));
         environment.lifecycle().manage(injector.getInstance(EntryProcess.class));
         environment.jersey().register(injector.getInstance(ModelsResource.class));
