--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -1,12 +1,15 @@
 package org.hawthornglade.app;
 
 import java.util.List;
+import org.hawthornglade.app.caller.CallCommand;
+import org.hawthornglade.app.caller.ChatCommand;
 
 /** All commands. */
 final class Commands {
     private Commands() {}
 
     static List<Command> all() {
-        return List.of(new EntryCommand(), new AgentCommand(), new StandinCommand());
+        return List.of(
+                new EntryCommand(), new AgentCommand(), new StandinCommand(), new ChatCommand(), new CallCommand());
     }
 }
