--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/event/TimelineFilter.java
@@ -0,0 +1,40 @@
+package org.hawthornglade.core.event;
+
+/**
+ * Which events of a time line are asked for.
+ *
+ * @param request only events of this request; null for all
+ * @param model only events of this model, adapter or service; null for all
+ * @param instance only events of this instance; null for all
+ * @param fromMs only events at or after this time, in milliseconds since the Unix epoch
+ * @param toMs only events before this time, in milliseconds since the Unix epoch
+ */
+public record TimelineFilter(String request, String model, String instance, long fromMs, long toMs) {
+    /** Returns the filter that passes everything. */
+    public static TimelineFilter all() {
+        return new TimelineFilter(null, null, null, Long.MIN_VALUE, Long.MAX_VALUE);
+    }
+
+    /** Returns the filter that passes the events of one request. */
+    public static TimelineFilter ofRequest(String request) {
+        return new TimelineFilter(request, null, null, Long.MIN_VALUE, Long.MAX_VALUE);
+    }
+
+    /** Returns the filter that passes the events of one model, adapter or service. */
+    public static TimelineFilter ofModel(String model) {
+        return new TimelineFilter(null, model, null, Long.MIN_VALUE, Long.MAX_VALUE);
+    }
+
+    /** Returns whether an event passes. */
+    public boolean passes(TimelineEvent event) {
+        return isWanted(request, event.request())
+                && isWanted(model, event.model())
+                && isWanted(instance, event.instance())
+                && event.timeMs() >= fromMs
+                && event.timeMs() < toMs;
+    }
+
+    private static boolean isWanted(String wanted, String value) {
+        return wanted == null || wanted.equals(value);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/Explainer.java
@@ -0,0 +1,134 @@
+package org.hawthornglade.entry.operator;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.config.ModelSpec;
+import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.event.TimelineEvent;
+import org.hawthornglade.core.event.TimelineFilter;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.report.ReplicaView;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Explains a request or a model from the merged time line and the state now. */
+public final class Explainer {
+    private static final int MAX_EVENTS = 200;
+
+    private final TimelineCollector timeline;
+    private final ConfigurationHolder holder;
+    private final FleetBook fleet;
+
+    /** Creates an explainer. */
+    public Explainer(TimelineCollector timeline, ConfigurationHolder holder, FleetBook fleet) {
+        this.timeline = timeline;
+        this.holder = holder;
+        this.fleet = fleet;
+    }
+
+    /** Explains a request; left with UNKNOWN_REQUEST if no process remembers it. */
+    public Either<Failure, Explanation> request(String request, String authorization) {
+        MergedTimeline merged = timeline.collect(TimelineFilter.ofRequest(request), MAX_EVENTS, authorization);
+        if (merged.events().isEmpty()) {
+            return Either.left(
+                    Failure.of(ResultCode.UNKNOWN_REQUEST, "no process that answered remembers request " + request));
+        }
+        return Either.right(explanation(request, outcome(merged.events()), merged));
+    }
+
+    /** Explains a model or adapter; left with UNKNOWN_MODEL if neither the configuration nor the time line has it. */
+    public Either<Failure, Explanation> model(String model, String authorization) {
+        Either<Failure, ModelName> name = name(model);
+        if (name.isLeft()) {
+            return Either.left(name.getLeft());
+        }
+        MergedTimeline merged = timeline.collect(TimelineFilter.ofModel(model), MAX_EVENTS, authorization);
+        Optional<ModelSpec> spec = holder.current().baseOf(name.get());
+        if (spec.isEmpty() && merged.events().isEmpty()) {
+            return Either.left(Failure.of(ResultCode.UNKNOWN_MODEL, "there is no model or adapter " + model));
+        }
+        return Either.right(explanation(model, modelState(name.get(), spec), merged));
+    }
+
+    private static Either<Failure, ModelName> name(String model) {
+        try {
+            return Either.right(ModelName.of(model));
+        } catch (IllegalArgumentException e) {
+            return Either.left(Failure.of(ResultCode.UNKNOWN_MODEL, e.getMessage()));
+        }
+    }
+
+    private static Explanation explanation(String subject, String state, MergedTimeline merged) {
+        List<String> reasons = merged.events().stream().map(Explainer::sentence).toList();
+        return new Explanation(subject, state, reasons, merged.events(), merged.missing());
+    }
+
+    private static String outcome(List<TimelineEvent> events) {
+        return events.stream()
+                .filter(event ->
+                        event.kind() == EventKind.REQUEST_ANSWERED || event.kind() == EventKind.REQUEST_REFUSED)
+                .reduce((first, last) -> last)
+                .map(Explainer::sentence)
+                .orElse("not answered yet, or the answer is no longer remembered");
+    }
+
+    private String modelState(ModelName name, Optional<ModelSpec> spec) {
+        Configuration configuration = holder.current();
+        if (spec.isEmpty()) {
+            return "not in configuration " + configuration.version();
+        }
+        List<String> replicas = fleet.listed().stream()
+                .flatMap(info -> replicas(info, spec.get().name()))
+                .toList();
+        String base =
+                spec.get().name().equals(name) ? "" : " (on base " + spec.get().name() + ")";
+        return "at most %d replicas by configuration %d%s; assigned: %s"
+                .formatted(
+                        spec.get().maxReplicas(),
+                        configuration.version(),
+                        base,
+                        replicas.isEmpty() ? "none heard of" : String.join(", ", replicas));
+    }
+
+    private java.util.stream.Stream<String> replicas(InstanceInfo info, ModelName base) {
+        return fleet.view(info.id()).stream()
+                .flatMap(view -> view.replicas().stream())
+                .filter(replica -> replica.model().equals(base))
+                .map(replica -> describe(info, replica));
+    }
+
+    private static String describe(InstanceInfo info, ReplicaView replica) {
+        String adapters = replica.adapters().stream().map(ModelName::value).collect(Collectors.joining(" "));
+        return "#%d at %s %s, %d running%s"
+                .formatted(
+                        replica.ordinal(),
+                        info.id(),
+                        replica.phase().name().toLowerCase(Locale.ROOT),
+                        replica.running(),
+                        adapters.isEmpty() ? "" : ", adapters " + adapters);
+    }
+
+    /** Returns an event as one sentence, such as "load decided by agent-2 on instance e2: queued 3". */
+    static String sentence(TimelineEvent event) {
+        StringBuilder text =
+                new StringBuilder(event.kind().name().toLowerCase(Locale.ROOT).replace('_', ' '));
+        text.append(" by ").append(event.process());
+        if (event.instance() != null) {
+            text.append(" on instance ").append(event.instance());
+        }
+        if (event.code() != 0) {
+            String code = ResultCode.ofNumber(event.code()).map(Enum::name).orElse("code " + event.code());
+            text.append(", ").append(code);
+        }
+        if (!event.detail().isEmpty()) {
+            text.append(": ").append(event.detail());
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/FleetBook.java
@@ -0,0 +1,113 @@
+package org.hawthornglade.entry.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.entry.EntryEvent;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceRole;
+import org.hawthornglade.core.instance.InstanceState;
+import org.hawthornglade.core.placement.Availability;
+import org.hawthornglade.core.placement.PlacementInstance;
+import org.hawthornglade.core.plan.NodeVersion;
+import org.hawthornglade.core.report.AgentView;
+import org.hawthornglade.platform.configuration.Fleet;
+
+/**
+ * What this entry has last heard of the other processes.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class FleetBook implements Fleet {
+    private static final long NOT_HEARD = -1;
+
+    private final InstanceId self;
+    private final ConfigurationHolder holder;
+    private final Map<InstanceId, AgentView> views = new ConcurrentHashMap<>();
+    private final Map<InstanceId, Long> entryVersions = new ConcurrentHashMap<>();
+    private volatile List<InstanceInfo> listed = List.of();
+
+    /** Creates an empty book for the entry on an instance. */
+    public FleetBook(InstanceId self, ConfigurationHolder holder) {
+        this.self = self;
+        this.holder = holder;
+    }
+
+    /** Takes note of what the entry's decisions are told. */
+    public void observe(EntryEvent event) {
+        if (event instanceof EntryEvent.AgentReported reported) {
+            views.put(reported.view().instance(), reported.view());
+        } else if (event instanceof EntryEvent.AgentLost lost) {
+            views.remove(lost.instance());
+        } else if (event instanceof EntryEvent.InstancesListed list) {
+            listed = List.copyOf(list.instances());
+        }
+    }
+
+    /** Takes note of another entry's configuration version; empty if it did not answer. */
+    public void entryVersion(InstanceId entry, Optional<Long> version) {
+        entryVersions.put(entry, version.orElse(NOT_HEARD));
+    }
+
+    /** Returns the instance list as last read. */
+    public List<InstanceInfo> listed() {
+        return listed;
+    }
+
+    /** Returns the listed entries that are not gone, without this one. */
+    public List<InstanceInfo> otherEntries() {
+        return listed.stream()
+                .filter(info -> info.role() == InstanceRole.ENTRY && info.state() != InstanceState.GONE)
+                .filter(info -> !info.id().equals(self))
+                .toList();
+    }
+
+    /** Returns what the agent of an instance last reported; empty if there is no connection to it. */
+    public Optional<AgentView> view(InstanceId instance) {
+        return Optional.ofNullable(views.get(instance));
+    }
+
+    @Override
+    public List<PlacementInstance> instances() {
+        return listed.stream()
+                .filter(info -> info.role() == InstanceRole.ENGINE)
+                .map(info -> new PlacementInstance(
+                        info.id(), info.failureDomain(), info.memoryMb(), info.accelerators(), availability(info)))
+                .toList();
+    }
+
+    @Override
+    public List<NodeVersion> nodes() {
+        List<NodeVersion> nodes = new ArrayList<>();
+        nodes.add(new NodeVersion(self.value(), holder.current().version()));
+        for (InstanceInfo info : listed) {
+            if (info.state() != InstanceState.GONE && !info.id().equals(self)) {
+                nodes.add(new NodeVersion(info.id().value(), versionOf(info)));
+            }
+        }
+        return nodes;
+    }
+
+    private long versionOf(InstanceInfo info) {
+        if (info.role() == InstanceRole.ENTRY) {
+            return entryVersions.getOrDefault(info.id(), NOT_HEARD);
+        }
+        return view(info.id()).map(AgentView::configVersion).orElse(NOT_HEARD);
+    }
+
+    private Availability availability(InstanceInfo info) {
+        Optional<AgentView> view = view(info.id());
+        if (info.state() == InstanceState.GONE) {
+            return Availability.GONE;
+        }
+        if (info.state() == InstanceState.LEAVING
+                || view.map(AgentView::draining).orElse(false)) {
+            return Availability.LEAVING;
+        }
+        return view.isPresent() ? Availability.AVAILABLE : Availability.SILENT;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/NodeAnswer.java
@@ -0,0 +1,9 @@
+package org.hawthornglade.entry.operator;
+
+/**
+ * What one entry says of itself to another.
+ *
+ * @param instance its instance
+ * @param configVersion the configuration version in force there
+ */
+public record NodeAnswer(String instance, long configVersion) {}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/OperatorAnswers.java
@@ -0,0 +1,82 @@
+package org.hawthornglade.entry.operator;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import java.util.List;
+import org.hawthornglade.core.config.Fault;
+import org.hawthornglade.core.plan.Plan;
+import org.hawthornglade.core.plan.PlanRefusal;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.entry.caller.ErrorBody;
+import org.hawthornglade.platform.configuration.ConfirmRefusal;
+import org.hawthornglade.platform.configuration.Confirmation;
+
+/** The forms of the answers to operators. */
+final class OperatorAnswers {
+    private static final long MS_PER_SECOND = 1_000;
+
+    private OperatorAnswers() {}
+
+    /**
+     * A refusal with what helps to go on.
+     *
+     * @param error the same object that callers get
+     * @param faults every fault of the intent
+     * @param freshPlan the same intent on the configuration now in force; null if there is none
+     */
+    @JsonInclude(JsonInclude.Include.NON_EMPTY)
+    record Refusal(ErrorBody.Content error, List<Fault> faults, Plan freshPlan) {}
+
+    /**
+     * A confirm that took effect.
+     *
+     * @param version the configuration version that it made
+     * @param planId the plan
+     * @param office who confirmed it
+     * @param confirmedAtMs when, in milliseconds since the Unix epoch
+     * @param repeated whether an earlier call had made it
+     */
+    record Confirmed(long version, String planId, String office, long confirmedAtMs, boolean repeated) {}
+
+    /**
+     * A drain that the agent has begun.
+     *
+     * @param instance the instance
+     */
+    record Draining(String instance) {}
+
+    static Response failure(Failure failure) {
+        return refusal(failure, List.of(), null);
+    }
+
+    static Response refusal(PlanRefusal refusal) {
+        return refusal(refusal.failure(), refusal.faults(), null);
+    }
+
+    static Response refusal(ConfirmRefusal refusal) {
+        List<Fault> faults = refusal.noFreshPlan().map(PlanRefusal::faults).orElse(List.of());
+        return refusal(refusal.failure(), faults, refusal.freshPlan().orElse(null));
+    }
+
+    static Response confirmed(Confirmation confirmation) {
+        return Response.ok(new Confirmed(
+                        confirmation.configuration().version(),
+                        confirmation.configuration().planId(),
+                        confirmation.configuration().office(),
+                        confirmation.configuration().confirmedAtMs(),
+                        confirmation.repeated()))
+                .build();
+    }
+
+    private static Response refusal(Failure failure, List<Fault> faults, Plan freshPlan) {
+        Response.ResponseBuilder builder = Response.status(failure.code().httpStatus())
+                .type(MediaType.APPLICATION_JSON_TYPE)
+                .entity(new Refusal(ErrorBody.of(failure).error(), faults, freshPlan));
+        if (failure.retryAfterMs() > 0) {
+            builder.header(HttpHeaders.RETRY_AFTER, (failure.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND);
+        }
+        return builder.build();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/OperatorModule.java
@@ -0,0 +1,147 @@
+package org.hawthornglade.entry.operator;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.util.Timeout;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.PlanId;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.entry.EntrySettings;
+import org.hawthornglade.entry.control.AgentLinks;
+import org.hawthornglade.entry.placement.AgentProbe;
+import org.hawthornglade.entry.placement.Reconciler;
+import org.hawthornglade.entry.placement.ReconcilerLoop;
+import org.hawthornglade.node.auth.ClusterKeys;
+import org.hawthornglade.platform.configuration.AssignmentStore;
+import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.platform.configuration.PlanDesk;
+import org.hawthornglade.platform.configuration.PlanStore;
+import org.hawthornglade.platform.table.TableService;
+
+/** Puts the operators' part of an entry together. */
+public final class OperatorModule extends AbstractModule {
+    private static final int PEER_CONNECT_TIMEOUT_MS = 500;
+    private static final int PEER_RESPONSE_TIMEOUT_MS = 1_000;
+
+    @Provides
+    @Singleton
+    InstanceId self(EntrySettings settings) {
+        return InstanceId.of(settings.getInstanceId());
+    }
+
+    @Provides
+    @Singleton
+    FleetBook fleet(InstanceId self, ConfigurationHolder holder) {
+        return new FleetBook(self, holder);
+    }
+
+    @Provides
+    @Singleton
+    OperatorTokens tokens(EntrySettings settings) {
+        return new OperatorTokens(settings.getOperatorTokens(), settings.getCallerKeys());
+    }
+
+    @Provides
+    @Singleton
+    PlanStore plans(TableService table) {
+        return new PlanStore(table);
+    }
+
+    @Provides
+    @Singleton
+    AssignmentStore assignments(TableService table) {
+        return new AssignmentStore(table);
+    }
+
+    @Provides
+    @Singleton
+    PeerEntries peers() {
+        return new PeerEntries(HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setDefaultConnectionConfig(ConnectionConfig.custom()
+                                .setConnectTimeout(Timeout.ofMilliseconds(PEER_CONNECT_TIMEOUT_MS))
+                                .build())
+                        .build())
+                .setDefaultRequestConfig(RequestConfig.custom()
+                        .setResponseTimeout(Timeout.ofMilliseconds(PEER_RESPONSE_TIMEOUT_MS))
+                        .build())
+                .disableAutomaticRetries()
+                .disableCookieManagement()
+                .build());
+    }
+
+    @Provides
+    @Singleton
+    TimelineCollector timelines(Timeline own, AgentLinks links, FleetBook fleet, PeerEntries peers) {
+        return new TimelineCollector(own, links, fleet, peers);
+    }
+
+    @Provides
+    @Singleton
+    StatusReader status(
+            ConfigurationHolder holder,
+            ConfigurationStore configurations,
+            AssignmentStore assignments,
+            PlanStore plans,
+            FleetBook fleet,
+            PeerEntries peers) {
+        return new StatusReader(holder, configurations, assignments, plans, fleet, peers);
+    }
+
+    @Provides
+    @Singleton
+    Explainer explainer(TimelineCollector timelines, ConfigurationHolder holder, FleetBook fleet) {
+        return new Explainer(timelines, holder, fleet);
+    }
+
+    @Provides
+    @Singleton
+    PlanDesk desk(
+            ConfigurationStore configurations,
+            PlanStore plans,
+            AssignmentStore assignments,
+            FleetBook fleet,
+            Timeline timeline,
+            Clock clock) {
+        String prefix = "plan-" + timeline.process() + "-" + Long.toString(timeline.bootId(), Character.MAX_RADIX);
+        AtomicLong made = new AtomicLong();
+        return new PlanDesk(
+                configurations,
+                plans,
+                assignments,
+                fleet,
+                () -> PlanId.of(prefix + "-" + made.incrementAndGet()),
+                clock);
+    }
+
+    @Provides
+    @Singleton
+    Reconciler reconciler(
+            ConfigurationStore configurations,
+            AssignmentStore assignments,
+            ConfigurationHolder holder,
+            FleetBook fleet,
+            ClusterKeys keys,
+            Timeline timeline) {
+        AgentProbe probe = new AgentProbe(fleet::listed, timeline.process(), keys);
+        return new Reconciler(configurations, assignments, holder, fleet::instances, probe, timeline);
+    }
+
+    @Provides
+    @Singleton
+    ReconcilerLoop reconcilerLoop(Reconciler reconciler, ConfigurationHolder holder) {
+        ReconcilerLoop loop = new ReconcilerLoop(
+                reconciler, waitMs -> waitMs / 2 + ThreadLocalRandom.current().nextLong(waitMs));
+        holder.addListener(applied -> loop.runSoon());
+        return loop;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/StatusReader.java
@@ -0,0 +1,116 @@
+package org.hawthornglade.entry.operator;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.hawthornglade.core.assignment.Assignment;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceState;
+import org.hawthornglade.core.placement.AssignmentRow;
+import org.hawthornglade.core.plan.NodeVersion;
+import org.hawthornglade.core.plan.PlanSummary;
+import org.hawthornglade.core.report.AgentView;
+import org.hawthornglade.core.report.ReplicaView;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.platform.configuration.AssignmentStore;
+import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.platform.configuration.PlanStore;
+
+/** Puts together the state of the whole system; what the table service cannot tell is left empty. */
+public final class StatusReader {
+    private static final TypeReference<NodeAnswer> NODE = new TypeReference<>() {};
+    private static final String NOT_HEARD = "UNKNOWN";
+
+    private final ConfigurationHolder holder;
+    private final ConfigurationStore configurations;
+    private final AssignmentStore assignments;
+    private final PlanStore plans;
+    private final FleetBook fleet;
+    private final PeerEntries peers;
+
+    /** Creates a reader. */
+    public StatusReader(
+            ConfigurationHolder holder,
+            ConfigurationStore configurations,
+            AssignmentStore assignments,
+            PlanStore plans,
+            FleetBook fleet,
+            PeerEntries peers) {
+        this.holder = holder;
+        this.configurations = configurations;
+        this.assignments = assignments;
+        this.plans = plans;
+        this.fleet = fleet;
+        this.peers = peers;
+    }
+
+    /** Asks the other entries for their configuration version. */
+    public void refresh(String authorization) {
+        for (InstanceInfo entry : fleet.otherEntries()) {
+            Optional<NodeAnswer> answer = peers.get(entry, "/operator/node", authorization, NODE);
+            fleet.entryVersion(entry.id(), answer.map(NodeAnswer::configVersion));
+        }
+    }
+
+    /** Returns the state now; asks the other entries with the operator's credential. */
+    public Status read(String authorization) {
+        Either<Failure, Optional<Configuration>> newer =
+                configurations.newerThan(holder.current().version());
+        newer.peek(found -> found.ifPresent(holder::offer));
+        refresh(authorization);
+        Configuration current = holder.current();
+        Status.Store store = newer.fold(
+                failure -> new Status.Store(false, failure.code() + ": " + failure.message()),
+                found -> new Status.Store(true, ""));
+        List<AssignmentRow> rows = store.reachable() ? assignments.rows().getOrElse(List.of()) : List.of();
+        List<PlanSummary> open = store.reachable() ? plans.summaries().getOrElse(List.of()) : List.of();
+        return new Status(
+                new Status.InForce(current.version(), current.office(), current.planId(), current.confirmedAtMs()),
+                store,
+                nodes(current.version()),
+                rows.stream().map(row -> replica(row.assignment())).toList(),
+                open.stream().filter(plan -> !plan.isConfirmed()).toList());
+    }
+
+    private List<Status.Node> nodes(long newest) {
+        Map<String, Long> versions =
+                fleet.nodes().stream().collect(Collectors.toMap(NodeVersion::node, NodeVersion::version, Math::max));
+        return fleet.listed().stream()
+                .filter(info -> info.state() != InstanceState.GONE)
+                .map(info -> node(info, versions.getOrDefault(info.id().value(), -1L), newest))
+                .toList();
+    }
+
+    private Status.Node node(InstanceInfo info, long version, long newest) {
+        Optional<AgentView> view = fleet.view(info.id());
+        return new Status.Node(
+                info.id().value(),
+                info.role().name(),
+                info.failureDomain().value(),
+                info.state().name(),
+                version,
+                version < newest,
+                view.map(AgentView::draining).orElse(false),
+                view.map(AgentView::endpointReachable).orElse(false),
+                view.map(AgentView::running).orElse(0));
+    }
+
+    private Status.ReplicaStatus replica(Assignment assignment) {
+        Optional<ReplicaView> view = fleet.view(assignment.instance())
+                .flatMap(agent -> agent.replicas().stream()
+                        .filter(replica -> replica.model().equals(assignment.model()))
+                        .findFirst());
+        return new Status.ReplicaStatus(
+                assignment.model().value(),
+                assignment.ordinal(),
+                assignment.instance().value(),
+                assignment.state(),
+                view.map(replica -> replica.phase().name()).orElse(NOT_HEARD),
+                view.map(ReplicaView::running).orElse(0));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/TimelineCollector.java
@@ -0,0 +1,76 @@
+package org.hawthornglade.entry.operator;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.event.TimelineEvent;
+import org.hawthornglade.core.event.TimelineFilter;
+import org.hawthornglade.core.event.TimelineMerge;
+import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceRole;
+import org.hawthornglade.core.instance.InstanceState;
+import org.hawthornglade.entry.control.AgentLinks;
+import org.hawthornglade.node.wire.WireForms;
+import org.hawthornglade.protocol.gen.Event;
+
+/** Collects the time lines of this entry, the other entries and all agents. */
+public final class TimelineCollector {
+    private static final TypeReference<List<TimelineEvent>> EVENTS = new TypeReference<>() {};
+
+    private final Timeline own;
+    private final AgentLinks links;
+    private final FleetBook fleet;
+    private final PeerEntries peers;
+
+    /** Creates a collector. */
+    public TimelineCollector(Timeline own, AgentLinks links, FleetBook fleet, PeerEntries peers) {
+        this.own = own;
+        this.links = links;
+        this.fleet = fleet;
+        this.peers = peers;
+    }
+
+    /** Returns this entry's events only. */
+    public List<TimelineEvent> local() {
+        return own.after(0, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Returns the merged events of all processes.
+     *
+     * @param filter which events
+     * @param limit how many at most, the latest
+     * @param authorization the operator's credential, to ask other entries with
+     */
+    public MergedTimeline collect(TimelineFilter filter, int limit, String authorization) {
+        List<TimelineEvent> all = new ArrayList<>(local());
+        List<String> missing = new ArrayList<>(silentAgents());
+        for (Event event : links.timelines()) {
+            addIfKnown(event, all);
+        }
+        for (InstanceInfo entry : fleet.otherEntries()) {
+            Optional<List<TimelineEvent>> events = peers.get(entry, "/operator/node/timeline", authorization, EVENTS);
+            events.ifPresentOrElse(all::addAll, () -> missing.add(entry.id().value()));
+        }
+        return new MergedTimeline(TimelineMerge.merge(all, filter, limit), missing);
+    }
+
+    private List<String> silentAgents() {
+        return fleet.listed().stream()
+                .filter(info -> info.role() != InstanceRole.ENTRY && info.state() != InstanceState.GONE)
+                .filter(info -> fleet.view(info.id()).isEmpty())
+                .map(info -> info.id().value())
+                .toList();
+    }
+
+    private static void addIfKnown(Event event, List<TimelineEvent> events) {
+        try {
+            events.add(WireForms.read(event));
+        } catch (IllegalArgumentException e) {
+            // An event kind of a newer release: nothing can be said about it here.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/placement/ReconcilerLoop.java
@@ -0,0 +1,101 @@
+package org.hawthornglade.entry.placement;
+
+import com.google.common.flogger.FluentLogger;
+import io.dropwizard.lifecycle.Managed;
+import io.vavr.control.Either;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongUnaryOperator;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/**
+ * Runs the reconciler every few seconds and soon after a new configuration.
+ *
+ * <p>Every wait is random within its bounds, so that entries do not run together, and grows while the table service fails.
+ */
+public final class ReconcilerLoop implements Managed {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long INTERVAL_MS = 3_000;
+    private static final long AFTER_CHANGE_MS = 300;
+    private static final long MAX_INTERVAL_MS = 30_000;
+
+    private final Reconciler reconciler;
+    private final LongUnaryOperator jitter;
+    private final ScheduledExecutorService executor;
+    private final AtomicBoolean soonScheduled = new AtomicBoolean();
+    private long waitMs = INTERVAL_MS;
+
+    /**
+     * Creates a loop that is not started.
+     *
+     * @param jitter turns a wait in milliseconds into a random one around it
+     */
+    public ReconcilerLoop(Reconciler reconciler, LongUnaryOperator jitter) {
+        this.reconciler = reconciler;
+        this.jitter = jitter;
+        ScheduledThreadPoolExecutor pool = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "reconciler");
+            thread.setDaemon(true);
+            return thread;
+        });
+        pool.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
+        this.executor = pool;
+    }
+
+    @Override
+    public void start() {
+        schedule(AFTER_CHANGE_MS, this::runAndRepeat);
+    }
+
+    /** Has a pass run soon, as after a new configuration. */
+    public void runSoon() {
+        if (soonScheduled.compareAndSet(false, true)) {
+            schedule(AFTER_CHANGE_MS, this::runOnce);
+        }
+    }
+
+    @Override
+    public void stop() {
+        executor.shutdownNow();
+    }
+
+    private void runOnce() {
+        soonScheduled.set(false);
+        pass();
+    }
+
+    private void runAndRepeat() {
+        waitMs = nextWaitMs(pass(), waitMs);
+        schedule(waitMs, this::runAndRepeat);
+    }
+
+    private Either<Failure, Integer> pass() {
+        try {
+            return reconciler.run().peekLeft(ReconcilerLoop::logFailure);
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("event=reconciler_failed");
+            return Either.left(Failure.of(ResultCode.INTERNAL_ERROR, "the pass threw " + e));
+        }
+    }
+
+    /** Doubles the wait while the table service fails; a pass that another entry was faster than is no failure. */
+    static long nextWaitMs(Either<Failure, Integer> outcome, long lastMs) {
+        boolean failed = outcome.isLeft() && outcome.getLeft().code() != ResultCode.STALE_PLAN;
+        return failed ? Math.min(MAX_INTERVAL_MS, lastMs * 2) : INTERVAL_MS;
+    }
+
+    @SuppressWarnings("FutureReturnValueIgnored") // pass() logs what fails
+    private void schedule(long delayMs, Runnable task) {
+        executor.schedule(task, jitter.applyAsLong(delayMs), TimeUnit.MILLISECONDS);
+    }
+
+    private static void logFailure(Failure failure) {
+        LOG.atWarning().log(
+                "event=reconciler_pass_failed code=%d detail=\"%s\"",
+                failure.code().number(), failure.message());
+    }
+}
