--- a/standin/src/main/java/org/hawthornglade/standin/Standins.java
+++ b/standin/src/main/java/org/hawthornglade/standin/Standins.java
@@ -25,6 +25,7 @@
 import org.hawthornglade.standin.table.TableSettings;
 import org.hawthornglade.standin.time.SystemTimers;
 import org.hawthornglade.standin.time.Timers;
+import org.hawthornglade.standin.weight.FaultyWeightStore;
 import org.hawthornglade.standin.weight.HttpWeightStore;
 import org.hawthornglade.standin.weight.InMemoryWeightStore;
 import org.hawthornglade.standin.weight.WeightResource;
@@ -57,7 +58,12 @@
 
     /** Starts stand-ins by the system's clock. */
     public static Standins start(StandinsSettings settings) {
-        Standins standins = new Standins(settings, new SystemTimers());
+        return start(settings, new SystemTimers());
+    }
+
+    /** Starts stand-ins by the timers given, which this object closes. */
+    public static Standins start(StandinsSettings settings, Timers timers) {
+        Standins standins = new Standins(settings, timers);
         standins.server.start();
         return standins;
     }
@@ -121,7 +127,7 @@
             return null;
         }
         if (!nameOrUri.contains(URI_MARK)) {
-            return weights(nameOrUri);
+            return new FaultyWeightStore(weights(nameOrUri), faults(nameOrUri));
         }
         HttpWeightStore client = new HttpWeightStore(URI.create(nameOrUri));
         clients.add(client);
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/table/FaultyTableService.java
@@ -0,0 +1,38 @@
+package org.hawthornglade.standin.table;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.platform.table.Row;
+import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.platform.table.TransactionOutcome;
+import org.hawthornglade.standin.fault.FaultyCalls;
+
+/** A table service within the process whose calls meet faults. */
+public final class FaultyTableService implements TableService {
+    private final TableService tables;
+    private final FaultyCalls calls;
+
+    /** Puts faults before a table service. */
+    public FaultyTableService(TableService tables, FaultyCalls calls) {
+        this.tables = tables;
+        this.calls = calls;
+    }
+
+    @Override
+    public Either<Failure, Optional<Row>> read(String table, String key) {
+        return calls.read(() -> tables.read(table, key));
+    }
+
+    @Override
+    public Either<Failure, List<Row>> scan(String table, String keyPrefix) {
+        return calls.read(() -> tables.scan(table, keyPrefix));
+    }
+
+    @Override
+    public Either<Failure, TransactionOutcome> transact(Transaction transaction) {
+        return calls.change(() -> tables.transact(transaction));
+    }
+}
--- /dev/null
+++ b/standin/src/test/java/org/hawthornglade/standin/instance/InMemoryInstanceListTest.java
@@ -0,0 +1,30 @@
+package org.hawthornglade.standin.instance;
+
+import java.util.List;
+import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.standin.fault.FaultGate;
+import org.hawthornglade.standin.fault.FaultScript;
+import org.hawthornglade.standin.fault.FaultyCalls;
+import org.hawthornglade.standin.time.ManualTimers;
+
+final class InMemoryInstanceListTest extends InstanceListContract {
+    private final ManualTimers timers = new ManualTimers(0);
+    private InMemoryInstanceList list;
+
+    @Override
+    InstanceList open(FaultScript script, int timeoutMs) {
+        list = new InMemoryInstanceList(
+                new InstanceListSettings("list", 0, LAG_MS, List.of(ENGINE, SERVICE), null), timers);
+        return new FaultyInstanceList(list, new FaultyCalls(new FaultGate(script), timeoutMs));
+    }
+
+    @Override
+    InMemoryInstanceList truth() {
+        return list;
+    }
+
+    @Override
+    void advance(long byMs) {
+        timers.advance(byMs);
+    }
+}
