--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/http/BadArgumentMapper.java
@@ -0,0 +1,14 @@
+package org.hawthornglade.standin.http;
+
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.ext.ExceptionMapper;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Answers a value out of its range with status 400. */
+final class BadArgumentMapper implements ExceptionMapper<IllegalArgumentException> {
+    @Override
+    public Response toResponse(IllegalArgumentException exception) {
+        return Answers.refused(Failure.of(ResultCode.BAD_REQUEST, String.valueOf(exception.getMessage())));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hawthornglade/standin/http/BadBodyMapper.java
@@ -0,0 +1,15 @@
+package org.hawthornglade.standin.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.ext.ExceptionMapper;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Answers a body that is no JSON of the right form with status 400. */
+final class BadBodyMapper implements ExceptionMapper<JsonProcessingException> {
+    @Override
+    public Response toResponse(JsonProcessingException exception) {
+        return Answers.refused(Failure.of(ResultCode.BAD_JSON, exception.getOriginalMessage()));
+    }
+}
--- a/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
@@ -97,6 +97,8 @@
         config.property(ServerProperties.WADL_FEATURE_DISABLE, true);
         config.register(new JacksonJsonProvider(JsonMapper.builder().build()));
         config.property(ServerProperties.RESPONSE_SET_STATUS_OVER_SEND_ERROR, true);
+        config.register(new BadBodyMapper());
+        config.register(new BadArgumentMapper());
         config.register(new FaultResource(host.faults()));
         host.resources().forEach(config::register);
         return config;
