--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -7,6 +7,6 @@
     private Commands() {}
 
     static List<Command> all() {
-        return List.of(new EntryCommand(), new AgentCommand(), new StandinCommand());
+        return List.of(new EntryCommand(), new AgentCommand(), new StandinCommand(), new LoadCommand());
     }
 }
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/load/AnswerConsumer.java
@@ -0,0 +1,63 @@
+package org.hawthornglade.app.load;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.LongSupplier;
+import org.apache.hc.client5.http.async.methods.AbstractBinResponseConsumer;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpResponse;
+
+/** Collects one answer without a thread of its own. */
+final class AnswerConsumer extends AbstractBinResponseConsumer<CollectedAnswer> {
+    private static final int INCREMENT_BYTES = 64 * 1024;
+
+    private final LongSupplier runNanos;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private volatile int status;
+    private volatile long firstByteNanos;
+
+    AnswerConsumer(LongSupplier runNanos) {
+        this.runNanos = runNanos;
+    }
+
+    @Override
+    protected void start(HttpResponse response, ContentType contentType) {
+        status = response.getCode();
+    }
+
+    @Override
+    protected int capacityIncrement() {
+        return INCREMENT_BYTES;
+    }
+
+    @Override
+    protected void data(ByteBuffer src, boolean endOfStream) {
+        if (src.hasRemaining() && firstByteNanos == 0) {
+            firstByteNanos = runNanos.getAsLong();
+        }
+        byte[] bytes = new byte[src.remaining()];
+        src.get(bytes);
+        body.write(bytes, 0, bytes.length);
+    }
+
+    @Override
+    protected CollectedAnswer buildResult() {
+        return answer(null);
+    }
+
+    CollectedAnswer answer(String failure) {
+        return new CollectedAnswer(
+                status, body.toString(StandardCharsets.UTF_8), firstByteNanos, runNanos.getAsLong(), failure);
+    }
+
+    @Override
+    public void informationResponse(HttpResponse response, org.apache.hc.core5.http.protocol.HttpContext context) {
+        // nothing to keep
+    }
+
+    @Override
+    public void releaseResources() {
+        // nothing to release
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/load/ExecutionCheck.java
@@ -0,0 +1,61 @@
+package org.hawthornglade.app.load;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.URI;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.platform.http.HttpReply;
+import org.hawthornglade.platform.http.PlatformHttp;
+import org.hawthornglade.platform.http.PlatformHttpSettings;
+import org.hawthornglade.platform.http.PlatformJson;
+import org.hawthornglade.platform.http.PlatformUris;
+import org.hawthornglade.standin.service.ExecutedCall;
+
+/** Compares what callers were told with what plain stand-ins ran. */
+final class ExecutionCheck {
+    private static final TypeReference<List<ExecutedCall>> CALLS = new TypeReference<>() {};
+
+    private ExecutionCheck() {}
+
+    /** Reads the logs and compares. */
+    static ExecutionReport read(List<URI> services, String runId, KeyOutcomes told) throws IOException {
+        Map<String, Integer> runs = new HashMap<>();
+        try (PlatformHttp http = new PlatformHttp(PlatformHttpSettings.defaults())) {
+            for (URI service : services) {
+                calls(http, service).forEach(call -> count(runs, runId, call));
+            }
+        }
+        return compare(runs, told);
+    }
+
+    private static List<ExecutedCall> calls(PlatformHttp http, URI service) throws IOException {
+        Either<Failure, HttpReply> reply = http.get(PlatformUris.below(service, "/executions"));
+        Either<Failure, List<ExecutedCall>> calls = reply.flatMap(found -> PlatformJson.read(found.body(), CALLS));
+        if (calls.isLeft()) {
+            throw new IOException(
+                    "no executions from " + service + ": " + calls.getLeft().message());
+        }
+        return calls.get();
+    }
+
+    private static void count(Map<String, Integer> runs, String runId, ExecutedCall call) {
+        if (call.idempotencyKey() != null && call.idempotencyKey().startsWith(runId)) {
+            runs.merge(call.idempotencyKey(), 1, Integer::sum);
+        }
+    }
+
+    /** Compares how often each key was run with what the callers were told. */
+    static ExecutionReport compare(Map<String, Integer> runs, KeyOutcomes told) {
+        return new ExecutionReport(
+                runs.values().stream().mapToInt(i -> i).sum(),
+                (int) runs.values().stream().filter(times -> times > 1).count(),
+                (int) told.notRun().stream().filter(runs::containsKey).count(),
+                (int) told.answered().stream()
+                        .filter(key -> !runs.containsKey(key))
+                        .count());
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/load/LoadRunner.java
@@ -0,0 +1,109 @@
+package org.hawthornglade.app.load;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+
+/**
+ * Sends every request when it is due, whatever became of the earlier ones, and counts what becomes of each.
+ *
+ * <p>Times are taken in nanoseconds, since the share to be measured is of a few milliseconds.
+ */
+public final class LoadRunner {
+    private static final double NANOS_PER_MS = 1e6;
+
+    private final LoadSettings settings;
+    private final String runId;
+    private final List<FlowStatistics> statistics;
+    private final Phaser open = new Phaser(1);
+    private long latestSendNanos;
+
+    /**
+     * Creates a run.
+     *
+     * @param runId keeps the idempotency keys of runs apart
+     */
+    public LoadRunner(LoadSettings settings, String runId) {
+        this.settings = settings;
+        this.runId = runId;
+        this.statistics = settings.flows().stream().map(FlowStatistics::new).toList();
+    }
+
+    /**
+     * Runs to the end.
+     *
+     * @throws IOException if the logs of the plain services cannot be read
+     */
+    public LoadReport run() throws IOException, InterruptedException {
+        RequestPlanner planner = new RequestPlanner(settings, runId);
+        List<Arrival> arrivals = ArrivalSchedule.of(settings);
+        long startNanos = System.nanoTime();
+        LongSupplier runNanos = () -> System.nanoTime() - startNanos;
+        try (LoadClient client = new LoadClient(runNanos)) {
+            for (Arrival arrival : arrivals) {
+                PlannedRequest request = planner.plan(arrival);
+                waitUntil(arrival.atNanos(), runNanos);
+                send(client, request, runNanos);
+            }
+            awaitAnswers();
+            return report();
+        }
+    }
+
+    private static void waitUntil(long atNanos, LongSupplier runNanos) {
+        for (long left = atNanos - runNanos.getAsLong(); left > 0; left = atNanos - runNanos.getAsLong()) {
+            LockSupport.parkNanos(left);
+        }
+    }
+
+    private void send(LoadClient client, PlannedRequest request, LongSupplier runNanos) {
+        Arrival arrival = request.arrival();
+        LoadFlow flow = settings.flows().get(arrival.flow());
+        FlowStatistics counts = statistics.get(arrival.flow());
+        if (arrival.counts()) {
+            counts.sent();
+        }
+        latestSendNanos = Math.max(latestSendNanos, runNanos.getAsLong() - arrival.atNanos());
+        open.register();
+        client.send(request, answer -> {
+            counts.ended(request, answer, AnswerJudge.judge(flow, request, answer));
+            open.arriveAndDeregister();
+        });
+    }
+
+    /** Waits until all requests have ended, at most until the last deadline and the drain time. */
+    private void awaitAnswers() throws InterruptedException {
+        long limitMs = settings.drainMs()
+                + settings.flows().stream()
+                        .mapToLong(LoadFlow::deadlineMs)
+                        .max()
+                        .orElse(0);
+        try {
+            open.awaitAdvanceInterruptibly(open.arrive(), limitMs, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            // the report counts them as unanswered
+        }
+    }
+
+    private LoadReport report() throws IOException {
+        List<FlowReport> flows = statistics.stream().map(FlowStatistics::report).toList();
+        KeyOutcomes keys = statistics.stream()
+                .map(FlowStatistics::keys)
+                .reduce(new KeyOutcomes(java.util.Set.of(), java.util.Set.of()), KeyOutcomes::and);
+        ExecutionReport executions =
+                settings.executions().isEmpty() ? null : ExecutionCheck.read(settings.executions(), runId, keys);
+        return new LoadReport(
+                runId,
+                settings.seed(),
+                settings.durationMs(),
+                latestSendNanos / NANOS_PER_MS,
+                flows,
+                LoadReport.classes(settings, flows),
+                LoadReport.shares(settings, flows),
+                executions);
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/load/RequestPlanner.java
@@ -0,0 +1,78 @@
+package org.hawthornglade.app.load;
+
+import java.net.URI;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Makes the request of an arrival; each has a prompt or body of its own, so that a mixed-up answer shows. */
+final class RequestPlanner {
+    private static final String FILLER = " lorem ipsum";
+
+    private final LoadSettings settings;
+    private final String runId;
+
+    /**
+     * Creates a planner.
+     *
+     * @param runId keeps the idempotency keys of runs apart
+     */
+    RequestPlanner(LoadSettings settings, String runId) {
+        this.settings = settings;
+        this.runId = runId;
+    }
+
+    PlannedRequest plan(Arrival arrival) {
+        LoadFlow flow = settings.flows().get(arrival.flow());
+        return flow.kind() == FlowKind.SERVICE ? call(arrival, flow) : chat(arrival, flow);
+    }
+
+    private PlannedRequest chat(Arrival arrival, LoadFlow flow) {
+        String prompt = prompt(arrival, flow);
+        String body = "{\"model\":\"" + flow.models().get(arrival.model()) + "\",\"stream\":" + flow.stream()
+                + ",\"max_tokens\":" + flow.maxTokens() + ",\"messages\":[{\"role\":\"user\",\"content\":\"" + prompt
+                + "\"}]}";
+        URI base = flow.kind() == FlowKind.DIRECT_CHAT ? settings.direct() : entry(arrival);
+        return new PlannedRequest(
+                arrival, "POST", below(base, "/v1/chat/completions"), headers(flow, null), body, prompt, null);
+    }
+
+    private PlannedRequest call(Arrival arrival, LoadFlow flow) {
+        String id = flow.name() + "-" + arrival.sequence();
+        String key = flow.idempotent() ? null : runId + "-" + id;
+        URI uri = below(entry(arrival), "/services/" + flow.service() + flow.path() + arrival.sequence());
+        String body = "GET".equals(flow.method()) ? "" : "{\"request\":\"" + runId + "-" + id + "\"}";
+        return new PlannedRequest(arrival, flow.method(), uri, headers(flow, key), body, "", key);
+    }
+
+    private String prompt(Arrival arrival, LoadFlow flow) {
+        StringBuilder text = new StringBuilder(runId + " " + flow.name() + " " + arrival.sequence());
+        while (text.length() < flow.promptChars()) {
+            text.append(FILLER);
+        }
+        return text.toString();
+    }
+
+    private URI entry(Arrival arrival) {
+        List<URI> entries = settings.entries();
+        return entries.get(arrival.sequence() % entries.size());
+    }
+
+    private static Map<String, String> headers(LoadFlow flow, String idempotencyKey) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Content-Type", "application/json");
+        headers.put("X-Deadline-Ms", Long.toString(flow.deadlineMs()));
+        if (flow.key() != null) {
+            headers.put("Authorization", "Bearer " + flow.key());
+        }
+        if (idempotencyKey != null) {
+            headers.put("Idempotency-Key", idempotencyKey);
+        }
+        return headers;
+    }
+
+    private static URI below(URI base, String path) {
+        String text = base.toString();
+        return URI.create((text.endsWith("/") ? text.substring(0, text.length() - 1) : text) + path);
+    }
+}
