--- a/app/src/main/java/org/hawthornglade/app/load/LoadClient.java
+++ b/app/src/main/java/org/hawthornglade/app/load/LoadClient.java
@@ -95,6 +95,6 @@
 
     @Override
     public void close() {
-        client.close(CloseMode.IMMEDIATE);
+        client.close(CloseMode.GRACEFUL);
     }
 }
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/load/AnswerJudgeTest.java
@@ -0,0 +1,88 @@
+package org.hawthornglade.app.load;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.stream.Stream;
+import org.hawthornglade.standin.engine.AnswerText;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class AnswerJudgeTest {
+    private static final LoadFlow STREAM = Flows.chat("stream", 1, true);
+    private static final LoadFlow OBJECT = Flows.chat("object", 1, false);
+    private static final LoadFlow SERVICE = Flows.service("service", 1);
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private static PlannedRequest request(LoadFlow flow) {
+        LoadSettings settings = Flows.settings(Flows.NOWHERE, 1, flow);
+        return new RequestPlanner(settings, "run").plan(new Arrival(0, 0, 0, 0, true));
+    }
+
+    private static String token(int index, long run) {
+        return AnswerText.token(index, request(STREAM).prompt(), run);
+    }
+
+    private static String event(String content) {
+        return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + content + "\"}}]}\n\n";
+    }
+
+    private static String object(String content) {
+        return "{\"choices\":[{\"message\":{\"content\":\"" + content + "\"}}]}";
+    }
+
+    private static String error(int code) {
+        return "{\"error\":{\"message\":\"no\",\"code\":" + code + "}}";
+    }
+
+    private static String whole(LoadFlow flow, long run) {
+        String prompt = request(flow).prompt();
+        return AnswerText.token(0, prompt, run) + AnswerText.token(1, prompt, run) + AnswerText.token(2, prompt, run);
+    }
+
+    static Stream<Arguments> answers() {
+        String echo = "{\"method\":\"POST\",\"body\":\"{\\\"request\\\":\\\"run-service-0\\\"}\"}";
+        return Stream.of(
+                Arguments.of("whole stream", STREAM, 200, event(whole(STREAM, 1)) + DONE, null, Verdict.Kind.WHOLE),
+                Arguments.of("no end mark", STREAM, 200, event(whole(STREAM, 1)), null, Verdict.Kind.LOST),
+                Arguments.of("broken stream", STREAM, 200, event(token(0, 1)), "reset", Verdict.Kind.LOST),
+                Arguments.of("a token missing", STREAM, 200, event(token(0, 1)) + DONE, null, Verdict.Kind.WRONG),
+                Arguments.of(
+                        "spliced from two runs",
+                        STREAM,
+                        200,
+                        event(token(0, 1)) + event(token(1, 2)) + event(token(2, 2)) + DONE,
+                        null,
+                        Verdict.Kind.WRONG),
+                Arguments.of("another's answer", STREAM, 200, event(whole(OBJECT, 1)) + DONE, null, Verdict.Kind.WRONG),
+                Arguments.of("error in the stream", STREAM, 200, "data: " + error(3002), null, Verdict.Kind.REFUSED),
+                Arguments.of("whole object", OBJECT, 200, object(whole(OBJECT, 1)), null, Verdict.Kind.WHOLE),
+                Arguments.of("another's object", OBJECT, 200, object(whole(STREAM, 1)), null, Verdict.Kind.WRONG),
+                Arguments.of("no JSON", OBJECT, 200, "<html>", null, Verdict.Kind.WRONG),
+                Arguments.of("refused", OBJECT, 503, error(2001), null, Verdict.Kind.REFUSED),
+                Arguments.of("own echo", SERVICE, 200, echo, null, Verdict.Kind.WHOLE),
+                Arguments.of("another's echo", SERVICE, 200, echo.replace("-0", "-1"), null, Verdict.Kind.WRONG));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("answers")
+    void judges(String name, LoadFlow flow, int status, String body, String failure, Verdict.Kind expected) {
+        CollectedAnswer answer = new CollectedAnswer(status, body, 1, 2, failure);
+
+        assertThat(AnswerJudge.judge(flow, request(flow), answer).kind()).isEqualTo(expected);
+    }
+
+    static Stream<Arguments> codes() {
+        return Stream.of(Arguments.of(2001, true), Arguments.of(3001, false), Arguments.of(0, false));
+    }
+
+    @ParameterizedTest
+    @MethodSource("codes")
+    void knowsWhichCodesSayNotRun(int code, boolean notRun) {
+        Verdict verdict =
+                AnswerJudge.judge(SERVICE, request(SERVICE), new CollectedAnswer(503, error(code), 1, 2, null));
+
+        assertThat(verdict.code()).isEqualTo(code);
+        assertThat(verdict.saidNotRun()).isEqualTo(notRun);
+    }
+}
