--- a/app/src/main/java/org/hawthornglade/app/load/LoadRunner.java
+++ b/app/src/main/java/org/hawthornglade/app/load/LoadRunner.java
@@ -66,8 +66,8 @@
         FlowStatistics counts = statistics.get(arrival.flow());
         if (arrival.counts()) {
             counts.sent();
+            latestSendNanos = Math.max(latestSendNanos, runNanos.getAsLong() - arrival.atNanos());
         }
-        latestSendNanos = Math.max(latestSendNanos, runNanos.getAsLong() - arrival.atNanos());
         open.register();
         client.send(request, answer -> {
             counts.ended(request, answer, AnswerJudge.judge(flow, request, answer));
--- a/standin/src/main/java/org/hawthornglade/standin/engine/Inference.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/Inference.java
@@ -15,7 +15,7 @@
 
 /** The requests of one engine: some run at once, the rest wait in the order of their arrival. */
 public final class Inference {
-    private static final long KEEP_ENDED_MS = 60_000;
+    private static final long KEEP_ENDED_MS = 10_000;
     private static final long STALL_CHECK_MS = 20;
     private static final long MS_PER_SECOND = 1_000;
 
--- a/standin/src/test/java/org/hawthornglade/standin/Eventually.java
+++ b/standin/src/test/java/org/hawthornglade/standin/Eventually.java
@@ -9,6 +9,7 @@
 
     private Eventually() {}
 
+    /** Returns once the condition holds; fails if it never does. */
     public static void eventually(String what, BooleanSupplier condition) {
         Object monitor = new Object();
         long endNanos = System.nanoTime() + LIMIT_MS * 1_000_000;
