--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.hawthornglade.app.caller.CallCommand;
 import org.hawthornglade.app.caller.ChatCommand;
+import org.hawthornglade.app.caller.GetCommand;
 
 /** All commands, in the order in which help lists them. */
 final class Commands {
@@ -16,6 +17,7 @@
         commands.add(new StandinCommand());
         commands.add(new ChatCommand());
         commands.add(new CallCommand());
+        commands.add(new GetCommand());
         commands.add(new LoadCommand());
         return commands;
     }
