--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -4,6 +4,13 @@
 import java.util.List;
 import org.hawthornglade.app.caller.CallCommand;
 import org.hawthornglade.app.caller.ChatCommand;
+import org.hawthornglade.app.check.CheckCommand;
+import org.hawthornglade.app.operator.ConfirmCommand;
+import org.hawthornglade.app.operator.DrainCommand;
+import org.hawthornglade.app.operator.ExplainCommand;
+import org.hawthornglade.app.operator.PlanCommand;
+import org.hawthornglade.app.operator.StatusCommand;
+import org.hawthornglade.app.operator.TimelineCommand;
 
 /** All commands, in the order in which help lists them. */
 final class Commands {
@@ -17,6 +24,13 @@
         commands.add(new ChatCommand());
         commands.add(new CallCommand());
         commands.add(new LoadCommand());
+        commands.add(new PlanCommand());
+        commands.add(new ConfirmCommand());
+        commands.add(new StatusCommand());
+        commands.add(new ExplainCommand());
+        commands.add(new DrainCommand());
+        commands.add(new TimelineCommand());
+        commands.add(new CheckCommand());
         return commands;
     }
 }
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/check/package-info.java
@@ -0,0 +1,2 @@
+/** The check of settings files. */
+package org.hawthornglade.app.check;
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/operator/OperatorHttp.java
@@ -0,0 +1,76 @@
+package org.hawthornglade.app.operator;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.util.Timeout;
+
+/** Makes calls on the operators' routes of an entry. */
+final class OperatorHttp {
+    static final JsonMapper MAPPER = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+
+    private static final int RESPONSE_TIMEOUT_MS = 30_000;
+
+    private final OperatorOptions options;
+
+    OperatorHttp(OperatorOptions options) {
+        this.options = options;
+    }
+
+    OperatorReply get(String path) throws IOException {
+        return send(new HttpUriRequestBase("GET", URI.create(options.entry() + path)));
+    }
+
+    OperatorReply post(String path, String body) throws IOException {
+        HttpUriRequestBase request = new HttpUriRequestBase("POST", URI.create(options.entry() + path));
+        request.setEntity(new StringEntity(body, ContentType.APPLICATION_JSON));
+        return send(request);
+    }
+
+    /** Writes a path segment or query value so that it means itself. */
+    static String encode(String text) {
+        return URLEncoder.encode(text, UTF_8).replace("+", "%20");
+    }
+
+    static <T> T parse(JsonNode body, Class<T> type) throws JsonProcessingException {
+        return MAPPER.treeToValue(body, type);
+    }
+
+    private OperatorReply send(HttpUriRequestBase request) throws IOException {
+        request.setHeader("Authorization", "Bearer " + options.token());
+        RequestConfig limits = RequestConfig.custom()
+                .setResponseTimeout(Timeout.ofMilliseconds(RESPONSE_TIMEOUT_MS))
+                .build();
+        try (CloseableHttpClient client = HttpClients.custom()
+                .setDefaultRequestConfig(limits)
+                .disableAutomaticRetries()
+                .build()) {
+            return client.execute(request, OperatorHttp::reply);
+        }
+    }
+
+    private static OperatorReply reply(ClassicHttpResponse response) throws IOException {
+        try {
+            String text = EntityUtils.toString(response.getEntity(), UTF_8);
+            return new OperatorReply(response.getCode(), MAPPER.readTree(text));
+        } catch (org.apache.hc.core5.http.ParseException e) {
+            throw new IOException("the answer cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/operator/StatusCommand.java
@@ -0,0 +1,88 @@
+package org.hawthornglade.app.operator;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.hawthornglade.app.Command;
+import org.hawthornglade.app.ExitCode;
+import org.hawthornglade.core.instance.InstanceRole;
+import org.hawthornglade.entry.operator.Status;
+
+/** Shows the configuration in force, every process and every replica. */
+@Parameters(commandDescription = "Shows the configuration in force, every process and every replica")
+public final class StatusCommand implements Command {
+    @ParametersDelegate
+    private final OperatorOptions options = new OperatorOptions();
+
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public ExitCode run(PrintStream out) throws IOException {
+        OperatorReply reply = new OperatorHttp(options).get("/operator/status");
+        return new OperatorSession(options, out).show(reply, Status.class, status -> print(status, out));
+    }
+
+    private static void print(Status status, PrintStream out) {
+        Status.InForce inForce = status.configuration();
+        out.printf(
+                "configuration: version %d, plan %s by office %s%n",
+                inForce.version(), inForce.planId(), inForce.office());
+        out.println("table service: "
+                + (status.store().reachable() ? "answers" : status.store().failure()));
+        printNodes(status, out);
+        printReplicas(status, out);
+        TextTable plans = new TextTable("plan", "office", "base", "reason");
+        status.plans().forEach(plan -> plans.row(plan.id(), plan.office(), plan.baseVersion(), plan.reason()));
+        plans.print("plans that are not confirmed", out);
+    }
+
+    private static void printNodes(Status status, PrintStream out) {
+        TextTable nodes = new TextTable("instance", "role", "domain", "listed", "version", "state", "running");
+        for (Status.Node node : status.nodes()) {
+            nodes.row(
+                    node.instance(),
+                    node.role().toLowerCase(Locale.ROOT),
+                    node.failureDomain(),
+                    node.listed().toLowerCase(Locale.ROOT),
+                    node.version() < 0 ? "not heard" : node.version(),
+                    state(node),
+                    node.running());
+        }
+        nodes.print("processes", out);
+    }
+
+    private static String state(Status.Node node) {
+        List<String> words = new ArrayList<>();
+        if (node.behind()) {
+            words.add("behind");
+        }
+        if (node.draining()) {
+            words.add("draining");
+        }
+        boolean isAgent = !node.role().equals(InstanceRole.ENTRY.name());
+        if (isAgent && node.version() >= 0 && !node.endpointReachable()) {
+            words.add("endpoint unreachable");
+        }
+        return words.isEmpty() ? "ok" : String.join(", ", words);
+    }
+
+    private static void printReplicas(Status status, PrintStream out) {
+        TextTable replicas = new TextTable("model", "replica", "instance", "assignment", "phase", "running");
+        status.replicas()
+                .forEach(replica -> replicas.row(
+                        replica.model(),
+                        replica.ordinal(),
+                        replica.instance(),
+                        replica.assignment().name().toLowerCase(Locale.ROOT),
+                        replica.phase().toLowerCase(Locale.ROOT),
+                        replica.running()));
+        replicas.print("replicas", out);
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/operator/TextTable.java
@@ -0,0 +1,57 @@
+package org.hawthornglade.app.operator;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A table with a head and aligned columns, for people. */
+final class TextTable {
+    private static final String GAP = "  ";
+
+    private final List<List<String>> rows = new ArrayList<>();
+
+    TextTable(String... head) {
+        rows.add(List.of(head));
+    }
+
+    void row(Object... cells) {
+        List<String> row = new ArrayList<>();
+        for (Object cell : cells) {
+            row.add(cell == null ? "-" : cell.toString());
+        }
+        rows.add(row);
+    }
+
+    /** Prints the table, or nothing if it has only its head. */
+    void print(String title, PrintStream out) {
+        if (rows.size() == 1) {
+            return;
+        }
+        out.println();
+        out.println(title);
+        int[] widths = widths();
+        for (List<String> row : rows) {
+            out.println(line(row, widths));
+        }
+    }
+
+    private int[] widths() {
+        int[] widths = new int[rows.get(0).size()];
+        for (List<String> row : rows) {
+            for (int i = 0; i < widths.length; i++) {
+                widths[i] = Math.max(widths[i], row.get(i).length());
+            }
+        }
+        return widths;
+    }
+
+    private static String line(List<String> row, int[] widths) {
+        StringBuilder line = new StringBuilder();
+        for (int i = 0; i < row.size(); i++) {
+            line.append(GAP)
+                    .append(row.get(i))
+                    .append(" ".repeat(widths[i] - row.get(i).length()));
+        }
+        return line.toString().stripTrailing();
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' commands. */
+package org.hawthornglade.app.operator;
--- a/entry/src/main/java/org/hawthornglade/entry/EntryApplication.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryApplication.java
@@ -8,6 +8,8 @@
 import org.glassfish.jersey.server.ServerProperties;
 import org.hawthornglade.entry.caller.ModelsResource;
 import org.hawthornglade.entry.caller.ServicesResource;
+import org.hawthornglade.entry.operator.OperatorResource;
+import org.hawthornglade.entry.placement.ReconcilerLoop;
 import org.hawthornglade.node.metrics.Metrics;
 import org.hawthornglade.node.settings.JsonSettings;
 
@@ -31,6 +33,8 @@
         environment.lifecycle().manage(injector.getInstance(EntryProcess.class));
         environment.jersey().register(injector.getInstance(ModelsResource.class));
         environment.jersey().register(injector.getInstance(ServicesResource.class));
+        environment.lifecycle().manage(injector.getInstance(ReconcilerLoop.class));
+        environment.jersey().register(injector.getInstance(OperatorResource.class));
         environment.jersey().register(injector.getInstance(Metrics.class));
         environment.healthChecks().register("configuration", injector.getInstance(ConfigurationHealth.class));
     }
--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -4,6 +4,7 @@
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
@@ -25,6 +26,8 @@
 import org.hawthornglade.entry.claim.TableClaims;
 import org.hawthornglade.entry.control.AgentLinks;
 import org.hawthornglade.entry.control.LinkContext;
+import org.hawthornglade.entry.operator.FleetBook;
+import org.hawthornglade.entry.operator.OperatorModule;
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.log.TimelineLog;
 import org.hawthornglade.node.loop.EventQueue;
@@ -54,6 +57,7 @@
     @Override
     protected void configure() {
         bind(EntrySettings.class).toInstance(settings);
+        install(new OperatorModule());
     }
 
     @Provides
@@ -136,14 +140,23 @@
 
     @Provides
     @Singleton
-    AgentLinks links(ClusterKeys keys, ConfigurationHolder holder, Timeline timeline, EventQueue<EntryEvent> events) {
+    AgentLinks links(
+            ClusterKeys keys,
+            ConfigurationHolder holder,
+            Timeline timeline,
+            EventQueue<EntryEvent> events,
+            FleetBook fleet) {
+        Consumer<EntryEvent> sink = event -> {
+            fleet.observe(event);
+            events.submit(event);
+        };
         return new AgentLinks(new LinkContext(
                 settings.getProcessName(),
                 timeline.bootId(),
                 keys,
                 holder,
                 timeline,
-                events::submit,
+                sink,
                 waitMs -> waitMs / 2 + ThreadLocalRandom.current().nextLong(waitMs),
                 settings.getHeartbeatMs(),
                 (int) settings.getSilenceTimeoutMs()));
--- a/entry/src/main/java/org/hawthornglade/entry/operator/StatusReader.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/StatusReader.java
@@ -9,7 +9,9 @@
 import org.hawthornglade.core.assignment.Assignment;
 import org.hawthornglade.core.config.Configuration;
 import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.instance.InstanceInfo;
+import org.hawthornglade.core.instance.InstanceRole;
 import org.hawthornglade.core.instance.InstanceState;
 import org.hawthornglade.core.placement.AssignmentRow;
 import org.hawthornglade.core.plan.NodeVersion;
@@ -25,6 +27,7 @@
 public final class StatusReader {
     private static final TypeReference<NodeAnswer> NODE = new TypeReference<>() {};
     private static final String NOT_HEARD = "UNKNOWN";
+    private static final String NOT_LISTED = "NOT_LISTED";
 
     private final ConfigurationHolder holder;
     private final ConfigurationStore configurations;
@@ -78,23 +81,24 @@
     }
 
     private List<Status.Node> nodes(long newest) {
-        Map<String, Long> versions =
-                fleet.nodes().stream().collect(Collectors.toMap(NodeVersion::node, NodeVersion::version, Math::max));
-        return fleet.listed().stream()
+        Map<String, InstanceInfo> listed = fleet.listed().stream()
                 .filter(info -> info.state() != InstanceState.GONE)
-                .map(info -> node(info, versions.getOrDefault(info.id().value(), -1L), newest))
+                .collect(Collectors.toMap(info -> info.id().value(), info -> info, (first, second) -> first));
+        return fleet.nodes().stream()
+                .map(node -> node(node, listed.get(node.node()), newest))
                 .toList();
     }
 
-    private Status.Node node(InstanceInfo info, long version, long newest) {
-        Optional<AgentView> view = fleet.view(info.id());
+    /** Describes a process; {@code info} is null if the platform does not list it, as may be with this entry. */
+    private Status.Node node(NodeVersion node, InstanceInfo info, long newest) {
+        Optional<AgentView> view = fleet.view(InstanceId.of(node.node()));
         return new Status.Node(
-                info.id().value(),
-                info.role().name(),
-                info.failureDomain().value(),
-                info.state().name(),
-                version,
-                version < newest,
+                node.node(),
+                info == null ? InstanceRole.ENTRY.name() : info.role().name(),
+                info == null ? "" : info.failureDomain().value(),
+                info == null ? NOT_LISTED : info.state().name(),
+                node.version(),
+                node.version() < newest,
                 view.map(AgentView::draining).orElse(false),
                 view.map(AgentView::endpointReachable).orElse(false),
                 view.map(AgentView::running).orElse(0));
