--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/caller/AnswerPrinter.java
@@ -0,0 +1,59 @@
+package org.hawthornglade.app.caller;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+
+/** Prints the text of a chat answer, streamed or whole, as it comes. */
+final class AnswerPrinter {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String DATA = "data: ";
+    private static final String DONE = "[DONE]";
+
+    private final PrintStream out;
+    private boolean done;
+
+    AnswerPrinter(PrintStream out) {
+        this.out = out;
+    }
+
+    /** Returns whether the answer came to its end mark. */
+    boolean print(InputStream body) throws IOException {
+        BufferedReader reader = new BufferedReader(new InputStreamReader(body, UTF_8));
+        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+            if (!line.isBlank()) {
+                printLine(line);
+            }
+        }
+        out.println();
+        return done;
+    }
+
+    private void printLine(String line) throws JsonProcessingException {
+        String json = line.startsWith(DATA) ? line.substring(DATA.length()) : line;
+        if (json.equals(DONE)) {
+            done = true;
+            return;
+        }
+        JsonNode tree = MAPPER.readTree(json);
+        if (tree.has("error")) {
+            out.print(tree.get("error"));
+            return;
+        }
+        JsonNode choice = tree.path("choices").path(0);
+        if (choice.has("message")) {
+            done = true;
+            out.print(choice.path("message").path("content").asText());
+            return;
+        }
+        out.print(choice.path("delta").path("content").asText());
+        out.flush();
+    }
+}
--- a/app/src/main/java/org/hawthornglade/app/caller/CallerHttp.java
+++ b/app/src/main/java/org/hawthornglade/app/caller/CallerHttp.java
@@ -1,7 +1,5 @@
 package org.hawthornglade.app.caller;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -17,7 +15,6 @@
 
 /** Makes one call to an entry and copies the answer as it comes. */
 final class CallerHttp {
-    private static final int BUFFER_BYTES = 4 * 1024;
     private static final int FIRST_ERROR_STATUS = 400;
 
     private final CallerOptions options;
@@ -73,4 +70,11 @@
         Header header = response.getFirstHeader(name);
         return header == null ? "-" : header.getValue();
     }
+
+    /** Reads an answer's body. */
+    @FunctionalInterface
+    interface BodyReader {
+        /** Returns whether the answer was whole. */
+        boolean read(InputStream body) throws IOException;
+    }
 }
--- a/app/src/main/java/org/hawthornglade/app/caller/ChatCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/caller/ChatCommand.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintStream;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.hawthornglade.app.Command;
 import org.hawthornglade.app.ExitCode;
 
@@ -27,6 +28,9 @@
     @Parameter(names = "--whole", description = "Asks for the whole answer at once instead of a stream")
     private boolean whole;
 
+    @Parameter(names = "--raw", description = "Shows the answer's body as it is, not just its text")
+    private boolean raw;
+
     @Parameter(description = "TEXT", required = true)
     private String text;
 
@@ -41,7 +45,8 @@
         body.put("model", model).put("stream", !whole).put("max_tokens", maxTokens);
         body.putArray("messages").addObject().put("role", "user").put("content", text);
         CallerHttp http = new CallerHttp(options);
-        return http.run(
-                http.request("POST", "/v1/chat/completions", "application/json", MAPPER.writeValueAsString(body)), out);
+        HttpUriRequestBase request =
+                http.request("POST", "/v1/chat/completions", "application/json", MAPPER.writeValueAsString(body));
+        return raw ? http.run(request, out) : http.run(request, new AnswerPrinter(out)::print);
     }
 }
