--- a/app/src/main/java/org/hawthornglade/app/caller/CallerHttp.java
+++ b/app/src/main/java/org/hawthornglade/app/caller/CallerHttp.java
@@ -35,31 +35,35 @@
         return request;
     }
 
-    /** Makes the call; the answer's body goes to {@code out}, a line on it to the standard error stream. */
+    /** Makes the call and shows the answer's body as it is; see {@link #run(HttpUriRequestBase, BodyReader)}. */
     ExitCode run(HttpUriRequestBase request, PrintStream out) throws IOException {
-        long startNanos = System.nanoTime();
+        return run(request, body -> {
+            body.transferTo(out);
+            out.println();
+            return true;
+        });
+    }
+
+    /** Makes the call; a line on it goes to the standard error stream. */
+    ExitCode run(HttpUriRequestBase request, BodyReader reader) throws IOException {
         try (CloseableHttpClient client =
                 HttpClients.custom().disableAutomaticRetries().build()) {
-            return client.execute(request, response -> copy(response, out, startNanos));
+            long startNanos = System.nanoTime();
+            return client.execute(request, response -> read(response, reader, startNanos));
         }
     }
 
-    private static ExitCode copy(ClassicHttpResponse response, PrintStream out, long startNanos) throws IOException {
-        long firstMs = -1;
-        if (response.getEntity() != null) {
-            InputStream body = response.getEntity().getContent();
-            byte[] buffer = new byte[BUFFER_BYTES];
-            for (int read = body.read(buffer); read >= 0; read = body.read(buffer)) {
-                firstMs = firstMs < 0 ? sinceMs(startNanos) : firstMs;
-                out.write(buffer, 0, read);
-                out.flush();
-            }
-        }
-        out.write("\n".getBytes(UTF_8));
+    private static ExitCode read(ClassicHttpResponse response, BodyReader reader, long startNanos) throws IOException {
+        long headMs = sinceMs(startNanos);
+        boolean whole =
+                response.getEntity() == null || reader.read(response.getEntity().getContent());
         System.err.printf(
-                "status=%d request=%s first_byte_ms=%d total_ms=%d%n",
-                response.getCode(), header(response, "X-Request-Id"), firstMs, sinceMs(startNanos));
-        return response.getCode() < FIRST_ERROR_STATUS ? ExitCode.OK : ExitCode.REFUSED;
+                "status=%d request=%s head_ms=%d total_ms=%d%n",
+                response.getCode(), header(response, "X-Request-Id"), headMs, sinceMs(startNanos));
+        if (response.getCode() >= FIRST_ERROR_STATUS) {
+            return ExitCode.REFUSED;
+        }
+        return whole ? ExitCode.OK : ExitCode.UNKNOWN;
     }
 
     private static long sinceMs(long startNanos) {
