--- a/agent/src/main/java/org/hawthornglade/agent/AgentApplication.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentApplication.java
@@ -5,6 +5,7 @@
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
+import org.eclipse.jetty.util.component.LifeCycle;
 import org.glassfish.jersey.server.ServerProperties;
 import org.hawthornglade.agent.attempt.AttemptsResource;
 import org.hawthornglade.node.metrics.Metrics;
@@ -27,8 +28,18 @@
         // Without this, Jersey holds back the first 8 KiB of each stream.
         environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
         Injector injector = Guice.createInjector(new AgentModule(settings));
-        environment.lifecycle().manage(injector.getInstance(AgentProcess.class));
+        AgentProcess process = injector.getInstance(AgentProcess.class);
+        environment.lifecycle().manage(process);
+        environment.lifecycle().addEventListener(new DrainBeforeStop(process));
         environment.jersey().register(injector.getInstance(AttemptsResource.class));
         environment.jersey().register(injector.getInstance(Metrics.class));
     }
+
+    /** Drains while the server still serves: Jetty tells its listeners before it closes anything. */
+    private record DrainBeforeStop(AgentProcess process) implements LifeCycle.Listener {
+        @Override
+        public void lifeCycleStopping(LifeCycle server) {
+            process.drain();
+        }
+    }
 }
--- a/agent/src/main/java/org/hawthornglade/agent/AgentCommandRunner.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentCommandRunner.java
@@ -5,9 +5,9 @@
 import org.hawthornglade.agent.attempt.AttemptDesk;
 import org.hawthornglade.agent.control.ViewBoard;
 import org.hawthornglade.core.agent.AgentCommand;
-import org.hawthornglade.core.assignment.Assignment;
 import org.hawthornglade.core.engine.EngineOrder;
 import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.placement.AssignmentRow;
 
 /** Carries out an agent's commands; nothing here blocks. */
 public final class AgentCommandRunner implements Consumer<AgentCommand> {
@@ -15,8 +15,10 @@
     private final ViewBoard views;
     private final Timeline timeline;
     private final Consumer<EngineOrder> orders;
-    private final Consumer<Assignment> releases;
-    private final Runnable drained;
+    private final Consumer<AssignmentRow> releases;
+    private final Runnable fenceChecks;
+    private final Runnable fenceRenewals;
+    private final Consumer<Boolean> drained;
 
     /**
      * Creates a runner.
@@ -26,20 +28,26 @@
      * @param timeline records events
      * @param orders gives the engine an order
      * @param releases releases a row in the table service
-     * @param drained called once when a drain has finished
+     * @param fenceChecks checks the fencing number in the table service
+     * @param fenceRenewals takes a newer fencing number
+     * @param drained called when a drain has finished, with whether it is complete
      */
     public AgentCommandRunner(
             AttemptDesk desk,
             ViewBoard views,
             Timeline timeline,
             Consumer<EngineOrder> orders,
-            Consumer<Assignment> releases,
-            Runnable drained) {
+            Consumer<AssignmentRow> releases,
+            Runnable fenceChecks,
+            Runnable fenceRenewals,
+            Consumer<Boolean> drained) {
         this.desk = desk;
         this.views = views;
         this.timeline = timeline;
         this.orders = orders;
         this.releases = releases;
+        this.fenceChecks = fenceChecks;
+        this.fenceRenewals = fenceRenewals;
         this.drained = drained;
     }
 
@@ -56,13 +64,17 @@
         } else if (command instanceof AgentCommand.GiveOrder give) {
             orders.accept(give.order());
         } else if (command instanceof AgentCommand.ReleaseRow release) {
-            releases.accept(release.assignment());
+            releases.accept(release.row());
         } else if (command instanceof AgentCommand.Publish publish) {
             views.show(publish.view());
         } else if (command instanceof AgentCommand.RecordEvent record) {
             timeline.record(record.event());
-        } else if (command instanceof AgentCommand.DrainFinished) {
-            drained.run();
+        } else if (command instanceof AgentCommand.CheckFence) {
+            fenceChecks.run();
+        } else if (command instanceof AgentCommand.RenewFence) {
+            fenceRenewals.run();
+        } else if (command instanceof AgentCommand.DrainFinished finished) {
+            drained.accept(finished.complete());
         }
     }
 }
--- a/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
@@ -3,6 +3,8 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
+import java.util.SplittableRandom;
+import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
@@ -21,10 +23,13 @@
 import org.hawthornglade.core.agent.AgentDecider;
 import org.hawthornglade.core.agent.AgentEvent;
 import org.hawthornglade.core.agent.AgentIdentity;
+import org.hawthornglade.core.agent.AgentLimits;
+import org.hawthornglade.core.agent.AgentPolicies;
 import org.hawthornglade.core.config.ConfigurationHolder;
 import org.hawthornglade.core.event.Timeline;
 import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.idle.FixedKeepAlive;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.log.TimelineLog;
@@ -80,7 +85,11 @@
     @Provides
     @Singleton
     AgentDecider decider(AgentIdentity identity) {
-        return new AgentDecider(identity, settings.getKeepAliveMs());
+        AgentPolicies policies = AgentPolicies.with(
+                FixedKeepAlive.ofMs(settings.getKeepAliveMs()), new SplittableRandom(identity.bootId()));
+        AgentLimits limits = new AgentLimits(
+                settings.getDrainTimeoutMs(), settings.getFenceCheckMaxAgeMs(), settings.getMaxRunning());
+        return new AgentDecider(identity, policies, limits);
     }
 
     @Provides
@@ -134,13 +143,18 @@
     @Provides
     @Singleton
     TableWatcher tableWatcher(
-            TableService table, AgentIdentity identity, ConfigurationHolder holder, EventQueue<AgentEvent> events) {
+            TableService table,
+            AgentIdentity identity,
+            ConfigurationHolder holder,
+            Clock clock,
+            EventQueue<AgentEvent> events) {
         return new TableWatcher(
                 identity.instance(),
-                new FenceStore(table, identity.instance()),
+                new FenceStore(table, identity.instance(), UUID.randomUUID().toString()),
                 new AssignmentStore(table),
                 new ConfigurationStore(table),
                 holder,
+                clock,
                 events::submit);
     }
 
--- a/agent/src/main/java/org/hawthornglade/agent/AgentProcess.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentProcess.java
@@ -26,11 +26,13 @@
 import org.hawthornglade.node.loop.EventQueue;
 import org.hawthornglade.node.loop.PeriodicTasks;
 
-/** The running parts of an agent: starts them in order, and on a stop drains before it ends them. */
+/** The running parts of an agent: starts them in order, drains before a stop, and ends them. */
 @Singleton
 public final class AgentProcess implements Managed {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    private static final long DRAIN_MARGIN_MS = 1_000;
+
     private final AgentSettings settings;
     private final EventQueue<AgentEvent> events;
     private final EndpointPoller endpoint;
@@ -40,7 +42,7 @@
     private final DecisionLoop<AgentEvent, AgentCommand> loop;
     private final PeriodicTasks endpointTasks = new PeriodicTasks("endpoint");
     private final PeriodicTasks tableTasks = new PeriodicTasks("table");
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile CountDownLatch drained = new CountDownLatch(1);
 
     /** Creates the parts; nothing runs before {@link #start}. */
     @Inject
@@ -69,7 +71,9 @@
                 timeline,
                 engine::give,
                 row -> tableTasks.once(() -> table.release(row)),
-                drained::countDown);
+                () -> tableTasks.once(table::checkFence),
+                () -> tableTasks.once(table::renewFence),
+                this::drainEnded);
         this.loop = new DecisionLoop<>(
                 "agent-decisions", events, decider, clock, runner, new AgentEvent.Tick(), settings.getTickMs());
     }
@@ -83,18 +87,37 @@
         control.start();
     }
 
-    /** Takes no new work, waits until what runs has ended, and stops; called before the HTTP server ends. */
-    public void drain() throws InterruptedException {
+    /**
+     * Takes no new work and waits until what runs has ended, at most for the limit of the settings.
+     *
+     * <p>The HTTP server must still serve while this runs: it carries the answers in progress.
+     */
+    public void drain() {
+        CountDownLatch ended = new CountDownLatch(1);
+        drained = ended;
         timeline.record(EventDraft.of(EventKind.PROCESS_STOPPING).instance(settings.getInstanceId()));
         events.submit(new AgentEvent.DrainRequested("process stopping"));
-        if (!drained.await(settings.getDrainTimeoutMs(), TimeUnit.MILLISECONDS)) {
+        try {
+            // The decisions report the limit themselves; the margin only covers a loop that has stopped.
+            if (!ended.await(settings.getDrainTimeoutMs() + DRAIN_MARGIN_MS, TimeUnit.MILLISECONDS)) {
+                LOG.atSevere().log("event=drain_unanswered limit_ms=%d", settings.getDrainTimeoutMs());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void drainEnded(boolean complete) {
+        if (complete) {
+            LOG.atInfo().log("event=drain_finished");
+        } else {
             LOG.atWarning().log("event=drain_timeout limit_ms=%d", settings.getDrainTimeoutMs());
         }
+        drained.countDown();
     }
 
     @Override
-    public void stop() throws InterruptedException {
-        drain();
+    public void stop() {
         control.stop();
         endpointTasks.close();
         tableTasks.close();
--- a/agent/src/main/java/org/hawthornglade/agent/AgentSettings.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentSettings.java
@@ -36,6 +36,14 @@
     @Max(3_600_000)
     private long drainTimeoutMs = 120_000;
 
+    @Min(10)
+    @Max(60_000)
+    private long fenceCheckMaxAgeMs = 1_000;
+
+    @Min(1)
+    @Max(100_000)
+    private int maxRunning = 1_024;
+
     @Min(1_024)
     @Max(64 * 1024 * 1024)
     private int maxBodyBytes = 4 * 1024 * 1024;
@@ -132,4 +140,26 @@
     public void setMaxBodyBytes(int value) {
         maxBodyBytes = value;
     }
+
+    @JsonProperty
+    public long getFenceCheckMaxAgeMs() {
+        return fenceCheckMaxAgeMs;
+    }
+
+    /** Sets how old the last check of the fencing number may be for an order to an engine that ignores numbers. */
+    @JsonProperty
+    public void setFenceCheckMaxAgeMs(long value) {
+        fenceCheckMaxAgeMs = value;
+    }
+
+    @JsonProperty
+    public int getMaxRunning() {
+        return maxRunning;
+    }
+
+    /** Sets how many attempts run at once, over all models. */
+    @JsonProperty
+    public void setMaxRunning(int value) {
+        maxRunning = value;
+    }
 }
--- a/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
@@ -1,58 +1,100 @@
 package org.hawthornglade.agent.assignment;
 
+import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.platform.http.PlatformJson;
 import org.hawthornglade.platform.table.Condition;
 import org.hawthornglade.platform.table.Row;
 import org.hawthornglade.platform.table.TableService;
 import org.hawthornglade.platform.table.Transaction;
 import org.hawthornglade.platform.table.Write;
 
-/** The fencing number of one instance in the table service. */
+/**
+ * The fencing number of one instance in the table service.
+ *
+ * <p>The row names the process that took the number, so that a write whose reply was lost is recognised when it is read
+ * back. Calls must not overlap.
+ */
 public final class FenceStore {
-    private static final String TABLE = "fences";
+    static final String TABLE = "fences";
+
+    private static final TypeReference<Fence> FENCE = new TypeReference<>() {};
+    private static final Fence NONE = new Fence(0, "");
     private static final long RETRY_MS = 500;
 
     private final TableService table;
     private final InstanceId instance;
+    private final String holder;
+
+    /**
+     * A fencing number and who took it.
+     *
+     * @param number the number
+     * @param holder the process, told apart from every other that ever ran
+     */
+    public record Fence(long number, String holder) {}
 
-    /** Creates a store for one instance's number. */
-    public FenceStore(TableService table, InstanceId instance) {
+    /**
+     * Creates a store for one instance's number.
+     *
+     * @param table the table service
+     * @param instance the instance
+     * @param holder this process, told apart from every other that ever ran
+     */
+    public FenceStore(TableService table, InstanceId instance, String holder) {
         this.table = table;
         this.instance = instance;
+        this.holder = holder;
     }
 
     /**
-     * Takes a new number, higher than any taken before; a number whose reply was lost is skipped.
+     * Takes a number above a given one and above all that other processes have taken.
      *
-     * @return the number; left if the table service failed or another process of the instance came first
+     * @param above the number that this process has; 0 if none
+     * @return the number; left with STALE_FENCING_NUMBER if another process has taken one since {@code above}, else if
+     *     the table service failed
      */
-    public Either<Failure, Long> take() {
-        return table.read(TABLE, instance.value()).flatMap(this::takeAfter);
+    public Either<Failure, Long> take(long above) {
+        return table.read(TABLE, instance.value())
+                .flatMap(row -> parse(row).flatMap(current -> takeAfter(row, current, above)));
     }
 
-    /** Reads the highest number taken; 0 if there is none. */
-    public Either<Failure, Long> current() {
-        return table.read(TABLE, instance.value()).map(FenceStore::numberOf);
+    /**
+     * Reads whether this process still has the newest number.
+     *
+     * @return left if the table service failed
+     */
+    public Either<Failure, Boolean> isMine() {
+        return table.read(TABLE, instance.value())
+                .flatMap(FenceStore::parse)
+                .map(current -> current.holder().equals(holder));
     }
 
-    private Either<Failure, Long> takeAfter(Optional<Row> row) {
-        long number = numberOf(row) + 1;
+    private Either<Failure, Long> takeAfter(Optional<Row> row, Fence current, long above) {
+        boolean mine = current.holder().equals(holder);
+        if (mine && current.number() > above) {
+            return Either.right(current.number());
+        }
+        if (!mine && above > 0) {
+            return Either.left(Failure.of(ResultCode.STALE_FENCING_NUMBER, "another process took a newer number"));
+        }
+        long number = current.number() + 1;
         Condition unchanged = row.map(Condition::unchanged).orElseGet(() -> Condition.absent(TABLE, instance.value()));
-        Write write = Write.put(TABLE, instance.value(), Long.toString(number));
+        Write write = Write.put(TABLE, instance.value(), PlatformJson.write(new Fence(number, holder)));
         return table.transact(new Transaction(List.of(unchanged), List.of(write)))
                 .flatMap(outcome -> outcome.committed() ? Either.right(number) : Either.left(overtaken()));
     }
 
-    private static long numberOf(Optional<Row> row) {
-        return row.map(found -> Long.parseLong(found.json())).orElse(0L);
+    private static Either<Failure, Fence> parse(Optional<Row> row) {
+        return row.map(found -> PlatformJson.read(found.json(), FENCE)).orElseGet(() -> Either.right(NONE));
     }
 
     private static Failure overtaken() {
-        return Failure.retryAfter(ResultCode.STALE_FENCING_NUMBER, "another process took a number first", RETRY_MS);
+        return Failure.retryAfter(ResultCode.PLATFORM_REJECTED, "another process took a number first", RETRY_MS);
     }
 }
--- a/agent/src/main/java/org/hawthornglade/agent/assignment/TableWatcher.java
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/TableWatcher.java
@@ -1,21 +1,22 @@
 package org.hawthornglade.agent.assignment;
 
 import com.google.common.flogger.FluentLogger;
-import io.vavr.control.Either;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.hawthornglade.core.agent.AgentEvent;
-import org.hawthornglade.core.assignment.Assignment;
 import org.hawthornglade.core.config.ConfigurationHolder;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.placement.AssignmentRow;
 import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.platform.configuration.AssignmentStore;
 import org.hawthornglade.platform.configuration.ConfigurationStore;
 
-/** Reads what the table service holds for one instance: its fencing number, its assignments and the configuration. */
+/**
+ * Reads what the table service holds for one instance: its fencing number, its assignments and the configuration.
+ *
+ * <p>All calls are made on one thread and block.
+ */
 public final class TableWatcher {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long NOT_TAKEN = 0;
@@ -25,61 +26,68 @@
     private final AssignmentStore assignments;
     private final ConfigurationStore configurations;
     private final ConfigurationHolder holder;
+    private final Clock clock;
     private final Consumer<AgentEvent> events;
-    private final Map<String, AssignmentRow> rows = new ConcurrentHashMap<>();
     private long fence = NOT_TAKEN;
+    private boolean fenceLost;
+    private long readSequence;
 
-    /** Creates a watcher; {@link #poll} and {@link #release} are called on one thread. */
+    /** Creates a watcher that has read nothing yet. */
     public TableWatcher(
             InstanceId instance,
             FenceStore fences,
             AssignmentStore assignments,
             ConfigurationStore configurations,
             ConfigurationHolder holder,
+            Clock clock,
             Consumer<AgentEvent> events) {
         this.instance = instance;
         this.fences = fences;
         this.assignments = assignments;
         this.configurations = configurations;
         this.holder = holder;
+        this.clock = clock;
         this.events = events;
     }
 
     /** Reads everything once; what cannot be read stays as it was. */
     public void poll() {
-        if (!checkFence()) {
+        if (fence == NOT_TAKEN) {
+            takeFence();
+        } else {
+            checkFence();
+        }
+        if (fence == NOT_TAKEN || fenceLost) {
             return;
         }
-        assignments
-                .rowsOf(instance)
-                .peek(this::tellAssignments)
-                .peekLeft(failure -> logFailure("assignments", failure));
+        readAssignments();
         configurations
                 .newerThan(holder.current().version())
                 .peek(newer -> newer.ifPresent(holder::offer))
                 .peekLeft(failure -> logFailure("configuration", failure));
     }
 
-    /** Writes that a row is released. */
-    public void release(Assignment assignment) {
-        AssignmentRow row = rows.get(assignment.key());
-        boolean released = row != null && assignments.release(row).getOrElse(false);
-        events.accept(released ? new AgentEvent.RowReleased(assignment) : new AgentEvent.RowNotReleased(assignment));
+    /** Makes sure that no other process has taken a newer fencing number. */
+    public void checkFence() {
+        long beganAtMs = clock.nowMs();
+        fences.isMine().peek(mine -> tellFence(mine, beganAtMs)).peekLeft(failure -> logFailure("fence", failure));
     }
 
-    /** Takes a fencing number at first, and later makes sure that no other process has taken a newer one. */
-    private boolean checkFence() {
-        if (fence == NOT_TAKEN) {
-            fences.take().peek(this::tookFence).peekLeft(failure -> logFailure("fence", failure));
-            return fence != NOT_TAKEN;
-        }
-        Either<Failure, Long> current = fences.current();
-        if (current.isRight() && current.get() > fence) {
-            LOG.atSevere().log("event=fence_lost mine=%d current=%d", fence, current.get());
-            events.accept(new AgentEvent.FenceLost());
-            return false;
+    /** Takes a newer fencing number. */
+    public void renewFence() {
+        if (!fenceLost) {
+            takeFence();
         }
-        return true;
+    }
+
+    /** Writes that a row is released. */
+    public void release(AssignmentRow row) {
+        boolean released = assignments.release(row).getOrElse(false);
+        events.accept(released ? new AgentEvent.RowReleased(row) : new AgentEvent.RowNotReleased(row));
+    }
+
+    private void takeFence() {
+        fences.take(fence).peek(this::tookFence).peekLeft(this::fenceNotTaken);
     }
 
     private void tookFence(long number) {
@@ -87,11 +95,34 @@
         events.accept(new AgentEvent.FenceTaken(number));
     }
 
-    private void tellAssignments(List<AssignmentRow> read) {
-        rows.clear();
-        read.forEach(row -> rows.put(row.assignment().key(), row));
-        events.accept(new AgentEvent.AssignmentsRead(
-                read.stream().map(AssignmentRow::assignment).toList()));
+    private void fenceNotTaken(Failure failure) {
+        logFailure("fence", failure);
+        if (failure.code() == ResultCode.STALE_FENCING_NUMBER) {
+            loseFence();
+        }
+    }
+
+    private void tellFence(boolean mine, long beganAtMs) {
+        if (mine) {
+            events.accept(new AgentEvent.FenceChecked(beganAtMs));
+        } else {
+            loseFence();
+        }
+    }
+
+    private void loseFence() {
+        fenceLost = true;
+        LOG.atSevere().log("event=fence_lost mine=%d", fence);
+        events.accept(new AgentEvent.FenceLost());
+    }
+
+    private void readAssignments() {
+        readSequence++;
+        long sequence = readSequence;
+        assignments
+                .rowsOf(instance)
+                .peek(rows -> events.accept(new AgentEvent.AssignmentsRead(sequence, rows)))
+                .peekLeft(failure -> logFailure("assignments", failure));
     }
 
     private static void logFailure(String what, Failure failure) {
--- a/agent/src/main/java/org/hawthornglade/agent/control/ControlSession.java
+++ b/agent/src/main/java/org/hawthornglade/agent/control/ControlSession.java
@@ -72,7 +72,9 @@
     public AgentReport exchange(EntryReport report) throws ControlFailure {
         requireProved();
         List<ModelDemand> demand = readDemand(report);
-        context.events().submit(new AgentEvent.DemandReported(report.getEntryId(), report.getBootId(), demand));
+        context.events()
+                .submit(new AgentEvent.DemandReported(
+                        report.getEntryId(), report.getBootId(), report.getSequence(), demand));
         try {
             long waitMs = Math.min(MAX_WAIT_MS, Math.max(0, report.getWaitMs()));
             AgentView view = context.views().awaitNewer(report.getSeenRevision(), waitMs);
--- a/core/src/main/java/org/hawthornglade/core/agent/AgentDecider.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentDecider.java
@@ -22,11 +22,18 @@
     private final AgentIdentity identity;
     private final AttemptBook attempts = new AttemptBook();
     private final DemandBook demand = new DemandBook();
+    private final RowBook rows = new RowBook();
+    private final AgentLimits limits;
+    private final AgentPolicies policies;
+    private final FenceKeeper fence;
+    private final EngineBook engine;
     private final ReplicaKeeper replicas;
+    private final ReplicaViews views;
     private Configuration configuration = Configuration.empty();
     private boolean endpointReachable;
     private boolean draining;
     private boolean drainReported;
+    private long drainEndsAtMs;
     private long revision;
     private AgentView published;
 
@@ -34,11 +41,17 @@
      * Creates the decisions of an agent that knows nothing yet.
      *
      * @param identity who the agent is
-     * @param keepAliveMs how long a model stays loaded after its last request, in milliseconds
+     * @param policies what varies; used by this agent alone
+     * @param limits its limits
      */
-    public AgentDecider(AgentIdentity identity, long keepAliveMs) {
+    public AgentDecider(AgentIdentity identity, AgentPolicies policies, AgentLimits limits) {
         this.identity = identity;
-        this.replicas = new ReplicaKeeper(attempts, demand, keepAliveMs);
+        this.limits = limits;
+        this.policies = policies;
+        this.fence = new FenceKeeper(policies, limits.fenceCheckMaxAgeMs());
+        this.engine = new EngineBook(policies, fence);
+        this.replicas = new ReplicaKeeper(engine, rows, fence, attempts, demand, policies);
+        this.views = new ReplicaViews(engine, rows, attempts);
     }
 
     @Override
@@ -48,7 +61,7 @@
         if (identity.servesModels()) {
             replicas.decide(configuration, draining, nowMs, commands);
         }
-        finishDrain(commands);
+        finishDrain(nowMs, commands);
         publish(nowMs, commands);
         return commands;
     }
@@ -61,7 +74,7 @@
         } else if (event instanceof AgentEvent.CancelRequested cancel) {
             cancel(cancel.attempt(), nowMs, commands);
         } else if (event instanceof AgentEvent.DemandReported reported) {
-            demand.report(reported.entryId(), reported.demand(), nowMs);
+            demand.report(reported, nowMs);
         } else if (event instanceof AgentEvent.ConfigurationApplied applied) {
             configuration = applied.configuration();
         } else if (event instanceof AgentEvent.EndpointFound) {
@@ -69,7 +82,7 @@
         } else if (event instanceof AgentEvent.EndpointLost) {
             endpointReachable = false;
         } else if (event instanceof AgentEvent.DrainRequested drain) {
-            drain(drain.reason(), commands);
+            drain(drain.reason(), nowMs, commands);
         } else if (event instanceof AgentEvent.Tick) {
             attempts.forgetOld(nowMs);
             demand.forgetOld(nowMs);
@@ -81,21 +94,29 @@
     private void takeEngineEvent(AgentEvent event, long nowMs) {
         if (event instanceof AgentEvent.EngineReported reported) {
             endpointReachable = true;
-            replicas.reported(reported.report(), nowMs);
+            engine.reported(reported.report(), nowMs);
         } else if (event instanceof AgentEvent.OrderTaken taken) {
-            replicas.orderTaken(taken.order(), taken.orderSequence());
+            engine.orderTaken(taken.order(), taken.orderSequence(), nowMs);
         } else if (event instanceof AgentEvent.OrderFailed failed) {
-            replicas.orderFailed(failed.order(), failed.failure(), nowMs);
-        } else if (event instanceof AgentEvent.AssignmentsRead read) {
-            replicas.assigned(read.assignments());
+            engine.orderFailed(failed.order(), failed.failure(), nowMs);
+        } else {
+            takeTableEvent(event, nowMs);
+        }
+    }
+
+    private void takeTableEvent(AgentEvent event, long nowMs) {
+        if (event instanceof AgentEvent.AssignmentsRead read) {
+            rows.read(read.readSequence(), read.rows());
         } else if (event instanceof AgentEvent.RowReleased released) {
-            replicas.released(released.assignment());
+            rows.released(released.row());
         } else if (event instanceof AgentEvent.RowNotReleased notReleased) {
-            replicas.notReleased(notReleased.assignment());
-        } else if (event instanceof AgentEvent.FenceTaken fence) {
-            replicas.fenceTaken(fence.number());
+            rows.notReleased(notReleased.row(), nowMs);
+        } else if (event instanceof AgentEvent.FenceTaken taken) {
+            fence.taken(taken.number(), nowMs);
+        } else if (event instanceof AgentEvent.FenceChecked checked) {
+            fence.checked(checked.checkedAtMs());
         } else if (event instanceof AgentEvent.FenceLost) {
-            replicas.fenceLost();
+            fence.lost();
         }
     }
 
@@ -103,7 +124,10 @@
         Failure refusal = refusalOf(attempt, nowMs);
         if (refusal == null) {
             attempts.start(attempt);
-            replicas.used(attempt.model(), nowMs);
+            used(attempt, nowMs);
+            if (attempt.model() != null) {
+                policies.idle().onRequest(attempt.model(), nowMs);
+            }
             commands.add(new AgentCommand.StartAttempt(attempt.id()));
             commands.add(record(EventKind.ATTEMPT_STARTED, attempt, ResultCode.OK, ""));
             return;
@@ -126,13 +150,16 @@
         if (draining) {
             return Failure.retryAfter(ResultCode.AGENT_DRAINING, "the instance is leaving", BUSY_RETRY_MS);
         }
+        if (attempts.running() >= limits.maxRunning()) {
+            return Failure.retryAfter(ResultCode.AGENT_BUSY, "the agent runs as much as it may", BUSY_RETRY_MS);
+        }
         if (nowMs >= attempt.deadlineAtMs()) {
             return Failure.of(ResultCode.DEADLINE_PASSED_WAITING, "the deadline passed on the way");
         }
         if (!identity.servesModels()) {
             return serviceRefusal(attempt);
         }
-        return replicas.refusalOf(attempt, configuration);
+        return views.refusalOf(attempt, configuration);
     }
 
     private Failure serviceRefusal(AttemptRequest attempt) {
@@ -148,7 +175,16 @@
     private void attemptEnded(AttemptId id, long nowMs) {
         AttemptRequest ended = attempts.end(id, nowMs);
         if (ended != null) {
-            replicas.used(ended.model(), nowMs);
+            used(ended, nowMs);
+        }
+    }
+
+    private void used(AttemptRequest attempt, long nowMs) {
+        if (attempt.model() != null) {
+            engine.replica(attempt.model(), nowMs).use(nowMs);
+        }
+        if (attempt.adapter() != null) {
+            engine.replica(attempt.adapter(), nowMs).use(nowMs);
         }
     }
 
@@ -166,27 +202,38 @@
         commands.add(new AgentCommand.AnswerCancel(id, CancelResult.NEVER_STARTED));
     }
 
-    private void drain(String reason, List<AgentCommand> commands) {
-        if (draining) {
+    private void drain(String reason, long nowMs, List<AgentCommand> commands) {
+        if (draining && !drainReported) {
             return;
         }
         draining = true;
+        drainReported = false;
+        drainEndsAtMs = nowMs + limits.drainTimeoutMs();
         commands.add(new AgentCommand.RecordEvent(EventDraft.of(EventKind.DRAIN_STARTED)
                 .instance(identity.instance())
                 .detail(reason)));
     }
 
-    private void finishDrain(List<AgentCommand> commands) {
-        if (!draining || drainReported || attempts.running() > 0) {
+    private void finishDrain(long nowMs, List<AgentCommand> commands) {
+        if (!draining || drainReported) {
             return;
         }
-        if (identity.servesModels() && !replicas.nothingHeld()) {
+        boolean empty = attempts.running() == 0 && (!identity.servesModels() || replicas.nothingHeld());
+        if (!empty && nowMs < drainEndsAtMs) {
             return;
         }
         drainReported = true;
-        commands.add(new AgentCommand.RecordEvent(
-                EventDraft.of(EventKind.DRAIN_FINISHED).instance(identity.instance())));
-        commands.add(new AgentCommand.DrainFinished());
+        EventDraft event = EventDraft.of(EventKind.DRAIN_FINISHED).instance(identity.instance());
+        if (!empty) {
+            event.code(ResultCode.STOPPING).detail(unfinishedDrain());
+        }
+        commands.add(new AgentCommand.RecordEvent(event));
+        commands.add(new AgentCommand.DrainFinished(empty));
+    }
+
+    private String unfinishedDrain() {
+        return "limit of " + limits.drainTimeoutMs() + " ms reached: " + attempts.running() + " attempts run, "
+                + rows.unreleased().size() + " rows not released";
     }
 
     private void publish(long nowMs, List<AgentCommand> commands) {
@@ -208,9 +255,9 @@
                 configuration.version(),
                 draining,
                 endpointReachable,
-                replicas.views(configuration, nowMs),
+                views.views(configuration, nowMs),
                 attempts.running(),
-                replicas.freeMb(),
+                engine.ledger().freeMb(),
                 identity.service(),
                 serviceMaxConcurrent());
     }
--- a/core/src/main/java/org/hawthornglade/core/agent/AgentEvent.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentEvent.java
@@ -1,11 +1,11 @@
 package org.hawthornglade.core.agent;
 
 import java.util.List;
-import org.hawthornglade.core.assignment.Assignment;
 import org.hawthornglade.core.config.Configuration;
 import org.hawthornglade.core.engine.EngineOrder;
 import org.hawthornglade.core.engine.EngineReport;
 import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.placement.AssignmentRow;
 import org.hawthornglade.core.report.ModelDemand;
 import org.hawthornglade.core.result.Failure;
 
@@ -20,14 +20,31 @@
     /** A newer fencing number exists: another agent process has taken over the instance. */
     record FenceLost() implements AgentEvent {}
 
-    /** The rows assigned to this instance were read from the table service. */
-    record AssignmentsRead(List<Assignment> assignments) implements AgentEvent {}
+    /**
+     * The table service showed no newer fencing number.
+     *
+     * @param checkedAtMs when the read began, in milliseconds
+     */
+    record FenceChecked(long checkedAtMs) implements AgentEvent {}
+
+    /**
+     * The rows assigned to this instance were read from the table service.
+     *
+     * @param readSequence grows with every read, in the order in which the reads began
+     * @param rows the rows
+     */
+    record AssignmentsRead(long readSequence, List<AssignmentRow> rows) implements AgentEvent {
+        /** Copies the list. */
+        public AssignmentsRead {
+            rows = List.copyOf(rows);
+        }
+    }
 
     /** The table service took this row as released. */
-    record RowReleased(Assignment assignment) implements AgentEvent {}
+    record RowReleased(AssignmentRow row) implements AgentEvent {}
 
     /** Releasing this row failed, or its outcome is unknown; it will be tried again. */
-    record RowNotReleased(Assignment assignment) implements AgentEvent {}
+    record RowNotReleased(AssignmentRow row) implements AgentEvent {}
 
     /** A configuration came into force. */
     record ConfigurationApplied(Configuration configuration) implements AgentEvent {}
@@ -47,8 +64,20 @@
     /** The engine refused an order, or it was lost. */
     record OrderFailed(EngineOrder order, Failure failure) implements AgentEvent {}
 
-    /** An entry told what it wants; it replaces what the same entry told before. */
-    record DemandReported(String entryId, long bootId, List<ModelDemand> demand) implements AgentEvent {}
+    /**
+     * An entry told what it wants; it replaces what the same entry told before.
+     *
+     * @param entryId the entry
+     * @param bootId the start time of its process in milliseconds
+     * @param sequence grows with every report of that process, over all its connections
+     * @param demand what it wants
+     */
+    record DemandReported(String entryId, long bootId, long sequence, List<ModelDemand> demand) implements AgentEvent {
+        /** Copies the list. */
+        public DemandReported {
+            demand = List.copyOf(demand);
+        }
+    }
 
     /** An entry sent an attempt. */
     record AttemptArrived(AttemptRequest attempt) implements AgentEvent {}
--- a/core/src/main/java/org/hawthornglade/core/agent/AttemptBook.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AttemptBook.java
@@ -35,15 +35,15 @@
         return running.size();
     }
 
+    /** Returns how many attempts run on a base model, or with an adapter. */
     int running(ModelName model) {
         return runningByModel.getOrDefault(model, 0);
     }
 
     void start(AttemptRequest attempt) {
         running.put(attempt.id(), attempt);
-        if (attempt.model() != null) {
-            runningByModel.merge(attempt.model(), 1, Integer::sum);
-        }
+        count(attempt.model(), 1);
+        count(attempt.adapter(), 1);
     }
 
     /** Returns the attempt that ended, or null if it did not run. */
@@ -52,9 +52,8 @@
         if (attempt == null) {
             return null;
         }
-        if (attempt.model() != null) {
-            runningByModel.computeIfPresent(attempt.model(), (model, count) -> count == 1 ? null : count - 1);
-        }
+        count(attempt.model(), -1);
+        count(attempt.adapter(), -1);
         remember(id, true, nowMs);
         return attempt;
     }
@@ -67,6 +66,12 @@
         past.values().removeIf(known -> nowMs - known.atMs > MEMORY_MS);
     }
 
+    private void count(ModelName name, int change) {
+        if (name != null) {
+            runningByModel.merge(name, change, (old, more) -> old + more == 0 ? null : old + more);
+        }
+    }
+
     private void remember(AttemptId id, boolean started, long nowMs) {
         past.put(id, new Past(started, nowMs));
         if (past.size() > MAX_REMEMBERED) {
--- a/core/src/main/java/org/hawthornglade/core/agent/DemandBook.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/DemandBook.java
@@ -1,55 +1,71 @@
 package org.hawthornglade.core.agent;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.report.ModelDemand;
 
 /** What all entries connected to an agent want, by model. */
 final class DemandBook {
     /** How long an entry's demand counts after its last report. */
-    static final long DEMAND_TIMEOUT_MS = 3_000;
+    static final long DEMAND_TIMEOUT_MS = 5_000;
 
-    private final Map<String, Map<ModelName, ModelDemand>> byEntry = new TreeMap<>();
-    private final Map<String, Long> reportedAtMs = new HashMap<>();
+    private final Map<String, EntryDemand> byEntry = new TreeMap<>();
 
-    void report(String entryId, List<ModelDemand> demand, long nowMs) {
+    private record EntryDemand(long bootId, long sequence, long atMs, Map<ModelName, ModelDemand> byModel) {
+        boolean isNewerThan(long otherBootId, long otherSequence) {
+            return bootId > otherBootId || (bootId == otherBootId && sequence > otherSequence);
+        }
+    }
+
+    /** Takes in a report, unless a newer one of the same entry has come before it on another connection. */
+    void report(AgentEvent.DemandReported reported, long nowMs) {
+        EntryDemand known = byEntry.get(reported.entryId());
+        if (known != null && known.isNewerThan(reported.bootId(), reported.sequence())) {
+            return;
+        }
         Map<ModelName, ModelDemand> byModel = new HashMap<>();
-        demand.forEach(wanted -> byModel.put(wanted.model(), wanted));
-        byEntry.put(entryId, byModel);
-        reportedAtMs.put(entryId, nowMs);
+        reported.demand().forEach(wanted -> byModel.put(wanted.model(), wanted));
+        byEntry.put(reported.entryId(), new EntryDemand(reported.bootId(), reported.sequence(), nowMs, byModel));
     }
 
     void forgetOld(long nowMs) {
-        reportedAtMs.values().removeIf(atMs -> nowMs - atMs > DEMAND_TIMEOUT_MS);
-        byEntry.keySet().retainAll(reportedAtMs.keySet());
+        byEntry.values().removeIf(demand -> nowMs - demand.atMs > DEMAND_TIMEOUT_MS);
     }
 
     int queued(ModelName model) {
-        return byEntry.values().stream()
-                .filter(demand -> demand.containsKey(model))
-                .mapToInt(demand -> demand.get(model).queued())
-                .sum();
+        return of(model).mapToInt(ModelDemand::queued).sum();
     }
 
     double waitingWeight(ModelName model) {
-        return byEntry.values().stream()
-                .filter(demand -> demand.containsKey(model))
-                .mapToDouble(demand -> demand.get(model).waitingWeight())
-                .sum();
+        return of(model).mapToDouble(ModelDemand::waitingWeight).sum();
+    }
+
+    /** Returns when the first deadline of those that wait passes, in milliseconds from their reports. */
+    long earliestDeadlineInMs(ModelName model) {
+        return of(model)
+                .filter(demand -> demand.queued() > 0)
+                .mapToLong(ModelDemand::earliestDeadlineInMs)
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 
     Set<ModelName> adaptersWanted(ModelName base) {
         Set<ModelName> wanted = new TreeSet<>();
-        for (Map<ModelName, ModelDemand> demand : byEntry.values()) {
-            if (demand.containsKey(base) && demand.get(base).queued() > 0) {
-                wanted.addAll(demand.get(base).adapters());
-            }
-        }
+        of(base).filter(demand -> demand.queued() > 0)
+                .map(ModelDemand::adapters)
+                .forEach((List<ModelName> names) -> wanted.addAll(names));
         return wanted;
     }
+
+    private Stream<ModelDemand> of(ModelName model) {
+        Collection<EntryDemand> entries = byEntry.values();
+        return entries.stream().map(demand -> demand.byModel.get(model)).filter(demand -> demand != null);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/FenceKeeper.java
@@ -0,0 +1,137 @@
+package org.hawthornglade.core.agent;
+
+import java.util.List;
+import org.hawthornglade.core.engine.EngineOrder;
+import org.hawthornglade.core.engine.EngineReport;
+import org.hawthornglade.core.event.EventDraft;
+import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/**
+ * The fencing number of one agent process: raised at the engine before any other order, raised again when the engine
+ * restarts, renewed after an order whose outcome is unknown, and given up for good when another process has a newer one.
+ */
+final class FenceKeeper {
+    private static final long RENEWAL_INTERVAL_MS = 2_000;
+    private static final long CHECK_INTERVAL_MS = 500;
+
+    private final AgentPolicies policies;
+    private final long checkMaxAgeMs;
+    private long number;
+    private boolean lost;
+    private long checkedAtMs = Long.MIN_VALUE / 2;
+    private long nextCheckAtMs;
+    private boolean renewalWanted;
+    private long nextRenewalAtMs;
+
+    private boolean raiseOpen;
+    private long raiseBootId;
+    private long raiseFloor;
+    private int raiseFailures;
+    private long nextRaiseAtMs;
+    private long raisedNumber;
+    private long raisedBootId;
+    private long raisedSequence;
+
+    FenceKeeper(AgentPolicies policies, long checkMaxAgeMs) {
+        this.policies = policies;
+        this.checkMaxAgeMs = checkMaxAgeMs;
+    }
+
+    long number() {
+        return number;
+    }
+
+    void taken(long newNumber, long nowMs) {
+        if (lost || newNumber <= number) {
+            return;
+        }
+        number = newNumber;
+        checkedAtMs = nowMs;
+        renewalWanted = false;
+    }
+
+    void checked(long atMs) {
+        checkedAtMs = Math.max(checkedAtMs, atMs);
+        nextCheckAtMs = 0;
+    }
+
+    void lost() {
+        lost = true;
+    }
+
+    boolean isLost() {
+        return lost;
+    }
+
+    /** Asks for a newer number, under which orders that may still be under way are refused. */
+    void renew() {
+        renewalWanted = true;
+    }
+
+    /** Raises and renews the number as the state calls for. */
+    void decide(EngineReport latest, long highestSequence, long nowMs, List<AgentCommand> commands) {
+        if (lost || number == 0 || latest == null) {
+            return;
+        }
+        if (renewalWanted && nowMs >= nextRenewalAtMs) {
+            nextRenewalAtMs = nowMs + RENEWAL_INTERVAL_MS;
+            commands.add(new AgentCommand.RenewFence());
+        }
+        boolean raised = raisedNumber == number && raisedBootId == latest.bootId();
+        if (raised || raiseOpen || nowMs < nextRaiseAtMs) {
+            return;
+        }
+        raiseOpen = true;
+        raiseBootId = latest.bootId();
+        raiseFloor = highestSequence;
+        commands.add(new AgentCommand.GiveOrder(new EngineOrder(EngineOrder.Kind.FENCE, null, null, null, 0, number)));
+    }
+
+    /** Returns whether the number is raised at this run of the engine, by an order that the latest report has seen. */
+    boolean isRaised(EngineReport latest) {
+        return !lost
+                && number > 0
+                && raisedNumber == number
+                && raisedBootId == latest.bootId()
+                && raisedSequence <= latest.orderSequence();
+    }
+
+    /** Returns whether an order may be given; an engine that ignores numbers needs a recent check of the number. */
+    boolean mayOrder(EngineReport latest, long nowMs) {
+        return latest.fencingNumber() > 0 || nowMs - checkedAtMs <= checkMaxAgeMs;
+    }
+
+    void askForCheck(long nowMs, List<AgentCommand> commands) {
+        if (nowMs < nextCheckAtMs) {
+            return;
+        }
+        nextCheckAtMs = nowMs + CHECK_INTERVAL_MS;
+        commands.add(new AgentCommand.CheckFence());
+    }
+
+    /** Returns whether the number is now raised. */
+    boolean raiseTaken(EngineOrder order, long orderSequence, EngineReport latest, List<AgentCommand> commands) {
+        raiseOpen = false;
+        raiseFailures = 0;
+        if (latest.bootId() != raiseBootId || orderSequence <= raiseFloor || order.fencingNumber() < number) {
+            return false;
+        }
+        raisedNumber = order.fencingNumber();
+        raisedBootId = raiseBootId;
+        raisedSequence = orderSequence;
+        commands.add(new AgentCommand.RecordEvent(
+                EventDraft.of(EventKind.FENCE_RAISED).detail("number " + raisedNumber)));
+        return true;
+    }
+
+    void raiseFailed(Failure failure, long nowMs) {
+        raiseOpen = false;
+        raiseFailures++;
+        nextRaiseAtMs = nowMs + policies.orderBackoff().delayMs(raiseFailures, policies.random());
+        if (failure.code() == ResultCode.STALE_FENCING_NUMBER) {
+            lost = true;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/LoadPlanner.java
@@ -0,0 +1,235 @@
+package org.hawthornglade.core.agent;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.chart.ReplicaState;
+import org.hawthornglade.core.config.AdapterSpec;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ModelSpec;
+import org.hawthornglade.core.engine.EngineOrder;
+import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.idle.IdlePlan;
+import org.hawthornglade.core.idle.ReplicaCost;
+import org.hawthornglade.core.load.LoadCandidate;
+import org.hawthornglade.core.load.Resident;
+import org.hawthornglade.core.load.WakeInput;
+import org.hawthornglade.core.placement.AssignmentRow;
+
+/** Decides what is loaded next, and what has to make room for it. */
+final class LoadPlanner {
+    /** Weight of a load ahead of requests: less than that of any request that waits. */
+    private static final double PREWARM_WEIGHT = 0.001;
+
+    /** A lower ordinal that has not answered the demand after this many of its load times is taken as unreachable. */
+    private static final long LOWER_LOAD_FACTOR = 2;
+
+    private static final long ASSUMED_SERVICE_MS = 1_000;
+
+    private final EngineBook engine;
+    private final RowBook rows;
+    private final DemandBook demand;
+    private final AttemptBook attempts;
+    private final AgentPolicies policies;
+    private final FenceKeeper fence;
+    private final Map<ModelName, Long> demandSinceMs = new HashMap<>();
+
+    private record Wanted(LoadCandidate candidate, String version) {}
+
+    LoadPlanner(
+            EngineBook engine,
+            RowBook rows,
+            DemandBook demand,
+            AttemptBook attempts,
+            AgentPolicies policies,
+            FenceKeeper fence) {
+        this.engine = engine;
+        this.rows = rows;
+        this.demand = demand;
+        this.attempts = attempts;
+        this.policies = policies;
+        this.fence = fence;
+    }
+
+    /** Returns whether something is wanted that is not loaded. */
+    boolean wantsAnything(Configuration configuration, long nowMs) {
+        return !wanted(configuration, nowMs).isEmpty();
+    }
+
+    /** Orders the loads that may start now, and unloads to make room for the first that does not fit. */
+    void loadWanted(Configuration configuration, long nowMs, List<AgentCommand> commands) {
+        Map<ModelName, Wanted> wanted = wanted(configuration, nowMs);
+        abandonUnwanted(wanted);
+        if (wanted.isEmpty()) {
+            return;
+        }
+        List<LoadCandidate> candidates =
+                wanted.values().stream().map(Wanted::candidate).toList();
+        int availableMb = engine.ledger().freeMb() + engine.leavingMb() + residentMb(residents(null));
+        for (LoadCandidate next : policies.loadOrder().order(candidates, availableMb, nowMs)) {
+            if (!start(next, wanted.get(next.name()).version(), nowMs, commands)) {
+                return;
+            }
+        }
+    }
+
+    private void abandonUnwanted(Map<ModelName, Wanted> wanted) {
+        for (Replica replica : engine.replicas()) {
+            if (replica.state() == ReplicaState.WAITING && !wanted.containsKey(replica.name())) {
+                replica.abandon();
+            }
+        }
+    }
+
+    /** Returns whether the next in order may be tried as well. */
+    private boolean start(LoadCandidate next, String version, long nowMs, List<AgentCommand> commands) {
+        Replica replica = engine.replica(next.name(), nowMs);
+        if (replica.state() == ReplicaState.ABSENT) {
+            replica.want(nowMs);
+            engine.record(EventKind.LOAD_DECIDED, replica, "weight " + next.waitingWeight());
+        }
+        boolean repeated = replica.state() == ReplicaState.LOADING;
+        boolean mayStart = engine.limitFor(next.base()).mayStart(engine.loading(next.base() != null), nowMs);
+        if (!repeated && !mayStart) {
+            return true;
+        }
+        if (!engine.ledger().reserve(next.name(), next.memoryMb())) {
+            return !makeRoom(next, nowMs);
+        }
+        EngineOrder order = new EngineOrder(
+                EngineOrder.Kind.LOAD, next.name(), version, next.base(), next.memoryMb(), fence.number());
+        engine.load(replica, order, nowMs, commands);
+        return true;
+    }
+
+    /** Returns whether enough memory comes free, so that nothing behind may take it. */
+    private boolean makeRoom(LoadCandidate next, long nowMs) {
+        int missingMb = next.memoryMb() - engine.ledger().freeMb() - engine.leavingMb();
+        if (missingMb <= 0) {
+            return true;
+        }
+        List<Resident> chosen = policies.eviction().choose(residents(next.base()), missingMb, nowMs);
+        for (Resident resident : chosen) {
+            Replica replica = engine.replica(resident.name(), nowMs);
+            if (replica.decideUnload()) {
+                engine.record(EventKind.UNLOAD_DECIDED, replica, "room for " + next.name());
+            }
+        }
+        return !chosen.isEmpty();
+    }
+
+    private Map<ModelName, Wanted> wanted(Configuration configuration, long nowMs) {
+        Collection<AssignmentRow> held = rows.held();
+        Map<ModelName, Wanted> wanted = new HashMap<>();
+        for (AssignmentRow row : held) {
+            ModelName name = row.assignment().model();
+            noteDemand(name, nowMs);
+            configuration.model(name).ifPresent(spec -> addModel(spec, row, nowMs, wanted));
+            if (engine.isReady(name)) {
+                demand.adaptersWanted(name)
+                        .forEach(adapter -> configuration
+                                .adapter(adapter)
+                                .filter(spec -> spec.base().equals(name))
+                                .ifPresent(spec -> addAdapter(spec, nowMs, wanted)));
+            }
+        }
+        return wanted;
+    }
+
+    private void noteDemand(ModelName name, long nowMs) {
+        if (demand.queued(name) == 0) {
+            demandSinceMs.remove(name);
+        } else {
+            demandSinceMs.putIfAbsent(name, nowMs);
+        }
+    }
+
+    private void addModel(ModelSpec spec, AssignmentRow row, long nowMs, Map<ModelName, Wanted> wanted) {
+        Replica replica = engine.replica(spec.name(), nowMs);
+        if (!replica.mayLoad(nowMs)) {
+            return;
+        }
+        long loadMs = engine.expectedLoadMs(spec.name(), spec.version(), spec.reservedMb());
+        boolean woken = policies.wakeRule()
+                .shouldLoad(
+                        row.assignment().ordinal(),
+                        wakeInput(spec, row.assignment().ordinal(), loadMs, nowMs));
+        if (woken || prewarms(replica, spec, loadMs, nowMs)) {
+            double weight = woken ? demand.waitingWeight(spec.name()) : PREWARM_WEIGHT;
+            wanted.put(
+                    spec.name(),
+                    new Wanted(candidate(spec.name(), null, spec.reservedMb(), loadMs, weight, nowMs), spec.version()));
+        }
+    }
+
+    private boolean prewarms(Replica replica, ModelSpec spec, long loadMs, long nowMs) {
+        if (replica.state() != ReplicaState.ABSENT && replica.state() != ReplicaState.WAITING) {
+            return false;
+        }
+        IdlePlan plan =
+                policies.idle().plan(spec.name(), replica.lastUsedAtMs(), new ReplicaCost(spec.accelerators(), loadMs));
+        return nowMs >= plan.prewarmAtMs() && nowMs < plan.prewarmUntilMs();
+    }
+
+    private void addAdapter(AdapterSpec spec, long nowMs, Map<ModelName, Wanted> wanted) {
+        if (engine.replica(spec.name(), nowMs).mayLoad(nowMs)) {
+            double weight = Math.max(1, demand.waitingWeight(spec.base()));
+            wanted.put(
+                    spec.name(),
+                    new Wanted(candidate(spec.name(), spec.base(), spec.memoryMb(), 1, weight, nowMs), spec.version()));
+        }
+    }
+
+    private LoadCandidate candidate(
+            ModelName name, ModelName base, int memoryMb, long loadMs, double weight, long nowMs) {
+        ModelName asked = base == null ? name : base;
+        long deadlineInMs = demand.earliestDeadlineInMs(asked);
+        return new LoadCandidate(
+                name,
+                base,
+                memoryMb,
+                Math.max(1, loadMs),
+                weight,
+                0,
+                demandSinceMs.getOrDefault(asked, nowMs),
+                deadlineInMs == Long.MAX_VALUE ? Long.MAX_VALUE : nowMs + deadlineInMs);
+    }
+
+    /** What the holders of lower ordinals do is not known here; they are assumed to load on the same demand. */
+    private WakeInput wakeInput(ModelSpec spec, int ordinal, long loadMs, long nowMs) {
+        long waitedMs = nowMs - demandSinceMs.getOrDefault(spec.name(), nowMs);
+        return new WakeInput(
+                demand.queued(spec.name()),
+                waitedMs <= LOWER_LOAD_FACTOR * loadMs,
+                ordinal,
+                Math.max(0, loadMs - waitedMs),
+                ordinal * spec.maxConcurrent(),
+                ASSUMED_SERVICE_MS,
+                loadMs,
+                demand.earliestDeadlineInMs(spec.name()));
+    }
+
+    /** Returns what may be unloaded: ready, idle, and neither a base nor the base of a candidate's. */
+    private List<Resident> residents(ModelName neededBase) {
+        List<Resident> residents = new ArrayList<>();
+        for (Replica replica : engine.replicas()) {
+            ModelName asked = replica.base() == null ? replica.name() : replica.base();
+            boolean busy = attempts.running(replica.name()) > 0 || demand.queued(asked) > 0;
+            boolean hasAdapters = !engine.adaptersOf(replica.name()).isEmpty();
+            if (!replica.isReady() || busy || hasAdapters || replica.name().equals(neededBase)) {
+                continue;
+            }
+            int memoryMb = engine.ledger().takenMb(replica.name());
+            long reloadMs = engine.expectedLoadMs(replica.name(), replica.version(), memoryMb);
+            residents.add(new Resident(replica.name(), memoryMb, reloadMs, 0, replica.lastUsedAtMs()));
+        }
+        return residents;
+    }
+
+    private static int residentMb(List<Resident> residents) {
+        return residents.stream().mapToInt(Resident::memoryMb).sum();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/Replica.java
@@ -0,0 +1,256 @@
+package org.hawthornglade.core.agent;
+
+import org.hawthornglade.core.chart.ChartInstance;
+import org.hawthornglade.core.chart.Charts;
+import org.hawthornglade.core.chart.ReplicaEvent;
+import org.hawthornglade.core.chart.ReplicaState;
+import org.hawthornglade.core.engine.CheckpointTier;
+import org.hawthornglade.core.engine.EngineModel;
+import org.hawthornglade.core.engine.EngineOrder;
+import org.hawthornglade.core.engine.EngineReport;
+import org.hawthornglade.core.id.ModelName;
+
+/** One model or adapter at an engine: its state by the replica chart and the order whose effect is not yet seen. */
+final class Replica {
+    private static final long UNANSWERED = Long.MAX_VALUE;
+
+    private final ModelName name;
+    private final ChartInstance<ReplicaState, ReplicaEvent> chart = Charts.REPLICA.start();
+    private ModelName base;
+    private String version = "";
+    private EngineOrder openOrder;
+    private long openSequence;
+    private long openFloor;
+    private long openBootId;
+    private long lostUnloadUnder;
+    private int failures;
+    private long retryAtMs;
+    private long lastUsedAtMs;
+    private long wantedSinceMs;
+    private long loadGivenAtMs;
+    private int loadsBeside;
+    private CheckpointTier loadTier = CheckpointTier.REMOTE;
+
+    Replica(ModelName name, long nowMs) {
+        this.name = name;
+        this.lastUsedAtMs = nowMs;
+    }
+
+    ModelName name() {
+        return name;
+    }
+
+    /** Returns the base model of an adapter; null for a base model. */
+    ModelName base() {
+        return base;
+    }
+
+    String version() {
+        return version;
+    }
+
+    ReplicaState state() {
+        return chart.state();
+    }
+
+    boolean isReady() {
+        return state() == ReplicaState.READY;
+    }
+
+    boolean isLeaving() {
+        return state() == ReplicaState.DRAINING || state() == ReplicaState.UNLOADING;
+    }
+
+    /** Returns whether an order is given whose effect no report has shown, or which is to be repeated later. */
+    boolean isWaiting(long nowMs) {
+        return openOrder != null || nowMs < retryAtMs;
+    }
+
+    boolean hasOpenOrder() {
+        return openOrder != null;
+    }
+
+    /** Returns whether a load may be ordered: not while an unload may still reach the engine. */
+    boolean mayLoad(long nowMs) {
+        boolean absent = state() == ReplicaState.ABSENT || state() == ReplicaState.WAITING;
+        boolean repeat = state() == ReplicaState.LOADING && openOrder == null && failures > 0;
+        return (absent || repeat) && !isWaiting(nowMs) && lostUnloadUnder == 0;
+    }
+
+    void want(long nowMs) {
+        if (fire(ReplicaEvent.LOAD_DECIDED)) {
+            wantedSinceMs = nowMs;
+        }
+    }
+
+    void abandon() {
+        fire(ReplicaEvent.LOAD_ABANDONED);
+    }
+
+    /** Decides to unload it; returns whether that is new. */
+    boolean decideUnload() {
+        return fire(ReplicaEvent.UNLOAD_DECIDED);
+    }
+
+    /**
+     * Notes an order that is given.
+     *
+     * @param bootId the engine run that it is meant for
+     * @param highestSequence the highest sequence number known of that run
+     */
+    void give(EngineOrder order, long bootId, long highestSequence, long nowMs) {
+        openOrder = order;
+        openSequence = UNANSWERED;
+        openBootId = bootId;
+        openFloor = highestSequence;
+        if (order.kind() == EngineOrder.Kind.LOAD) {
+            base = order.base();
+            version = order.version();
+            loadGivenAtMs = nowMs;
+            fire(ReplicaEvent.LOAD_ORDERED);
+        } else {
+            fire(ReplicaEvent.DRAINED);
+        }
+    }
+
+    void noteLoad(CheckpointTier tier, int besides) {
+        loadTier = tier;
+        loadsBeside = besides;
+    }
+
+    /** Returns whether the answer is certainly of the engine run that the order was given to. */
+    boolean taken(long orderSequence, long latestBootId) {
+        if (openBootId != latestBootId || orderSequence <= openFloor) {
+            return false;
+        }
+        openSequence = orderSequence;
+        return true;
+    }
+
+    /** Notes that the open order had no effect. */
+    void refused(EngineOrder order, long nextAtMs) {
+        openOrder = null;
+        failures++;
+        retryAtMs = nextAtMs;
+        if (order.kind() == EngineOrder.Kind.LOAD) {
+            fire(ReplicaEvent.LOAD_FAILED);
+        }
+    }
+
+    /**
+     * Notes that the open order may or may not have an effect yet.
+     *
+     * @param lostUnder the fencing number above which the engine must be raised to shut the order out
+     */
+    void inDoubt(EngineOrder order, long lostUnder, long nextAtMs) {
+        openOrder = null;
+        failures++;
+        retryAtMs = nextAtMs;
+        if (order.kind() == EngineOrder.Kind.UNLOAD) {
+            lostUnloadUnder = lostUnder;
+        }
+    }
+
+    boolean isOpen(EngineOrder order) {
+        return order.equals(openOrder);
+    }
+
+    /** Notes that the engine refuses orders below a number. */
+    void fenced(long fencingNumber) {
+        if (lostUnloadUnder < fencingNumber) {
+            lostUnloadUnder = 0;
+        }
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    void engineRestarted() {
+        if (openOrder != null && openSequence != UNANSWERED) {
+            openOrder = null;
+        }
+    }
+
+    /**
+     * Takes in what a report says of it.
+     *
+     * @param held what the engine has; null if it has nothing
+     * @param mayBeUnseen whether a load in doubt may still take effect
+     */
+    void observe(EngineReport report, EngineModel held, boolean mayBeUnseen) {
+        if (openOrder != null && openSequence > report.orderSequence()) {
+            return;
+        }
+        openOrder = null;
+        if (held == null) {
+            boolean loadInDoubt = mayBeUnseen && state() == ReplicaState.LOADING;
+            if (state() != ReplicaState.WAITING && !loadInDoubt) {
+                fire(ReplicaEvent.GONE_REPORTED);
+            }
+            return;
+        }
+        base = held.base();
+        version = held.version();
+        abandon();
+        switch (held.state()) {
+            case LOADING -> fire(ReplicaEvent.LOAD_ORDERED);
+            case READY -> becomeReady();
+            case HALF_PRESENT -> becomeHalfPresent();
+            case UNLOADING -> becomeUnloading();
+        }
+    }
+
+    private void becomeReady() {
+        if (fire(ReplicaEvent.LOAD_FINISHED)) {
+            failures = 0;
+        }
+    }
+
+    private void becomeHalfPresent() {
+        if (isReady() || state() == ReplicaState.DRAINING) {
+            fire(ReplicaEvent.GONE_REPORTED);
+        }
+        fire(ReplicaEvent.LOAD_FAILED);
+    }
+
+    private void becomeUnloading() {
+        fire(ReplicaEvent.LOAD_ORDERED);
+        fire(ReplicaEvent.UNLOAD_DECIDED);
+        fire(ReplicaEvent.DRAINED);
+    }
+
+    private boolean fire(ReplicaEvent event) {
+        return chart.fire(event).isRight();
+    }
+
+    void use(long nowMs) {
+        lastUsedAtMs = Math.max(lastUsedAtMs, nowMs);
+    }
+
+    long lastUsedAtMs() {
+        return lastUsedAtMs;
+    }
+
+    long wantedSinceMs() {
+        return wantedSinceMs;
+    }
+
+    /** Returns when the last load was ordered, in milliseconds; 0 if this process ordered none. */
+    long loadGivenAtMs() {
+        return loadGivenAtMs;
+    }
+
+    int loadsBeside() {
+        return loadsBeside;
+    }
+
+    CheckpointTier loadTier() {
+        return loadTier;
+    }
+
+    /** Returns whether nothing needs to be remembered of it. */
+    boolean isForgettable(long nowMs) {
+        return state() == ReplicaState.ABSENT && !isWaiting(nowMs) && lostUnloadUnder == 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/ReplicaViews.java
@@ -0,0 +1,113 @@
+package org.hawthornglade.core.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hawthornglade.core.chart.ReplicaState;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ModelSpec;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.placement.AssignmentRow;
+import org.hawthornglade.core.report.ReplicaPhase;
+import org.hawthornglade.core.report.ReplicaView;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** What entries are told of an agent's replicas, and whether an attempt may run on one. */
+final class ReplicaViews {
+    private static final long BUSY_RETRY_MS = 100;
+
+    /** Times are told in steps, so that a report changes only when something has changed. */
+    private static final long READY_STEP_MS = 1_000;
+
+    private final EngineBook engine;
+    private final RowBook rows;
+    private final AttemptBook attempts;
+
+    ReplicaViews(EngineBook engine, RowBook rows, AttemptBook attempts) {
+        this.engine = engine;
+        this.rows = rows;
+        this.attempts = attempts;
+    }
+
+    /** Returns why an attempt may not run, or null if it may. */
+    Failure refusalOf(AttemptRequest attempt, Configuration configuration) {
+        if (attempt.model() == null || !engine.isReady(attempt.model())) {
+            return Failure.retryAfter(ResultCode.MODEL_NOT_LOADED, "the model is not ready here", BUSY_RETRY_MS);
+        }
+        if (attempt.adapter() != null && !engine.isReady(attempt.adapter())) {
+            return Failure.retryAfter(ResultCode.MODEL_NOT_LOADED, "the adapter is not ready here", BUSY_RETRY_MS);
+        }
+        int maxConcurrent = maxConcurrent(attempt.model(), configuration);
+        if (attempts.running(attempt.model()) >= maxConcurrent) {
+            return Failure.retryAfter(ResultCode.AGENT_BUSY, "the replica runs as much as it may", BUSY_RETRY_MS);
+        }
+        return null;
+    }
+
+    /** Returns a view of each row held; while the rows are not known, of what is ready. */
+    List<ReplicaView> views(Configuration configuration, long nowMs) {
+        List<ReplicaView> views = new ArrayList<>();
+        for (AssignmentRow row : rows.held()) {
+            views.add(view(row.assignment().model(), row.assignment().ordinal(), configuration, nowMs));
+        }
+        if (!rows.known()) {
+            engine.replicas().stream()
+                    .filter(replica -> replica.isReady() && replica.base() == null)
+                    .forEach(replica -> views.add(view(replica.name(), 0, configuration, nowMs)));
+        }
+        return views;
+    }
+
+    private ReplicaView view(ModelName model, int ordinal, Configuration configuration, long nowMs) {
+        ReplicaState state = engine.state(model);
+        String version = configuration.model(model).map(ModelSpec::version).orElse("");
+        int memoryMb = configuration.model(model).map(ModelSpec::reservedMb).orElse(0);
+        long loadMs = roundUp(engine.expectedLoadMs(model, version, memoryMb));
+        return new ReplicaView(
+                model,
+                ordinal,
+                phaseOf(state),
+                attempts.running(model),
+                maxConcurrent(model, configuration),
+                readyInMs(model, state, loadMs, nowMs),
+                loadMs,
+                readyAdapters(model),
+                state == ReplicaState.READY ? engine.replica(model, nowMs).version() : version);
+    }
+
+    private long readyInMs(ModelName model, ReplicaState state, long loadMs, long nowMs) {
+        if (state == ReplicaState.READY) {
+            return 0;
+        }
+        if (state != ReplicaState.LOADING) {
+            return -1;
+        }
+        long givenAtMs = engine.replica(model, nowMs).loadGivenAtMs();
+        long elapsedMs = givenAtMs == 0 ? 0 : nowMs - givenAtMs;
+        return Math.max(READY_STEP_MS, roundUp(loadMs - elapsedMs));
+    }
+
+    private static long roundUp(long ms) {
+        return (ms + READY_STEP_MS - 1) / READY_STEP_MS * READY_STEP_MS;
+    }
+
+    private static int maxConcurrent(ModelName model, Configuration configuration) {
+        return configuration.model(model).map(ModelSpec::maxConcurrent).orElse(0);
+    }
+
+    private List<ModelName> readyAdapters(ModelName base) {
+        List<ModelName> ready = new ArrayList<>();
+        engine.adaptersOf(base).stream().filter(Replica::isReady).forEach(adapter -> ready.add(adapter.name()));
+        return ready;
+    }
+
+    private static ReplicaPhase phaseOf(ReplicaState state) {
+        return switch (state) {
+            case ABSENT -> ReplicaPhase.ABSENT;
+            case WAITING -> ReplicaPhase.WAITING;
+            case LOADING -> ReplicaPhase.LOADING;
+            case READY -> ReplicaPhase.READY;
+            case DRAINING, UNLOADING, HALF_PRESENT -> ReplicaPhase.UNLOADING;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/agent/RowBook.java
@@ -0,0 +1,96 @@
+package org.hawthornglade.core.agent;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hawthornglade.core.assignment.AssignmentState;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.placement.AssignmentRow;
+
+/**
+ * The assignment rows of one instance, as last read, less those that it has begun to release.
+ *
+ * <p>Once a release has been asked for, its row may be another's at any moment, also when the answer says that it
+ * failed. It counts as held again only when it is read with a later revision.
+ */
+final class RowBook {
+    private static final long RELEASE_RETRY_MS = 500;
+
+    private final Map<ModelName, AssignmentRow> rows = new TreeMap<>();
+    private final Map<String, Long> givenUpRevisions = new HashMap<>();
+    private final Set<String> beingReleased = new HashSet<>();
+    private long releaseRetryAtMs;
+    private long readSequence;
+
+    /** Returns whether the rows have been read at all. */
+    boolean known() {
+        return readSequence > 0;
+    }
+
+    void read(long sequence, List<AssignmentRow> read) {
+        if (sequence <= readSequence) {
+            return;
+        }
+        readSequence = sequence;
+        rows.clear();
+        for (AssignmentRow row : read) {
+            AssignmentRow earlier = rows.get(row.assignment().model());
+            if (earlier == null || !isHeld(earlier)) {
+                rows.put(row.assignment().model(), row);
+            }
+        }
+    }
+
+    /** Returns the row under which a model may be loaded, or null. */
+    AssignmentRow held(ModelName model) {
+        AssignmentRow row = rows.get(model);
+        return row != null && isHeld(row) ? row : null;
+    }
+
+    /** Returns the rows under which models may be loaded, by model. */
+    Collection<AssignmentRow> held() {
+        return rows.values().stream().filter(this::isHeld).toList();
+    }
+
+    /** Returns the rows that the table service does not show as released. */
+    List<AssignmentRow> unreleased() {
+        List<AssignmentRow> unreleased = new ArrayList<>(rows.values());
+        unreleased.removeIf(row -> row.assignment().state() == AssignmentState.RELEASED);
+        return unreleased;
+    }
+
+    /** Notes that a release is asked for; false if one is under way or it is too early for another. */
+    boolean beginRelease(AssignmentRow row, long nowMs) {
+        String key = row.assignment().key();
+        if (beingReleased.contains(key) || nowMs < releaseRetryAtMs) {
+            return false;
+        }
+        beingReleased.add(key);
+        givenUpRevisions.put(key, row.revision());
+        return true;
+    }
+
+    void released(AssignmentRow row) {
+        beingReleased.remove(row.assignment().key());
+        AssignmentRow known = rows.get(row.assignment().model());
+        if (known != null && known.revision() <= row.revision()) {
+            rows.remove(row.assignment().model());
+        }
+    }
+
+    void notReleased(AssignmentRow row, long nowMs) {
+        beingReleased.remove(row.assignment().key());
+        releaseRetryAtMs = nowMs + RELEASE_RETRY_MS;
+    }
+
+    private boolean isHeld(AssignmentRow row) {
+        return row.assignment().state() == AssignmentState.HELD
+                && row.revision()
+                        > givenUpRevisions.getOrDefault(row.assignment().key(), 0L);
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/ledger/MemoryLedger.java
+++ b/core/src/main/java/org/hawthornglade/core/ledger/MemoryLedger.java
@@ -4,6 +4,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.hawthornglade.core.engine.EngineModel;
 import org.hawthornglade.core.engine.EngineReport;
 import org.hawthornglade.core.id.ModelName;
@@ -12,10 +14,16 @@
  * The book of one engine's accelerator memory: what is reserved and what is reported, counted at the larger of both.
  *
  * <p>A reservation is made before a load is ordered. It ends only when a report that was taken after the last order for
- * the model no longer shows the model, so neither a lost reply nor a lagging report can lead to overcommitment.
+ * the model no longer shows the model, so neither a lost reply nor a lagging report can lead to overcommitment. An
+ * order whose outcome is unknown may still reach the engine; its reservation ends no earlier than the engine is known
+ * to refuse the number that it carries.
  */
 public final class MemoryLedger {
-    private final Map<ModelName, Reservation> reservations = new HashMap<>();
+    private static final long UNANSWERED = Long.MAX_VALUE;
+
+    private final Map<ModelName, Reservation> reservations = new TreeMap<>();
+    private final Set<Long> pastBootIds = new HashSet<>();
+    private final Map<ModelName, EngineModel> reported = new HashMap<>();
     private EngineReport latest;
 
     /** Returns whether a report has been taken in, without which nothing may be reserved. */
@@ -28,6 +36,11 @@
         return latest;
     }
 
+    /** Returns what the latest report says of a model, or null. */
+    public EngineModel reported(ModelName model) {
+        return reported.get(model);
+    }
+
     /** Returns the accelerator memory that nothing takes or reserves, in MiB; 0 before the first report. */
     public int freeMb() {
         return latest == null ? 0 : Math.max(0, latest.memoryMb() - takenMb());
@@ -35,8 +48,14 @@
 
     /** Returns how much memory freeing a model would give back, in MiB. */
     public int takenMb(ModelName model) {
-        int reservedMb = reservations.containsKey(model) ? reservations.get(model).memoryMb : 0;
-        return Math.max(reservedMb, reportedMb(model));
+        Reservation reservation = reservations.get(model);
+        EngineModel held = reported.get(model);
+        return Math.max(reservation == null ? 0 : reservation.memoryMb, held == null ? 0 : held.memoryMb());
+    }
+
+    /** Returns whether the engine has a model, or may have it. */
+    public boolean mayHold(ModelName model) {
+        return reservations.containsKey(model) || reported.containsKey(model);
     }
 
     /**
@@ -50,59 +69,95 @@
         if (!known() || moreMb > freeMb()) {
             return false;
         }
-        reservations.put(model, new Reservation(memoryMb, Reservation.UNANSWERED));
+        Reservation earlier = reservations.get(model);
+        long lostUnder = earlier == null ? 0 : earlier.lostUnder;
+        int keptMb = earlier == null ? 0 : earlier.memoryMb;
+        reservations.put(model, new Reservation(Math.max(keptMb, memoryMb), UNANSWERED, lostUnder));
         return true;
     }
 
-    /** Notes that the engine took in an order for the model under this number. */
+    /** Notes that the engine took in an order for the model under this sequence number. */
     public void ordered(ModelName model, long orderSequence) {
-        Reservation reservation = reservations.get(model);
-        if (reservation != null) {
-            reservations.put(model, new Reservation(reservation.memoryMb, orderSequence));
-        }
+        reservations.computeIfPresent(
+                model, (name, old) -> new Reservation(old.memoryMb, orderSequence, old.lostUnder));
+    }
+
+    /**
+     * Notes that an order for the model may still take effect.
+     *
+     * @param fencingNumber the number that the order carries
+     */
+    public void lost(ModelName model, long fencingNumber) {
+        reservations.computeIfPresent(model, (name, old) -> new Reservation(old.memoryMb, 0, fencingNumber));
+    }
+
+    /**
+     * Notes that the engine refuses orders below a fencing number.
+     *
+     * @param fencingNumber the number
+     * @param orderSequence the sequence number of the order that raised it
+     */
+    public void fenced(long fencingNumber, long orderSequence) {
+        reservations.replaceAll((model, old) -> old.lostUnder == 0 || old.lostUnder >= fencingNumber
+                ? old
+                : new Reservation(old.memoryMb, Math.max(old.orderSequence, orderSequence), 0));
     }
 
-    /** Ends a reservation whose order certainly had no effect. */
+    /** Ends a reservation whose order certainly had no effect; one of an earlier order in doubt stays. */
     public void cancel(ModelName model) {
-        reservations.remove(model);
+        reservations.computeIfPresent(
+                model, (name, old) -> old.lostUnder == 0 ? null : new Reservation(old.memoryMb, 0, old.lostUnder));
     }
 
-    /** Takes in a report; one that is older than the latest of the same engine run is ignored. */
-    public void take(EngineReport report) {
-        if (latest != null && latest.bootId() == report.bootId() && report.takenAtMs() < latest.takenAtMs()) {
-            return;
+    /**
+     * Takes in a report.
+     *
+     * @return false if it is older than the latest and was ignored
+     */
+    public boolean take(EngineReport report) {
+        if (isOld(report)) {
+            return false;
+        }
+        if (latest != null && latest.bootId() != report.bootId()) {
+            pastBootIds.add(latest.bootId());
+            forgetSequences();
         }
-        boolean restarted = latest != null && latest.bootId() != report.bootId();
         latest = report;
-        Set<ModelName> held = new HashSet<>();
-        report.models().forEach(model -> held.add(model.model()));
+        reported.clear();
+        report.models().forEach(model -> reported.put(model.model(), model));
         reservations
                 .entrySet()
-                .removeIf(entry -> !held.contains(entry.getKey())
-                        && (restarted || entry.getValue().seenBy(report.orderSequence())));
-    }
-
-    private int takenMb() {
-        Set<ModelName> names = new HashSet<>(reservations.keySet());
-        latest.models().forEach(model -> names.add(model.model()));
-        return names.stream().mapToInt(this::takenMb).sum();
+                .removeIf(entry -> !reported.containsKey(entry.getKey())
+                        && entry.getValue().seenBy(report.orderSequence()));
+        return true;
     }
 
-    private int reportedMb(ModelName model) {
+    private boolean isOld(EngineReport report) {
         if (latest == null) {
-            return 0;
+            return false;
         }
-        return latest.models().stream()
-                .filter(held -> held.model().equals(model))
-                .mapToInt(EngineModel::memoryMb)
-                .sum();
+        if (latest.bootId() != report.bootId()) {
+            return pastBootIds.contains(report.bootId());
+        }
+        return report.takenAtMs() < latest.takenAtMs() || report.orderSequence() < latest.orderSequence();
+    }
+
+    /** A restarted engine counts anew; what it had taken in before has no effect any more. */
+    private void forgetSequences() {
+        reservations.replaceAll((model, old) ->
+                old.orderSequence == UNANSWERED ? old : new Reservation(old.memoryMb, 0, old.lostUnder));
     }
 
-    private record Reservation(int memoryMb, long orderSequence) {
-        static final long UNANSWERED = Long.MAX_VALUE;
+    private int takenMb() {
+        Set<ModelName> names = new TreeSet<>(reservations.keySet());
+        names.addAll(reported.keySet());
+        return names.stream().mapToInt(this::takenMb).sum();
+    }
 
+    /** {@code lostUnder} is the fencing number of an order that may still take effect; 0 if there is none. */
+    private record Reservation(int memoryMb, long orderSequence, long lostUnder) {
         boolean seenBy(long reportSequence) {
-            return orderSequence <= reportSequence;
+            return lostUnder == 0 && orderSequence <= reportSequence;
         }
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/agent/AgentSession.java
@@ -0,0 +1,175 @@
+package org.hawthornglade.core.agent;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.hawthornglade.core.assignment.Assignment;
+import org.hawthornglade.core.assignment.AssignmentState;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.config.ModelSpec;
+import org.hawthornglade.core.engine.EngineModel;
+import org.hawthornglade.core.engine.EngineOrder;
+import org.hawthornglade.core.engine.EngineReport;
+import org.hawthornglade.core.engine.LoadState;
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.placement.AssignmentRow;
+import org.hawthornglade.core.report.ModelDemand;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Drives one agent's decisions by hand and keeps what they gave out. */
+final class AgentSession {
+    static final InstanceId ME = InstanceId.of("engine-1");
+    static final int MEMORY_MB = 2_000;
+    static final long BOOT = 7;
+
+    final AgentDecider decider;
+    final List<AgentCommand> commands = new ArrayList<>();
+    long nowMs = 1_000_000;
+    long orderSequence;
+    private long readSequence;
+    private long demandSequence;
+
+    AgentSession() {
+        this(AgentLimits.defaults());
+    }
+
+    AgentSession(AgentLimits limits) {
+        AgentIdentity identity = new AgentIdentity(ME, FailureDomain.of("domain-a"), 1, null);
+        decider = new AgentDecider(identity, AgentPolicies.simple(60_000), limits);
+    }
+
+    /** Starts an agent that has its fencing number raised and knows its configuration and rows. */
+    static AgentSession ready(Configuration configuration, AssignmentRow... rows) {
+        AgentSession session = new AgentSession();
+        session.start(configuration, rows);
+        return session;
+    }
+
+    void start(Configuration configuration, AssignmentRow... rows) {
+        give(new AgentEvent.ConfigurationApplied(configuration));
+        give(new AgentEvent.FenceTaken(1));
+        give(new AgentEvent.FenceChecked(nowMs));
+        read(rows);
+        report();
+        takeAll();
+        report();
+    }
+
+    /** Gives an event and returns the commands it led to. */
+    List<AgentCommand> give(AgentEvent event) {
+        List<AgentCommand> added = decider.on(event, nowMs);
+        commands.addAll(added);
+        return added;
+    }
+
+    List<AgentCommand> after(long ms) {
+        nowMs += ms;
+        return give(new AgentEvent.Tick());
+    }
+
+    void read(AssignmentRow... rows) {
+        give(new AgentEvent.AssignmentsRead(++readSequence, Arrays.asList(rows)));
+    }
+
+    void report(EngineModel... models) {
+        reportOf(BOOT, orderSequence, models);
+    }
+
+    void reportOf(long boot, long sequence, EngineModel... models) {
+        give(new AgentEvent.EngineReported(
+                new EngineReport(nowMs, sequence, boot, 1, MEMORY_MB, Arrays.asList(models), List.of())));
+    }
+
+    void demand(String model, int queued, String... adapters) {
+        demand("entry-1", 1, ++demandSequence, model, queued, adapters);
+    }
+
+    void demand(String entry, long boot, long sequence, String model, int queued, String... adapters) {
+        List<ModelName> names = Arrays.stream(adapters).map(ModelName::of).toList();
+        ModelDemand wanted = new ModelDemand(ModelName.of(model), queued, 0, queued, 0, 10_000, names, 0, sequence);
+        give(new AgentEvent.DemandReported(entry, boot, sequence, List.of(wanted)));
+    }
+
+    AttemptRequest attempt(String id, String model) {
+        return new AttemptRequest(
+                AttemptId.of(id), RequestId.of("r-" + id), "entry-1", ModelName.of(model), null, nowMs + 10_000);
+    }
+
+    void arrive(String id, String model) {
+        give(new AgentEvent.AttemptArrived(attempt(id, model)));
+    }
+
+    /** Answers all orders that were given since the last call as taken in. */
+    void takeAll() {
+        for (EngineOrder order : newOrders()) {
+            give(new AgentEvent.OrderTaken(order, ++orderSequence));
+        }
+    }
+
+    void fail(EngineOrder order, ResultCode code) {
+        give(new AgentEvent.OrderFailed(order, Failure.of(code, "test")));
+    }
+
+    /** Returns the orders given since the last call of this or {@link #takeAll}, and forgets them. */
+    List<EngineOrder> newOrders() {
+        List<EngineOrder> orders = commands.stream()
+                .filter(AgentCommand.GiveOrder.class::isInstance)
+                .map(command -> ((AgentCommand.GiveOrder) command).order())
+                .toList();
+        commands.removeIf(AgentCommand.GiveOrder.class::isInstance);
+        return orders;
+    }
+
+    /** Returns the orders given since the last call as text, such as {@code LOAD quote}. */
+    List<String> orderTexts() {
+        return newOrders().stream().map(AgentSession::text).toList();
+    }
+
+    static String text(EngineOrder order) {
+        return order.kind() + (order.model() == null ? "" : " " + order.model());
+    }
+
+    /** Returns the commands of a kind given so far, and forgets them. */
+    <T extends AgentCommand> List<T> take(Class<T> kind) {
+        List<T> found =
+                commands.stream().filter(kind::isInstance).map(kind::cast).toList();
+        commands.removeIf(kind::isInstance);
+        return found;
+    }
+
+    static AssignmentRow row(String model, AssignmentState state, long revision) {
+        return new AssignmentRow(new Assignment(ModelName.of(model), 0, ME, state, 1), revision);
+    }
+
+    static AssignmentRow held(String model, long revision) {
+        return row(model, AssignmentState.HELD, revision);
+    }
+
+    static EngineModel engineModel(String model, LoadState state) {
+        return engineModel(model, "1", null, state);
+    }
+
+    static EngineModel engineModel(String model, String version, String base, LoadState state) {
+        int memoryMb = base == null ? 1_000 : 20;
+        return new EngineModel(
+                ModelName.of(model), version, base == null ? null : ModelName.of(base), state, memoryMb, 0);
+    }
+
+    static ModelSpec withVersion(ModelSpec spec, String version) {
+        return new ModelSpec(
+                spec.name(),
+                version,
+                spec.memoryMb(),
+                spec.kvCacheMb(),
+                spec.accelerators(),
+                spec.maxReplicas(),
+                spec.maxConcurrent(),
+                spec.organisations(),
+                spec.serviceClass());
+    }
+}
