--- a/core/src/main/java/org/hawthornglade/core/entry/DemandCount.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/DemandCount.java
@@ -31,6 +31,16 @@
         }
     }
 
+    /** Counts a request that was told to come back. */
+    void returns(IncomingRequest request, ModelName adapter, long backInMs) {
+        queued++;
+        waitingWeight += request.weight();
+        earliestDeadlineInMs = Math.min(earliestDeadlineInMs, backInMs);
+        if (adapter != null) {
+            adapters.add(adapter);
+        }
+    }
+
     void runs() {
         running++;
     }
--- a/core/src/main/java/org/hawthornglade/core/entry/EndpointTable.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EndpointTable.java
@@ -7,20 +7,34 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.hawthornglade.core.admission.ServiceEstimate;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.instance.InstanceInfo;
 import org.hawthornglade.core.instance.InstanceState;
 import org.hawthornglade.core.report.AgentView;
 import org.hawthornglade.core.report.ReplicaView;
+import org.hawthornglade.core.routing.EndpointView;
 
 /** The endpoints that an entry knows, with its own attempts in flight at each. */
 final class EndpointTable {
+    /** How long an endpoint is left alone that could not be reached or said that it is leaving. */
+    private static final long AVOID_MS = 1_000;
+    /** How long an operator's drain counts that the agent has not yet reported itself. */
+    private static final long DRAIN_MS = 60_000;
+
     private final Map<InstanceId, AgentView> views = new TreeMap<>();
-    private final Map<InstanceId, Map<String, Integer>> inFlight = new HashMap<>();
+    private final Map<InstanceId, Map<ModelName, Integer>> inFlight = new HashMap<>();
+    private final Map<InstanceId, Map<ModelName, Integer>> inFlightAtReport = new HashMap<>();
+    private final Map<InstanceId, Long> avoidedUntilMs = new HashMap<>();
     private final Set<InstanceId> leaving = new HashSet<>();
 
     void reported(AgentView view) {
-        views.put(view.instance(), view);
+        AgentView known = views.put(view.instance(), view);
+        inFlightAtReport.put(view.instance(), Map.copyOf(inFlight.getOrDefault(view.instance(), Map.of())));
+        if (known != null && known.bootId() != view.bootId()) {
+            avoidedUntilMs.remove(view.instance());
+        }
     }
 
     void lost(InstanceId instance) {
@@ -36,87 +50,112 @@
         }
     }
 
-    void sent(InstanceId instance, Target target) {
-        inFlight.computeIfAbsent(instance, id -> new HashMap<>()).merge(baseName(target), 1, Integer::sum);
+    /** Leaves an endpoint alone for a short time. */
+    void avoid(InstanceId instance, long nowMs) {
+        avoidedUntilMs.merge(instance, nowMs + AVOID_MS, Math::max);
+    }
+
+    /** Gives an endpoint no new work after an operator's drain. */
+    void draining(InstanceId instance, long nowMs) {
+        avoidedUntilMs.merge(instance, nowMs + DRAIN_MS, Math::max);
+    }
+
+    void sent(InstanceId instance, ModelName queue) {
+        inFlight.computeIfAbsent(instance, id -> new HashMap<>()).merge(queue, 1, Integer::sum);
     }
 
-    void ended(InstanceId instance, Target target) {
-        Map<String, Integer> counts = inFlight.get(instance);
+    void ended(InstanceId instance, ModelName queue) {
+        Map<ModelName, Integer> counts = inFlight.get(instance);
         if (counts != null) {
-            counts.computeIfPresent(baseName(target), (name, count) -> count == 1 ? null : count - 1);
+            counts.computeIfPresent(queue, (name, count) -> count == 1 ? null : count - 1);
         }
     }
 
-    /** Returns the endpoints that may run one more request for the target now. */
-    List<Candidate> candidates(Target target) {
-        List<Candidate> found = new ArrayList<>();
+    /** Returns the endpoints that hold the target ready and take new work. */
+    List<EndpointView> candidates(Target target, long nowMs) {
+        List<EndpointView> found = new ArrayList<>();
         for (AgentView view : views.values()) {
-            if (view.draining() || !view.endpointReachable() || leaving.contains(view.instance())) {
-                continue;
-            }
-            Candidate candidate = candidate(view, target);
-            if (candidate != null && candidate.load() < candidate.capacity()) {
-                found.add(candidate);
+            if (takesWork(view, nowMs)) {
+                addCandidate(view, target, found);
             }
         }
         return found;
     }
 
-    /** Returns whether any endpoint could ever run the target as things stand. */
-    boolean anyHolder(Target target) {
+    /**
+     * Returns what is expected of a target's endpoints, for predictions.
+     *
+     * @param serviceMs how long a request runs, in milliseconds
+     */
+    ServiceEstimate estimate(Target target, long serviceMs, long nowMs) {
+        int slots = 0;
+        int busySlots = 0;
+        long readyInMs = Long.MAX_VALUE;
         for (AgentView view : views.values()) {
-            if (!view.draining() && !leaving.contains(view.instance()) && holds(view, target)) {
-                return true;
+            Holding holding = takesWork(view, nowMs) ? holding(view, target) : null;
+            if (holding != null) {
+                slots += holding.maxConcurrent;
+                busySlots += holding.running;
+                readyInMs = Math.min(readyInMs, holding.readyInMs);
             }
         }
-        return false;
+        boolean known = slots > 0;
+        return new ServiceEstimate(known ? readyInMs : 0, serviceMs, known ? slots : 1, known ? busySlots : 0);
     }
 
-    private static boolean holds(AgentView view, Target target) {
-        if (target instanceof Target.OnService onService) {
-            return onService.service().equals(view.service());
+    private boolean takesWork(AgentView view, long nowMs) {
+        InstanceId instance = view.instance();
+        return !view.draining()
+                && view.endpointReachable()
+                && !leaving.contains(instance)
+                && nowMs >= avoidedUntilMs.getOrDefault(instance, 0L);
+    }
+
+    private void addCandidate(AgentView view, Target target, List<EndpointView> found) {
+        Holding holding = holding(view, target);
+        if (holding == null || holding.readyInMs > 0 || holding.maxConcurrent <= 0) {
+            return;
         }
-        return replica(view, (Target.OnModel) target) != null;
+        ModelName queue = QueueNames.of(target);
+        found.add(new EndpointView(
+                view.instance(),
+                view.failureDomain(),
+                count(inFlight, view.instance(), queue),
+                count(inFlightAtReport, view.instance(), queue),
+                holding.running,
+                holding.maxConcurrent,
+                holding.adapterLoaded));
     }
 
-    private Candidate candidate(AgentView view, Target target) {
-        int own = inFlight.getOrDefault(view.instance(), Map.of()).getOrDefault(baseName(target), 0);
+    /** Returns what an endpoint holds of a target; null if nothing. */
+    private static Holding holding(AgentView view, Target target) {
         if (target instanceof Target.OnService onService) {
-            boolean serves = onService.service().equals(view.service());
-            return serves
-                    ? new Candidate(view.instance(), Math.max(own, view.running()), view.serviceMaxConcurrent())
-                    : null;
+            boolean serves = onService.service().equals(view.service()) && view.serviceMaxConcurrent() > 0;
+            return serves ? new Holding(view.serviceMaxConcurrent(), view.running(), 0, true) : null;
         }
         Target.OnModel onModel = (Target.OnModel) target;
-        ReplicaView replica = replica(view, onModel);
-        if (replica == null || !replica.ready()) {
-            return null;
-        }
-        if (onModel.adapter() != null && !replica.adapters().contains(onModel.adapter())) {
-            return null;
-        }
-        return new Candidate(view.instance(), Math.max(own, replica.running()), replica.maxConcurrent());
-    }
-
-    private static ReplicaView replica(AgentView view, Target.OnModel target) {
         for (ReplicaView replica : view.replicas()) {
-            if (replica.model().equals(target.base())) {
-                return replica;
+            if (replica.model().equals(onModel.base())) {
+                boolean adapterLoaded =
+                        onModel.adapter() == null || replica.adapters().contains(onModel.adapter());
+                return new Holding(replica.maxConcurrent(), replica.running(), readyInMs(replica), adapterLoaded);
             }
         }
         return null;
     }
 
-    private static String baseName(Target target) {
-        return target instanceof Target.OnModel onModel ? onModel.base().value() : target.name();
+    private static long readyInMs(ReplicaView replica) {
+        if (replica.ready()) {
+            return 0;
+        }
+        long expectedMs = replica.readyInMs() >= 0 ? replica.readyInMs() : replica.loadEstimateMs();
+        return Math.max(1, expectedMs);
     }
 
-    /**
-     * An endpoint that may run a request.
-     *
-     * @param instance where it is
-     * @param load how many requests it runs, as far as known
-     * @param capacity how many it runs at most
-     */
-    record Candidate(InstanceId instance, int load, int capacity) {}
+    private static int count(Map<InstanceId, Map<ModelName, Integer>> counts, InstanceId instance, ModelName queue) {
+        return counts.getOrDefault(instance, Map.of()).getOrDefault(queue, 0);
+    }
+
+    /** What an endpoint holds of a target. */
+    private record Holding(int maxConcurrent, int running, long readyInMs, boolean adapterLoaded) {}
 }
--- a/core/src/main/java/org/hawthornglade/core/entry/EntryCommand.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EntryCommand.java
@@ -16,7 +16,10 @@
     /** Answer a request with a failure, now and finally. */
     record Refuse(RequestId request, Failure failure) implements EntryCommand {}
 
-    /** Stop an attempt whose caller went away. */
+    /** Break off an attempt's answer at this entry, so that its thread reports how it ended. */
+    record GiveUp(AttemptId attempt, InstanceId instance) implements EntryCommand {}
+
+    /** Have an agent stop an attempt that nobody waits for any more. */
     record Abandon(AttemptId attempt, InstanceId instance) implements EntryCommand {}
 
     /** Tell all agents what is wanted. */
--- a/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
@@ -1,50 +1,71 @@
 package org.hawthornglade.core.entry;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 import org.hawthornglade.core.Decider;
-import org.hawthornglade.core.config.ClassSpec;
+import org.hawthornglade.core.admission.AdmissionWeights;
+import org.hawthornglade.core.admission.Admitted;
+import org.hawthornglade.core.admission.Refusal;
+import org.hawthornglade.core.admission.ServiceEstimate;
+import org.hawthornglade.core.admission.WaitingRequest;
+import org.hawthornglade.core.chart.AttemptState;
 import org.hawthornglade.core.config.Configuration;
 import org.hawthornglade.core.event.EventDraft;
 import org.hawthornglade.core.event.EventKind;
 import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.RequestId;
-import org.hawthornglade.core.report.ModelDemand;
 import org.hawthornglade.core.result.Execution;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.routing.EndpointView;
+import org.hawthornglade.core.routing.RouteQuery;
 
 /** All decisions of one entry: which requests wait, where each is sent, which are refused and when. */
 public final class EntryDecider implements Decider<EntryEvent, EntryCommand> {
-    private static final int MAX_ATTEMPTS = 4;
-    private static final long COME_BACK_MS = 2_000;
+    /** How long after its deadline a running request hears its end at the latest, in milliseconds. */
+    public static final long GIVE_UP_MARGIN_MS = 1_000;
+
     private static final long STOP_COME_BACK_MS = 1_000;
+    /** How many requests of a queue may be held outside it, for an adapter or a repeated attempt. */
+    private static final int MAX_PARKED = 64;
 
-    private final LinkedHashMap<RequestId, IncomingRequest> waiting = new LinkedHashMap<>();
-    private final Map<AttemptId, OpenAttempt> open = new HashMap<>();
-    private final Map<RequestId, Integer> attemptCounts = new HashMap<>();
-    private final Map<ModelName, ModelUse> uses = new TreeMap<>();
+    private final EntryPolicy policy;
+    private final Map<RequestId, TrackedRequest> queued = new LinkedHashMap<>();
+    private final Map<RequestId, TrackedRequest> parked = new LinkedHashMap<>();
+    private final Map<AttemptId, OpenAttempt> open = new LinkedHashMap<>();
+    private final Map<ModelName, Target> queues = new HashMap<>();
     private final EndpointTable endpoints = new EndpointTable();
+    private final ServiceTimes times = new ServiceTimes();
+    private final DemandBook demand = new DemandBook();
     private Configuration configuration = Configuration.empty();
-    private List<ModelDemand> published = List.of();
     private boolean stopping;
     private boolean stopReported;
 
+    /** Creates a decider with the given policies. */
+    public EntryDecider(EntryPolicy policy) {
+        this.policy = policy;
+    }
+
+    /** Creates a decider with the standard policies. */
+    public EntryDecider(FailureDomain domain, RandomGenerator random) {
+        this(EntryPolicy.standard(domain, random));
+    }
+
     @Override
     public List<EntryCommand> on(EntryEvent event, long nowMs) {
         List<EntryCommand> commands = new ArrayList<>();
         take(event, nowMs, commands);
         refuseOverdue(nowMs, commands);
         dispatch(nowMs, commands);
-        publishDemand(nowMs, commands);
+        publishDemand(event instanceof EntryEvent.Tick, nowMs, commands);
         finishStop(commands);
         return commands;
     }
@@ -53,7 +74,9 @@
         if (event instanceof EntryEvent.RequestArrived arrived) {
             arrived(arrived.request(), nowMs, commands);
         } else if (event instanceof EntryEvent.RequestAbandoned abandoned) {
-            abandoned(abandoned.request(), commands);
+            abandoned(abandoned.request(), nowMs, commands);
+        } else if (event instanceof EntryEvent.AttemptClaimed claimed) {
+            Optional.ofNullable(open.get(claimed.attempt())).ifPresent(OpenAttempt::claimed);
         } else if (event instanceof EntryEvent.AttemptEnded ended) {
             ended(ended.attempt(), ended.outcome(), nowMs, commands);
         } else if (event instanceof EntryEvent.AgentReported reported) {
@@ -62,48 +85,52 @@
             endpoints.lost(lost.instance());
         } else if (event instanceof EntryEvent.InstancesListed listed) {
             endpoints.listed(listed.instances());
+        } else if (event instanceof EntryEvent.InstanceDraining draining) {
+            endpoints.draining(draining.instance(), nowMs);
         } else if (event instanceof EntryEvent.ConfigurationApplied applied) {
             configuration = applied.configuration();
+            policy.queue().configure(AdmissionWeights.of(configuration));
         } else if (event instanceof EntryEvent.StopRequested) {
             stopping = true;
+        } else if (event instanceof EntryEvent.Tick) {
+            shed(nowMs, commands);
         }
     }
 
     private void arrived(IncomingRequest request, long nowMs, List<EntryCommand> commands) {
-        commands.add(record(EventKind.REQUEST_RECEIVED, request, ResultCode.OK, ""));
-        if (request.target() instanceof Target.OnModel onModel) {
-            uses.computeIfAbsent(onModel.base(), model -> new ModelUse()).received(nowMs);
-        }
-        Optional<Failure> refusal = refusalOf(request);
-        if (refusal.isPresent()) {
-            refuse(request, refusal.get(), commands);
+        TrackedRequest tracked = new TrackedRequest(request);
+        commands.add(record(EventKind.REQUEST_RECEIVED, tracked, ResultCode.OK, ""));
+        demand.received(tracked, nowMs);
+        policy.retries().onRequest();
+        if (stopping) {
+            Failure failure = Failure.retryAfter(ResultCode.STOPPING, "this entry is stopping", STOP_COME_BACK_MS);
+            refuse(tracked, failure, nowMs, commands);
             return;
         }
-        waiting.put(request.id(), request);
+        queues.put(tracked.queue(), request.target());
+        policy.queue()
+                .offer(tracked.toWaiting(), estimate(tracked.queue(), nowMs), nowMs)
+                .peek(admitted -> admit(tracked, admitted, commands))
+                .peekLeft(failure -> refuse(tracked, failure, nowMs, commands));
     }
 
-    private Optional<Failure> refusalOf(IncomingRequest request) {
-        if (stopping) {
-            return Optional.of(Failure.retryAfter(ResultCode.STOPPING, "this entry is stopping", STOP_COME_BACK_MS));
-        }
-        int maxQueued = configuration
-                .serviceClass(request.serviceClass())
-                .map(ClassSpec::maxQueued)
-                .orElse(0);
-        long queued = waiting.values().stream()
-                .filter(other -> other.serviceClass().equals(request.serviceClass()))
-                .count();
-        if (queued >= maxQueued) {
-            return Optional.of(Failure.retryAfter(ResultCode.QUEUE_FULL, "the queue is full", COME_BACK_MS));
-        }
-        return Optional.empty();
+    private void admit(TrackedRequest tracked, Admitted admitted, List<EntryCommand> commands) {
+        queued.put(tracked.id(), tracked);
+        commands.add(record(
+                EventKind.REQUEST_QUEUED,
+                tracked,
+                ResultCode.OK,
+                "expected whole in " + admitted.completionInMs() + " ms"));
     }
 
-    private void abandoned(RequestId id, List<EntryCommand> commands) {
-        waiting.remove(id);
+    private void abandoned(RequestId id, long nowMs, List<EntryCommand> commands) {
+        if (queued.remove(id) != null) {
+            policy.queue().remove(id);
+        }
+        parked.remove(id);
         for (OpenAttempt attempt : open.values()) {
-            if (attempt.request().id().equals(id)) {
-                commands.add(new EntryCommand.Abandon(attempt.id(), attempt.instance()));
+            if (attempt.tracked().id().equals(id)) {
+                giveUp(attempt, nowMs, commands);
             }
         }
     }
@@ -113,135 +140,193 @@
         if (attempt == null) {
             return;
         }
-        IncomingRequest request = attempt.request();
-        endpoints.ended(attempt.instance(), request.target());
+        TrackedRequest tracked = attempt.tracked();
+        endpoints.ended(attempt.instance(), tracked.queue());
+        attempt.ended(outcome);
         if (outcome.isComplete()) {
-            attemptCounts.remove(request.id());
-            commands.add(record(EventKind.REQUEST_ANSWERED, request, ResultCode.OK, ""));
+            times.ran(tracked.queue(), attempt.ranMs(nowMs));
+            commands.add(record(EventKind.REQUEST_ANSWERED, tracked, ResultCode.OK, ""));
             return;
         }
-        if (mayRunAgain(request, outcome, nowMs)) {
-            waiting.put(request.id(), request);
-            commands.add(record(
-                    EventKind.REQUEST_RETRIED,
-                    request,
-                    outcome.failure().code(),
-                    outcome.failure().message()));
+        learn(attempt, outcome, nowMs, commands);
+        if (Outcomes.mayRunAgain(tracked, outcome, nowMs) && policy.retries().tryRetry()) {
+            runAgain(tracked, outcome.failure(), nowMs, commands);
             return;
         }
-        refuse(request, finalFailure(request, outcome), commands);
-    }
-
-    private boolean mayRunAgain(IncomingRequest request, AttemptOutcome outcome, long nowMs) {
-        if (outcome.answerBegun() || nowMs >= request.deadlineAtMs()) {
-            return false;
-        }
-        ResultCode code = outcome.failure().code();
-        boolean notRun = outcome.execution() == Execution.NOT_RUN && code != ResultCode.CLAIM_NOT_POSSIBLE;
-        boolean safe = (notRun && code.comeBack()) || request.idempotent();
-        return safe && attemptCounts.getOrDefault(request.id(), 0) < MAX_ATTEMPTS;
+        refuse(tracked, Outcomes.finalFailure(tracked.request(), outcome, nowMs), nowMs, commands);
     }
 
-    private static Failure finalFailure(IncomingRequest request, AttemptOutcome outcome) {
+    /** Draws from a failed attempt what it says of its endpoint. */
+    private void learn(OpenAttempt attempt, AttemptOutcome outcome, long nowMs, List<EntryCommand> commands) {
+        boolean sent = attempt.state() != AttemptState.NOT_RUN;
         if (outcome.execution() == Execution.NOT_RUN) {
-            return outcome.failure();
+            ResultCode code = outcome.failure().code();
+            if (code == ResultCode.AGENT_DRAINING || code == ResultCode.NO_ENDPOINT) {
+                endpoints.avoid(attempt.instance(), nowMs);
+            }
+            return;
         }
-        if (outcome.answerBegun()) {
-            return Failure.of(ResultCode.ANSWER_INCOMPLETE, outcome.failure().message());
+        if (!sent) {
+            return;
         }
-        if (outcome.failure().code() == ResultCode.CALL_IN_PROGRESS) {
-            return outcome.failure();
+        if (!attempt.wasGivenUp()) {
+            endpoints.avoid(attempt.instance(), nowMs);
+        }
+        commands.add(new EntryCommand.Abandon(attempt.id(), attempt.instance()));
+    }
+
+    private void runAgain(TrackedRequest tracked, Failure cause, long nowMs, List<EntryCommand> commands) {
+        tracked.waitUntil(nowMs + policy.backoff().delayMs(tracked.attempts(), policy.random()));
+        parked.put(tracked.id(), tracked);
+        commands.add(record(EventKind.REQUEST_RETRIED, tracked, cause.code(), cause.message()));
+    }
+
+    private void shed(long nowMs, List<EntryCommand> commands) {
+        for (ModelName queue : queues.keySet()) {
+            if (policy.queue().size(queue) > 0) {
+                refuseAll(policy.queue().shed(queue, estimate(queue, nowMs), nowMs), nowMs, commands);
+            }
         }
-        ResultCode code = request.idempotent() ? ResultCode.ENDPOINT_FAILED : ResultCode.OUTCOME_UNKNOWN;
-        long retryAfterMs = code.comeBack() ? COME_BACK_MS : 0;
-        return new Failure(code, outcome.failure().message(), retryAfterMs);
     }
 
     private void refuseOverdue(long nowMs, List<EntryCommand> commands) {
-        List<IncomingRequest> overdue = new ArrayList<>();
-        for (IncomingRequest request : waiting.values()) {
-            if (nowMs >= request.deadlineAtMs()) {
-                overdue.add(request);
+        refuseAll(policy.queue().expire(nowMs), nowMs, commands);
+        for (TrackedRequest tracked : List.copyOf(parked.values())) {
+            if (tracked.isOverdue(nowMs)) {
+                parked.remove(tracked.id());
+                Failure failure = Failure.retryAfter(
+                        ResultCode.DEADLINE_PASSED_WAITING, "no endpoint was ready in time", Outcomes.COME_BACK_MS);
+                refuse(tracked, failure, nowMs, commands);
             }
         }
-        for (IncomingRequest request : overdue) {
-            waiting.remove(request.id());
-            refuse(
-                    request,
-                    Failure.retryAfter(
-                            ResultCode.DEADLINE_PASSED_WAITING, "no endpoint was ready in time", COME_BACK_MS),
-                    commands);
+        for (OpenAttempt attempt : List.copyOf(open.values())) {
+            if (attempt.givenUpForMs(nowMs) >= GIVE_UP_MARGIN_MS) {
+                forget(attempt, nowMs, commands);
+            } else if (attempt.tracked().isOverdue(nowMs) && !attempt.wasGivenUp()) {
+                giveUp(attempt, nowMs, commands);
+            }
         }
     }
 
-    private void dispatch(long nowMs, List<EntryCommand> commands) {
-        for (IncomingRequest request : List.copyOf(waiting.values())) {
-            Optional<EndpointTable.Candidate> chosen = endpoints.candidates(request.target()).stream()
-                    .min(Comparator.comparingInt(EndpointTable.Candidate::load));
-            if (chosen.isPresent()) {
-                send(request, chosen.get().instance(), nowMs, commands);
-            }
+    private void refuseAll(List<Refusal> refusals, long nowMs, List<EntryCommand> commands) {
+        for (Refusal refusal : refusals) {
+            TrackedRequest tracked = queued.remove(refusal.request().id());
+            refuse(tracked, refusal.failure(), nowMs, commands);
         }
     }
 
-    private void send(IncomingRequest request, InstanceId instance, long nowMs, List<EntryCommand> commands) {
-        waiting.remove(request.id());
-        int number = attemptCounts.merge(request.id(), 1, Integer::sum);
-        AttemptId attempt = AttemptId.of(request.id() + "." + number);
-        open.put(attempt, new OpenAttempt(attempt, request, instance));
-        endpoints.sent(instance, request.target());
-        commands.add(new EntryCommand.Dispatch(request.id(), attempt, instance));
-        commands.add(new EntryCommand.RecordEvent(draft(EventKind.REQUEST_DISPATCHED, request, ResultCode.OK)
-                .attempt(attempt)
-                .instance(instance)
-                .detail("waited " + (nowMs - request.arrivedAtMs()) + " ms")));
+    private static void giveUp(OpenAttempt attempt, long nowMs, List<EntryCommand> commands) {
+        if (!attempt.wasGivenUp()) {
+            attempt.giveUp(nowMs);
+            commands.add(new EntryCommand.GiveUp(attempt.id(), attempt.instance()));
+        }
     }
 
-    private void refuse(IncomingRequest request, Failure failure, List<EntryCommand> commands) {
-        attemptCounts.remove(request.id());
-        commands.add(new EntryCommand.Refuse(request.id(), failure));
-        commands.add(record(EventKind.REQUEST_REFUSED, request, failure.code(), failure.message()));
+    /** Answers for an attempt whose end was not reported in time; nothing is known of it. */
+    private void forget(OpenAttempt attempt, long nowMs, List<EntryCommand> commands) {
+        open.remove(attempt.id());
+        endpoints.ended(attempt.instance(), attempt.tracked().queue());
+        commands.add(new EntryCommand.Abandon(attempt.id(), attempt.instance()));
+        refuse(attempt.tracked(), Outcomes.deadlinePassedRunning(), nowMs, commands);
     }
 
-    private void publishDemand(long nowMs, List<EntryCommand> commands) {
-        Map<ModelName, DemandCount> counts = new TreeMap<>();
-        uses.forEach((model, use) -> counts.put(model, new DemandCount(model, use)));
-        for (IncomingRequest request : waiting.values()) {
-            if (request.target() instanceof Target.OnModel onModel) {
-                counts.get(onModel.base()).waits(request, onModel.adapter(), nowMs);
+    private void dispatch(long nowMs, List<EntryCommand> commands) {
+        for (TrackedRequest tracked : List.copyOf(parked.values())) {
+            if (nowMs >= tracked.notBeforeMs()) {
+                choose(tracked, nowMs).ifPresent(instance -> {
+                    parked.remove(tracked.id());
+                    send(tracked, instance, nowMs, commands);
+                });
             }
         }
-        for (OpenAttempt attempt : open.values()) {
-            if (attempt.request().target() instanceof Target.OnModel onModel) {
-                counts.get(onModel.base()).runs();
+        queues.forEach((queue, target) -> dispatchQueue(queue, target, nowMs, commands));
+    }
+
+    private void dispatchQueue(ModelName queue, Target target, long nowMs, List<EntryCommand> commands) {
+        while (policy.queue().size(queue) > 0 && hasFreeSlot(target, nowMs) && parkedOf(queue) < MAX_PARKED) {
+            Optional<WaitingRequest> next = policy.queue().next(queue, nowMs);
+            if (next.isEmpty()) {
+                return;
+            }
+            TrackedRequest tracked = queued.remove(next.get().id());
+            Optional<InstanceId> instance = choose(tracked, nowMs);
+            if (instance.isPresent()) {
+                send(tracked, instance.get(), nowMs, commands);
+            } else {
+                parked.put(tracked.id(), tracked);
             }
         }
-        List<ModelDemand> demand =
-                counts.values().stream().map(count -> count.toDemand(nowMs)).toList();
-        if (!demand.equals(published)) {
-            published = demand;
-            commands.add(new EntryCommand.PublishDemand(demand));
+    }
+
+    private boolean hasFreeSlot(Target target, long nowMs) {
+        return endpoints.candidates(target, nowMs).stream().anyMatch(EndpointView::hasFreeSlot);
+    }
+
+    private long parkedOf(ModelName queue) {
+        return parked.values().stream()
+                .filter(tracked -> tracked.queue().equals(queue))
+                .count();
+    }
+
+    private Optional<InstanceId> choose(TrackedRequest tracked, long nowMs) {
+        List<EndpointView> able = endpoints.candidates(tracked.request().target(), nowMs).stream()
+                .filter(EndpointView::adapterLoaded)
+                .toList();
+        List<EndpointView> fresh = able.stream()
+                .filter(view -> !tracked.wasTriedAt(view.instance()))
+                .toList();
+        RouteQuery query = new RouteQuery(policy.domain(), tracked.adapter(), 0);
+        return policy.chooser()
+                .choose(query, fresh.isEmpty() ? able : fresh, policy.random())
+                .map(EndpointView::instance);
+    }
+
+    private void send(TrackedRequest tracked, InstanceId instance, long nowMs, List<EntryCommand> commands) {
+        AttemptId attempt = tracked.nextAttempt(instance);
+        open.put(attempt, new OpenAttempt(attempt, tracked, instance, nowMs));
+        endpoints.sent(instance, tracked.queue());
+        commands.add(new EntryCommand.Dispatch(tracked.id(), attempt, instance));
+        commands.add(new EntryCommand.RecordEvent(draft(EventKind.REQUEST_DISPATCHED, tracked, ResultCode.OK)
+                .attempt(attempt)
+                .instance(instance)
+                .detail("waited " + (nowMs - tracked.request().arrivedAtMs()) + " ms")));
+    }
+
+    private void refuse(TrackedRequest tracked, Failure failure, long nowMs, List<EntryCommand> commands) {
+        if (failure.code() == ResultCode.DEADLINE_NOT_REACHABLE) {
+            demand.toldToComeBack(tracked, failure.retryAfterMs(), nowMs);
         }
+        commands.add(new EntryCommand.Refuse(tracked.id(), failure));
+        commands.add(record(EventKind.REQUEST_REFUSED, tracked, failure.code(), failure.message()));
+    }
+
+    private ServiceEstimate estimate(ModelName queue, long nowMs) {
+        return endpoints.estimate(queues.get(queue), times.expectedMs(queue), nowMs);
+    }
+
+    private void publishDemand(boolean anyChange, long nowMs, List<EntryCommand> commands) {
+        List<TrackedRequest> waiting = new ArrayList<>(queued.values());
+        waiting.addAll(parked.values());
+        demand.toPublish(waiting, open.values(), anyChange, nowMs)
+                .ifPresent(wanted -> commands.add(new EntryCommand.PublishDemand(wanted)));
     }
 
     private void finishStop(List<EntryCommand> commands) {
-        if (stopping && !stopReported && waiting.isEmpty() && open.isEmpty()) {
+        if (stopping && !stopReported && queued.isEmpty() && parked.isEmpty() && open.isEmpty()) {
             stopReported = true;
             commands.add(new EntryCommand.StopFinished());
         }
     }
 
-    private EntryCommand record(EventKind kind, IncomingRequest request, ResultCode code, String detail) {
-        return new EntryCommand.RecordEvent(draft(kind, request, code).detail(detail));
+    private EntryCommand record(EventKind kind, TrackedRequest tracked, ResultCode code, String detail) {
+        return new EntryCommand.RecordEvent(draft(kind, tracked, code).detail(detail));
     }
 
-    private EventDraft draft(EventKind kind, IncomingRequest request, ResultCode code) {
+    private EventDraft draft(EventKind kind, TrackedRequest tracked, ResultCode code) {
         return EventDraft.of(kind)
-                .request(request.id())
-                .model(request.target().name())
+                .request(tracked.id())
+                .model(tracked.request().target().name())
                 .configVersion(configuration.version())
                 .code(code);
     }
-
-    private record OpenAttempt(AttemptId id, IncomingRequest request, InstanceId instance) {}
 }
--- a/core/src/main/java/org/hawthornglade/core/entry/EntryEvent.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EntryEvent.java
@@ -19,6 +19,9 @@
     /** The caller went away. */
     record RequestAbandoned(RequestId request) implements EntryEvent {}
 
+    /** The call of an attempt is claimed: its bytes may leave from now on. */
+    record AttemptClaimed(AttemptId attempt) implements EntryEvent {}
+
     /** An attempt ended. */
     record AttemptEnded(AttemptId attempt, AttemptOutcome outcome) implements EntryEvent {}
 
@@ -31,6 +34,9 @@
     /** The instance list was read. */
     record InstancesListed(List<InstanceInfo> instances) implements EntryEvent {}
 
+    /** An operator has asked for an instance to be drained. */
+    record InstanceDraining(InstanceId instance) implements EntryEvent {}
+
     /** A configuration came into force. */
     record ConfigurationApplied(Configuration configuration) implements EntryEvent {}
 
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/entry/EntryPolicy.java
@@ -0,0 +1,46 @@
+package org.hawthornglade.core.entry;
+
+import java.util.random.RandomGenerator;
+import org.hawthornglade.core.admission.AdmissionQueue;
+import org.hawthornglade.core.admission.AdmissionWeights;
+import org.hawthornglade.core.admission.DeadlineAdmissionQueue;
+import org.hawthornglade.core.config.Configuration;
+import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.retry.Backoff;
+import org.hawthornglade.core.retry.RetryBudget;
+import org.hawthornglade.core.routing.AffinityChooser;
+import org.hawthornglade.core.routing.EndpointChooser;
+
+/**
+ * The policies by which an entry decides.
+ *
+ * @param domain the entry's failure domain
+ * @param queue which requests wait, in which order
+ * @param chooser which endpoint runs a request
+ * @param retries how many attempts may be repeated
+ * @param backoff how long a repeated attempt waits
+ * @param random the source of all randomness
+ */
+public record EntryPolicy(
+        FailureDomain domain,
+        AdmissionQueue queue,
+        EndpointChooser chooser,
+        RetryBudget retries,
+        Backoff backoff,
+        RandomGenerator random) {
+    private static final double AFFINITY_TOLERANCE = 0.25;
+    private static final double RETRY_SHARE = 0.2;
+    private static final double MAX_RETRIES_AT_ONCE = 50;
+    private static final Backoff RETRY_BACKOFF = new Backoff(20, 500);
+
+    /** Returns the policies that an entry uses unless told otherwise. */
+    public static EntryPolicy standard(FailureDomain domain, RandomGenerator random) {
+        return new EntryPolicy(
+                domain,
+                new DeadlineAdmissionQueue(AdmissionWeights.of(Configuration.empty())),
+                new AffinityChooser(AFFINITY_TOLERANCE),
+                new RetryBudget(RETRY_SHARE, MAX_RETRIES_AT_ONCE),
+                RETRY_BACKOFF,
+                random);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/entry/Outcomes.java
@@ -0,0 +1,57 @@
+package org.hawthornglade.core.entry;
+
+import java.util.EnumSet;
+import java.util.Set;
+import org.hawthornglade.core.result.Execution;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** What an ended attempt means for its request. */
+final class Outcomes {
+    static final long COME_BACK_MS = 2_000;
+
+    private static final int MAX_ATTEMPTS = 4;
+    /** Codes that speak of the call itself, whoever sent it; another attempt changes nothing. */
+    private static final Set<ResultCode> ABOUT_CALL =
+            EnumSet.of(ResultCode.CALL_IN_PROGRESS, ResultCode.ALREADY_RUN, ResultCode.OUTCOME_UNKNOWN);
+
+    private Outcomes() {}
+
+    /** Returns whether running a request again is safe and may help. */
+    static boolean mayRunAgain(TrackedRequest tracked, AttemptOutcome outcome, long nowMs) {
+        if (outcome.answerBegun() || tracked.isOverdue(nowMs) || tracked.attempts() >= MAX_ATTEMPTS) {
+            return false;
+        }
+        if (outcome.execution() == Execution.NOT_RUN) {
+            ResultCode code = outcome.failure().code();
+            return code.comeBack() && code != ResultCode.CLAIM_NOT_POSSIBLE;
+        }
+        return tracked.request().idempotent();
+    }
+
+    /** Returns what the caller is told of a failed attempt that is not repeated. */
+    static Failure finalFailure(IncomingRequest request, AttemptOutcome outcome, long nowMs) {
+        Failure cause = outcome.failure();
+        if (outcome.execution() == Execution.NOT_RUN) {
+            return cause.code().execution() == Execution.NOT_RUN
+                    ? cause
+                    : Failure.retryAfter(ResultCode.CANCELLED_BEFORE_START, cause.message(), COME_BACK_MS);
+        }
+        if (outcome.answerBegun()) {
+            return Failure.of(ResultCode.ANSWER_INCOMPLETE, cause.message());
+        }
+        if (!request.idempotent() && ABOUT_CALL.contains(cause.code())) {
+            return cause;
+        }
+        if (nowMs >= request.deadlineAtMs()) {
+            return deadlinePassedRunning();
+        }
+        return request.idempotent()
+                ? Failure.retryAfter(ResultCode.ENDPOINT_FAILED, cause.message(), COME_BACK_MS)
+                : Failure.of(ResultCode.OUTCOME_UNKNOWN, cause.message());
+    }
+
+    static Failure deadlinePassedRunning() {
+        return Failure.of(ResultCode.DEADLINE_PASSED_RUNNING, "the deadline passed while the request ran");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/entry/TrackedRequest.java
@@ -0,0 +1,78 @@
+package org.hawthornglade.core.entry;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.hawthornglade.core.admission.WaitingRequest;
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.RequestId;
+
+/** A request from its arrival to its end, with what was tried. */
+final class TrackedRequest {
+    private final IncomingRequest request;
+    private final ModelName queue;
+    private final Set<InstanceId> tried = new HashSet<>();
+    private int attempts;
+    private long notBeforeMs;
+
+    TrackedRequest(IncomingRequest request) {
+        this.request = request;
+        this.queue = QueueNames.of(request.target());
+    }
+
+    RequestId id() {
+        return request.id();
+    }
+
+    IncomingRequest request() {
+        return request;
+    }
+
+    /** Returns the name of the queue in which it waits. */
+    ModelName queue() {
+        return queue;
+    }
+
+    ModelName adapter() {
+        return request.target() instanceof Target.OnModel onModel ? onModel.adapter() : null;
+    }
+
+    int attempts() {
+        return attempts;
+    }
+
+    /** Returns before when it is not to be sent again, in milliseconds. */
+    long notBeforeMs() {
+        return notBeforeMs;
+    }
+
+    boolean wasTriedAt(InstanceId instance) {
+        return tried.contains(instance);
+    }
+
+    boolean isOverdue(long nowMs) {
+        return nowMs >= request.deadlineAtMs();
+    }
+
+    AttemptId nextAttempt(InstanceId instance) {
+        attempts++;
+        tried.add(instance);
+        return AttemptId.of(request.id() + "." + attempts);
+    }
+
+    void waitUntil(long timeMs) {
+        notBeforeMs = timeMs;
+    }
+
+    WaitingRequest toWaiting() {
+        return new WaitingRequest(
+                request.id(),
+                queue,
+                adapter(),
+                request.serviceClass(),
+                request.organisation(),
+                request.arrivedAtMs(),
+                request.deadlineAtMs());
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
+++ b/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
@@ -43,6 +43,7 @@
     CALL_IN_PROGRESS(3003, Execution.UNKNOWN, 409, true),
     DEADLINE_PASSED_RUNNING(3004, Execution.UNKNOWN, 504, false),
     ENDPOINT_FAILED(3005, Execution.UNKNOWN, 502, true),
+    ALREADY_RUN(3006, Execution.RUN, 409, false),
 
     STALE_PLAN(4001, Execution.NOT_RUN, 409, false),
     UNKNOWN_PLAN(4002, Execution.NOT_RUN, 404, false),
--- a/entry/src/main/java/org/hawthornglade/entry/EntryCommandRunner.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryCommandRunner.java
@@ -1,35 +1,35 @@
 package org.hawthornglade.entry;
 
-import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.hawthornglade.core.entry.EntryCommand;
 import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.entry.attempt.OpenAttempts;
 import org.hawthornglade.entry.attempt.PendingRequests;
 import org.hawthornglade.entry.control.AgentLinks;
 
 /** Carries out an entry's commands; nothing here blocks. */
 public final class EntryCommandRunner implements Consumer<EntryCommand> {
     private final PendingRequests pending;
+    private final OpenAttempts open;
     private final AgentLinks links;
     private final Timeline timeline;
-    private final Executor background;
     private final Runnable stopped;
 
     /**
      * Creates a runner.
      *
      * @param pending takes the decisions on requests
+     * @param open the attempts that can be broken off
      * @param links reaches agents
      * @param timeline records events
-     * @param background runs calls to agents, which block
      * @param stopped called once when no request is left after a stop was asked for
      */
     public EntryCommandRunner(
-            PendingRequests pending, AgentLinks links, Timeline timeline, Executor background, Runnable stopped) {
+            PendingRequests pending, OpenAttempts open, AgentLinks links, Timeline timeline, Runnable stopped) {
         this.pending = pending;
+        this.open = open;
         this.links = links;
         this.timeline = timeline;
-        this.background = background;
         this.stopped = stopped;
     }
 
@@ -39,8 +39,10 @@
             pending.decided(dispatch.request(), dispatch);
         } else if (command instanceof EntryCommand.Refuse refuse) {
             pending.decided(refuse.request(), refuse);
+        } else if (command instanceof EntryCommand.GiveUp giveUp) {
+            open.stop(giveUp.attempt());
         } else if (command instanceof EntryCommand.Abandon abandon) {
-            background.execute(() -> links.cancel(abandon.instance(), abandon.attempt()));
+            links.abandon(abandon.instance(), abandon.attempt());
         } else if (command instanceof EntryCommand.PublishDemand publish) {
             links.demand(publish.demand());
         } else if (command instanceof EntryCommand.RecordEvent record) {
--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -3,26 +3,33 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
+import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.hawthornglade.core.config.ConfigurationHolder;
 import org.hawthornglade.core.entry.EntryDecider;
 import org.hawthornglade.core.entry.EntryEvent;
 import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.entry.attempt.AttemptClient;
+import org.hawthornglade.entry.attempt.AttemptRunner;
+import org.hawthornglade.entry.attempt.ClaimedCalls;
+import org.hawthornglade.entry.attempt.OpenAttempts;
 import org.hawthornglade.entry.attempt.PendingRequests;
 import org.hawthornglade.entry.attempt.RequestRunner;
 import org.hawthornglade.entry.caller.CallerKeys;
 import org.hawthornglade.entry.caller.ModelsResource;
 import org.hawthornglade.entry.caller.RequestFactory;
 import org.hawthornglade.entry.caller.ServicesResource;
-import org.hawthornglade.entry.claim.Claims;
-import org.hawthornglade.entry.claim.TableClaims;
+import org.hawthornglade.entry.claim.ClaimCleaner;
+import org.hawthornglade.entry.claim.GroupedClaims;
 import org.hawthornglade.entry.control.AgentLinks;
 import org.hawthornglade.entry.control.LinkContext;
 import org.hawthornglade.node.auth.ClusterKeys;
@@ -43,6 +50,8 @@
     private static final int AGENT_CONNECTIONS = 1_024;
     private static final int MAX_AGENT_CONNECTIONS = 8_192;
     private static final int AGENT_CONNECT_TIMEOUT_MS = 500;
+    private static final int VALIDATE_AFTER_MS = 500;
+    private static final int MAX_CONNECTION_AGE_MS = 60_000;
 
     private final EntrySettings settings;
 
@@ -77,7 +86,7 @@
     @Provides
     @Singleton
     EntryDecider decider() {
-        return new EntryDecider();
+        return new EntryDecider(FailureDomain.of(settings.getFailureDomain()), new SplittableRandom());
     }
 
     @Provides
@@ -124,8 +133,24 @@
 
     @Provides
     @Singleton
-    Claims claims(TableService table, Clock clock) {
-        return new TableClaims(table, clock);
+    GroupedClaims claims(TableService table, Clock clock) {
+        return new GroupedClaims(table, clock, new Random());
+    }
+
+    @Provides
+    @Singleton
+    ClaimCleaner cleaner(TableService table, Clock clock) {
+        return new ClaimCleaner(
+                table,
+                clock,
+                settings.getClaimRetentionMs(),
+                settings.getProcessName().hashCode());
+    }
+
+    @Provides
+    @Singleton
+    OpenAttempts openAttempts() {
+        return new OpenAttempts();
     }
 
     @Provides
@@ -151,9 +176,11 @@
 
     @Provides
     @Singleton
-    AttemptClient attempts(ClusterKeys keys) {
+    AttemptClient attempts(ClusterKeys keys, AgentLinks links) {
         ConnectionConfig limits = ConnectionConfig.custom()
                 .setConnectTimeout(Timeout.ofMilliseconds(AGENT_CONNECT_TIMEOUT_MS))
+                .setValidateAfterInactivity(TimeValue.ofMilliseconds(VALIDATE_AFTER_MS))
+                .setTimeToLive(TimeValue.ofMilliseconds(MAX_CONNECTION_AGE_MS))
                 .build();
         CloseableHttpClient client = HttpClients.custom()
                 .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
@@ -166,7 +193,7 @@
                 .disableCookieManagement()
                 .disableContentCompression()
                 .build();
-        return new AttemptClient(client, keys, settings.getProcessName());
+        return new AttemptClient(client, links, keys, settings.getProcessName(), settings.getStreamSilenceTimeoutMs());
     }
 
     @Provides
@@ -175,10 +202,12 @@
             PendingRequests pending,
             EventQueue<EntryEvent> events,
             AttemptClient client,
-            AgentLinks links,
-            Claims claims,
+            OpenAttempts open,
+            GroupedClaims claims,
             Clock clock) {
-        return new RequestRunner(pending, events::submit, client, links, claims, clock, settings.getMaxAnswerBytes());
+        AttemptRunner attempts = new AttemptRunner(client, open, clock);
+        ClaimedCalls claimed = new ClaimedCalls(claims, clock);
+        return new RequestRunner(pending, events::submit, attempts, claimed, settings.getMaxAnswerBytes());
     }
 
     @Provides
--- a/entry/src/main/java/org/hawthornglade/entry/EntryProcess.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryProcess.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.config.OrganisationSpec;
 import org.hawthornglade.core.entry.EntryCommand;
 import org.hawthornglade.core.entry.EntryDecider;
 import org.hawthornglade.core.entry.EntryEvent;
@@ -14,7 +15,10 @@
 import org.hawthornglade.core.event.EventKind;
 import org.hawthornglade.core.event.Timeline;
 import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.entry.attempt.OpenAttempts;
 import org.hawthornglade.entry.attempt.PendingRequests;
+import org.hawthornglade.entry.claim.ClaimCleaner;
+import org.hawthornglade.entry.claim.GroupedClaims;
 import org.hawthornglade.entry.control.AgentLinks;
 import org.hawthornglade.node.loop.DecisionLoop;
 import org.hawthornglade.node.loop.EventQueue;
@@ -29,6 +33,8 @@
 
     private final EntrySettings settings;
     private final EventQueue<EntryEvent> events;
+    private final GroupedClaims claims;
+    private final ClaimCleaner cleaner;
     private final AgentLinks links;
     private final InstanceList instances;
     private final ConfigurationStore configurations;
@@ -37,7 +43,6 @@
     private final DecisionLoop<EntryEvent, EntryCommand> loop;
     private final PeriodicTasks instanceTasks = new PeriodicTasks("instances");
     private final PeriodicTasks tableTasks = new PeriodicTasks("table");
-    private final PeriodicTasks cancelTasks = new PeriodicTasks("cancels");
     private final CountDownLatch stopped = new CountDownLatch(1);
 
     /** Creates the parts; nothing runs before {@link #start}. */
@@ -48,6 +53,9 @@
             EntryDecider decider,
             Clock clock,
             PendingRequests pending,
+            OpenAttempts open,
+            GroupedClaims claims,
+            ClaimCleaner cleaner,
             AgentLinks links,
             InstanceList instances,
             ConfigurationStore configurations,
@@ -55,13 +63,14 @@
             Timeline timeline) {
         this.settings = settings;
         this.events = events;
+        this.claims = claims;
+        this.cleaner = cleaner;
         this.links = links;
         this.instances = instances;
         this.configurations = configurations;
         this.holder = holder;
         this.timeline = timeline;
-        EntryCommandRunner runner =
-                new EntryCommandRunner(pending, links, timeline, cancelTasks::once, stopped::countDown);
+        EntryCommandRunner runner = new EntryCommandRunner(pending, open, links, timeline, stopped::countDown);
         this.loop = new DecisionLoop<>(
                 "entry-decisions", events, decider, clock, runner, new EntryEvent.Tick(), settings.getTickMs());
     }
@@ -69,9 +78,11 @@
     @Override
     public void start() {
         timeline.record(EventDraft.of(EventKind.PROCESS_STARTED).instance(settings.getInstanceId()));
+        claims.start();
         loop.start();
         instanceTasks.repeat(settings.getPlatform().getInstanceListIntervalMs(), this::readInstances);
         tableTasks.repeat(settings.getPlatform().getTableReadIntervalMs(), this::readConfiguration);
+        tableTasks.repeat(settings.getClaimCleanIntervalMs(), this::cleanClaims);
     }
 
     @Override
@@ -81,9 +92,9 @@
         if (!stopped.await(settings.getStopTimeoutMs(), TimeUnit.MILLISECONDS)) {
             LOG.atWarning().log("event=stop_timeout limit_ms=%d", settings.getStopTimeoutMs());
         }
+        claims.close();
         instanceTasks.close();
         tableTasks.close();
-        cancelTasks.close();
         links.close();
         loop.close();
     }
@@ -97,6 +108,15 @@
                         failure.code().number(), failure.message()));
     }
 
+    private void cleanClaims() {
+        cleaner.cleanNext(holder.current().organisations().stream()
+                        .map(OrganisationSpec::id)
+                        .toList())
+                .peekLeft(failure -> LOG.atWarning().log(
+                        "event=claim_clean_failed code=%d detail=\"%s\"",
+                        failure.code().number(), failure.message()));
+    }
+
     private void readConfiguration() {
         configurations
                 .newerThan(holder.current().version())
--- a/entry/src/main/java/org/hawthornglade/entry/EntrySettings.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntrySettings.java
@@ -38,6 +38,18 @@
     @Max(3_600_000)
     private long stopTimeoutMs = 120_000;
 
+    @Min(86_400_000L)
+    @Max(10L * 366 * 86_400_000L)
+    private long claimRetentionMs = 400L * 86_400_000L;
+
+    @Min(1_000)
+    @Max(3_600_000)
+    private long claimCleanIntervalMs = 60_000;
+
+    @Min(200)
+    @Max(60_000)
+    private long streamSilenceTimeoutMs = 5_000;
+
     @JsonProperty
     public List<CallerKey> getCallerKeys() {
         return callerKeys;
@@ -104,6 +116,39 @@
         silenceTimeoutMs = value;
     }
 
+    @JsonProperty
+    public long getClaimRetentionMs() {
+        return claimRetentionMs;
+    }
+
+    /** Sets how long the claim on a call that may run at most once is kept, in milliseconds. */
+    @JsonProperty
+    public void setClaimRetentionMs(long value) {
+        claimRetentionMs = value;
+    }
+
+    @JsonProperty
+    public long getClaimCleanIntervalMs() {
+        return claimCleanIntervalMs;
+    }
+
+    /** Sets how often a small part of the claims is looked through for old ones, in milliseconds. */
+    @JsonProperty
+    public void setClaimCleanIntervalMs(long value) {
+        claimCleanIntervalMs = value;
+    }
+
+    @JsonProperty
+    public long getStreamSilenceTimeoutMs() {
+        return streamSilenceTimeoutMs;
+    }
+
+    /** Sets after how much silence of an agent an answer is given up, in milliseconds. */
+    @JsonProperty
+    public void setStreamSilenceTimeoutMs(long value) {
+        streamSilenceTimeoutMs = value;
+    }
+
     @JsonProperty
     public long getStopTimeoutMs() {
         return stopTimeoutMs;
--- a/entry/src/main/java/org/hawthornglade/entry/attempt/AttemptAnswer.java
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/AttemptAnswer.java
@@ -1,28 +1,35 @@
 package org.hawthornglade.entry.attempt;
 
+import java.io.Closeable;
 import java.io.IOException;
-import org.apache.hc.client5.http.classic.methods.HttpPost;
-import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.hawthornglade.protocol.frame.FrameReader;
 import org.hawthornglade.protocol.gen.Frame;
 
-/** An agent's answer to an attempt, read frame by frame; for use by one thread. */
+/** An agent's answer to an attempt, read frame by frame by one thread; {@link #stop} may come from any thread. */
 public final class AttemptAnswer implements AutoCloseable {
-    private final HttpPost post;
-    private final ClassicHttpResponse response;
     private final FrameReader reader;
+    private final Runnable stop;
+    private final Closeable connection;
     private boolean ended;
 
-    AttemptAnswer(HttpPost post, ClassicHttpResponse response, FrameReader reader) {
-        this.post = post;
-        this.response = response;
+    /**
+     * Creates an answer.
+     *
+     * @param reader reads its frames
+     * @param stop breaks the connection off, so that it is never used again
+     * @param connection closed at the end, or kept for further attempts
+     */
+    public AttemptAnswer(FrameReader reader, Runnable stop, Closeable connection) {
         this.reader = reader;
+        this.stop = stop;
+        this.connection = connection;
     }
 
     /**
      * Reads the next frame.
      *
-     * @throws IOException if the connection fails or the frame is not the next one of the attempt
+     * @throws IOException if the connection fails or is silent for too long, or the frame is not the next one of the
+     *     attempt
      */
     public Frame next() throws IOException {
         Frame frame = reader.next();
@@ -33,12 +40,17 @@
         return frame;
     }
 
-    /** Closes the connection if the answer was not read to its end, else keeps it for further attempts. */
+    /** Breaks the connection off, which makes a waiting {@link #next} fail. */
+    public void stop() {
+        stop.run();
+    }
+
+    /** Breaks the connection off if the answer was not read to its end, else keeps it for further attempts. */
     @Override
     public void close() throws IOException {
         if (!ended) {
-            post.cancel();
+            stop.run();
         }
-        response.close();
+        connection.close();
     }
 }
--- a/entry/src/main/java/org/hawthornglade/entry/attempt/AttemptClient.java
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/AttemptClient.java
@@ -3,74 +3,112 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
 import java.net.URI;
+import java.net.UnknownHostException;
 import java.util.HexFormat;
+import java.util.Optional;
+import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.classic.methods.HttpPost;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.util.Timeout;
-import org.hawthornglade.core.entry.IncomingRequest;
 import org.hawthornglade.core.entry.Target;
 import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.entry.control.AgentAddress;
+import org.hawthornglade.entry.control.AgentLinks;
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.auth.Purposes;
 import org.hawthornglade.protocol.frame.AttemptHeaders;
 import org.hawthornglade.protocol.frame.FrameReader;
+import org.hawthornglade.protocol.gen.CancelOutcome;
+
+/** Sends attempts to agents over HTTP, and cancels over the control links. */
+public final class AttemptClient implements AttemptTransport {
+    private static final long POOL_TIMEOUT_MS = 500;
 
-/** Sends attempts to agents. */
-public final class AttemptClient {
     private final CloseableHttpClient client;
+    private final AgentLinks links;
     private final ClusterKeys keys;
     private final String entryId;
+    private final long silenceTimeoutMs;
 
     /**
      * Creates a client.
      *
      * @param client makes the calls and never repeats one; stays the caller's to close
+     * @param links knows where agents are
      * @param keys the cluster keys
      * @param entryId who sends
+     * @param silenceTimeoutMs after how much silence an answer is given up, in milliseconds
      */
-    public AttemptClient(CloseableHttpClient client, ClusterKeys keys, String entryId) {
+    public AttemptClient(
+            CloseableHttpClient client, AgentLinks links, ClusterKeys keys, String entryId, long silenceTimeoutMs) {
         this.client = client;
+        this.links = links;
         this.keys = keys;
         this.entryId = entryId;
+        this.silenceTimeoutMs = silenceTimeoutMs;
     }
 
-    /**
-     * Sends an attempt and waits for the head of the agent's answer.
-     *
-     * @param remainingMs what is left of the deadline, in milliseconds; also the longest silence that is accepted
-     * @return the answer, to be closed by the caller
-     * @throws java.net.ConnectException if no connection was made, so that nothing was sent
-     * @throws IOException if the connection failed later, so that the attempt may have been taken
-     */
-    public AttemptAnswer send(
-            AgentAddress agent, AttemptId attempt, IncomingRequest request, OutboundCall call, long remainingMs)
+    @Override
+    public AttemptAnswer send(InstanceId instance, AttemptId attempt, CallerRequest request, long remainingMs)
             throws IOException {
+        AgentAddress agent =
+                links.address(instance).orElseThrow(() -> new AttemptNotSentException("the endpoint is gone"));
+        HttpPost post = prepare(agent, attempt, request, remainingMs);
+        ClassicHttpResponse response = open(post);
+        int status = response.getCode();
+        if (status != HttpStatus.SC_OK) {
+            response.close();
+            if (status >= HttpStatus.SC_INTERNAL_SERVER_ERROR) {
+                throw new IOException("the agent answered with status " + status);
+            }
+            throw new AttemptNotSentException("the agent turned the attempt away with status " + status);
+        }
+        FrameReader reader = new FrameReader(attempt, response.getEntity().getContent());
+        return new AttemptAnswer(reader, post::cancel, response);
+    }
+
+    @Override
+    public Optional<CancelOutcome> cancel(InstanceId instance, AttemptId attempt) {
+        return links.cancel(instance, attempt).toJavaOptional();
+    }
+
+    private ClassicHttpResponse open(HttpPost post) throws IOException {
+        try {
+            return client.executeOpen(null, post, null);
+        } catch (ConnectException
+                | ConnectTimeoutException
+                | ConnectionRequestTimeoutException
+                | NoRouteToHostException
+                | UnknownHostException e) {
+            throw new AttemptNotSentException(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private HttpPost prepare(AgentAddress agent, AttemptId attempt, CallerRequest request, long remainingMs) {
         HttpPost post = new HttpPost(
                 URI.create("http://" + agent.host() + ":" + agent.httpPort() + "/attempts/" + attempt.value()));
-        setHeaders(post, attempt, request, call, remainingMs);
-        post.setEntity(new ByteArrayEntity(call.body(), ContentType.APPLICATION_OCTET_STREAM));
+        setHeaders(post, attempt, request, remainingMs);
+        post.setEntity(new ByteArrayEntity(request.call().body(), ContentType.APPLICATION_OCTET_STREAM));
         post.setConfig(RequestConfig.custom()
-                .setResponseTimeout(Timeout.ofMilliseconds(Math.max(1, remainingMs)))
+                .setConnectionRequestTimeout(Timeout.ofMilliseconds(POOL_TIMEOUT_MS))
+                .setResponseTimeout(Timeout.ofMilliseconds(Math.min(silenceTimeoutMs, remainingMs)))
                 .build());
-        ClassicHttpResponse response = client.executeOpen(null, post, null);
-        if (response.getCode() != HttpStatus.SC_OK) {
-            response.close();
-            throw new AttemptRejectedException(response.getCode());
-        }
-        return new AttemptAnswer(
-                post, response, new FrameReader(attempt, response.getEntity().getContent()));
+        return post;
     }
 
-    private void setHeaders(
-            HttpPost post, AttemptId attempt, IncomingRequest request, OutboundCall call, long remainingMs) {
-        post.setHeader(AttemptHeaders.REQUEST, request.id().value());
+    private void setHeaders(HttpPost post, AttemptId attempt, CallerRequest request, long remainingMs) {
+        OutboundCall call = request.call();
+        post.setHeader(AttemptHeaders.REQUEST, request.request().id().value());
         post.setHeader(AttemptHeaders.ENTRY, entryId);
         post.setHeader(AttemptHeaders.REMAINING_MS, Long.toString(remainingMs));
         post.setHeader(AttemptHeaders.METHOD, call.method());
@@ -78,7 +116,7 @@
         if (call.contentType() != null) {
             post.setHeader(AttemptHeaders.CONTENT_TYPE, call.contentType());
         }
-        if (request.target() instanceof Target.OnModel onModel) {
+        if (request.request().target() instanceof Target.OnModel onModel) {
             post.setHeader(AttemptHeaders.MODEL, onModel.base().value());
             if (onModel.adapter() != null) {
                 post.setHeader(AttemptHeaders.ADAPTER, onModel.adapter().value());
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/ClaimedCalls.java
@@ -0,0 +1,106 @@
+package org.hawthornglade.entry.attempt;
+
+import io.vavr.control.Either;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.hawthornglade.core.result.Execution;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.entry.claim.Claim;
+import org.hawthornglade.entry.claim.ClaimResult;
+import org.hawthornglade.entry.claim.ClaimTry;
+import org.hawthornglade.entry.claim.Claims;
+import org.hawthornglade.entry.claim.RecordedAnswer;
+import org.hawthornglade.entry.claim.Settlement;
+import org.hawthornglade.protocol.gen.Header;
+
+/** Claims calls that may run at most once, and answers who repeats one. */
+public final class ClaimedCalls {
+    private static final long RETRY_MS = 500;
+    private static final long MAX_RECORD_MS = 250;
+    /** A holder may answer this long after its deadline; clocks of entries may differ by as much. */
+    private static final long IN_PROGRESS_MARGIN_MS = 5_000;
+
+    private final Claims claims;
+    private final Clock clock;
+
+    /** Creates the calls. */
+    public ClaimedCalls(Claims claims, Clock clock) {
+        this.claims = claims;
+        this.clock = clock;
+    }
+
+    /**
+     * Claims a call before its first byte is sent.
+     *
+     * @return true if this request holds the claim; false if another one does, so that {@code held} has its state
+     * @throws InterruptedException if the waiting thread is interrupted
+     */
+    Either<Failure, ClaimResult> claim(CallerRequest caller) throws InterruptedException {
+        return claims.claim(tryOf(caller));
+    }
+
+    /** Answers a request whose call was sent by another one: its answer, or that it runs, ran or may have run. */
+    Either<Failure, WholeAnswer> repeated(Claim held) {
+        if (held.state() == Claim.State.DONE) {
+            return held.body() == null ? Either.left(notRecorded()) : Either.right(recorded(held));
+        }
+        boolean mayRun =
+                held.state() == Claim.State.CLAIMED && clock.nowMs() < held.deadlineAtMs() + IN_PROGRESS_MARGIN_MS;
+        return Either.left(mayRun ? inProgress() : unknown());
+    }
+
+    /** Records the answer; waits for the record only for a short time, so that a repeated call finds it. */
+    void done(CallerRequest caller, WholeAnswer answer) throws InterruptedException {
+        Future<Boolean> recorded = claims.settle(Settlement.done(
+                tryOf(caller), new RecordedAnswer(answer.status(), answer.contentType(), answer.body())));
+        long waitMs = Math.min(MAX_RECORD_MS, caller.request().deadlineAtMs() - clock.nowMs());
+        try {
+            recorded.get(Math.max(1, waitMs), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            // It goes on in the background; until then a repeated call hears that this one is in progress.
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a settlement never fails with an exception", e);
+        }
+    }
+
+    /** Records that a claimed call ended without a whole answer. */
+    @SuppressWarnings("FutureReturnValueIgnored") // recorded in the background
+    void failed(CallerRequest caller, Failure failure) {
+        ClaimTry claim = tryOf(caller);
+        boolean notRun = failure.code().execution() == Execution.NOT_RUN;
+        claims.settle(notRun ? Settlement.notRun(claim) : Settlement.unknown(claim));
+    }
+
+    private static ClaimTry tryOf(CallerRequest caller) {
+        return new ClaimTry(
+                caller.claimKey(), caller.request().id(), caller.request().deadlineAtMs());
+    }
+
+    private static WholeAnswer recorded(Claim held) {
+        List<Header> headers =
+                held.contentType() == null ? List.of() : List.of(new Header("Content-Type", held.contentType()));
+        return new WholeAnswer(held.status(), headers, Base64.getDecoder().decode(held.body()), true);
+    }
+
+    private static Failure inProgress() {
+        return Failure.retryAfter(
+                ResultCode.CALL_IN_PROGRESS, "a call with this idempotency key is under way", RETRY_MS);
+    }
+
+    private static Failure notRecorded() {
+        return Failure.of(
+                ResultCode.ALREADY_RUN, "a call with this idempotency key was run; its answer was not recorded");
+    }
+
+    private static Failure unknown() {
+        return Failure.of(
+                ResultCode.OUTCOME_UNKNOWN,
+                "a call with this idempotency key was sent before; whether it was run is not known");
+    }
+}
--- a/entry/src/main/java/org/hawthornglade/entry/attempt/OpenAnswer.java
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/OpenAnswer.java
@@ -10,14 +10,22 @@
 import org.hawthornglade.protocol.gen.FrameKind;
 import org.hawthornglade.protocol.gen.Header;
 
-/** An answer whose head has come and whose body is passed on as it comes; for use by one thread. */
+/** An answer whose head and first bytes have come and whose body is passed on as it comes; for use by one thread. */
 public final class OpenAnswer implements AutoCloseable {
     private final AttemptAnswer answer;
     private final Frame head;
+    private final Frame first;
 
-    OpenAnswer(AttemptAnswer answer, Frame head) {
+    /**
+     * Creates an open answer.
+     *
+     * @param head the head
+     * @param first the frame after it: data or the end mark
+     */
+    OpenAnswer(AttemptAnswer answer, Frame head, Frame first) {
         this.answer = answer;
         this.head = head;
+        this.first = first;
     }
 
     public int status() {
@@ -31,21 +39,13 @@
     /**
      * Passes the body on, flushing after each part.
      *
-     * @return how the attempt ended
+     * @return how the attempt ended; complete only if the end mark came
      * @throws IOException if the caller can no longer be written to
      */
     public AttemptOutcome passOn(OutputStream out) throws IOException {
+        Frame frame = first;
         boolean begun = false;
-        while (true) {
-            Frame frame;
-            try {
-                frame = answer.next();
-            } catch (IOException e) {
-                return AttemptOutcome.unknown(Failure.of(ResultCode.ANSWER_INCOMPLETE, e.getMessage()), begun);
-            }
-            if (frame.getKind() == FrameKind.COMPLETE) {
-                return AttemptOutcome.complete();
-            }
+        while (frame.getKind() != FrameKind.COMPLETE) {
             if (frame.getKind() == FrameKind.FAILED) {
                 return AttemptOutcome.unknown(Frames.failure(frame), begun);
             }
@@ -54,7 +54,14 @@
                 out.write(frame.getData());
                 out.flush();
             }
+            try {
+                frame = answer.next();
+            } catch (IOException e) {
+                return AttemptOutcome.unknown(
+                        Failure.of(ResultCode.ANSWER_INCOMPLETE, "the answer broke off: " + e.getMessage()), begun);
+            }
         }
+        return AttemptOutcome.complete();
     }
 
     @Override
--- a/entry/src/main/java/org/hawthornglade/entry/attempt/RunningAnswer.java
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/RunningAnswer.java
@@ -1,13 +1,13 @@
 package org.hawthornglade.entry.attempt;
 
-import org.hawthornglade.core.id.AttemptId;
-import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.entry.EntryCommand;
+import org.hawthornglade.core.entry.IncomingRequest;
 
 /**
  * An answer that has begun.
  *
  * @param request the request it answers
- * @param attempt the attempt that gives it
+ * @param dispatch the attempt that gives it
  * @param answer its head and body
  */
-public record RunningAnswer(RequestId request, AttemptId attempt, OpenAnswer answer) {}
+public record RunningAnswer(IncomingRequest request, EntryCommand.Dispatch dispatch, OpenAnswer answer) {}
--- a/entry/src/main/java/org/hawthornglade/entry/attempt/WholeAnswer.java
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/WholeAnswer.java
@@ -9,9 +9,10 @@
  * @param status its HTTP status
  * @param headers its headers
  * @param body its body
+ * @param replayed whether it is the recorded answer of an earlier call
  */
 @SuppressWarnings("ArrayRecordComponent") // never compared
-public record WholeAnswer(int status, List<Header> headers, byte[] body) {
+public record WholeAnswer(int status, List<Header> headers, byte[] body, boolean replayed) {
     /** Copies the list. */
     public WholeAnswer {
         headers = List.copyOf(headers);
--- a/entry/src/main/java/org/hawthornglade/entry/caller/Responses.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/Responses.java
@@ -10,6 +10,8 @@
 final class Responses {
     static final String REQUEST_ID = "X-Request-Id";
 
+    private static final String REPLAYED = "Idempotent-Replayed";
+
     private static final long MS_PER_SECOND = 1_000;
 
     private Responses() {}
@@ -29,6 +31,9 @@
     static Response whole(RequestId id, WholeAnswer answer) {
         Response.ResponseBuilder builder =
                 Response.status(answer.status()).header(REQUEST_ID, id.value()).entity(answer.body());
+        if (answer.replayed()) {
+            builder.header(REPLAYED, true);
+        }
         answer.headers().forEach(header -> {
             if (!header.getName().equalsIgnoreCase(REQUEST_ID)) {
                 builder.header(header.getName(), header.getValue());
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/ClaimCleaner.java
@@ -0,0 +1,85 @@
+package org.hawthornglade.entry.claim;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.hawthornglade.core.id.OrganisationId;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.platform.table.Condition;
+import org.hawthornglade.platform.table.Row;
+import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.platform.table.TransactionOutcome;
+import org.hawthornglade.platform.table.Write;
+
+/**
+ * Deletes claims that are older than the retention period, a small part of the table at a time.
+ *
+ * <p>A key may be run again once its claim is deleted. For use by one thread.
+ */
+public final class ClaimCleaner {
+    private static final int HEX_DIGITS = 2;
+    private static final int SHARDS = 1 << (4 * HEX_DIGITS);
+    private static final int MAX_DELETED = 100;
+
+    private final TableService table;
+    private final Clock clock;
+    private final long retentionMs;
+    private int shard;
+
+    /**
+     * Creates a cleaner.
+     *
+     * @param retentionMs how long a claim is kept after its last write, in milliseconds
+     * @param firstShard where to begin, so that several entries do not all begin at the same part
+     */
+    public ClaimCleaner(TableService table, Clock clock, long retentionMs, int firstShard) {
+        this.table = table;
+        this.clock = clock;
+        this.retentionMs = retentionMs;
+        this.shard = Math.floorMod(firstShard, SHARDS);
+    }
+
+    /**
+     * Cleans the next part of the organisations' claims: one scan and at most one transaction each.
+     *
+     * @return how many claims were deleted; left if the store failed, in which case the part comes again
+     */
+    public Either<Failure, Integer> cleanNext(List<OrganisationId> organisations) {
+        int deleted = 0;
+        for (OrganisationId organisation : organisations) {
+            Either<Failure, Integer> cleaned = clean(organisation);
+            if (cleaned.isLeft()) {
+                return cleaned;
+            }
+            deleted += cleaned.get();
+        }
+        shard = (shard + 1) % SHARDS;
+        return Either.right(deleted);
+    }
+
+    private Either<Failure, Integer> clean(OrganisationId organisation) {
+        String prefix = organisation.value() + "/" + String.format("%0" + HEX_DIGITS + "x", shard);
+        return table.scan(ClaimTable.TABLE, prefix)
+                .flatMap(rows -> delete(
+                        rows.stream().filter(this::isOld).limit(MAX_DELETED).toList()));
+    }
+
+    private boolean isOld(Row row) {
+        return ClaimJson.read(row)
+                .map(claim -> clock.nowMs() - Math.max(claim.atMs(), claim.deadlineAtMs()) > retentionMs)
+                .orElse(false);
+    }
+
+    private Either<Failure, Integer> delete(List<Row> rows) {
+        if (rows.isEmpty()) {
+            return Either.right(0);
+        }
+        Transaction transaction = new Transaction(
+                rows.stream().map(Condition::unchanged).toList(),
+                rows.stream().map(row -> Write.delete(row.table(), row.key())).toList());
+        return table.transact(transaction)
+                .map(TransactionOutcome::committed)
+                .map(committed -> committed ? rows.size() : 0);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/ClaimSettler.java
@@ -0,0 +1,123 @@
+package org.hawthornglade.entry.claim;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingDeque;
+import java.util.random.RandomGenerator;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.retry.Backoff;
+
+/** Records how claimed calls ended, in the background and as often as it takes. */
+final class ClaimSettler implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int MAX_GROUP = 32;
+    private static final int MAX_WAITING = 10_000;
+    private static final long STOP_TIMEOUT_MS = 3_000;
+    private static final Backoff BACKOFF = new Backoff(200, 10_000);
+
+    private record Pending(Settlement settlement, CompletableFuture<Boolean> recorded) {}
+
+    private final LinkedBlockingDeque<Pending> waiting = new LinkedBlockingDeque<>(MAX_WAITING);
+    private final ClaimTable table;
+    private final RandomGenerator random;
+    private final Thread thread = new Thread(this::run, "claim-settler");
+    private volatile boolean closed;
+
+    ClaimSettler(ClaimTable table, RandomGenerator random) {
+        this.table = table;
+        this.random = random;
+        this.thread.setDaemon(true);
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    /** Lines up a settlement; when too many wait it is left out, so that its claim stays taken. */
+    CompletableFuture<Boolean> settle(Settlement settlement) {
+        Pending pending = new Pending(settlement, new CompletableFuture<>());
+        if (!waiting.offer(pending)) {
+            LOG.atWarning().log("event=settlement_left_out request=%s", settlement.request());
+            pending.recorded().complete(false);
+        }
+        return pending.recorded();
+    }
+
+    /** Tries once more to record what waits. */
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+        try {
+            thread.join(STOP_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        int failures = 0;
+        while (!closed) {
+            try {
+                List<Pending> group = gather(waiting.take());
+                boolean recorded = record(group);
+                failures = recorded ? 0 : failures + 1;
+                if (!recorded) {
+                    putBack(group);
+                    Thread.sleep(BACKOFF.delayMs(failures, random));
+                }
+            } catch (InterruptedException e) {
+                break;
+            }
+        }
+        Pending next = waiting.poll();
+        while (next != null && record(gather(next))) {
+            next = waiting.poll();
+        }
+    }
+
+    /** Collects what waits, each row once. */
+    private List<Pending> gather(Pending first) {
+        List<Pending> group = new ArrayList<>(List.of(first));
+        Set<String> rows = new HashSet<>(Set.of(first.settlement().key().rowKey()));
+        while (group.size() < MAX_GROUP) {
+            Pending next = waiting.poll();
+            if (next == null) {
+                break;
+            }
+            if (!rows.add(next.settlement().key().rowKey())) {
+                waiting.offerFirst(next);
+                break;
+            }
+            group.add(next);
+        }
+        return group;
+    }
+
+    private boolean record(List<Pending> group) {
+        Either<Failure, Boolean> recorded;
+        try {
+            recorded = table.settle(group.stream().map(Pending::settlement).toList());
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("event=settlement_failed size=%d", group.size());
+            return false;
+        }
+        if (recorded.isRight()) {
+            group.forEach(pending -> pending.recorded().complete(true));
+        }
+        return recorded.isRight();
+    }
+
+    private void putBack(List<Pending> group) {
+        for (int index = group.size() - 1; index >= 0; index--) {
+            if (!waiting.offerFirst(group.get(index))) {
+                group.get(index).recorded().complete(false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/ClaimTable.java
@@ -0,0 +1,240 @@
+package org.hawthornglade.entry.claim;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.platform.table.Condition;
+import org.hawthornglade.platform.table.Row;
+import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.platform.table.TransactionOutcome;
+import org.hawthornglade.platform.table.Write;
+
+/**
+ * Takes and settles claims in the table service, a group in one transaction.
+ *
+ * <p>A row that is held by another request leaves the group and the others are tried again. Calls block.
+ */
+final class ClaimTable {
+    /** The table that holds a row for each claim. */
+    static final String TABLE = "claims";
+
+    private static final int MAX_ROUNDS = 8;
+    private static final long MIN_RETRY_MS = 1_000;
+
+    private final TableService table;
+    private final Clock clock;
+
+    ClaimTable(TableService table, Clock clock) {
+        this.table = table;
+        this.clock = clock;
+    }
+
+    /** Claims for each request of a group; the verdicts are in the order of the tries. */
+    List<ClaimVerdict> claim(List<ClaimTry> tries) {
+        Group group = new Group(tries);
+        for (int round = 0; round < MAX_ROUNDS && !group.isDecided(); round++) {
+            commit(group, group.firstOfEachRow());
+        }
+        group.refuseAll(notPossible(Failure.of(ResultCode.PLATFORM_UNAVAILABLE, "the rows change too often")), false);
+        return tries.stream().map(group.verdicts::get).toList();
+    }
+
+    /**
+     * Records how calls ended; each row at most once in a group.
+     *
+     * @return right if all are recorded or need not be; left if all should be tried again
+     */
+    Either<Failure, Boolean> settle(List<Settlement> settlements) {
+        List<Condition> conditions = new ArrayList<>();
+        List<Write> writes = new ArrayList<>();
+        for (Settlement settlement : settlements) {
+            String key = settlement.key().rowKey();
+            Either<Failure, Optional<Row>> row = table.read(TABLE, key);
+            if (row.isLeft()) {
+                return Either.left(row.getLeft());
+            }
+            condition(settlement, row.get()).ifPresent(condition -> {
+                conditions.add(condition);
+                writes.add(Write.put(TABLE, key, ClaimJson.settled(settlement, clock.nowMs())));
+            });
+        }
+        if (writes.isEmpty()) {
+            return Either.right(true);
+        }
+        return table.transact(new Transaction(conditions, writes))
+                .flatMap(outcome -> outcome.committed()
+                        ? Either.right(true)
+                        : Either.left(Failure.of(ResultCode.PLATFORM_UNAVAILABLE, "a row changed meanwhile")));
+    }
+
+    /** Returns on what condition a settlement is written; empty if it has no effect any more. */
+    private static Optional<Condition> condition(Settlement settlement, Optional<Row> row) {
+        if (row.isEmpty()) {
+            // The row makes a claim that was sent but not yet written fail.
+            return settlement.state() == Claim.State.NOT_RUN
+                    ? Optional.of(Condition.absent(TABLE, settlement.key().rowKey()))
+                    : Optional.empty();
+        }
+        boolean open = ClaimJson.read(row.get())
+                .map(claim -> claim.state() == Claim.State.CLAIMED
+                        && claim.request().equals(settlement.request().value()))
+                .orElse(false);
+        return open ? Optional.of(Condition.unchanged(row.get())) : Optional.empty();
+    }
+
+    private void commit(Group group, List<ClaimTry> tries) {
+        Either<Failure, TransactionOutcome> outcome = table.transact(transaction(group, tries));
+        if (outcome.isRight()) {
+            settleRound(group, tries, outcome.get());
+            return;
+        }
+        ResultCode code = outcome.getLeft().code();
+        if (code == ResultCode.PLATFORM_OUTCOME_UNKNOWN) {
+            readBack(group, tries, outcome.getLeft());
+        } else if (code == ResultCode.PLATFORM_REJECTED && tries.size() > 1) {
+            // One bad row must not fail its neighbours.
+            tries.forEach(one -> commit(group, List.of(one)));
+        } else {
+            tries.forEach(one -> group.decide(one, ClaimVerdict.refused(notPossible(outcome.getLeft()), false)));
+        }
+    }
+
+    private Transaction transaction(Group group, List<ClaimTry> tries) {
+        List<Condition> conditions = new ArrayList<>();
+        List<Write> writes = new ArrayList<>();
+        for (ClaimTry one : tries) {
+            conditions.add(group.condition(one));
+            writes.add(Write.put(TABLE, one.key().rowKey(), ClaimJson.open(one, clock.nowMs())));
+        }
+        return new Transaction(conditions, writes);
+    }
+
+    private static void settleRound(Group group, List<ClaimTry> tries, TransactionOutcome outcome) {
+        if (outcome.committed()) {
+            tries.forEach(one -> group.decide(one, ClaimVerdict.of(new ClaimResult.Taken())));
+            return;
+        }
+        outcome.conflicts().forEach(group::seen);
+    }
+
+    /** Finds out what became of a transaction whose reply was lost. */
+    private void readBack(Group group, List<ClaimTry> tries, Failure lost) {
+        boolean readable = true;
+        for (ClaimTry one : tries) {
+            Optional<Row> row = Optional.empty();
+            if (readable) {
+                Either<Failure, Optional<Row>> read =
+                        table.read(TABLE, one.key().rowKey());
+                readable = read.isRight();
+                row = read.getOrElse(Optional.empty());
+            }
+            if (row.isPresent()) {
+                group.seen(row.get());
+            } else {
+                // Not there yet is not proof that it will never be there.
+                group.decide(one, ClaimVerdict.refused(notPossible(lost), true));
+            }
+        }
+    }
+
+    private static Failure notPossible(Failure cause) {
+        return Failure.retryAfter(
+                ResultCode.CLAIM_NOT_POSSIBLE,
+                "the call could not be claimed: " + cause.message(),
+                Math.max(MIN_RETRY_MS, cause.retryAfterMs()));
+    }
+
+    /** The tries of a group that are not decided yet, by row. */
+    private static final class Group {
+        private final Map<String, ArrayDeque<ClaimTry>> open = new LinkedHashMap<>();
+        private final Map<String, Condition> conditions = new HashMap<>();
+        private final Map<ClaimTry, ClaimVerdict> verdicts = new HashMap<>();
+
+        Group(List<ClaimTry> tries) {
+            for (ClaimTry one : tries) {
+                String key = one.key().rowKey();
+                open.computeIfAbsent(key, row -> new ArrayDeque<>()).add(one);
+                conditions.put(key, Condition.absent(TABLE, key));
+            }
+        }
+
+        boolean isDecided() {
+            return open.isEmpty();
+        }
+
+        List<ClaimTry> firstOfEachRow() {
+            return open.values().stream().map(ArrayDeque::getFirst).toList();
+        }
+
+        Condition condition(ClaimTry one) {
+            return conditions.get(one.key().rowKey());
+        }
+
+        void decide(ClaimTry one, ClaimVerdict verdict) {
+            verdicts.put(one, verdict);
+            ArrayDeque<ClaimTry> row = open.get(one.key().rowKey());
+            row.remove(one);
+            if (row.isEmpty()) {
+                open.remove(one.key().rowKey());
+            }
+        }
+
+        void refuseAll(Failure failure, boolean mayBeHeld) {
+            List<ClaimTry> left =
+                    open.values().stream().flatMap(ArrayDeque::stream).toList();
+            left.forEach(one -> decide(one, ClaimVerdict.refused(failure, mayBeHeld)));
+        }
+
+        /** Takes note of a row as it is, and decides the tries that it decides. */
+        void seen(Row row) {
+            ArrayDeque<ClaimTry> waiting = open.get(row.key());
+            if (waiting == null) {
+                return;
+            }
+            conditions.put(
+                    row.key(), row.json() == null ? Condition.absent(TABLE, row.key()) : Condition.unchanged(row));
+            if (row.json() == null) {
+                return;
+            }
+            Optional<Claim> held = ClaimJson.read(row);
+            for (ClaimTry one : List.copyOf(waiting)) {
+                verdict(one, held).ifPresent(verdict -> decide(one, verdict));
+            }
+        }
+
+        /** Returns what a row says of a try; empty if the row may be claimed. */
+        private static Optional<ClaimVerdict> verdict(ClaimTry one, Optional<Claim> held) {
+            if (held.isEmpty()) {
+                return Optional.of(ClaimVerdict.of(unreadable(one)));
+            }
+            Claim claim = held.get();
+            boolean mine = claim.request().equals(one.request().value());
+            if (mine && claim.state() == Claim.State.CLAIMED) {
+                return Optional.of(ClaimVerdict.of(new ClaimResult.Taken()));
+            }
+            if (!claim.fingerprint().equals(one.key().fingerprint())) {
+                return Optional.of(ClaimVerdict.refused(
+                        Failure.of(ResultCode.IDEMPOTENCY_KEY_REUSED, "this idempotency key was used for another call"),
+                        false));
+            }
+            if (claim.state() == Claim.State.NOT_RUN && !mine) {
+                return Optional.empty();
+            }
+            return Optional.of(ClaimVerdict.of(new ClaimResult.HeldByOther(claim)));
+        }
+
+        private static ClaimResult unreadable(ClaimTry one) {
+            return new ClaimResult.HeldByOther(
+                    new Claim(Claim.State.UNKNOWN, "", one.key().fingerprint(), 0, 0, 0, null, null));
+        }
+    }
+}
--- a/entry/src/main/java/org/hawthornglade/entry/claim/Claims.java
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/Claims.java
@@ -1,21 +1,28 @@
 package org.hawthornglade.entry.claim;
 
 import io.vavr.control.Either;
-import org.hawthornglade.core.id.RequestId;
+import java.util.concurrent.CompletableFuture;
 import org.hawthornglade.core.result.Failure;
 
-/** Claims on calls that may run at most once. Calls block. */
+/**
+ * Claims on calls that may run at most once.
+ *
+ * <p>Safe for use by several threads.
+ */
 public interface Claims {
     /**
-     * Claims a call for a request, before its first byte is sent.
+     * Claims a call for a request, before its first byte is sent. Blocks until the claim is decided, the request's
+     * deadline has passed or the limit for a claim is over.
      *
-     * @return left if it is not certain that the claim is this request's: the call must not be sent
+     * @return left with CLAIM_NOT_POSSIBLE or IDEMPOTENCY_KEY_REUSED if the call must not be sent
+     * @throws InterruptedException if the waiting thread is interrupted; the claim is given back
      */
-    Either<Failure, ClaimResult> claim(ClaimKey key, RequestId request);
+    Either<Failure, ClaimResult> claim(ClaimTry claim) throws InterruptedException;
 
-    /** Records the answer of a call that was run; a failure leaves the claim as it is, which is safe. */
-    Either<Failure, Boolean> done(ClaimKey key, RequestId request, RecordedAnswer answer);
-
-    /** Gives up the claim on a call that was certainly not run; a failure leaves the claim as it is. */
-    Either<Failure, Boolean> notRun(ClaimKey key, RequestId request);
+    /**
+     * Records how a claimed call ended. Does not block; until it is recorded the claim stays as it is, which is safe.
+     *
+     * @return completes with true when it is recorded
+     */
+    CompletableFuture<Boolean> settle(Settlement settlement);
 }
--- a/entry/src/main/java/org/hawthornglade/entry/control/AgentLink.java
+++ b/entry/src/main/java/org/hawthornglade/entry/control/AgentLink.java
@@ -13,10 +13,12 @@
 import org.hawthornglade.core.entry.EntryEvent;
 import org.hawthornglade.core.event.EventDraft;
 import org.hawthornglade.core.event.EventKind;
+import org.hawthornglade.core.id.AttemptId;
 import org.hawthornglade.core.report.ModelDemand;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.node.wire.WireForms;
 import org.hawthornglade.protocol.gen.AgentReport;
+import org.hawthornglade.protocol.gen.CancelOutcome;
 import org.hawthornglade.protocol.gen.ConfigurationSnapshot;
 import org.hawthornglade.protocol.gen.EntryReport;
 
@@ -32,6 +34,7 @@
     private final Thread thread;
     private final DemandPusher pusher;
     private final CommandChannel commands;
+    private final Canceller canceller;
     private final CountDownLatch closed = new CountDownLatch(1);
     private final AtomicLong sequence = new AtomicLong();
     private volatile AgentConnection connection;
@@ -40,6 +43,7 @@
         this.address = address;
         this.context = context;
         this.commands = new CommandChannel(address, context);
+        this.canceller = new Canceller("cancel-" + address.instance(), new CommandChannel(address, context));
         this.pusher = new DemandPusher("demand-" + address.instance(), this::push);
         this.thread = new Thread(this::run, "link-" + address.instance());
         this.thread.setDaemon(true);
@@ -59,6 +63,16 @@
         pusher.offer(wanted);
     }
 
+    /** Gives up an attempt and waits for the agent's word, in milliseconds at most. */
+    Either<Failure, CancelOutcome> cancel(AttemptId attempt, long waitMs) {
+        return canceller.cancel(attempt, waitMs);
+    }
+
+    /** Gives up an attempt in the background. */
+    void abandon(AttemptId attempt) {
+        canceller.abandon(attempt);
+    }
+
     /** Calls the agent outside the exchange of reports. */
     <T> Either<Failure, T> call(CommandChannel.Command<T> command) {
         return commands.call(command);
@@ -68,6 +82,7 @@
     public void close() {
         closed.countDown();
         pusher.close();
+        canceller.close();
         AgentConnection open = connection;
         if (open != null) {
             open.close();
--- a/entry/src/main/java/org/hawthornglade/entry/control/AgentLinks.java
+++ b/entry/src/main/java/org/hawthornglade/entry/control/AgentLinks.java
@@ -25,6 +25,9 @@
  * <p>Safe for use by several threads.
  */
 public final class AgentLinks implements AutoCloseable {
+    /** How long a request waits for an agent's word on a cancelled attempt, in milliseconds. */
+    public static final long CANCEL_WAIT_MS = 400;
+
     private static final int MAX_EVENTS = 10_000;
 
     private final LinkContext context;
@@ -63,13 +66,31 @@
         return Optional.ofNullable(links.get(instance)).map(AgentLink::address);
     }
 
-    /** Gives up an attempt; left if the agent cannot be asked, so that nothing is known of the attempt. */
+    /**
+     * Gives up an attempt; waits for the agent's word for at most {@link #CANCEL_WAIT_MS}.
+     *
+     * @return left if the agent did not say, so that nothing is known of the attempt
+     */
     public Either<Failure, CancelOutcome> cancel(InstanceId instance, AttemptId attempt) {
-        return call(instance, client -> client.cancel(attempt.value()).getOutcome());
+        AgentLink link = links.get(instance);
+        if (link == null) {
+            return Either.left(unknownInstance(instance));
+        }
+        return link.cancel(attempt, CANCEL_WAIT_MS);
+    }
+
+    /** Gives up an attempt without waiting for the agent's word. */
+    public void abandon(InstanceId instance, AttemptId attempt) {
+        AgentLink link = links.get(instance);
+        if (link != null) {
+            link.abandon(attempt);
+        }
     }
 
     /** Has an instance take no new work. */
     public Either<Failure, Boolean> drain(InstanceId instance, String reason) {
+        // No new work goes there from now on, even if the reply is lost.
+        context.events().accept(new EntryEvent.InstanceDraining(instance));
         return call(instance, client -> {
             client.drain(reason);
             return true;
@@ -100,8 +121,12 @@
     private <T> Either<Failure, T> call(InstanceId instance, CommandChannel.Command<T> command) {
         AgentLink link = links.get(instance);
         if (link == null) {
-            return Either.left(Failure.of(ResultCode.UNKNOWN_INSTANCE, "no agent of instance " + instance));
+            return Either.left(unknownInstance(instance));
         }
         return link.call(command);
     }
+
+    private static Failure unknownInstance(InstanceId instance) {
+        return Failure.of(ResultCode.UNKNOWN_INSTANCE, "no agent of instance " + instance);
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/control/Canceller.java
@@ -0,0 +1,72 @@
+package org.hawthornglade.entry.control;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.protocol.gen.CancelOutcome;
+
+/** Cancels attempts at one agent, one after the other on a thread of its own that lives only while there is work. */
+final class Canceller implements AutoCloseable {
+    private static final int MAX_WAITING = 4_096;
+    private static final long IDLE_MS = 2_000;
+    private static final long RETRY_MS = 500;
+
+    private final CommandChannel channel;
+    private final ThreadPoolExecutor executor;
+
+    Canceller(String name, CommandChannel channel) {
+        this.channel = channel;
+        this.executor = new ThreadPoolExecutor(
+                1, 1, IDLE_MS, TimeUnit.MILLISECONDS, new LinkedBlockingQueue<>(MAX_WAITING), task -> {
+                    Thread thread = new Thread(task, name);
+                    thread.setDaemon(true);
+                    return thread;
+                });
+        this.executor.allowCoreThreadTimeOut(true);
+    }
+
+    /** Cancels an attempt; left if the agent's word did not come in time. */
+    Either<Failure, CancelOutcome> cancel(AttemptId attempt, long waitMs) {
+        try {
+            return submit(attempt).get(waitMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(notHeard());
+        } catch (TimeoutException | ExecutionException | RejectedExecutionException e) {
+            return Either.left(notHeard());
+        }
+    }
+
+    /** Cancels an attempt without waiting; left out when too many wait, as the attempt ends by its deadline. */
+    @SuppressWarnings("FutureReturnValueIgnored") // nobody waits for the agent's word
+    void abandon(AttemptId attempt) {
+        try {
+            submit(attempt);
+        } catch (RejectedExecutionException e) {
+            return;
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+        channel.close();
+    }
+
+    private CompletableFuture<Either<Failure, CancelOutcome>> submit(AttemptId attempt) {
+        return CompletableFuture.supplyAsync(
+                () -> channel.call(client -> client.cancel(attempt.value()).getOutcome()), executor);
+    }
+
+    private static Failure notHeard() {
+        return Failure.retryAfter(ResultCode.NO_ENDPOINT, "the agent did not answer the cancel", RETRY_MS);
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/hawthornglade/entry/attempt/WholeAnswerTest.java
@@ -0,0 +1,91 @@
+package org.hawthornglade.entry.attempt;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import org.hawthornglade.core.entry.AttemptOutcome;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.time.ManualClock;
+import org.hawthornglade.standin.table.InMemoryTableService;
+import org.hawthornglade.standin.table.TableSettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class WholeAnswerTest {
+    private final ManualClock clock = new ManualClock(1_000);
+    private final FakeAgent agent = new FakeAgent();
+    private final EntryHarness entry =
+            new EntryHarness(clock, new InMemoryTableService(TableSettings.of("table"), clock), agent);
+
+    /** An idempotent call whose answer is not passed on yet is run again elsewhere, whatever went wrong. */
+    @ParameterizedTest
+    @CsvSource({
+        "NOT_SENT",
+        "DRAINING",
+        "LOST",
+        "LATE",
+        "LATE_AND_CANCEL_LOST",
+        "RUN_AND_BROKEN",
+        "RUN_AND_CANCEL_LOST",
+        "RUN_AND_CUT",
+        "RUN_AND_CROSSED"
+    })
+    void runsAnIdempotentCallAgainAndGivesOneWholeAnswer(FakeAgent.Fault fault) throws InterruptedException {
+        agent.next(fault);
+        Either<Failure, WholeAnswer> answer = entry.lookUp("r1", "r1");
+        assertThat(new String(answer.get().body(), UTF_8)).isEqualTo("ran r1 r1");
+    }
+
+    @Test
+    void neverGivesAPartOfAnAnswerThatIsTooLarge() throws InterruptedException {
+        Either<Failure, WholeAnswer> answer = entry.lookUp("r1", "x".repeat(2_000));
+        assertThat(answer.getLeft().code()).isEqualTo(ResultCode.ENDPOINT_FAILED);
+    }
+
+    @Test
+    void neverGivesAPartOfAnAnswerThatIsCutAtEachAttempt() throws InterruptedException {
+        agent.faults(() -> FakeAgent.Fault.RUN_AND_CUT);
+        assertThat(entry.lookUp("r1", "r1").getLeft().code()).isEqualTo(ResultCode.ENDPOINT_FAILED);
+    }
+
+    @Test
+    void aStreamThatBreaksAfterItsFirstBytesIsNeverContinuedByAnotherRun() throws Exception {
+        agent.next(FakeAgent.Fault.RUN_AND_CUT);
+        RunningAnswer running = entry.stream("r1").get();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        AttemptOutcome outcome = entry.runner().passOn(running, out);
+        assertThat(outcome.isComplete()).isFalse();
+        assertThat(outcome.failure().code()).isEqualTo(ResultCode.ANSWER_INCOMPLETE);
+        assertThat(out.toString(UTF_8)).isEqualTo("ran");
+        assertThat(agent.runs()).hasSize(1);
+    }
+
+    @Test
+    void aStreamWhoseFirstBytesAreForeignIsRunAgain() throws Exception {
+        agent.next(FakeAgent.Fault.RUN_AND_CROSSED);
+        RunningAnswer running = entry.stream("r1").get();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        assertThat(entry.runner().passOn(running, out).isComplete()).isTrue();
+        assertThat(out.toString(UTF_8)).isEqualTo("ran r1 r1");
+    }
+
+    @Test
+    void anAnswerWhoseCallerIsGoneIsGivenUp() throws Exception {
+        RunningAnswer running = entry.stream("r1").get();
+        OutputStream gone = new OutputStream() {
+            @Override
+            public void write(int value) throws IOException {
+                throw new IOException("broken pipe");
+            }
+        };
+        assertThrows(IOException.class, () -> entry.runner().passOn(running, gone));
+        assertThat(agent.runs()).hasSize(1);
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/hawthornglade/entry/claim/FaultyTable.java
@@ -0,0 +1,88 @@
+package org.hawthornglade.entry.claim;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.platform.table.Row;
+import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.platform.table.TransactionOutcome;
+
+/** A table service whose calls fail as a source of faults says. */
+public final class FaultyTable implements TableService {
+    /** What happens to one call. */
+    public enum Fault {
+        NONE,
+        DOWN,
+        LOST_BEFORE,
+        LOST_AFTER,
+        /** It takes effect only when {@link #deliverLate} is called; the caller does not know. */
+        LATE
+    }
+
+    private final TableService table;
+    private final ArrayDeque<Transaction> late = new ArrayDeque<>();
+    private Supplier<Fault> faults = () -> Fault.NONE;
+    private int transactions;
+
+    public FaultyTable(TableService table) {
+        this.table = table;
+    }
+
+    public void faults(Supplier<Fault> source) {
+        faults = source;
+    }
+
+    /** Lines up the faults of the next calls, reads and transactions alike. */
+    public void next(Fault... lined) {
+        ArrayDeque<Fault> queue = new ArrayDeque<>(List.of(lined));
+        faults = () -> queue.isEmpty() ? Fault.NONE : queue.poll();
+    }
+
+    public int transactions() {
+        return transactions;
+    }
+
+    public void deliverLate() {
+        while (!late.isEmpty()) {
+            table.transact(late.poll());
+        }
+    }
+
+    @Override
+    public Either<Failure, Optional<Row>> read(String name, String key) {
+        return faults.get() == Fault.NONE ? table.read(name, key) : down();
+    }
+
+    @Override
+    public Either<Failure, List<Row>> scan(String name, String keyPrefix) {
+        return faults.get() == Fault.NONE ? table.scan(name, keyPrefix) : down();
+    }
+
+    @Override
+    public Either<Failure, TransactionOutcome> transact(Transaction transaction) {
+        transactions++;
+        return switch (faults.get()) {
+            case NONE -> table.transact(transaction);
+            case DOWN -> down();
+            case LOST_BEFORE -> lost();
+            case LOST_AFTER -> table.transact(transaction).flatMap(outcome -> lost());
+            case LATE -> {
+                late.add(transaction);
+                yield lost();
+            }
+        };
+    }
+
+    private static <T> Either<Failure, T> down() {
+        return Either.left(Failure.retryAfter(ResultCode.PLATFORM_UNAVAILABLE, "down", 700));
+    }
+
+    private static <T> Either<Failure, T> lost() {
+        return Either.left(Failure.of(ResultCode.PLATFORM_OUTCOME_UNKNOWN, "lost"));
+    }
+}
