--- a/app/src/main/java/org/hawthornglade/app/operator/StatusCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/operator/StatusCommand.java
@@ -31,9 +31,11 @@
 
     private static void print(Status status, PrintStream out) {
         Status.InForce inForce = status.configuration();
-        out.printf(
-                "configuration: version %d, plan %s by office %s%n",
-                inForce.version(), inForce.planId(), inForce.office());
+        out.println(
+                inForce.version() == 0
+                        ? "configuration: none confirmed yet"
+                        : "configuration: version " + inForce.version() + ", plan " + inForce.planId() + " by office "
+                                + inForce.office());
         out.println("table service: "
                 + (status.store().reachable() ? "answers" : status.store().failure()));
         printNodes(status, out);
