--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -11,6 +11,7 @@
 import org.hawthornglade.app.operator.PlanCommand;
 import org.hawthornglade.app.operator.StatusCommand;
 import org.hawthornglade.app.operator.TimelineCommand;
+import org.hawthornglade.app.caller.GetCommand;
 
 /** All commands, in the order in which help lists them. */
 final class Commands {
@@ -23,6 +24,7 @@
         commands.add(new StandinCommand());
         commands.add(new ChatCommand());
         commands.add(new CallCommand());
+        commands.add(new GetCommand());
         commands.add(new LoadCommand());
         commands.add(new PlanCommand());
         commands.add(new ConfirmCommand());
