--- a/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
@@ -40,8 +40,9 @@
         LoadTimeEstimator<CheckpointTier> loadTime,
         Backoff orderBackoff,
         RandomGenerator random) {
+    /** Fast, as a load that was never measured must not make an entry refuse the first request. */
     private static final Map<CheckpointTier, Double> ASSUMED_MB_PER_SECOND =
-            Map.of(CheckpointTier.MEMORY, 8_000.0, CheckpointTier.DISK, 2_000.0, CheckpointTier.REMOTE, 500.0);
+            Map.of(CheckpointTier.MEMORY, 40_000.0, CheckpointTier.DISK, 16_000.0, CheckpointTier.REMOTE, 8_000.0);
     private static final long AGEING_MS = 10_000;
     private static final int START_LOADS = 2;
     private static final int MAX_LOADS = 8;
--- a/core/src/main/java/org/hawthornglade/core/agent/FenceKeeper.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/FenceKeeper.java
@@ -9,8 +9,10 @@
 import org.hawthornglade.core.result.ResultCode;
 
 /**
- * The fencing number of one agent process: raised at the engine before any other order, raised again when the engine
- * restarts, renewed after an order whose outcome is unknown, and given up for good when another process has a newer one.
+ * The fencing number of one agent process.
+ *
+ * <p>It is raised at the engine before any other order, raised again when the engine restarts, renewed after an order
+ * whose outcome is unknown, and given up for good when another process has a newer one.
  */
 final class FenceKeeper {
     private static final long RENEWAL_INTERVAL_MS = 2_000;
