--- a/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
@@ -43,6 +43,7 @@
     /** Fast, as a load that was never measured must not make an entry refuse the first request. */
     private static final Map<CheckpointTier, Double> ASSUMED_MB_PER_SECOND =
             Map.of(CheckpointTier.MEMORY, 40_000.0, CheckpointTier.DISK, 16_000.0, CheckpointTier.REMOTE, 8_000.0);
+
     private static final long AGEING_MS = 10_000;
     private static final int START_LOADS = 2;
     private static final int MAX_LOADS = 8;
