--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentCommandRunner.java
@@ -0,0 +1,80 @@
+package org.hawthornglade.agent;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hawthornglade.agent.attempt.AttemptDesk;
+import org.hawthornglade.agent.control.ViewBoard;
+import org.hawthornglade.core.agent.AgentCommand;
+import org.hawthornglade.core.engine.EngineOrder;
+import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.placement.AssignmentRow;
+
+/** Carries out an agent's commands; nothing here blocks. */
+public final class AgentCommandRunner implements Consumer<AgentCommand> {
+    private final AttemptDesk desk;
+    private final ViewBoard views;
+    private final Timeline timeline;
+    private final Consumer<EngineOrder> orders;
+    private final Consumer<AssignmentRow> releases;
+    private final Runnable fenceChecks;
+    private final Runnable fenceRenewals;
+    private final Consumer<Boolean> drained;
+
+    /**
+     * Creates a runner.
+     *
+     * @param desk takes the decisions on attempts
+     * @param views shows the agent's view
+     * @param timeline records events
+     * @param orders gives the engine an order
+     * @param releases releases a row in the table service
+     * @param fenceChecks checks the fencing number in the table service
+     * @param fenceRenewals takes a newer fencing number
+     * @param drained called when a drain has finished, with whether it is complete
+     */
+    public AgentCommandRunner(
+            AttemptDesk desk,
+            ViewBoard views,
+            Timeline timeline,
+            Consumer<EngineOrder> orders,
+            Consumer<AssignmentRow> releases,
+            Runnable fenceChecks,
+            Runnable fenceRenewals,
+            Consumer<Boolean> drained) {
+        this.desk = desk;
+        this.views = views;
+        this.timeline = timeline;
+        this.orders = orders;
+        this.releases = releases;
+        this.fenceChecks = fenceChecks;
+        this.fenceRenewals = fenceRenewals;
+        this.drained = drained;
+    }
+
+    @Override
+    public void accept(AgentCommand command) {
+        if (command instanceof AgentCommand.StartAttempt start) {
+            desk.decided(start.attempt(), Optional.empty());
+        } else if (command instanceof AgentCommand.RefuseAttempt refuse) {
+            desk.decided(refuse.attempt(), Optional.of(refuse.failure()));
+        } else if (command instanceof AgentCommand.AnswerCancel answer) {
+            desk.cancelled(answer.attempt(), answer.result());
+        } else if (command instanceof AgentCommand.StopAttempt stop) {
+            desk.stop(stop.attempt());
+        } else if (command instanceof AgentCommand.GiveOrder give) {
+            orders.accept(give.order());
+        } else if (command instanceof AgentCommand.ReleaseRow release) {
+            releases.accept(release.row());
+        } else if (command instanceof AgentCommand.Publish publish) {
+            views.show(publish.view());
+        } else if (command instanceof AgentCommand.RecordEvent record) {
+            timeline.record(record.event());
+        } else if (command instanceof AgentCommand.CheckFence) {
+            fenceChecks.run();
+        } else if (command instanceof AgentCommand.RenewFence) {
+            fenceRenewals.run();
+        } else if (command instanceof AgentCommand.DrainFinished finished) {
+            drained.accept(finished.complete());
+        }
+    }
+}
