--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -33,6 +33,7 @@
         commands.add(new DrainCommand());
         commands.add(new TimelineCommand());
         commands.add(new CheckCommand());
+        commands.add(new ExperimentCommand());
         return commands;
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/load/OrderedEviction.java
+++ b/core/src/main/java/org/hawthornglade/core/load/OrderedEviction.java
@@ -8,6 +8,8 @@
 public final class OrderedEviction implements Eviction {
     private static final Comparator<Resident> LEAST_RECENTLY_USED = Comparator.comparingLong(Resident::lastUsedAtMs);
 
+    private static final double DEFAULT_TAIL_EXPONENT = 2;
+
     private final Comparator<Resident> order;
 
     private OrderedEviction(Comparator<Resident> order) {
@@ -19,6 +21,11 @@
         return new OrderedEviction(LEAST_RECENTLY_USED);
     }
 
+    /** Unloads first what costs the least waiting to bring back for the memory it holds; long loads weigh more. */
+    public static OrderedEviction cheapestToReload() {
+        return cheapestToReload(DEFAULT_TAIL_EXPONENT);
+    }
+
     /**
      * Unloads first what costs the least waiting to bring back for the memory it holds, and keeps what is dear to reload.
      *
