Idle policy with a linear price and LRU eviction

Cause: long cold starts weighing more (exponents 2 and 3) was to lower the p99 cold wait. Conclusion: reverted; both stay as variants of the experiment.

--- a/app/src/main/java/org/hawthornglade/app/ExperimentCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/ExperimentCommand.java
@@ -6,6 +6,8 @@
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.hawthornglade.bench.experiment.Experiment;
 import org.hawthornglade.bench.experiment.ExperimentOptions;
 
@@ -35,6 +37,9 @@
     @Parameter(names = "--output", description = "Directory for JSON and plots; none if not given")
     private String output;
 
+    @Parameter(names = "--only", description = "Names of the variants to run in ROUNDS; all if not given")
+    private List<String> only = new ArrayList<>();
+
     @Override
     public String name() {
         return "experiment";
@@ -49,7 +54,8 @@
                 seeds,
                 keepAliveMinutes,
                 threads,
-                output == null ? null : Path.of(output));
+                output == null ? null : Path.of(output),
+                only);
         Experiment.run(options, new PrintWriter(out, true, StandardCharsets.UTF_8));
         return ExitCode.OK;
     }
--- a/bench/src/main/java/org/hawthornglade/bench/experiment/Experiment.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/Experiment.java
@@ -65,7 +65,7 @@
         out.printf("%n%s, %s, seeds %d to %d%n%n", deployment.name(), options.kind(), options.firstSeed(), lastSeed());
         switch (options.kind()) {
             case COMPARE -> compare(deployment);
-            case ROUNDS -> write(deployment, runAll(deployment, Policies.variants(deployment, baseline(deployment))));
+            case ROUNDS -> write(deployment, runAll(deployment, variants(deployment)));
             case FAULTS -> faults(deployment);
             case OVERLOAD -> overload(deployment);
         }
@@ -76,6 +76,12 @@
         return options.firstSeed() + options.seeds() - 1;
     }
 
+    private List<PolicySet> variants(Deployment deployment) {
+        return Policies.variants(deployment, baseline(deployment)).stream()
+                .filter(set -> options.only().isEmpty() || options.only().contains(set.name()))
+                .toList();
+    }
+
     private PolicySet baseline(Deployment deployment) {
         if (options.keepAliveMinutes() > 0) {
             return Policies.baseline(options.keepAliveMinutes());
--- a/bench/src/main/java/org/hawthornglade/bench/experiment/ExperimentOptions.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/ExperimentOptions.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.bench.experiment;
 
 import java.nio.file.Path;
+import java.util.List;
 
 /**
  * What an experiment runs.
@@ -12,6 +13,7 @@
  * @param keepAliveMinutes the baseline's keep-alive in minutes; 0 to search the best one on these seeds first
  * @param threads how many runs go on at once
  * @param outputDirectory where JSON and plots go; null for none
+ * @param only the names of the variants that {@link Kind#ROUNDS} runs; empty for all
  */
 public record ExperimentOptions(
         Kind kind,
@@ -20,7 +22,12 @@
         int seeds,
         int keepAliveMinutes,
         int threads,
-        Path outputDirectory) {
+        Path outputDirectory,
+        List<String> only) {
+    /** Copies the list. */
+    public ExperimentOptions {
+        only = List.copyOf(only);
+    }
     /** The comparisons. */
     public enum Kind {
         /** The baselines with all keep-alive values, the chosen policies and the bounds. */
--- a/bench/src/main/java/org/hawthornglade/bench/experiment/Policies.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/Policies.java
@@ -31,7 +31,6 @@
     private static final long COMMITMENT_PENALTY_MS = 10_000;
     private static final double AFFINITY_TOLERANCE = 0.25;
     private static final double PACK_BELOW = 0.5;
-    private static final double TAIL_EXPONENT = 2;
     // From this price on an idle accelerator is dearer than the prefix hits that spreading brings.
     private static final double PACK_FROM_PRICE = 60;
     private static final ReplicaWakeRule WAKE_ALL = (ordinal, input) -> input.queued() > 0;
@@ -66,14 +65,14 @@
     /** The policies chosen for a deployment. */
     static PolicySet chosen(Deployment deployment) {
         boolean pack = deployment.idle().coldSecondsPerIdleHour() >= PACK_FROM_PRICE;
-        IdlePrice price = IdlePrice.convex(deployment.idle(), TAIL_EXPONENT);
+        IdlePrice price = IdlePrice.linear(deployment.idle());
         return new PolicySet(
                 "chosen",
                 DeadlineAdmissionQueue::new,
                 () -> new SmithLoadOrder(AGEING_MS),
                 () -> new AdaptiveLoadConcurrency(2, 8),
                 AdapterLoadLimit::new,
-                () -> OrderedEviction.cheapestToReload(TAIL_EXPONENT),
+                OrderedEviction::leastRecentlyUsed,
                 OrdinalWakeRule::new,
                 () -> new HistogramIdlePolicy(price, true),
                 () -> new AffinityChooser(AFFINITY_TOLERANCE, pack ? PACK_BELOW : 0),
@@ -92,17 +91,21 @@
         sets.add(chosen.withConcurrency("fixed-1-load", () -> new FixedLoadConcurrency(1)));
         sets.add(chosen.withConcurrency("fixed-4-loads", () -> new FixedLoadConcurrency(4)));
         sets.add(chosen.withAdapterConcurrency("one-adapter", () -> new FixedLoadConcurrency(1)));
-        sets.add(chosen.withEviction("lru-eviction", OrderedEviction::leastRecentlyUsed));
         sets.add(chosen.withEviction("eviction-exponent-1", () -> OrderedEviction.cheapestToReload(1)));
         sets.add(chosen.withEviction("eviction-exponent-3", () -> OrderedEviction.cheapestToReload(3)));
-        sets.add(chosen.withEviction("eviction-exponent-4", () -> OrderedEviction.cheapestToReload(4)));
+        sets.add(chosen.withEviction("eviction-exponent-2", () -> OrderedEviction.cheapestToReload(2)));
         sets.add(chosen.withWakeRule("wake-all", () -> WAKE_ALL));
         sets.add(chosen.withIdle("best-keep-alive", baseline.idle()));
-        sets.add(chosen.withIdle("linear-price", () -> new HistogramIdlePolicy(linear(deployment), true)));
-        sets.add(
-                chosen.withIdle("no-prewarm", () -> new HistogramIdlePolicy(convex(deployment, TAIL_EXPONENT), false)));
+        sets.add(chosen.withIdle("exponent-2", () -> new HistogramIdlePolicy(convex(deployment, 2), true)));
+        sets.add(chosen.withIdle(
+                "no-prewarm", () -> new HistogramIdlePolicy(IdlePrice.linear(deployment.idle()), false)));
         sets.add(chosen.withIdle("exponent-1.5", () -> new HistogramIdlePolicy(convex(deployment, 1.5), true)));
         sets.add(chosen.withIdle("exponent-3", () -> new HistogramIdlePolicy(convex(deployment, 3), true)));
+        for (double exponent : new double[] {2, 3}) {
+            sets.add(chosen.withIdle("", () -> new HistogramIdlePolicy(convex(deployment, exponent), true))
+                    .withEviction(
+                            "both-exponents-" + (int) exponent, () -> OrderedEviction.cheapestToReload(exponent)));
+        }
         sets.add(chosen.withChooser("spread", () -> new AffinityChooser(AFFINITY_TOLERANCE)));
         sets.add(chosen.withChooser("pack", () -> new AffinityChooser(AFFINITY_TOLERANCE, PACK_BELOW)));
         sets.add(chosen.withChooser("least-reported", LeastReportedLoadChooser::new));
@@ -113,10 +116,6 @@
         return sets;
     }
 
-    private static IdlePrice linear(Deployment deployment) {
-        return IdlePrice.linear(deployment.idle());
-    }
-
     private static IdlePrice convex(Deployment deployment, double exponent) {
         return IdlePrice.convex(deployment.idle(), exponent);
     }
