--- a/bench/src/main/java/org/hawthornglade/bench/experiment/Measures.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/Measures.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
+import org.hawthornglade.core.admission.WaitingRequest;
 import org.hawthornglade.core.config.ClassSpec;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceClass;
@@ -31,6 +33,7 @@
     private int prefixHits;
     private int prefixes;
     private double idleMs;
+    private Consumer<WaitingRequest> observer = request -> {};
 
     Measures(Trace trace, Fault fault) {
         this.trace = trace;
@@ -77,7 +80,13 @@
         outcome(request, false);
     }
 
+    /** Shows the request of each outcome to an observer. */
+    void observe(Consumer<WaitingRequest> newObserver) {
+        observer = newObserver;
+    }
+
     private void outcome(TraceRequest request, boolean onTime) {
+        observer.accept(request.request());
         double weight = weights.get(request.request().serviceClass());
         long atMs = request.arrivedAtMs();
         if (counts(atMs)) {
--- a/bench/src/main/java/org/hawthornglade/bench/experiment/VirtualRun.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/VirtualRun.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.hawthornglade.core.admission.AdmissionWeights;
+import org.hawthornglade.core.admission.WaitingRequest;
 import org.hawthornglade.core.config.Configuration;
 import org.hawthornglade.core.config.OrganisationSpec;
 import org.hawthornglade.core.engine.CheckpointTier;
@@ -71,7 +73,15 @@
         return new VirtualRun(faulted, policies, window, fault).run();
     }
 
-    private RunResult run() {
+    /** Makes a run that shows each outcome and the agents at that time to an observer. */
+    static VirtualRun observed(
+            Trace trace, PolicySet policies, Fault fault, BiConsumer<WaitingRequest, List<AgentModel>> observer) {
+        VirtualRun run = new VirtualRun(trace, policies, fault, fault);
+        run.measures.observe(request -> observer.accept(request, run.agents));
+        return run;
+    }
+
+    RunResult run() {
         agents.forEach(agent -> agent.endpoint.reportChange());
         scheduleFault();
         scheduleArrival(0);
@@ -255,6 +265,10 @@
         return agents.get(0).wakeInput(replica, demand, lower);
     }
 
+    Trace trace() {
+        return trace;
+    }
+
     VirtualTime time() {
         return time;
     }
