--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.hawthornglade.app.caller.CallCommand;
 import org.hawthornglade.app.caller.ChatCommand;
+import org.hawthornglade.app.caller.GetCommand;
 import org.hawthornglade.app.check.CheckCommand;
 import org.hawthornglade.app.operator.ConfirmCommand;
 import org.hawthornglade.app.operator.DrainCommand;
@@ -11,7 +12,6 @@
 import org.hawthornglade.app.operator.PlanCommand;
 import org.hawthornglade.app.operator.StatusCommand;
 import org.hawthornglade.app.operator.TimelineCommand;
-import org.hawthornglade.app.caller.GetCommand;
 
 /** All commands, in the order in which help lists them. */
 final class Commands {
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/operator/OperatorReplyTest.java
@@ -0,0 +1,26 @@
+package org.hawthornglade.app.operator;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.hawthornglade.app.ExitCode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class OperatorReplyTest {
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "200|{}|OK",
+                "202|{}|OK",
+                "409|{\"error\": {\"code\": 4001}}|REFUSED",
+                "504|{\"error\": {\"code\": 4007}}|UNKNOWN",
+                "500|{\"error\": {\"code\": 9001}}|UNKNOWN",
+                "502|{}|UNKNOWN",
+                "400|{\"error\": {\"code\": 123456}}|UNKNOWN",
+            })
+    void tellsWhetherItTookEffect(int status, String body, ExitCode expected) throws Exception {
+        OperatorReply reply = new OperatorReply(status, OperatorHttp.MAPPER.readTree(body));
+        assertThat(reply.exitCode()).isEqualTo(expected);
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/event/TimelineMerge.java
+++ b/core/src/main/java/org/hawthornglade/core/event/TimelineMerge.java
@@ -11,7 +11,8 @@
  * the events of one process keep their order.
  */
 public final class TimelineMerge {
-    private static final Comparator<TimelineEvent> ORDER = Comparator.comparingLong(TimelineEvent::timeMs)
+    /** By time, and the events of one process in their order. */
+    public static final Comparator<TimelineEvent> ORDER = Comparator.comparingLong(TimelineEvent::timeMs)
             .thenComparing(TimelineEvent::process)
             .thenComparingLong(TimelineEvent::bootId)
             .thenComparingLong(TimelineEvent::sequence);
--- a/entry/src/main/java/org/hawthornglade/entry/operator/Explainer.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/Explainer.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hawthornglade.core.config.Configuration;
 import org.hawthornglade.core.config.ConfigurationHolder;
 import org.hawthornglade.core.config.ModelSpec;
@@ -34,12 +35,14 @@
 
     /** Explains a request; left with UNKNOWN_REQUEST if no process remembers it. */
     public Either<Failure, Explanation> request(String request, String authorization) {
-        MergedTimeline merged = timeline.collect(TimelineFilter.ofRequest(request), MAX_EVENTS, authorization);
-        if (merged.events().isEmpty()) {
+        MergedTimeline all = timeline.collect(TimelineFilter.all(), Integer.MAX_VALUE, authorization);
+        RequestStory story = RequestStory.of(request, all.events(), this::baseOf);
+        if (story.own().isEmpty()) {
             return Either.left(
                     Failure.of(ResultCode.UNKNOWN_REQUEST, "no process that answered remembers request " + request));
         }
-        return Either.right(explanation(request, outcome(merged.events()), merged));
+        MergedTimeline told = new MergedTimeline(story.withModel(MAX_EVENTS), all.missing());
+        return Either.right(explanation(request, outcome(story.own()), told));
     }
 
     /** Explains a model or adapter; left with UNKNOWN_MODEL if neither the configuration nor the time line has it. */
@@ -56,6 +59,15 @@
         return Either.right(explanation(model, modelState(name.get(), spec), merged));
     }
 
+    /** Returns the base model behind a name on the time line, or the name itself if it has none. */
+    private String baseOf(String model) {
+        return name(model)
+                .toJavaOptional()
+                .flatMap(found -> holder.current().baseOf(found))
+                .map(spec -> spec.name().value())
+                .orElse(model);
+    }
+
     private static Either<Failure, ModelName> name(String model) {
         try {
             return Either.right(ModelName.of(model));
@@ -96,7 +108,7 @@
                         replicas.isEmpty() ? "none heard of" : String.join(", ", replicas));
     }
 
-    private java.util.stream.Stream<String> replicas(InstanceInfo info, ModelName base) {
+    private Stream<String> replicas(InstanceInfo info, ModelName base) {
         return fleet.view(info.id()).stream()
                 .flatMap(view -> view.replicas().stream())
                 .filter(replica -> replica.model().equals(base))
--- a/entry/src/test/java/org/hawthornglade/entry/operator/OperatorResourceTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/operator/OperatorResourceTest.java
@@ -156,7 +156,16 @@
     @Test
     void explainsARequestFromItsEvents() {
         entry.timeline.record(
-                EventDraft.of(EventKind.REQUEST_QUEUED).request("r1").detail("no replica is ready"));
+                EventDraft.of(EventKind.LOAD_DECIDED).model("quote").detail("too early"));
+        entry.clock.advance(10);
+        entry.timeline.record(EventDraft.of(EventKind.REQUEST_QUEUED)
+                .request("r1")
+                .model("quote")
+                .detail("no replica is ready"));
+        entry.clock.advance(10);
+        entry.timeline.record(
+                EventDraft.of(EventKind.LOAD_DECIDED).model("quote").detail("queued 1"));
+        entry.timeline.record(EventDraft.of(EventKind.LOAD_DECIDED).model("other"));
         entry.timeline.record(
                 EventDraft.of(EventKind.REQUEST_REFUSED).request("r1").code(ResultCode.QUEUE_FULL));
         entry.timeline.record(EventDraft.of(EventKind.REQUEST_QUEUED).request("r2"));
@@ -166,7 +175,10 @@
 
         assertThat(found.state()).isEqualTo("request refused by entry-1, QUEUE_FULL");
         assertThat(found.reasons())
-                .containsExactly("request queued by entry-1: no replica is ready", found.state())
+                .containsExactly(
+                        "request queued by entry-1: no replica is ready",
+                        "load decided by entry-1: queued 1",
+                        found.state())
                 .inOrder();
     }
 }
