--- a/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
@@ -143,6 +143,7 @@
         TrackedRequest tracked = attempt.tracked();
         endpoints.ended(attempt.instance(), tracked.queue());
         attempt.ended(outcome);
+        tracked.mayHaveRun(outcome.execution() != Execution.NOT_RUN);
         if (outcome.isComplete()) {
             times.ran(tracked.queue(), attempt.ranMs(nowMs));
             commands.add(record(EventKind.REQUEST_ANSWERED, tracked, ResultCode.OK, ""));
@@ -292,7 +293,8 @@
                 .detail("waited " + (nowMs - tracked.request().arrivedAtMs()) + " ms")));
     }
 
-    private void refuse(TrackedRequest tracked, Failure failure, long nowMs, List<EntryCommand> commands) {
+    private void refuse(TrackedRequest tracked, Failure cause, long nowMs, List<EntryCommand> commands) {
+        Failure failure = Outcomes.truthful(tracked, cause, nowMs);
         if (failure.code() == ResultCode.DEADLINE_NOT_REACHABLE) {
             demand.toldToComeBack(tracked, failure.retryAfterMs(), nowMs);
         }
--- a/core/src/main/java/org/hawthornglade/core/entry/Outcomes.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/Outcomes.java
@@ -51,6 +51,16 @@
                 : Failure.of(ResultCode.OUTCOME_UNKNOWN, cause.message());
     }
 
+    /** Returns the failure, or one that does not say "not run" if an earlier attempt may have run. */
+    static Failure truthful(TrackedRequest tracked, Failure failure, long nowMs) {
+        if (!tracked.mayHaveRun() || failure.code().execution() != Execution.NOT_RUN) {
+            return failure;
+        }
+        return tracked.isOverdue(nowMs)
+                ? deadlinePassedRunning()
+                : Failure.retryAfter(ResultCode.ENDPOINT_FAILED, failure.message(), COME_BACK_MS);
+    }
+
     static Failure deadlinePassedRunning() {
         return Failure.of(ResultCode.DEADLINE_PASSED_RUNNING, "the deadline passed while the request ran");
     }
--- a/core/src/main/java/org/hawthornglade/core/entry/TrackedRequest.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/TrackedRequest.java
@@ -15,6 +15,7 @@
     private final Set<InstanceId> tried = new HashSet<>();
     private int attempts;
     private long notBeforeMs;
+    private boolean mayHaveRun;
 
     TrackedRequest(IncomingRequest request) {
         this.request = request;
@@ -51,6 +52,15 @@
         return tried.contains(instance);
     }
 
+    /** Returns whether an earlier attempt may have run. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    void mayHaveRun(boolean value) {
+        mayHaveRun |= value;
+    }
+
     boolean isOverdue(long nowMs) {
         return nowMs >= request.deadlineAtMs();
     }
--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -24,7 +24,10 @@
 import org.hawthornglade.entry.attempt.OpenAttempts;
 import org.hawthornglade.entry.attempt.PendingRequests;
 import org.hawthornglade.entry.attempt.RequestRunner;
+import org.hawthornglade.entry.caller.BodyReader;
 import org.hawthornglade.entry.caller.CallerKeys;
+import org.hawthornglade.entry.caller.FailureMapper;
+import org.hawthornglade.entry.caller.ModelBoard;
 import org.hawthornglade.entry.caller.ModelsResource;
 import org.hawthornglade.entry.caller.RequestFactory;
 import org.hawthornglade.entry.caller.ServicesResource;
@@ -161,14 +164,22 @@
 
     @Provides
     @Singleton
-    AgentLinks links(ClusterKeys keys, ConfigurationHolder holder, Timeline timeline, EventQueue<EntryEvent> events) {
+    AgentLinks links(
+            ClusterKeys keys,
+            ConfigurationHolder holder,
+            Timeline timeline,
+            EventQueue<EntryEvent> events,
+            ModelBoard board) {
         return new AgentLinks(new LinkContext(
                 settings.getProcessName(),
                 timeline.bootId(),
                 keys,
                 holder,
                 timeline,
-                events::submit,
+                event -> {
+                    board.on(event);
+                    events.submit(event);
+                },
                 waitMs -> waitMs / 2 + ThreadLocalRandom.current().nextLong(waitMs),
                 settings.getHeartbeatMs(),
                 (int) settings.getSilenceTimeoutMs()));
@@ -225,13 +236,51 @@
 
     @Provides
     @Singleton
-    ModelsResource models(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
-        return new ModelsResource(keys, requests, runner, settings.getMaxBodyBytes());
+    BodyReader bodies(Clock clock) {
+        return new BodyReader(clock, settings.getMaxBodyBytes(), settings.getMaxBodyReadMs());
+    }
+
+    @Provides
+    @Singleton
+    ModelBoard board() {
+        return new ModelBoard();
+    }
+
+    @Provides
+    @Singleton
+    StopState stop() {
+        return new StopState();
+    }
+
+    @Provides
+    @Singleton
+    InFlightFilter inFlight() {
+        return new InFlightFilter();
+    }
+
+    @Provides
+    @Singleton
+    GracefulStop gracefulStop(StopState state, EntryProcess process, InFlightFilter requests, Clock clock) {
+        return new GracefulStop(
+                state, process, requests, clock, settings.getUnhealthyMs(), settings.getStopTimeoutMs());
+    }
+
+    @Provides
+    @Singleton
+    FailureMapper failures(RequestFactory requests) {
+        return new FailureMapper(requests);
+    }
+
+    @Provides
+    @Singleton
+    ModelsResource models(
+            CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies, ModelBoard board) {
+        return new ModelsResource(keys, requests, runner, bodies, board);
     }
 
     @Provides
     @Singleton
-    ServicesResource services(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
-        return new ServicesResource(keys, requests, runner, settings.getMaxBodyBytes());
+    ServicesResource services(CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies) {
+        return new ServicesResource(keys, requests, runner, bodies);
     }
 }
--- a/entry/src/main/java/org/hawthornglade/entry/EntryProcess.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryProcess.java
@@ -30,6 +30,7 @@
 @Singleton
 public final class EntryProcess implements Managed {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long LAST_EVENTS_MS = 500;
 
     private final EntrySettings settings;
     private final EventQueue<EntryEvent> events;
@@ -85,12 +86,26 @@
         tableTasks.repeat(settings.getClaimCleanIntervalMs(), this::cleanClaims);
     }
 
+    /** Has new requests refused; those in progress go on. */
+    public void refuseNew() {
+        timeline.record(EventDraft.of(EventKind.PROCESS_STOPPING).instance(settings.getInstanceId()));
+        events.submit(new EntryEvent.StopRequested());
+    }
+
+    /** Tells that requests were still in progress when the time for a planned stop was over. */
+    public void stopTimeoutHit(int inFlight) {
+        String detail = "stop limit of " + settings.getStopTimeoutMs() + " ms hit, requests cut: " + inFlight;
+        timeline.record(EventDraft.of(EventKind.PROCESS_STOPPED)
+                .instance(settings.getInstanceId())
+                .detail(detail));
+        LOG.atWarning().log("event=stop_timeout limit_ms=%d cut=%d", settings.getStopTimeoutMs(), inFlight);
+    }
+
     @Override
     public void stop() throws InterruptedException {
-        timeline.record(EventDraft.of(EventKind.PROCESS_STOPPING).instance(settings.getInstanceId()));
         events.submit(new EntryEvent.StopRequested());
-        if (!stopped.await(settings.getStopTimeoutMs(), TimeUnit.MILLISECONDS)) {
-            LOG.atWarning().log("event=stop_timeout limit_ms=%d", settings.getStopTimeoutMs());
+        if (!stopped.await(LAST_EVENTS_MS, TimeUnit.MILLISECONDS)) {
+            LOG.atWarning().log("event=stopped_with_requests");
         }
         claims.close();
         instanceTasks.close();
--- a/entry/src/main/java/org/hawthornglade/entry/EntrySettings.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntrySettings.java
@@ -50,6 +50,14 @@
     @Max(60_000)
     private long streamSilenceTimeoutMs = 5_000;
 
+    @Min(100)
+    @Max(600_000)
+    private long maxBodyReadMs = 10_000;
+
+    @Min(0)
+    @Max(60_000)
+    private long unhealthyMs = 1_000;
+
     @JsonProperty
     public List<CallerKey> getCallerKeys() {
         return callerKeys;
@@ -149,6 +157,28 @@
         streamSilenceTimeoutMs = value;
     }
 
+    @JsonProperty
+    public long getMaxBodyReadMs() {
+        return maxBodyReadMs;
+    }
+
+    /** Sets how long a caller may take to send a body, in milliseconds. */
+    @JsonProperty
+    public void setMaxBodyReadMs(long value) {
+        maxBodyReadMs = value;
+    }
+
+    @JsonProperty
+    public long getUnhealthyMs() {
+        return unhealthyMs;
+    }
+
+    /** Sets how long a stopping entry fails its health check before it refuses requests, in milliseconds. */
+    @JsonProperty
+    public void setUnhealthyMs(long value) {
+        unhealthyMs = value;
+    }
+
     @JsonProperty
     public long getStopTimeoutMs() {
         return stopTimeoutMs;
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/StopState.java
@@ -0,0 +1,19 @@
+package org.hawthornglade.entry;
+
+/**
+ * Whether the process has begun to stop.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class StopState {
+    private volatile boolean stopping;
+
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** Notes that the process has begun to stop. */
+    public void begin() {
+        stopping = true;
+    }
+}
--- a/entry/src/main/java/org/hawthornglade/entry/caller/CallerHeaders.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/CallerHeaders.java
@@ -2,6 +2,7 @@
 
 import jakarta.ws.rs.core.HttpHeaders;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -35,12 +36,27 @@
     /** Returns the headers to pass on: all but those of the connection and those meant for the entry. */
     static List<Header> passed(HttpHeaders headers) {
         List<Header> passed = new ArrayList<>();
+        Set<String> ofConnection = namedByConnection(headers);
         headers.getRequestHeaders().forEach((name, values) -> {
             String lower = name.toLowerCase(Locale.ROOT);
-            if (!NOT_PASSED.contains(lower) && !lower.startsWith("x-hg-")) {
+            if (!NOT_PASSED.contains(lower) && !lower.startsWith("x-hg-") && !ofConnection.contains(lower)) {
                 passed.add(new Header(name, String.join(", ", values)));
             }
         });
         return passed;
     }
+
+    /** Returns the headers that the sender calls its connection's own. */
+    private static Set<String> namedByConnection(HttpHeaders headers) {
+        Set<String> names = new HashSet<>();
+        List<String> values = headers.getRequestHeader("Connection");
+        if (values != null) {
+            for (String value : values) {
+                for (String name : value.split(",", -1)) {
+                    names.add(name.strip().toLowerCase(Locale.ROOT));
+                }
+            }
+        }
+        return names;
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/HttpErrors.java
@@ -0,0 +1,26 @@
+package org.hawthornglade.entry.caller;
+
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+
+/** What an HTTP status means that the server gives of itself. */
+final class HttpErrors {
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int PAYLOAD_TOO_LARGE = 413;
+    private static final int SERVER_ERROR = 500;
+
+    private HttpErrors() {}
+
+    static Failure failure(int status) {
+        if (status == REQUEST_TIMEOUT) {
+            return Failure.of(ResultCode.SLOW_SENDER, "the request did not come in time");
+        }
+        if (status == PAYLOAD_TOO_LARGE) {
+            return Failure.of(ResultCode.BODY_TOO_LARGE, "the request is too large");
+        }
+        if (status >= SERVER_ERROR) {
+            return Failure.of(ResultCode.INTERNAL_ERROR, "the entry failed on this request");
+        }
+        return Failure.of(ResultCode.BAD_REQUEST, "there is no such route or method (HTTP status " + status + ")");
+    }
+}
--- a/entry/src/main/java/org/hawthornglade/entry/caller/ModelList.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ModelList.java
@@ -21,9 +21,13 @@
      * @param id its name
      * @param object always {@code model}
      * @param ownedBy who serves it
+     * @param state ready, loading or cold
+     * @param readyReplicas how many replicas of its base model are loaded
      */
     public record Entry(
             String id,
             String object,
-            @JsonProperty("owned_by") String ownedBy) {}
+            @JsonProperty("owned_by") String ownedBy,
+            String state,
+            @JsonProperty("ready_replicas") int readyReplicas) {}
 }
--- a/entry/src/main/java/org/hawthornglade/entry/caller/ModelsResource.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ModelsResource.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import org.hawthornglade.core.entry.AttemptOutcome;
 import org.hawthornglade.core.entry.IncomingRequest;
+import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
@@ -37,21 +38,24 @@
     private final CallerKeys keys;
     private final RequestFactory requests;
     private final RequestRunner runner;
-    private final int maxBodyBytes;
+    private final BodyReader bodies;
+    private final ModelBoard board;
 
     /** Creates the resource. */
-    public ModelsResource(CallerKeys keys, RequestFactory requests, RequestRunner runner, int maxBodyBytes) {
+    public ModelsResource(
+            CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies, ModelBoard board) {
         this.keys = keys;
         this.requests = requests;
         this.runner = runner;
-        this.maxBodyBytes = maxBodyBytes;
+        this.bodies = bodies;
+        this.board = board;
     }
 
     /** Completes a conversation. */
     @POST
     @Path("/chat/completions")
     @Consumes(MediaType.WILDCARD)
-    public Response chat(@Context HttpHeaders headers, InputStream in) throws IOException, InterruptedException {
+    public Response chat(@Context HttpHeaders headers, InputStream in) throws InterruptedException {
         return complete("/v1/chat/completions", headers, in);
     }
 
@@ -59,7 +63,7 @@
     @POST
     @Path("/completions")
     @Consumes(MediaType.WILDCARD)
-    public Response text(@Context HttpHeaders headers, InputStream in) throws IOException, InterruptedException {
+    public Response text(@Context HttpHeaders headers, InputStream in) throws InterruptedException {
         return complete("/v1/completions", headers, in);
     }
 
@@ -72,19 +76,29 @@
             return Responses.failure(requests.nextId(), caller.getLeft());
         }
         List<ModelList.Entry> entries = requests.modelsOf(caller.get().organisation()).stream()
-                .map(name -> new ModelList.Entry(name.value(), "model", "hawthornglade"))
+                .map(this::entryOf)
                 .toList();
-        return Response.ok(new ModelList("list", entries)).build();
+        return Response.ok(new ModelList("list", entries))
+                .header(Responses.REQUEST_ID, requests.nextId().value())
+                .build();
+    }
+
+    private ModelList.Entry entryOf(ModelName name) {
+        ModelBoard.ModelState state = board.stateOf(requests.baseOf(name));
+        return new ModelList.Entry(name.value(), "model", "hawthornglade", state.name(), state.readyReplicas());
     }
 
-    private Response complete(String path, HttpHeaders headers, InputStream in)
-            throws IOException, InterruptedException {
+    private Response complete(String path, HttpHeaders headers, InputStream in) throws InterruptedException {
         RequestId id = requests.nextId();
         Either<Failure, Caller> caller = keys.authenticate(headers.getHeaderString(HttpHeaders.AUTHORIZATION));
         if (caller.isLeft()) {
             return Responses.failure(id, caller.getLeft());
         }
-        byte[] body = in.readNBytes(maxBodyBytes + 1);
+        Either<Failure, byte[]> read = bodies.read(headers, in);
+        if (read.isLeft()) {
+            return Responses.failure(id, read.getLeft());
+        }
+        byte[] body = read.get();
         Either<Failure, CompletionBody> parsed = parse(body);
         if (parsed.isLeft()) {
             return Responses.failure(id, parsed.getLeft());
@@ -127,11 +141,7 @@
                 .build();
     }
 
-    private Either<Failure, CompletionBody> parse(byte[] body) {
-        if (body.length > maxBodyBytes) {
-            return Either.left(
-                    Failure.of(ResultCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes"));
-        }
+    private static Either<Failure, CompletionBody> parse(byte[] body) {
         JsonNode tree;
         try {
             tree = MAPPER.readTree(body);
@@ -140,7 +150,7 @@
         } catch (IOException e) {
             return Either.left(Failure.of(ResultCode.BAD_JSON, "the body cannot be read"));
         }
-        if (!tree.path("model").isTextual()) {
+        if (tree == null || !tree.path("model").isTextual()) {
             return Either.left(Failure.of(ResultCode.BAD_REQUEST, "the field model is missing"));
         }
         return Either.right(new CompletionBody(
--- a/entry/src/main/java/org/hawthornglade/entry/caller/RequestFactory.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/RequestFactory.java
@@ -65,7 +65,7 @@
     }
 
     /** Finds the operation that a call is for. */
-    public Either<Failure, OperationSpec> findOperation(Caller caller, ServiceName name, String method, String path) {
+    Either<Failure, OperationSpec> findOperation(Caller caller, ServiceName name, String method, ServicePath path) {
         Optional<ServiceSpec> service = configuration.current().service(name);
         if (service.isEmpty()) {
             return Either.left(Failure.of(ResultCode.UNKNOWN_SERVICE, "there is no service " + name));
@@ -76,7 +76,7 @@
         }
         OperationSpec best = null;
         for (OperationSpec operation : service.get().operations()) {
-            boolean matches = operation.method().equals(method) && path.startsWith(operation.pathPrefix());
+            boolean matches = operation.method().equals(method) && path.isBelow(operation.pathPrefix());
             if (matches
                     && (best == null
                             || best.pathPrefix().length()
@@ -85,8 +85,8 @@
             }
         }
         if (best == null) {
-            return Either.left(
-                    Failure.of(ResultCode.UNKNOWN_OPERATION, "service " + name + " has no " + method + " " + path));
+            return Either.left(Failure.of(
+                    ResultCode.UNKNOWN_OPERATION, "service " + name + " has no " + method + " " + path.raw()));
         }
         return Either.right(best);
     }
@@ -104,6 +104,11 @@
                 .toList();
     }
 
+    /** Returns the base model of a model or adapter; itself if it is not known. */
+    ModelName baseOf(ModelName name) {
+        return configuration.current().baseOf(name).map(ModelSpec::name).orElse(name);
+    }
+
     private Either<Failure, Target> findModel(Caller caller, String text) {
         ModelName name;
         try {
--- a/entry/src/main/java/org/hawthornglade/entry/caller/Responses.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/Responses.java
@@ -17,7 +17,11 @@
     private Responses() {}
 
     static Response failure(RequestId id, Failure failure) {
-        Response.ResponseBuilder builder = Response.status(failure.code().httpStatus())
+        return failure(id, failure, failure.code().httpStatus());
+    }
+
+    static Response failure(RequestId id, Failure failure, int status) {
+        Response.ResponseBuilder builder = Response.status(status)
                 .type(MediaType.APPLICATION_JSON_TYPE)
                 .header(REQUEST_ID, id.value())
                 .entity(ErrorBody.of(failure));
--- a/entry/src/main/java/org/hawthornglade/entry/caller/ServicesResource.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ServicesResource.java
@@ -4,6 +4,9 @@
 import jakarta.ws.rs.Consumes;
 import jakarta.ws.rs.DELETE;
 import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HEAD;
+import jakarta.ws.rs.OPTIONS;
+import jakarta.ws.rs.PATCH;
 import jakarta.ws.rs.POST;
 import jakarta.ws.rs.PUT;
 import jakarta.ws.rs.Path;
@@ -13,7 +16,6 @@
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.core.UriInfo;
-import java.io.IOException;
 import java.io.InputStream;
 import org.hawthornglade.core.config.OperationSpec;
 import org.hawthornglade.core.id.RequestId;
@@ -29,67 +31,90 @@
 @Path("/services/{service}")
 @Consumes(MediaType.WILDCARD)
 public final class ServicesResource {
+    private static final String ANY_PATH = "/{path: .*}";
+
     private final CallerKeys keys;
     private final RequestFactory requests;
     private final RequestRunner runner;
-    private final int maxBodyBytes;
+    private final BodyReader bodies;
 
     /** Creates the resource. */
-    public ServicesResource(CallerKeys keys, RequestFactory requests, RequestRunner runner, int maxBodyBytes) {
+    public ServicesResource(CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies) {
         this.keys = keys;
         this.requests = requests;
         this.runner = runner;
-        this.maxBodyBytes = maxBodyBytes;
+        this.bodies = bodies;
     }
 
     /** Passes a GET on. */
     @GET
-    @Path("/{path: .*}")
+    @Path(ANY_PATH)
     public Response get(@PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers)
-            throws IOException, InterruptedException {
+            throws InterruptedException {
         return call(service, "GET", uri, headers, InputStream.nullInputStream());
     }
 
+    /** Passes a HEAD on. */
+    @HEAD
+    @Path(ANY_PATH)
+    public Response head(@PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers)
+            throws InterruptedException {
+        return call(service, "HEAD", uri, headers, InputStream.nullInputStream());
+    }
+
+    /** Passes an OPTIONS on. */
+    @OPTIONS
+    @Path(ANY_PATH)
+    public Response options(@PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers)
+            throws InterruptedException {
+        return call(service, "OPTIONS", uri, headers, InputStream.nullInputStream());
+    }
+
     /** Passes a POST on. */
     @POST
-    @Path("/{path: .*}")
+    @Path(ANY_PATH)
     public Response post(
             @PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers, InputStream in)
-            throws IOException, InterruptedException {
+            throws InterruptedException {
         return call(service, "POST", uri, headers, in);
     }
 
     /** Passes a PUT on. */
     @PUT
-    @Path("/{path: .*}")
+    @Path(ANY_PATH)
     public Response put(
             @PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers, InputStream in)
-            throws IOException, InterruptedException {
+            throws InterruptedException {
         return call(service, "PUT", uri, headers, in);
     }
 
+    /** Passes a PATCH on. */
+    @PATCH
+    @Path(ANY_PATH)
+    public Response patch(
+            @PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers, InputStream in)
+            throws InterruptedException {
+        return call(service, "PATCH", uri, headers, in);
+    }
+
     /** Passes a DELETE on. */
     @DELETE
-    @Path("/{path: .*}")
+    @Path(ANY_PATH)
     public Response delete(
             @PathParam("service") String service, @Context UriInfo uri, @Context HttpHeaders headers, InputStream in)
-            throws IOException, InterruptedException {
+            throws InterruptedException {
         return call(service, "DELETE", uri, headers, in);
     }
 
     private Response call(String service, String method, UriInfo uri, HttpHeaders headers, InputStream in)
-            throws IOException, InterruptedException {
+            throws InterruptedException {
         RequestId id = requests.nextId();
         Either<Failure, Caller> caller = keys.authenticate(headers.getHeaderString(HttpHeaders.AUTHORIZATION));
         if (caller.isLeft()) {
             return Responses.failure(id, caller.getLeft());
         }
-        byte[] body = in.readNBytes(maxBodyBytes + 1);
-        if (body.length > maxBodyBytes) {
-            return Responses.failure(
-                    id, Failure.of(ResultCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes"));
-        }
-        Either<Failure, CallerRequest> checked = check(id, caller.get(), service, method, uri, headers, body);
+        Either<Failure, CallerRequest> checked =
+                bodies.read(headers, in).flatMap(body -> check(id, caller.get(), service, method, uri, headers, body));
         if (checked.isLeft()) {
             return Responses.failure(id, checked.getLeft());
         }
@@ -111,8 +136,13 @@
         } catch (IllegalArgumentException e) {
             return Either.left(Failure.of(ResultCode.UNKNOWN_SERVICE, e.getMessage()));
         }
-        String path = "/" + uri.getPathParameters(false).getFirst("path");
-        Either<Failure, OperationSpec> operation = requests.findOperation(caller, service, method, path);
+        Either<Failure, ServicePath> found =
+                ServicePath.of("/" + uri.getPathParameters(false).getFirst("path"));
+        if (found.isLeft()) {
+            return Either.left(found.getLeft());
+        }
+        String path = found.get().raw();
+        Either<Failure, OperationSpec> operation = requests.findOperation(caller, service, method, found.get());
         if (operation.isLeft()) {
             return Either.left(operation.getLeft());
         }
