--- a/core/src/test/java/org/hawthornglade/core/entry/EntryDeciderPropertyTest.java
+++ b/core/src/test/java/org/hawthornglade/core/entry/EntryDeciderPropertyTest.java
@@ -23,7 +23,7 @@
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 
-/** Draws orders of events with lost, late, repeated and crossed replies, and compares what callers hear with the truth. */
+/** Draws orders of events with lost, late and repeated replies, and compares what callers hear with the truth. */
 final class EntryDeciderPropertyTest {
     private static final List<String> ENGINES = List.of("engine-1", "engine-2");
     private static final List<String> SERVICES = List.of("orders-1", "orders-2");
--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
@@ -35,6 +36,8 @@
 import org.hawthornglade.entry.claim.GroupedClaims;
 import org.hawthornglade.entry.control.AgentLinks;
 import org.hawthornglade.entry.control.LinkContext;
+import org.hawthornglade.entry.operator.FleetBook;
+import org.hawthornglade.entry.operator.OperatorModule;
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.log.TimelineLog;
 import org.hawthornglade.node.loop.EventQueue;
@@ -66,6 +69,7 @@
     @Override
     protected void configure() {
         bind(EntrySettings.class).toInstance(settings);
+        install(new OperatorModule());
     }
 
     @Provides
@@ -169,17 +173,20 @@
             ConfigurationHolder holder,
             Timeline timeline,
             EventQueue<EntryEvent> events,
-            ModelBoard board) {
+            ModelBoard board,
+            FleetBook fleet) {
+        Consumer<EntryEvent> sink = event -> {
+            board.on(event);
+            fleet.observe(event);
+            events.submit(event);
+        };
         return new AgentLinks(new LinkContext(
                 settings.getProcessName(),
                 timeline.bootId(),
                 keys,
                 holder,
                 timeline,
-                event -> {
-                    board.on(event);
-                    events.submit(event);
-                },
+                sink,
                 waitMs -> waitMs / 2 + ThreadLocalRandom.current().nextLong(waitMs),
                 settings.getHeartbeatMs(),
                 (int) settings.getSilenceTimeoutMs()));
