--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/Answer.java
@@ -0,0 +1,52 @@
+package org.hawthornglade.app.process;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.hawthornglade.core.result.Execution;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.standin.engine.AnswerText;
+
+/**
+ * What a caller got.
+ *
+ * @param status the HTTP status; 0 if the connection broke without an answer
+ * @param body the body, as far as it came
+ * @param broken whether the connection broke before the answer's end
+ * @param tookMs how long it took, in milliseconds
+ */
+record Answer(int status, String body, boolean broken, long tookMs) {
+    private static final Pattern CONTENT = Pattern.compile("\"content\":\"([^\"]*)\"");
+    private static final Pattern CODE = Pattern.compile("\"code\":(\\d+)");
+    private static final int OK = 200;
+
+    /** Returns whether a stream came whole, to its own prompt and out of one run. */
+    boolean wholeStream(String prompt, int tokens) {
+        StringBuilder text = new StringBuilder();
+        Matcher matcher = CONTENT.matcher(body);
+        while (matcher.find()) {
+            text.append(matcher.group(1));
+        }
+        return status == OK
+                && !broken
+                && body.trim().endsWith("data: [DONE]")
+                && AnswerText.isWhole(text.toString(), prompt, tokens);
+    }
+
+    /** Returns the result code of a refusal; OK if there is none. */
+    ResultCode code() {
+        Matcher matcher = CODE.matcher(body);
+        return matcher.find()
+                ? ResultCode.ofNumber(Integer.parseInt(matcher.group(1))).orElse(ResultCode.INTERNAL_ERROR)
+                : ResultCode.OK;
+    }
+
+    /** Returns whether the caller was told that nothing was run. */
+    boolean saidNotRun() {
+        return code() != ResultCode.OK && code().execution() == Execution.NOT_RUN;
+    }
+
+    /** Returns whether there is a final word: a success or a numbered code. */
+    boolean definite() {
+        return !broken && (status == OK || code() != ResultCode.OK);
+    }
+}
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/KilledProcessTest.java
@@ -0,0 +1,101 @@
+package org.hawthornglade.app.process;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.hawthornglade.core.engine.LoadState;
+import org.hawthornglade.standin.service.ExecutedCall;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Processes that are killed at the worst moments. */
+@Tag("process")
+final class KilledProcessTest extends ProcessTestBase {
+    private static final String SLOW_TOKENS = "\"remoteMbPerSecond\": 10000, \"betweenTokenMs\": 50";
+
+    @Test
+    void anAgentKilledUnderAnswersLeavesNoCallerWithoutATrueAnswer() throws Exception {
+        deploy(SLOW_TOKENS, 0);
+        awaitAnswering(0, "quick");
+        List<TestCaller.Call> calls =
+                IntStream.range(0, 6).mapToObj(i -> chat(i % 2, "quick", "prompt " + i)).toList();
+        for (TestCaller.Call call : calls) {
+            awaitBytes(call, ONE_KB);
+        }
+
+        deployment().agent(Deployment.ENGINE_1).process().kill();
+
+        for (int i = 0; i < calls.size(); i++) {
+            assertTrueAndInTime(calls.get(i).join(), "prompt " + i);
+        }
+        deployment().agent(Deployment.ENGINE_1).process().start();
+        awaitAnswering(0, "quick");
+        awaitAnswering(1, "quick");
+        assertInvariants();
+    }
+
+    @Test
+    void anAgentKilledInMidLoadIsFollowedByOneThatCleansUp() throws Exception {
+        deploy("\"remoteMbPerSecond\": 250, \"betweenTokenMs\": 5", 0);
+        TestCaller.Call call = chat(0, "quick", "early");
+        Waiting.until("the load begins", LIMIT_MS, () -> deployment()
+                .standins()
+                .engine("engine-1")
+                .state()
+                .models()
+                .stream()
+                .anyMatch(held -> held.state() == LoadState.LOADING));
+
+        deployment().agent(Deployment.ENGINE_1).process().kill();
+        deployment().standins().engine("engine-1").restart();
+        deployment().agent(Deployment.ENGINE_1).process().start();
+
+        assertTrueAndInTime(call.join(), "early");
+        awaitAnswering(1, "quick");
+        assertInvariants();
+    }
+
+    @Test
+    void anEntryKilledBeforeTheAnswerDoesNotLetACallRunTwice() throws Exception {
+        deploy(SLOW_TOKENS, 2_000);
+        TestCaller.Call first = order(0, "key-1");
+        Waiting.until("the call runs", LIMIT_MS, () -> !deployment()
+                .standins()
+                .service("orders-1")
+                .calls()
+                .isEmpty());
+
+        deployment().entry(0).kill();
+
+        assertThat(first.join().status()).isNotEqualTo(200);
+        Answer again = order(1, "key-1").join();
+        assertWithMessage("%s", again).that(again.definite()).isTrue();
+        assertWithMessage("%s", again).that(again.saidNotRun()).isFalse();
+        deployment().entry(0).start();
+        Answer other = order(1, "key-2").join();
+        assertWithMessage("%s", other).that(other.status()).isEqualTo(200);
+        assertThat(deployment().standins().service("orders-1").calls().stream().map(ExecutedCall::idempotencyKey))
+                .containsExactly("key-1", "key-2");
+    }
+
+    @Test
+    void anEntryKilledUnderAnswersBreaksOnlyItsOwn() throws Exception {
+        deploy(SLOW_TOKENS, 0);
+        awaitAnswering(0, "quick");
+        awaitAnswering(1, "quick");
+        TestCaller.Call killed = chat(0, "quick", "killed");
+        TestCaller.Call other = chat(1, "quick", "other");
+        awaitBytes(killed, ONE_KB);
+        awaitBytes(other, ONE_KB);
+
+        deployment().entry(0).kill();
+
+        assertThat(killed.join().broken()).isTrue();
+        assertThat(other.join().wholeStream("other", TOKENS)).isTrue();
+        deployment().entry(0).start();
+        awaitAnswering(1, "quick");
+        assertInvariants();
+    }
+}
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/PlatformOutageTest.java
@@ -0,0 +1,73 @@
+package org.hawthornglade.app.process;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.stream.Stream;
+import org.hawthornglade.standin.fault.FaultScript;
+import org.hawthornglade.standin.fault.FaultScriptBuilder;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** A table service that is down, frozen, slow or loses replies. */
+@Tag("process")
+final class PlatformOutageTest extends ProcessTestBase {
+    private static final String SETTINGS = "\"remoteMbPerSecond\": 10000, \"betweenTokenMs\": 5";
+    private static final long SHORT_DEADLINE_MS = 6_000;
+
+    static Stream<Arguments> outages() {
+        return Stream.of(
+                Arguments.of("down", new FaultScriptBuilder().down().build()),
+                Arguments.of("frozen", new FaultScriptBuilder().freeze().build()),
+                Arguments.of("slow", new FaultScriptBuilder().slowMs(3_000).build()),
+                Arguments.of("rate limited", new FaultScriptBuilder().rateLimitMs(1_000).build()));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("outages")
+    void modelsWakeAndCallsAreRefusedAsNotRun(String name, FaultScript script) throws Exception {
+        deploy(SETTINGS, 0);
+        awaitAnswering(0, "guide");
+        awaitAnswering(1, "guide");
+        deployment().standins().faults("table").set(script);
+
+        awaitAnswering(0, "quick");
+        Answer refused = caller().order(entryUri(0), "key-1", "{}", SHORT_DEADLINE_MS).join();
+        assertWithMessage("%s", refused).that(refused.definite()).isTrue();
+        assertWithMessage("%s", refused).that(refused.status()).isNotEqualTo(200);
+        assertThat(deployment().standins().service("orders-1").calls()).isEmpty();
+
+        deployment().standins().faults("table").set(FaultScript.NONE);
+        Waiting.until("calls run again", LIMIT_MS, () -> order(0, "after-" + System.nanoTime()).join().status() == 200);
+        assertInvariants();
+    }
+
+    @ParameterizedTest
+    @org.junit.jupiter.params.provider.ValueSource(ints = {1, 2, 3})
+    void aLostReplyOfAClaimLetsNothingRunTwice(int loseReplyEvery) throws Exception {
+        deploy(SETTINGS, 0);
+        deployment()
+                .standins()
+                .faults("table")
+                .set(new FaultScriptBuilder().loseReplyEvery(loseReplyEvery).build());
+
+        for (int i = 0; i < 6; i++) {
+            Answer first = order(0, "key-" + i).join();
+            Answer second = order(1, "key-" + i).join();
+            String key = "key-" + i;
+            long runs = deployment().standins().service("orders-1").calls().stream()
+                    .filter(ran -> key.equals(ran.idempotencyKey()))
+                    .count();
+            assertWithMessage("%s then %s", first, second).that(runs).isAtMost(1);
+            assertWithMessage("%s", first).that(first.definite()).isTrue();
+            if (second.saidNotRun()) {
+                assertWithMessage("%s then %s", first, second).that(runs).isEqualTo(0);
+            }
+            if (first.status() == 200) {
+                assertThat(runs).isEqualTo(1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/Ports.java
@@ -0,0 +1,35 @@
+package org.hawthornglade.app.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Picks ports below the range that the system gives out by itself, so that nobody takes one before its process. */
+final class Ports {
+    private static final int FIRST = 20_000;
+    private static final int COUNT = 10_000;
+    private static final int STEP_PER_PROCESS = 40;
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * STEP_PER_PROCESS % COUNT));
+
+    private Ports() {}
+
+    static int free() {
+        for (int i = 0; i < COUNT; i++) {
+            int port = FIRST + NEXT.getAndIncrement() % COUNT;
+            if (isFree(port)) {
+                return port;
+            }
+        }
+        throw new AssertionError("no port is free");
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/ProcessTestBase.java
@@ -0,0 +1,118 @@
+package org.hawthornglade.app.process;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Path;
+import org.hawthornglade.core.engine.LoadState;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.standin.engine.Violation;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.TestInfo;
+
+/** One deployment and one caller a test, and what must hold after each. */
+abstract class ProcessTestBase {
+    static final long DEADLINE_MS = 30_000;
+    static final int TOKENS = 40;
+    static final int ONE_KB = 1_024;
+
+    /** From a deadline to the latest time of an answer; wide, since the machine may be busy. */
+    static final long MARGIN_MS = 10_000;
+
+    static final long LIMIT_MS = 60_000;
+
+    private final TestCaller caller = new TestCaller();
+    private Deployment deployment;
+    private Path logs;
+
+    @BeforeEach
+    void name(TestInfo info) throws IOException {
+        logs = Deployment.logsOf(info);
+    }
+
+    @AfterEach
+    void close() throws IOException, InterruptedException {
+        caller.close();
+        if (deployment != null) {
+            deployment.close();
+        }
+    }
+
+    Deployment deploy(String engineSettings, int orderDelayMs) throws IOException, InterruptedException {
+        deployment = new Deployment(logs, engineSettings, orderDelayMs, 2);
+        return deployment;
+    }
+
+    Deployment deployment() {
+        return deployment;
+    }
+
+    TestCaller caller() {
+        return caller;
+    }
+
+    TestCaller.Call chat(int entry, String model, String prompt) {
+        return caller.chat(deployment.entryUri(entry), model, prompt, TOKENS, DEADLINE_MS);
+    }
+
+    TestCaller.Call order(int entry, String key) {
+        return caller.order(deployment.entryUri(entry), key, "{\"key\":\"" + key + "\"}", DEADLINE_MS);
+    }
+
+    /** Waits until a caller gets a whole answer, asking again after refusals. */
+    void awaitAnswering(int entry, String model) throws InterruptedException {
+        Waiting.until(model + " answers at entry " + entry, LIMIT_MS, () -> {
+            String prompt = "is it there";
+            return chat(entry, model, prompt).join().wholeStream(prompt, TOKENS);
+        });
+    }
+
+    static void awaitBytes(TestCaller.Call call, int bytes) throws InterruptedException {
+        Waiting.until("the answer begins", LIMIT_MS, () -> {
+            if (call.answer().isDone()) {
+                throw new AssertionError("ended early: " + call.join());
+            }
+            return call.receivedBytes().get() >= bytes;
+        });
+    }
+
+    boolean isReady(InstanceId engine, ModelName model) {
+        return deployment.standins().engine(engine.value()).state().models().stream()
+                .anyMatch(held -> held.model().equals(model) && held.state() == LoadState.READY);
+    }
+
+    /** Asserts that an answer is final, came in time, and is whole if it is a success. */
+    static void assertTrueAndInTime(Answer answer, String prompt) {
+        assertWithMessage("final: %s", answer).that(answer.definite()).isTrue();
+        assertWithMessage("in time: %s", answer).that(answer.tookMs()).isLessThan(DEADLINE_MS + MARGIN_MS);
+        if (answer.code() == org.hawthornglade.core.result.ResultCode.OK) {
+            assertWithMessage("whole: %s", answer)
+                    .that(answer.wholeStream(prompt, TOKENS))
+                    .isTrue();
+        }
+    }
+
+    /** Asserts what must hold in every test: no more replicas than decided, and memory never overcommitted. */
+    void assertInvariants() {
+        assertWithMessage("replicas of guide")
+                .that(deployment.standins().held().maxHeld(Deployment.GUIDE))
+                .isAtMost(2);
+        assertWithMessage("replicas of quick")
+                .that(deployment.standins().held().maxHeld(Deployment.QUICK))
+                .isAtMost(1);
+        for (InstanceId engine : new InstanceId[] {Deployment.ENGINE_1, Deployment.ENGINE_2}) {
+            assertWithMessage("violations of %s", engine)
+                    .that(deployment.standins().engine(engine.value()).state().violations().stream()
+                            .filter(violation -> violation.kind() == Violation.Kind.OVERCOMMIT)
+                            .toList())
+                    .isEmpty();
+        }
+    }
+
+    URI entryUri(int index) {
+        return deployment.entryUri(index);
+    }
+}
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/SilentConnectionTest.java
@@ -0,0 +1,90 @@
+package org.hawthornglade.app.process;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.hawthornglade.app.process.Relay.Silence;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Open connections between entries and agents that go silent or are cut, while new ones work. */
+@Tag("process")
+final class SilentConnectionTest extends ProcessTestBase {
+    private static final String SETTINGS = "\"remoteMbPerSecond\": 10000, \"betweenTokenMs\": 50";
+
+    private void silenceAll(Silence way) {
+        for (var engine : List.of(Deployment.ENGINE_1, Deployment.ENGINE_2)) {
+            deployment().agent(engine).data().silenceOpen(way);
+            deployment().agent(engine).control().silenceOpen(way);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void answersUnderWayEndTrulyAndNewOnesComeWhole(Silence way) throws Exception {
+        deploy(SETTINGS, 0);
+        awaitAnswering(0, "guide");
+        awaitAnswering(1, "guide");
+        List<TestCaller.Call> calls =
+                IntStream.range(0, 6).mapToObj(i -> chat(i % 2, "guide", "prompt " + i)).toList();
+        for (TestCaller.Call call : calls) {
+            awaitBytes(call, ONE_KB);
+        }
+
+        silenceAll(way);
+
+        for (int i = 0; i < calls.size(); i++) {
+            assertTrueAndInTime(calls.get(i).join(), "prompt " + i);
+        }
+        awaitAnswering(0, "guide");
+        awaitAnswering(1, "guide");
+        assertInvariants();
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aCallOverASilentConnectionIsNeverRunTwice(Silence way) throws Exception {
+        deploy(SETTINGS, 1_000);
+        assertThat(order(0, "before").join().status()).isEqualTo(200);
+        TestCaller.Call call = caller().order(entryUri(0), "key-1", "{}", 8_000);
+        Waiting.until("the call runs", LIMIT_MS, () -> deployment()
+                        .standins()
+                        .service("orders-1")
+                        .calls()
+                        .size()
+                == 2);
+        deployment().agent(Deployment.ORDERS_1).data().silenceOpen(way);
+        deployment().agent(Deployment.ORDERS_1).control().silenceOpen(way);
+
+        assertThat(call.join().definite()).isTrue();
+        assertThat(call.join().saidNotRun()).isFalse();
+        assertThat(order(1, "key-1").join().saidNotRun()).isFalse();
+        Waiting.until("calls run again", LIMIT_MS, () -> order(0, "after-" + System.nanoTime()).join().status() == 200);
+        assertThat(deployment().standins().service("orders-1").calls().stream()
+                        .filter(ran -> "key-1".equals(ran.idempotencyKey())))
+                .hasSize(1);
+    }
+
+    @Test
+    void answersOverCutConnectionsEndTruly() throws Exception {
+        deploy(SETTINGS, 0);
+        awaitAnswering(0, "guide");
+        List<TestCaller.Call> calls =
+                IntStream.range(0, 6).mapToObj(i -> chat(0, "guide", "prompt " + i)).toList();
+        for (TestCaller.Call call : calls) {
+            awaitBytes(call, ONE_KB);
+        }
+
+        deployment().agent(Deployment.ENGINE_1).data().cutOpen();
+        deployment().agent(Deployment.ENGINE_1).control().cutOpen();
+
+        for (int i = 0; i < calls.size(); i++) {
+            assertTrueAndInTime(calls.get(i).join(), "prompt " + i);
+        }
+        awaitAnswering(0, "guide");
+        assertInvariants();
+    }
+}
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/WholePathTest.java
@@ -0,0 +1,66 @@
+package org.hawthornglade.app.process;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInfo;
+
+/** The path from caller to endpoint without any fault. */
+@Tag("process")
+final class WholePathTest {
+    private static final int TOKENS = 8;
+    private static final long DEADLINE_MS = 30_000;
+
+    private Path logs;
+
+    @BeforeEach
+    void name(TestInfo info) throws IOException {
+        logs = Deployment.logsOf(info);
+    }
+
+    @Test
+    void aColdModelWakesAndAnswersWholeAtBothEntries() throws Exception {
+        try (Deployment deployment = new Deployment(logs, "\"remoteMbPerSecond\": 2000, \"betweenTokenMs\": 5", 0, 2);
+                TestCaller caller = new TestCaller()) {
+            List<TestCaller.Call> calls = IntStream.range(0, 20)
+                    .mapToObj(i -> caller.chat(deployment.entryUri(i % 2), "guide", "prompt " + i, TOKENS, DEADLINE_MS))
+                    .toList();
+
+            for (int i = 0; i < calls.size(); i++) {
+                Answer answer = calls.get(i).join();
+                assertThat(answer.wholeStream("prompt " + i, TOKENS)).isTrue();
+            }
+            assertThat(deployment.standins().held().maxHeld(Deployment.GUIDE)).isAtMost(2);
+            assertThat(caller.chat(deployment.entryUri(0), "nobody", "x", 1, DEADLINE_MS)
+                            .join()
+                            .status())
+                    .isEqualTo(404);
+        }
+    }
+
+    @Test
+    void anOrderConfirmationRunsOnceHoweverOftenItIsSent() throws Exception {
+        try (Deployment deployment = new Deployment(logs, "\"betweenTokenMs\": 5", 300, 2);
+                TestCaller caller = new TestCaller()) {
+            List<TestCaller.Call> calls = IntStream.range(0, 6)
+                    .mapToObj(i -> caller.order(deployment.entryUri(i % 2), "key-1", "{\"order\":1}", DEADLINE_MS))
+                    .toList();
+            calls.forEach(call -> assertWithMessage("%s", call.join())
+                    .that(call.join().definite())
+                    .isTrue());
+            assertThat(deployment.standins().service("orders-1").calls()).hasSize(1);
+            assertThat(calls.stream()
+                            .filter(call -> call.join().status() == 200)
+                            .count())
+                    .isAtLeast(1);
+            calls.forEach(call -> assertThat(call.join().saidNotRun()).isFalse());
+        }
+    }
+}
--- a/standin/src/test/java/org/hawthornglade/standin/engine/EngineContract.java
+++ b/standin/src/test/java/org/hawthornglade/standin/engine/EngineContract.java
@@ -22,7 +22,7 @@
 import org.hawthornglade.platform.engine.OrderAnswer;
 import org.hawthornglade.standin.fault.FaultCase;
 import org.hawthornglade.standin.fault.FaultScript;
-import org.hawthornglade.standin.fault.FaultScripts;
+import org.hawthornglade.standin.fault.FaultScriptBuilder;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -175,7 +175,7 @@
 
     @Test
     void aBrokenOffLoadStaysHalfPresentUntilItIsUnloaded() {
-        EngineControl engine = open(settings(true, 0, FaultScripts.crashLoadEvery(1)), PATIENT_MS);
+        EngineControl engine = open(settings(true, 0, new FaultScriptBuilder().crashLoadEvery(1).build()), PATIENT_MS);
         engine.order(load(GUIDE, SIZE_MB, 1)).get();
         advance(REMOTE_LOAD_MS / 2);
 
--- a/standin/src/test/java/org/hawthornglade/standin/engine/InferenceTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/engine/InferenceTest.java
@@ -10,7 +10,7 @@
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.fault.FaultScript;
-import org.hawthornglade.standin.fault.FaultScripts;
+import org.hawthornglade.standin.fault.FaultScriptBuilder;
 import org.hawthornglade.standin.time.ManualTimers;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -121,7 +121,7 @@
     void aStalledAnswerGoesOnLater() {
         Generation generation = start("a", 3);
         timers.advance(FIRST_TOKEN_MS);
-        faults.set(FaultScripts.stallStreams());
+        faults.set(new FaultScriptBuilder().stallStreams().build());
         timers.advance(60_000);
         assertThat(tokens(generation)).isEqualTo(1);
 
--- a/standin/src/test/java/org/hawthornglade/standin/fault/FaultCase.java
+++ b/standin/src/test/java/org/hawthornglade/standin/fault/FaultCase.java
@@ -36,20 +36,20 @@
     public static Stream<FaultCase> all() {
         return Stream.of(
                 new FaultCase("no fault", FaultScript.NONE, PATIENT_MS, OK, OK, true, 0),
-                new FaultCase("slow within the time-out", FaultScripts.slow(20), PATIENT_MS, OK, OK, true, 0),
+                new FaultCase("slow within the time-out", new FaultScriptBuilder().slowMs(20).build(), PATIENT_MS, OK, OK, true, 0),
                 new FaultCase(
                         "slow beyond the time-out",
-                        FaultScripts.slow(2 * SHORT_MS),
+                        new FaultScriptBuilder().slowMs(2 * SHORT_MS).build(),
                         SHORT_MS,
                         PLATFORM_UNAVAILABLE,
                         PLATFORM_OUTCOME_UNKNOWN,
                         true,
                         0),
                 new FaultCase(
-                        "down", FaultScripts.down(), PATIENT_MS, PLATFORM_UNAVAILABLE, PLATFORM_UNAVAILABLE, false, 0),
+                        "down", new FaultScriptBuilder().down().build(), PATIENT_MS, PLATFORM_UNAVAILABLE, PLATFORM_UNAVAILABLE, false, 0),
                 new FaultCase(
                         "every call fails with 503",
-                        FaultScripts.failEvery(1, 503),
+                        new FaultScriptBuilder().failEvery(1, 503).build(),
                         PATIENT_MS,
                         PLATFORM_UNAVAILABLE,
                         PLATFORM_UNAVAILABLE,
@@ -57,7 +57,7 @@
                         0),
                 new FaultCase(
                         "every call fails with 500",
-                        FaultScripts.failEvery(1, 500),
+                        new FaultScriptBuilder().failEvery(1, 500).build(),
                         PATIENT_MS,
                         PLATFORM_UNAVAILABLE,
                         PLATFORM_OUTCOME_UNKNOWN,
@@ -65,7 +65,7 @@
                         0),
                 new FaultCase(
                         "reply lost after the change",
-                        FaultScripts.loseReplyEvery(1),
+                        new FaultScriptBuilder().loseReplyEvery(1).build(),
                         PATIENT_MS,
                         OK,
                         PLATFORM_OUTCOME_UNKNOWN,
@@ -73,7 +73,7 @@
                         0),
                 new FaultCase(
                         "rate limited",
-                        FaultScripts.rateLimit(1_234),
+                        new FaultScriptBuilder().rateLimitMs(1_234).build(),
                         PATIENT_MS,
                         PLATFORM_RATE_LIMITED,
                         PLATFORM_RATE_LIMITED,
@@ -81,7 +81,7 @@
                         1_234),
                 new FaultCase(
                         "frozen",
-                        FaultScripts.freeze(),
+                        new FaultScriptBuilder().freeze().build(),
                         SHORT_MS,
                         PLATFORM_UNAVAILABLE,
                         PLATFORM_OUTCOME_UNKNOWN,
--- a/standin/src/test/java/org/hawthornglade/standin/table/TableServiceContract.java
+++ b/standin/src/test/java/org/hawthornglade/standin/table/TableServiceContract.java
@@ -17,7 +17,7 @@
 import org.hawthornglade.platform.table.Write;
 import org.hawthornglade.standin.fault.FaultCase;
 import org.hawthornglade.standin.fault.FaultScript;
-import org.hawthornglade.standin.fault.FaultScripts;
+import org.hawthornglade.standin.fault.FaultScriptBuilder;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -62,7 +62,7 @@
 
     @Test
     void everySecondCallFails() {
-        TableService service = open(FaultScripts.failEvery(2, 503), PATIENT_MS);
+        TableService service = open(new FaultScriptBuilder().failEvery(2, 503).build(), PATIENT_MS);
 
         List<Boolean> answered = IntStream.range(0, 6)
                 .mapToObj(i -> service.read(TABLE, "k").isRight())
@@ -74,7 +74,7 @@
 
     @Test
     void everyThirdReplyIsLostButTakesEffect() {
-        TableService service = open(FaultScripts.loseReplyEvery(3), PATIENT_MS);
+        TableService service = open(new FaultScriptBuilder().loseReplyEvery(3).build(), PATIENT_MS);
 
         List<ResultCode> codes = IntStream.range(0, 6)
                 .mapToObj(i -> FaultCase.codeOf(service.transact(insert("k" + i, "{}"))))
--- a/standin/src/test/java/org/hawthornglade/standin/weight/WeightStoreContract.java
+++ b/standin/src/test/java/org/hawthornglade/standin/weight/WeightStoreContract.java
@@ -11,7 +11,7 @@
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.fault.FaultScript;
-import org.hawthornglade.standin.fault.FaultScripts;
+import org.hawthornglade.standin.fault.FaultScriptBuilder;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -64,7 +64,7 @@
         WeightStore store = open(settings(100));
         fetch(store, 1);
         advance(1_000);
-        faults().set(FaultScripts.speedPercent(10));
+        faults().set(new FaultScriptBuilder().speedPercent(10).build());
 
         advance(9_900);
         assertThat(truth().activeFetches()).isEqualTo(1);
@@ -95,7 +95,7 @@
     @Test
     void aStoreThatIsDownHasNothing() {
         WeightStore store = open(settings(100));
-        faults().set(FaultScripts.down());
+        faults().set(new FaultScriptBuilder().down().build());
         store.fetch(TWO_GB, results::add);
         assertEnded(1);
 
