--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -1,20 +1,22 @@
 package org.hawthornglade.app;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.hawthornglade.app.caller.CallCommand;
 import org.hawthornglade.app.caller.ChatCommand;
 
-/** All commands. */
+/** All commands, in the order in which help lists them. */
 final class Commands {
     private Commands() {}
 
     static List<Command> all() {
-        return List.of(
-                new EntryCommand(),
-                new AgentCommand(),
-                new StandinCommand(),
-                new LoadCommand(),
-                new ChatCommand(),
-                new CallCommand());
+        List<Command> commands = new ArrayList<>();
+        commands.add(new EntryCommand());
+        commands.add(new AgentCommand());
+        commands.add(new StandinCommand());
+        commands.add(new ChatCommand());
+        commands.add(new CallCommand());
+        commands.add(new LoadCommand());
+        return commands;
     }
 }
