--- a/bench/src/main/java/org/hawthornglade/bench/experiment/ResultTable.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/ResultTable.java
@@ -7,8 +7,8 @@
 /** Prints summaries as a Markdown table: medians over seeds, with the spread between the quartiles in brackets. */
 final class ResultTable {
     private static final String HEADER =
-            "| policies | fault | cold starts | cold p50 s | cold p99 s | cold max s | on time | idle h | refused | late |"
-                    + " unused loads | evictions | prefix hits | during | after | goodput/s |";
+            "| policies | fault | cold starts | cold p50 s | cold p99 s | cold max s | on time | idle h"
+                    + " | refused | late | unused loads | evictions | prefix hits | during | after | goodput/s |";
     private static final double SECOND_MS = 1_000;
 
     private ResultTable() {}
--- a/core/src/main/java/org/hawthornglade/core/load/OrderedEviction.java
+++ b/core/src/main/java/org/hawthornglade/core/load/OrderedEviction.java
@@ -20,7 +20,7 @@
     }
 
     /**
-     * Unloads first what costs the least waiting to bring back for the memory it holds, and keeps what is dear to reload.
+     * Unloads first what costs the least waiting to bring back for the memory it holds; keeps what is dear to reload.
      *
      * @param tailExponent how much more a long load weighs than several short ones of the same sum; 1 for not at all
      */
--- a/entry/src/main/java/org/hawthornglade/entry/claim/ClaimSettler.java
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/ClaimSettler.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingDeque;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.retry.Backoff;
@@ -26,7 +28,7 @@
     private final ClaimTable table;
     private final RandomGenerator random;
     private final Thread thread = new Thread(this::run, "claim-settler");
-    private volatile boolean closed;
+    private final CountDownLatch stopping = new CountDownLatch(1);
 
     ClaimSettler(ClaimTable table, RandomGenerator random) {
         this.table = table;
@@ -51,7 +53,7 @@
     /** Tries once more to record what waits. */
     @Override
     public void close() {
-        closed = true;
+        stopping.countDown();
         thread.interrupt();
         try {
             thread.join(STOP_TIMEOUT_MS);
@@ -62,14 +64,17 @@
 
     private void run() {
         int failures = 0;
-        while (!closed) {
+        while (stopping.getCount() > 0) {
             try {
                 List<Pending> group = gather(waiting.take());
                 boolean recorded = record(group);
                 failures = recorded ? 0 : failures + 1;
                 if (!recorded) {
                     putBack(group);
-                    Thread.sleep(BACKOFF.delayMs(failures, random));
+                    boolean stopped = stopping.await(BACKOFF.delayMs(failures, random), TimeUnit.MILLISECONDS);
+                    if (stopped) {
+                        break;
+                    }
                 }
             } catch (InterruptedException e) {
                 break;
