--- a/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.core.agent;
 
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.hawthornglade.core.engine.CheckpointTier;
 import org.hawthornglade.core.idle.FixedKeepAlive;
@@ -45,6 +46,7 @@
             Map.of(CheckpointTier.MEMORY, 40_000.0, CheckpointTier.DISK, 16_000.0, CheckpointTier.REMOTE, 8_000.0);
 
     private static final long AGEING_MS = 10_000;
+    private static final double RELOAD_TAIL_EXPONENT = 2;
     private static final int START_LOADS = 2;
     private static final int MAX_LOADS = 8;
     private static final Backoff ORDER_BACKOFF = new Backoff(500, 10_000);
@@ -57,7 +59,7 @@
                 new SmithLoadOrder(AGEING_MS),
                 new AdaptiveLoadConcurrency(START_LOADS, MAX_LOADS),
                 new AdapterLoadLimit(),
-                OrderedEviction.cheapestToReload(),
+                OrderedEviction.cheapestToReload(RELOAD_TAIL_EXPONENT),
                 idle,
                 new LoadTimeEstimator<>(CheckpointTier.class, ASSUMED_MB_PER_SECOND),
                 ORDER_BACKOFF,
@@ -66,6 +68,6 @@
 
     /** Returns policies with a fixed keep-alive, in milliseconds, and a fixed seed. */
     public static AgentPolicies simple(long keepAliveMs) {
-        return with(FixedKeepAlive.ofMs(keepAliveMs), new java.util.SplittableRandom(SEED));
+        return with(FixedKeepAlive.ofMs(keepAliveMs), new SplittableRandom(SEED));
     }
 }
--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -267,9 +267,8 @@
 
     @Provides
     @Singleton
-    GracefulStop gracefulStop(StopState state, EntryProcess process, InFlightFilter requests, Clock clock) {
-        return new GracefulStop(
-                state, process, requests, clock, settings.getUnhealthyMs(), settings.getStopTimeoutMs());
+    GracefulStop gracefulStop(StopState state, EntryProcess process, InFlightFilter requests) {
+        return new GracefulStop(state, process, requests, settings.getUnhealthyMs(), settings.getStopTimeoutMs());
     }
 
     @Provides
--- a/entry/src/main/java/org/hawthornglade/entry/GracefulStop.java
+++ b/entry/src/main/java/org/hawthornglade/entry/GracefulStop.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.dropwizard.lifecycle.ServerLifecycleListener;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.Server;
-import org.hawthornglade.core.time.Clock;
 
 /**
  * Ends an entry on SIGTERM: unhealthy first, then no new requests, then the running ones to their end, then the server.
@@ -12,12 +14,10 @@
  */
 public final class GracefulStop implements ServerLifecycleListener {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final long POLL_MS = 20;
 
     private final StopState state;
     private final EntryProcess process;
     private final InFlightFilter requests;
-    private final Clock clock;
     private final long unhealthyMs;
     private final long timeoutMs;
 
@@ -28,16 +28,10 @@
      * @param timeoutMs how long requests in progress may take, in milliseconds
      */
     public GracefulStop(
-            StopState state,
-            EntryProcess process,
-            InFlightFilter requests,
-            Clock clock,
-            long unhealthyMs,
-            long timeoutMs) {
+            StopState state, EntryProcess process, InFlightFilter requests, long unhealthyMs, long timeoutMs) {
         this.state = state;
         this.process = process;
         this.requests = requests;
-        this.clock = clock;
         this.unhealthyMs = unhealthyMs;
         this.timeoutMs = timeoutMs;
     }
@@ -50,23 +44,19 @@
 
     private void stop(Server server) {
         state.begin();
+        ScheduledExecutorService later = Executors.newSingleThreadScheduledExecutor();
         try {
-            Thread.sleep(unhealthyMs);
-            process.refuseNew();
-            awaitRequests(clock.nowMs() + timeoutMs);
+            later.schedule(process::refuseNew, unhealthyMs, TimeUnit.MILLISECONDS)
+                    .get();
+            int left = requests.awaitIdle(timeoutMs);
+            if (left > 0) {
+                process.stopTimeoutHit(left);
+            }
             server.stop();
         } catch (Exception e) {
             LOG.atSevere().withCause(e).log("event=stop_failed");
-        }
-    }
-
-    private void awaitRequests(long untilMs) throws InterruptedException {
-        while (requests.inFlight() > 0) {
-            if (clock.nowMs() >= untilMs) {
-                process.stopTimeoutHit(requests.inFlight());
-                return;
-            }
-            Thread.sleep(POLL_MS);
+        } finally {
+            later.shutdownNow();
         }
     }
 }
--- a/entry/src/main/java/org/hawthornglade/entry/InFlightFilter.java
+++ b/entry/src/main/java/org/hawthornglade/entry/InFlightFilter.java
@@ -6,24 +6,46 @@
 import jakarta.servlet.ServletRequest;
 import jakarta.servlet.ServletResponse;
 import java.io.IOException;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.TimeUnit;
 
-/** Counts the HTTP requests in progress, up to the last byte of their answers. */
+/** Counts the requests in progress. */
 public final class InFlightFilter implements Filter {
-    private final AtomicInteger inFlight = new AtomicInteger();
+    private int inFlight;
 
     @Override
     public void doFilter(ServletRequest request, ServletResponse response, FilterChain chain)
             throws IOException, ServletException {
-        inFlight.incrementAndGet();
+        change(1);
         try {
             chain.doFilter(request, response);
         } finally {
-            inFlight.decrementAndGet();
+            change(-1);
         }
     }
 
-    public int inFlight() {
-        return inFlight.get();
+    public synchronized int inFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Waits until no request is in progress.
+     *
+     * @param timeoutMs how long to wait at most, in milliseconds
+     * @return how many requests were left
+     * @throws InterruptedException if the waiting thread is interrupted
+     */
+    public synchronized int awaitIdle(long timeoutMs) throws InterruptedException {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        long leftMs = timeoutMs;
+        while (inFlight > 0 && leftMs > 0) {
+            wait(leftMs);
+            leftMs = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime());
+        }
+        return inFlight;
+    }
+
+    private synchronized void change(int by) {
+        inFlight += by;
+        notifyAll();
     }
 }
