--- a/core/src/main/java/org/hawthornglade/core/entry/EndpointTable.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EndpointTable.java
@@ -22,6 +22,8 @@
     private static final long AVOID_MS = 1_000;
     /** How long an operator's drain counts that the agent has not yet reported itself. */
     private static final long DRAIN_MS = 60_000;
+    /** Loads differ by cache tier and store; a request is refused only if this share of the expected time is too long. */
+    private static final double LOAD_TIME_SHARE = 0.5;
 
     private final Map<InstanceId, AgentView> views = new TreeMap<>();
     private final Map<InstanceId, Map<ModelName, Integer>> inFlight = new HashMap<>();
@@ -149,7 +151,7 @@
             return 0;
         }
         long expectedMs = replica.readyInMs() >= 0 ? replica.readyInMs() : replica.loadEstimateMs();
-        return Math.max(1, expectedMs);
+        return Math.max(1, Math.round(expectedMs * LOAD_TIME_SHARE));
     }
 
     private static int count(Map<InstanceId, Map<ModelName, Integer>> counts, InstanceId instance, ModelName queue) {
--- a/entry/src/main/java/org/hawthornglade/entry/caller/ModelsResource.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ModelsResource.java
@@ -1,8 +1,5 @@
 package org.hawthornglade.entry.caller;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import jakarta.ws.rs.Consumes;
 import jakarta.ws.rs.GET;
@@ -14,7 +11,6 @@
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.core.StreamingOutput;
-import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
 import org.hawthornglade.core.entry.AttemptOutcome;
@@ -22,7 +18,6 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.entry.attempt.CallerRequest;
 import org.hawthornglade.entry.attempt.OutboundCall;
 import org.hawthornglade.entry.attempt.RequestRunner;
@@ -32,7 +27,6 @@
 @Path("/v1")
 @Produces(MediaType.APPLICATION_JSON)
 public final class ModelsResource {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final CallerKeys keys;
@@ -99,7 +93,7 @@
             return Responses.failure(id, read.getLeft());
         }
         byte[] body = read.get();
-        Either<Failure, CompletionBody> parsed = parse(body);
+        Either<Failure, CompletionBody> parsed = CompletionBody.parse(body);
         if (parsed.isLeft()) {
             return Responses.failure(id, parsed.getLeft());
         }
@@ -140,20 +134,4 @@
                 .entity(output)
                 .build();
     }
-
-    private static Either<Failure, CompletionBody> parse(byte[] body) {
-        JsonNode tree;
-        try {
-            tree = MAPPER.readTree(body);
-        } catch (JsonProcessingException e) {
-            return Either.left(Failure.of(ResultCode.BAD_JSON, e.getOriginalMessage()));
-        } catch (IOException e) {
-            return Either.left(Failure.of(ResultCode.BAD_JSON, "the body cannot be read"));
-        }
-        if (tree == null || !tree.path("model").isTextual()) {
-            return Either.left(Failure.of(ResultCode.BAD_REQUEST, "the field model is missing"));
-        }
-        return Either.right(new CompletionBody(
-                tree.get("model").asText(), tree.path("stream").asBoolean(false)));
-    }
 }
