--- a/app/src/main/java/org/hawthornglade/app/ExperimentCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/ExperimentCommand.java
@@ -43,13 +43,7 @@
     @Override
     public ExitCode run(PrintStream out) throws Exception {
         ExperimentOptions options = new ExperimentOptions(
-                kind,
-                deployment,
-                firstSeed,
-                seeds,
-                keepAliveMinutes,
-                threads,
-                output == null ? null : Path.of(output));
+                kind, deployment, firstSeed, seeds, keepAliveMinutes, threads, output == null ? null : Path.of(output));
         Experiment.run(options, new PrintWriter(out, true, StandardCharsets.UTF_8));
         return ExitCode.OK;
     }
--- a/app/src/test/java/org/hawthornglade/app/process/Deployment.java
+++ b/app/src/test/java/org/hawthornglade/app/process/Deployment.java
@@ -43,8 +43,8 @@
 /**
  * A whole deployment on loopback: entries and agents as processes, the platform and endpoints as stand-ins in the test.
  *
- * <p>Entries reach each agent through relays, so that a test can cut and silence connections. Model {@code guide} may be
- * loaded on both engines, {@code quick} on the first.
+ * <p>Entries reach each agent through relays, so that a test can cut and silence connections. Model {@code guide}
+ * may be loaded on both engines, {@code quick} on the first.
  */
 final class Deployment implements AutoCloseable {
     static final ModelName GUIDE = ModelName.of("guide");
@@ -93,7 +93,8 @@
 
     private static String settings(String engineSettings, int orderDelayMs) {
         String engine = "\", \"memoryMb\": " + ENGINE_MB + ", " + engineSettings + "}";
-        return "{\"servers\": [{\"kind\": \"table\", \"name\": \"table\"}, {\"kind\": \"instances\", \"name\": \"list\"},"
+        return "{\"servers\": [{\"kind\": \"table\", \"name\": \"table\"},"
+                + " {\"kind\": \"instances\", \"name\": \"list\"},"
                 + "{\"kind\": \"engine\", \"name\": \"engine-1" + engine + ","
                 + "{\"kind\": \"engine\", \"name\": \"engine-2" + engine + ","
                 + "{\"kind\": \"service\", \"name\": \"orders-1\", \"delayMs\": " + orderDelayMs + "}]}";
--- a/entry/src/test/java/org/hawthornglade/entry/caller/BodyReaderTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/caller/BodyReaderTest.java
@@ -2,11 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import jakarta.ws.rs.core.HttpHeaders;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.lang.reflect.Proxy;
-import jakarta.ws.rs.core.HttpHeaders;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.time.ManualClock;
 import org.junit.jupiter.api.Test;
@@ -19,7 +19,8 @@
 
     @Test
     void readsABodyOfTheLargestSize() {
-        assertThat(reader.read(length(-1), new ByteArrayInputStream(new byte[MAX_BYTES])).get())
+        assertThat(reader.read(length(-1), new ByteArrayInputStream(new byte[MAX_BYTES]))
+                        .get())
                 .hasLength(MAX_BYTES);
     }
 
@@ -31,7 +32,8 @@
                 throw new AssertionError("read");
             }
         };
-        assertThat(reader.read(length(MAX_BYTES + 1), untouched).getLeft().code()).isEqualTo(ResultCode.BODY_TOO_LARGE);
+        assertThat(reader.read(length(MAX_BYTES + 1), untouched).getLeft().code())
+                .isEqualTo(ResultCode.BODY_TOO_LARGE);
     }
 
     @Test
@@ -80,6 +82,8 @@
 
     private static HttpHeaders length(int bytes) {
         return (HttpHeaders) Proxy.newProxyInstance(
-                BodyReaderTest.class.getClassLoader(), new Class<?>[] {HttpHeaders.class}, (proxy, method, args) -> bytes);
+                BodyReaderTest.class.getClassLoader(),
+                new Class<?>[] {HttpHeaders.class},
+                (proxy, method, args) -> bytes);
     }
 }
--- a/entry/src/test/java/org/hawthornglade/entry/caller/CallerInputsTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/caller/CallerInputsTest.java
@@ -83,7 +83,8 @@
         String text = new String(body, UTF_8);
         assertNotRun(ServicePath.of("/" + text).map(path -> 1));
         assertNotRun(requests.onModel(RequestId.of("r-1"), CALLER, text, null).map(request -> 1));
-        assertNotRun(requests.onModel(RequestId.of("r-1"), CALLER, "quote", text).map(request -> 1));
+        assertNotRun(
+                requests.onModel(RequestId.of("r-1"), CALLER, "quote", text).map(request -> 1));
     }
 
     private static void assertNotRun(Either<Failure, Integer> read) {
