--- a/entry/src/test/java/org/hawthornglade/entry/caller/BodyReaderTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/caller/BodyReaderTest.java
@@ -2,11 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import jakarta.ws.rs.core.HttpHeaders;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.lang.reflect.Proxy;
-import jakarta.ws.rs.core.HttpHeaders;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.time.ManualClock;
 import org.junit.jupiter.api.Test;
@@ -19,67 +20,73 @@
 
     @Test
     void readsABodyOfTheLargestSize() {
-        assertThat(reader.read(length(-1), new ByteArrayInputStream(new byte[MAX_BYTES])).get())
+        assertThat(reader.read(length(-1), new ByteArrayInputStream(new byte[MAX_BYTES]))
+                        .get())
                 .hasLength(MAX_BYTES);
     }
 
     @Test
     void refusesADeclaredLengthWithoutReading() {
-        InputStream untouched = new InputStream() {
-            @Override
-            public int read() {
-                throw new AssertionError("read");
-            }
-        };
-        assertThat(reader.read(length(MAX_BYTES + 1), untouched).getLeft().code()).isEqualTo(ResultCode.BODY_TOO_LARGE);
+        InputStream untouched = stream((buffer, start, size) -> {
+            throw new AssertionError("read");
+        });
+        assertThat(codeOf(length(MAX_BYTES + 1), untouched)).isEqualTo(ResultCode.BODY_TOO_LARGE);
     }
 
     @Test
     void stopsReadingAnEndlessBody() {
-        InputStream endless = new InputStream() {
-            private int given;
-
-            @Override
-            public int read() {
-                given++;
-                assertThat(given).isLessThan(100_000);
-                return 'x';
-            }
-        };
-        assertThat(reader.read(length(-1), endless).getLeft().code()).isEqualTo(ResultCode.BODY_TOO_LARGE);
+        AtomicInteger given = new AtomicInteger();
+        InputStream endless = stream((buffer, start, size) -> {
+            assertThat(given.addAndGet(size)).isLessThan(100_000);
+            return size;
+        });
+        assertThat(codeOf(length(-1), endless)).isEqualTo(ResultCode.BODY_TOO_LARGE);
     }
 
     @Test
     void refusesASenderOfSingleBytes() {
-        InputStream slow = new InputStream() {
-            @Override
-            public int read() {
-                return 'x';
-            }
-
-            @Override
-            public int read(byte[] buffer, int start, int size) {
-                clock.advance(100);
-                buffer[start] = 'x';
-                return 1;
-            }
-        };
-        assertThat(reader.read(length(-1), slow).getLeft().code()).isEqualTo(ResultCode.SLOW_SENDER);
+        InputStream slow = stream((buffer, start, size) -> {
+            clock.advance(100);
+            return 1;
+        });
+        assertThat(codeOf(length(-1), slow)).isEqualTo(ResultCode.SLOW_SENDER);
     }
 
     @Test
     void refusesASenderWhoseConnectionTimesOut() {
-        InputStream broken = new InputStream() {
+        InputStream broken = stream((buffer, start, size) -> {
+            throw new IOException("idle timeout");
+        });
+        assertThat(codeOf(length(-1), broken)).isEqualTo(ResultCode.SLOW_SENDER);
+    }
+
+    private ResultCode codeOf(HttpHeaders headers, InputStream in) {
+        return reader.read(headers, in).getLeft().code();
+    }
+
+    private static HttpHeaders length(int bytes) {
+        return (HttpHeaders) Proxy.newProxyInstance(
+                BodyReaderTest.class.getClassLoader(),
+                new Class<?>[] {HttpHeaders.class},
+                (proxy, method, args) -> bytes);
+    }
+
+    private static InputStream stream(Read read) {
+        return new InputStream() {
             @Override
             public int read() throws IOException {
-                throw new IOException("idle timeout");
+                return read.into(new byte[1], 0, 1);
+            }
+
+            @Override
+            public int read(byte[] buffer, int start, int size) throws IOException {
+                return read.into(buffer, start, size);
             }
         };
-        assertThat(reader.read(length(-1), broken).getLeft().code()).isEqualTo(ResultCode.SLOW_SENDER);
     }
 
-    private static HttpHeaders length(int bytes) {
-        return (HttpHeaders) Proxy.newProxyInstance(
-                BodyReaderTest.class.getClassLoader(), new Class<?>[] {HttpHeaders.class}, (proxy, method, args) -> bytes);
+    @FunctionalInterface
+    private interface Read {
+        int into(byte[] buffer, int start, int size) throws IOException;
     }
 }
--- a/entry/src/test/java/org/hawthornglade/entry/caller/CallerInputsTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/caller/CallerInputsTest.java
@@ -56,8 +56,9 @@
     void findsTheOperationThatTheServiceWillRun(String path, String expected) {
         Either<Failure, OperationSpec> found =
                 ServicePath.of(path).flatMap(read -> requests.findOperation(CALLER, ORDERS, "POST", read));
-        assertThat(found.fold(failure -> failure.code().name(), operation -> String.valueOf(operation.idempotent())))
-                .isEqualTo(expected);
+        String heard =
+                found.fold(failure -> failure.code().name(), operation -> String.valueOf(operation.idempotent()));
+        assertThat(heard).isEqualTo(expected);
     }
 
     @ParameterizedTest
@@ -83,7 +84,8 @@
         String text = new String(body, UTF_8);
         assertNotRun(ServicePath.of("/" + text).map(path -> 1));
         assertNotRun(requests.onModel(RequestId.of("r-1"), CALLER, text, null).map(request -> 1));
-        assertNotRun(requests.onModel(RequestId.of("r-1"), CALLER, "quote", text).map(request -> 1));
+        assertNotRun(
+                requests.onModel(RequestId.of("r-1"), CALLER, "quote", text).map(request -> 1));
     }
 
     private static void assertNotRun(Either<Failure, Integer> read) {
--- a/entry/src/test/java/org/hawthornglade/entry/control/ControlFuzzTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/control/ControlFuzzTest.java
@@ -37,7 +37,6 @@
     private static AgentReport report() {
         Replica replica =
                 new Replica("quote", 0, ReplicaState.READY, 1, 4, 0, 700, List.of("quote-ms", "quote-id"), "v1");
-        return new AgentReport(
-                "engine-1", 1, 2, 3, false, List.of(replica), 1, 4_000, "domain-a", true, "", 0, 1_000);
+        return new AgentReport("engine-1", 1, 2, 3, false, List.of(replica), 1, 4_000, "domain-a", true, "", 0, 1_000);
     }
 }
