--- a/core/src/main/java/org/hawthornglade/core/entry/EndpointTable.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EndpointTable.java
@@ -22,7 +22,7 @@
     private static final long AVOID_MS = 1_000;
     /** How long an operator's drain counts that the agent has not yet reported itself. */
     private static final long DRAIN_MS = 60_000;
-    /** Loads differ by cache tier and store; a request is refused only if this share of the expected time is too long. */
+    /** Loads differ by tier and store; a request is refused only if this share of the expected time is too long. */
     private static final double LOAD_TIME_SHARE = 0.5;
 
     private final Map<InstanceId, AgentView> views = new TreeMap<>();
