--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -25,7 +25,10 @@
 import org.hawthornglade.entry.attempt.OpenAttempts;
 import org.hawthornglade.entry.attempt.PendingRequests;
 import org.hawthornglade.entry.attempt.RequestRunner;
+import org.hawthornglade.entry.caller.BodyReader;
 import org.hawthornglade.entry.caller.CallerKeys;
+import org.hawthornglade.entry.caller.FailureMapper;
+import org.hawthornglade.entry.caller.ModelBoard;
 import org.hawthornglade.entry.caller.ModelsResource;
 import org.hawthornglade.entry.caller.RequestFactory;
 import org.hawthornglade.entry.caller.ServicesResource;
@@ -170,8 +173,10 @@
             ConfigurationHolder holder,
             Timeline timeline,
             EventQueue<EntryEvent> events,
+            ModelBoard board,
             FleetBook fleet) {
         Consumer<EntryEvent> sink = event -> {
+            board.on(event);
             fleet.observe(event);
             events.submit(event);
         };
@@ -238,13 +243,50 @@
 
     @Provides
     @Singleton
-    ModelsResource models(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
-        return new ModelsResource(keys, requests, runner, settings.getMaxBodyBytes());
+    BodyReader bodies(Clock clock) {
+        return new BodyReader(clock, settings.getMaxBodyBytes(), settings.getMaxBodyReadMs());
     }
 
     @Provides
     @Singleton
-    ServicesResource services(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
-        return new ServicesResource(keys, requests, runner, settings.getMaxBodyBytes());
+    ModelBoard board() {
+        return new ModelBoard();
+    }
+
+    @Provides
+    @Singleton
+    StopState stop() {
+        return new StopState();
+    }
+
+    @Provides
+    @Singleton
+    InFlightFilter inFlight() {
+        return new InFlightFilter();
+    }
+
+    @Provides
+    @Singleton
+    GracefulStop gracefulStop(StopState state, EntryProcess process, InFlightFilter requests) {
+        return new GracefulStop(state, process, requests, settings.getUnhealthyMs(), settings.getStopTimeoutMs());
+    }
+
+    @Provides
+    @Singleton
+    FailureMapper failures(RequestFactory requests) {
+        return new FailureMapper(requests);
+    }
+
+    @Provides
+    @Singleton
+    ModelsResource models(
+            CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies, ModelBoard board) {
+        return new ModelsResource(keys, requests, runner, bodies, board);
+    }
+
+    @Provides
+    @Singleton
+    ServicesResource services(CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies) {
+        return new ServicesResource(keys, requests, runner, bodies);
     }
 }
