--- a/bench/src/main/java/org/hawthornglade/bench/experiment/Policies.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/Policies.java
@@ -31,8 +31,8 @@
     private static final long COMMITMENT_PENALTY_MS = 10_000;
     private static final double AFFINITY_TOLERANCE = 0.25;
     private static final double PACK_BELOW = 0.5;
-    // From this price on an idle accelerator is dearer than the prefix hits that spreading brings.
-    private static final double PACK_FROM_PRICE = 60;
+    // From this price on requests are packed, and no model is loaded ahead of a request.
+    private static final double SAVE_IDLE_FROM_PRICE = 60;
     private static final ReplicaWakeRule WAKE_ALL = (ordinal, input) -> input.queued() > 0;
 
     private Policies() {}
@@ -64,7 +64,7 @@
 
     /** The policies chosen for a deployment. */
     static PolicySet chosen(Deployment deployment) {
-        boolean pack = deployment.idle().coldSecondsPerIdleHour() >= PACK_FROM_PRICE;
+        boolean saveIdle = deployment.idle().coldSecondsPerIdleHour() >= SAVE_IDLE_FROM_PRICE;
         IdlePrice price = IdlePrice.linear(deployment.idle());
         return new PolicySet(
                 "chosen",
@@ -74,8 +74,8 @@
                 AdapterLoadLimit::new,
                 OrderedEviction::leastRecentlyUsed,
                 OrdinalWakeRule::new,
-                () -> new HistogramIdlePolicy(price, true),
-                () -> new AffinityChooser(AFFINITY_TOLERANCE, pack ? PACK_BELOW : 0),
+                () -> new HistogramIdlePolicy(price, !saveIdle),
+                () -> new AffinityChooser(AFFINITY_TOLERANCE, saveIdle ? PACK_BELOW : 0),
                 new LocalCopyPlacement(COMMITMENT_PENALTY_MS),
                 true);
     }
@@ -99,6 +99,7 @@
         sets.add(chosen.withIdle("exponent-2", () -> new HistogramIdlePolicy(convex(deployment, 2), true)));
         sets.add(chosen.withIdle(
                 "no-prewarm", () -> new HistogramIdlePolicy(IdlePrice.linear(deployment.idle()), false)));
+        sets.add(chosen.withIdle("prewarm", () -> new HistogramIdlePolicy(IdlePrice.linear(deployment.idle()), true)));
         sets.add(chosen.withIdle("exponent-1.5", () -> new HistogramIdlePolicy(convex(deployment, 1.5), true)));
         sets.add(chosen.withIdle("exponent-3", () -> new HistogramIdlePolicy(convex(deployment, 3), true)));
         for (double exponent : new double[] {2, 3}) {
@@ -110,6 +111,13 @@
         sets.add(chosen.withChooser("pack", () -> new AffinityChooser(AFFINITY_TOLERANCE, PACK_BELOW)));
         sets.add(chosen.withChooser("least-reported", LeastReportedLoadChooser::new));
         sets.add(chosen.withChooser("random", RandomChooser::new));
+        for (long penaltyMs : new long[] {30_000, 60_000}) {
+            sets.add(chosen.withPlacement("penalty-" + penaltyMs, new LocalCopyPlacement(penaltyMs)));
+            sets.add(chosen.withPlacement("", new LocalCopyPlacement(penaltyMs))
+                    .withIdle(
+                            "penalty-" + penaltyMs + "-no-prewarm",
+                            () -> new HistogramIdlePolicy(IdlePrice.linear(deployment.idle()), false)));
+        }
         sets.add(chosen.withPlacement("least-committed", new LeastCommittedPlacement()));
         sets.add(chosen.withFixedRetries("fixed-retries"));
         sets.add(baseline.withPlacement("baseline-local-copies", new LocalCopyPlacement(COMMITMENT_PENALTY_MS)));
