--- a/app/src/test/java/org/hawthornglade/app/process/Deployment.java
+++ b/app/src/test/java/org/hawthornglade/app/process/Deployment.java
@@ -92,7 +92,7 @@
     }
 
     private static String settings(String engineSettings, int orderDelayMs) {
-        String engine = "\", \"memoryMb\": " + ENGINE_MB + ", " + engineSettings + "}";
+        String engine = "\", \"naturalTokens\": 1000, \"memoryMb\": " + ENGINE_MB + ", " + engineSettings + "}";
         return "{\"servers\": [{\"kind\": \"table\", \"name\": \"table\"}, {\"kind\": \"instances\", \"name\": \"list\"},"
                 + "{\"kind\": \"engine\", \"name\": \"engine-1" + engine + ","
                 + "{\"kind\": \"engine\", \"name\": \"engine-2" + engine + ","
--- a/app/src/test/java/org/hawthornglade/app/process/FrozenProcessTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/FrozenProcessTest.java
@@ -41,7 +41,10 @@
         deployment().agent(Deployment.ORDERS_1).process().resume();
 
         assertWithMessage("%s", answer).that(answer.definite()).isTrue();
-        Waiting.until("calls run again", LIMIT_MS, () -> order(1, "after-" + System.nanoTime()).join().status() == 200);
+        Waiting.until(
+                "calls run again",
+                LIMIT_MS,
+                () -> order(1, "after-" + System.nanoTime()).join().status() == 200);
         long runs = deployment().standins().service("orders-1").calls().stream()
                 .filter(call -> "key-1".equals(call.idempotencyKey()))
                 .count();
--- a/app/src/test/java/org/hawthornglade/app/process/KilledProcessTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/KilledProcessTest.java
@@ -19,8 +19,9 @@
     void anAgentKilledUnderAnswersLeavesNoCallerWithoutATrueAnswer() throws Exception {
         deploy(SLOW_TOKENS, 0);
         awaitAnswering(0, "quick");
-        List<TestCaller.Call> calls =
-                IntStream.range(0, 6).mapToObj(i -> chat(i % 2, "quick", "prompt " + i)).toList();
+        List<TestCaller.Call> calls = IntStream.range(0, 6)
+                .mapToObj(i -> chat(i % 2, "quick", "prompt " + i))
+                .toList();
         for (TestCaller.Call call : calls) {
             awaitBytes(call, ONE_KB);
         }
@@ -40,13 +41,11 @@
     void anAgentKilledInMidLoadIsFollowedByOneThatCleansUp() throws Exception {
         deploy("\"remoteMbPerSecond\": 250, \"betweenTokenMs\": 5", 0);
         TestCaller.Call call = chat(0, "quick", "early");
-        Waiting.until("the load begins", LIMIT_MS, () -> deployment()
-                .standins()
-                .engine("engine-1")
-                .state()
-                .models()
-                .stream()
-                .anyMatch(held -> held.state() == LoadState.LOADING));
+        Waiting.until(
+                "the load begins",
+                LIMIT_MS,
+                () -> deployment().standins().engine("engine-1").state().models().stream()
+                        .anyMatch(held -> held.state() == LoadState.LOADING));
 
         deployment().agent(Deployment.ENGINE_1).process().kill();
         deployment().standins().engine("engine-1").restart();
@@ -61,11 +60,10 @@
     void anEntryKilledBeforeTheAnswerDoesNotLetACallRunTwice() throws Exception {
         deploy(SLOW_TOKENS, 2_000);
         TestCaller.Call first = order(0, "key-1");
-        Waiting.until("the call runs", LIMIT_MS, () -> !deployment()
-                .standins()
-                .service("orders-1")
-                .calls()
-                .isEmpty());
+        Waiting.until(
+                "the call runs",
+                LIMIT_MS,
+                () -> !deployment().standins().service("orders-1").calls().isEmpty());
 
         deployment().entry(0).kill();
 
--- a/app/src/test/java/org/hawthornglade/app/process/PlannedStopTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/PlannedStopTest.java
@@ -59,11 +59,10 @@
         awaitAnswering(1, "guide");
         List<TestCaller.Call> calls = openAnswers();
         TestCaller.Call order = order(0, "key-1");
-        Waiting.until("the call runs", LIMIT_MS, () -> !deployment()
-                .standins()
-                .service("orders-1")
-                .calls()
-                .isEmpty());
+        Waiting.until(
+                "the call runs",
+                LIMIT_MS,
+                () -> !deployment().standins().service("orders-1").calls().isEmpty());
 
         deployment().entry(0).terminate();
 
@@ -78,11 +77,10 @@
     void aServiceAgentThatIsStoppedFinishesWhatRuns() throws Exception {
         deploy(SETTINGS, 2_000);
         TestCaller.Call order = order(0, "key-1");
-        Waiting.until("the call runs", LIMIT_MS, () -> !deployment()
-                .standins()
-                .service("orders-1")
-                .calls()
-                .isEmpty());
+        Waiting.until(
+                "the call runs",
+                LIMIT_MS,
+                () -> !deployment().standins().service("orders-1").calls().isEmpty());
 
         deployment().agent(Deployment.ORDERS_1).process().terminate();
 
--- a/app/src/test/java/org/hawthornglade/app/process/PlatformOutageTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/PlatformOutageTest.java
@@ -22,7 +22,9 @@
                 Arguments.of("down", new FaultScriptBuilder().down().build()),
                 Arguments.of("frozen", new FaultScriptBuilder().freeze().build()),
                 Arguments.of("slow", new FaultScriptBuilder().slowMs(3_000).build()),
-                Arguments.of("rate limited", new FaultScriptBuilder().rateLimitMs(1_000).build()));
+                Arguments.of(
+                        "rate limited",
+                        new FaultScriptBuilder().rateLimitMs(1_000).build()));
     }
 
     @ParameterizedTest(name = "{0}")
@@ -34,13 +36,17 @@
         deployment().standins().faults("table").set(script);
 
         awaitAnswering(0, "quick");
-        Answer refused = caller().order(entryUri(0), "key-1", "{}", SHORT_DEADLINE_MS).join();
+        Answer refused =
+                caller().order(entryUri(0), "key-1", "{}", SHORT_DEADLINE_MS).join();
         assertWithMessage("%s", refused).that(refused.definite()).isTrue();
         assertWithMessage("%s", refused).that(refused.status()).isNotEqualTo(200);
         assertThat(deployment().standins().service("orders-1").calls()).isEmpty();
 
         deployment().standins().faults("table").set(FaultScript.NONE);
-        Waiting.until("calls run again", LIMIT_MS, () -> order(0, "after-" + System.nanoTime()).join().status() == 200);
+        Waiting.until(
+                "calls run again",
+                LIMIT_MS,
+                () -> order(0, "after-" + System.nanoTime()).join().status() == 200);
         assertInvariants();
     }
 
--- a/app/src/test/java/org/hawthornglade/app/process/SilentConnectionTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/SilentConnectionTest.java
@@ -28,8 +28,9 @@
         deploy(SETTINGS, 0);
         awaitAnswering(0, "guide");
         awaitAnswering(1, "guide");
-        List<TestCaller.Call> calls =
-                IntStream.range(0, 6).mapToObj(i -> chat(i % 2, "guide", "prompt " + i)).toList();
+        List<TestCaller.Call> calls = IntStream.range(0, 6)
+                .mapToObj(i -> chat(i % 2, "guide", "prompt " + i))
+                .toList();
         for (TestCaller.Call call : calls) {
             awaitBytes(call, ONE_KB);
         }
@@ -50,19 +51,20 @@
         deploy(SETTINGS, 1_000);
         assertThat(order(0, "before").join().status()).isEqualTo(200);
         TestCaller.Call call = caller().order(entryUri(0), "key-1", "{}", 8_000);
-        Waiting.until("the call runs", LIMIT_MS, () -> deployment()
-                        .standins()
-                        .service("orders-1")
-                        .calls()
-                        .size()
-                == 2);
+        Waiting.until(
+                "the call runs",
+                LIMIT_MS,
+                () -> deployment().standins().service("orders-1").calls().size() == 2);
         deployment().agent(Deployment.ORDERS_1).data().silenceOpen(way);
         deployment().agent(Deployment.ORDERS_1).control().silenceOpen(way);
 
         assertThat(call.join().definite()).isTrue();
         assertThat(call.join().saidNotRun()).isFalse();
         assertThat(order(1, "key-1").join().saidNotRun()).isFalse();
-        Waiting.until("calls run again", LIMIT_MS, () -> order(0, "after-" + System.nanoTime()).join().status() == 200);
+        Waiting.until(
+                "calls run again",
+                LIMIT_MS,
+                () -> order(0, "after-" + System.nanoTime()).join().status() == 200);
         assertThat(deployment().standins().service("orders-1").calls().stream()
                         .filter(ran -> "key-1".equals(ran.idempotencyKey())))
                 .hasSize(1);
@@ -72,8 +74,9 @@
     void answersOverCutConnectionsEndTruly() throws Exception {
         deploy(SETTINGS, 0);
         awaitAnswering(0, "guide");
-        List<TestCaller.Call> calls =
-                IntStream.range(0, 6).mapToObj(i -> chat(0, "guide", "prompt " + i)).toList();
+        List<TestCaller.Call> calls = IntStream.range(0, 6)
+                .mapToObj(i -> chat(0, "guide", "prompt " + i))
+                .toList();
         for (TestCaller.Call call : calls) {
             awaitBytes(call, ONE_KB);
         }
--- a/standin/src/test/java/org/hawthornglade/standin/engine/EngineContract.java
+++ b/standin/src/test/java/org/hawthornglade/standin/engine/EngineContract.java
@@ -175,7 +175,8 @@
 
     @Test
     void aBrokenOffLoadStaysHalfPresentUntilItIsUnloaded() {
-        EngineControl engine = open(settings(true, 0, new FaultScriptBuilder().crashLoadEvery(1).build()), PATIENT_MS);
+        EngineControl engine = open(
+                settings(true, 0, new FaultScriptBuilder().crashLoadEvery(1).build()), PATIENT_MS);
         engine.order(load(GUIDE, SIZE_MB, 1)).get();
         advance(REMOTE_LOAD_MS / 2);
 
--- a/standin/src/test/java/org/hawthornglade/standin/fault/FaultCase.java
+++ b/standin/src/test/java/org/hawthornglade/standin/fault/FaultCase.java
@@ -36,7 +36,14 @@
     public static Stream<FaultCase> all() {
         return Stream.of(
                 new FaultCase("no fault", FaultScript.NONE, PATIENT_MS, OK, OK, true, 0),
-                new FaultCase("slow within the time-out", new FaultScriptBuilder().slowMs(20).build(), PATIENT_MS, OK, OK, true, 0),
+                new FaultCase(
+                        "slow within the time-out",
+                        new FaultScriptBuilder().slowMs(20).build(),
+                        PATIENT_MS,
+                        OK,
+                        OK,
+                        true,
+                        0),
                 new FaultCase(
                         "slow beyond the time-out",
                         new FaultScriptBuilder().slowMs(2 * SHORT_MS).build(),
@@ -46,7 +53,13 @@
                         true,
                         0),
                 new FaultCase(
-                        "down", new FaultScriptBuilder().down().build(), PATIENT_MS, PLATFORM_UNAVAILABLE, PLATFORM_UNAVAILABLE, false, 0),
+                        "down",
+                        new FaultScriptBuilder().down().build(),
+                        PATIENT_MS,
+                        PLATFORM_UNAVAILABLE,
+                        PLATFORM_UNAVAILABLE,
+                        false,
+                        0),
                 new FaultCase(
                         "every call fails with 503",
                         new FaultScriptBuilder().failEvery(1, 503).build(),
