--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -3,28 +3,41 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
+import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.hawthornglade.core.config.ConfigurationHolder;
 import org.hawthornglade.core.entry.EntryDecider;
 import org.hawthornglade.core.entry.EntryEvent;
 import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.entry.attempt.AttemptClient;
+import org.hawthornglade.entry.attempt.AttemptRunner;
+import org.hawthornglade.entry.attempt.ClaimedCalls;
+import org.hawthornglade.entry.attempt.OpenAttempts;
 import org.hawthornglade.entry.attempt.PendingRequests;
 import org.hawthornglade.entry.attempt.RequestRunner;
+import org.hawthornglade.entry.caller.BodyReader;
 import org.hawthornglade.entry.caller.CallerKeys;
+import org.hawthornglade.entry.caller.FailureMapper;
+import org.hawthornglade.entry.caller.ModelBoard;
 import org.hawthornglade.entry.caller.ModelsResource;
 import org.hawthornglade.entry.caller.RequestFactory;
 import org.hawthornglade.entry.caller.ServicesResource;
-import org.hawthornglade.entry.claim.Claims;
-import org.hawthornglade.entry.claim.TableClaims;
+import org.hawthornglade.entry.claim.ClaimCleaner;
+import org.hawthornglade.entry.claim.GroupedClaims;
 import org.hawthornglade.entry.control.AgentLinks;
 import org.hawthornglade.entry.control.LinkContext;
+import org.hawthornglade.entry.operator.FleetBook;
+import org.hawthornglade.entry.operator.OperatorModule;
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.log.TimelineLog;
 import org.hawthornglade.node.loop.EventQueue;
@@ -43,6 +56,8 @@
     private static final int AGENT_CONNECTIONS = 1_024;
     private static final int MAX_AGENT_CONNECTIONS = 8_192;
     private static final int AGENT_CONNECT_TIMEOUT_MS = 500;
+    private static final int VALIDATE_AFTER_MS = 500;
+    private static final int MAX_CONNECTION_AGE_MS = 60_000;
 
     private final EntrySettings settings;
 
@@ -54,6 +69,7 @@
     @Override
     protected void configure() {
         bind(EntrySettings.class).toInstance(settings);
+        install(new OperatorModule());
     }
 
     @Provides
@@ -77,7 +93,7 @@
     @Provides
     @Singleton
     EntryDecider decider() {
-        return new EntryDecider();
+        return new EntryDecider(FailureDomain.of(settings.getFailureDomain()), new SplittableRandom());
     }
 
     @Provides
@@ -124,8 +140,24 @@
 
     @Provides
     @Singleton
-    Claims claims(TableService table, Clock clock) {
-        return new TableClaims(table, clock);
+    GroupedClaims claims(TableService table, Clock clock) {
+        return new GroupedClaims(table, clock, new Random());
+    }
+
+    @Provides
+    @Singleton
+    ClaimCleaner cleaner(TableService table, Clock clock) {
+        return new ClaimCleaner(
+                table,
+                clock,
+                settings.getClaimRetentionMs(),
+                settings.getProcessName().hashCode());
+    }
+
+    @Provides
+    @Singleton
+    OpenAttempts openAttempts() {
+        return new OpenAttempts();
     }
 
     @Provides
@@ -136,14 +168,25 @@
 
     @Provides
     @Singleton
-    AgentLinks links(ClusterKeys keys, ConfigurationHolder holder, Timeline timeline, EventQueue<EntryEvent> events) {
+    AgentLinks links(
+            ClusterKeys keys,
+            ConfigurationHolder holder,
+            Timeline timeline,
+            EventQueue<EntryEvent> events,
+            ModelBoard board,
+            FleetBook fleet) {
+        Consumer<EntryEvent> sink = event -> {
+            board.on(event);
+            fleet.observe(event);
+            events.submit(event);
+        };
         return new AgentLinks(new LinkContext(
                 settings.getProcessName(),
                 timeline.bootId(),
                 keys,
                 holder,
                 timeline,
-                events::submit,
+                sink,
                 waitMs -> waitMs / 2 + ThreadLocalRandom.current().nextLong(waitMs),
                 settings.getHeartbeatMs(),
                 (int) settings.getSilenceTimeoutMs()));
@@ -151,9 +194,11 @@
 
     @Provides
     @Singleton
-    AttemptClient attempts(ClusterKeys keys) {
+    AttemptClient attempts(ClusterKeys keys, AgentLinks links) {
         ConnectionConfig limits = ConnectionConfig.custom()
                 .setConnectTimeout(Timeout.ofMilliseconds(AGENT_CONNECT_TIMEOUT_MS))
+                .setValidateAfterInactivity(TimeValue.ofMilliseconds(VALIDATE_AFTER_MS))
+                .setTimeToLive(TimeValue.ofMilliseconds(MAX_CONNECTION_AGE_MS))
                 .build();
         CloseableHttpClient client = HttpClients.custom()
                 .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
@@ -166,7 +211,7 @@
                 .disableCookieManagement()
                 .disableContentCompression()
                 .build();
-        return new AttemptClient(client, keys, settings.getProcessName());
+        return new AttemptClient(client, links, keys, settings.getProcessName(), settings.getStreamSilenceTimeoutMs());
     }
 
     @Provides
@@ -175,10 +220,12 @@
             PendingRequests pending,
             EventQueue<EntryEvent> events,
             AttemptClient client,
-            AgentLinks links,
-            Claims claims,
+            OpenAttempts open,
+            GroupedClaims claims,
             Clock clock) {
-        return new RequestRunner(pending, events::submit, client, links, claims, clock, settings.getMaxAnswerBytes());
+        AttemptRunner attempts = new AttemptRunner(client, open, clock);
+        ClaimedCalls claimed = new ClaimedCalls(claims, clock);
+        return new RequestRunner(pending, events::submit, attempts, claimed, settings.getMaxAnswerBytes());
     }
 
     @Provides
@@ -196,13 +243,50 @@
 
     @Provides
     @Singleton
-    ModelsResource models(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
-        return new ModelsResource(keys, requests, runner, settings.getMaxBodyBytes());
+    BodyReader bodies(Clock clock) {
+        return new BodyReader(clock, settings.getMaxBodyBytes(), settings.getMaxBodyReadMs());
+    }
+
+    @Provides
+    @Singleton
+    ModelBoard board() {
+        return new ModelBoard();
+    }
+
+    @Provides
+    @Singleton
+    StopState stop() {
+        return new StopState();
+    }
+
+    @Provides
+    @Singleton
+    InFlightFilter inFlight() {
+        return new InFlightFilter();
+    }
+
+    @Provides
+    @Singleton
+    GracefulStop gracefulStop(StopState state, EntryProcess process, InFlightFilter requests) {
+        return new GracefulStop(state, process, requests, settings.getUnhealthyMs(), settings.getStopTimeoutMs());
+    }
+
+    @Provides
+    @Singleton
+    FailureMapper failures(RequestFactory requests) {
+        return new FailureMapper(requests);
+    }
+
+    @Provides
+    @Singleton
+    ModelsResource models(
+            CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies, ModelBoard board) {
+        return new ModelsResource(keys, requests, runner, bodies, board);
     }
 
     @Provides
     @Singleton
-    ServicesResource services(CallerKeys keys, RequestFactory requests, RequestRunner runner) {
-        return new ServicesResource(keys, requests, runner, settings.getMaxBodyBytes());
+    ServicesResource services(CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies) {
+        return new ServicesResource(keys, requests, runner, bodies);
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/hawthornglade/entry/InFlightFilter.java
@@ -0,0 +1,51 @@
+package org.hawthornglade.entry;
+
+import jakarta.servlet.Filter;
+import jakarta.servlet.FilterChain;
+import jakarta.servlet.ServletException;
+import jakarta.servlet.ServletRequest;
+import jakarta.servlet.ServletResponse;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+/** Counts the requests in progress. */
+public final class InFlightFilter implements Filter {
+    private int inFlight;
+
+    @Override
+    public void doFilter(ServletRequest request, ServletResponse response, FilterChain chain)
+            throws IOException, ServletException {
+        change(1);
+        try {
+            chain.doFilter(request, response);
+        } finally {
+            change(-1);
+        }
+    }
+
+    public synchronized int inFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Waits until no request is in progress.
+     *
+     * @param timeoutMs how long to wait at most, in milliseconds
+     * @return how many requests were left
+     * @throws InterruptedException if the waiting thread is interrupted
+     */
+    public synchronized int awaitIdle(long timeoutMs) throws InterruptedException {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        long leftMs = timeoutMs;
+        while (inFlight > 0 && leftMs > 0) {
+            wait(leftMs);
+            leftMs = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime());
+        }
+        return inFlight;
+    }
+
+    private synchronized void change(int by) {
+        inFlight += by;
+        notifyAll();
+    }
+}
