--- a/core/src/main/java/org/hawthornglade/core/plan/PlanSummary.java
+++ b/core/src/main/java/org/hawthornglade/core/plan/PlanSummary.java
@@ -14,10 +14,17 @@
  * @param baseVersion the configuration version it was made on
  * @param madeAtMs when, in milliseconds since the Unix epoch
  * @param subjects the entries that it changes
+ * @param replacedBy the fresh plan that took its place when it was stale; null if there is none
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record PlanSummary(
-        PlanId id, OfficeId office, String reason, long baseVersion, long madeAtMs, List<String> subjects) {
+        PlanId id,
+        OfficeId office,
+        String reason,
+        long baseVersion,
+        long madeAtMs,
+        List<String> subjects,
+        PlanId replacedBy) {
     /** Copies the list. */
     public PlanSummary {
         subjects = List.copyOf(subjects);
@@ -31,6 +38,12 @@
                 plan.intent().reason(),
                 plan.baseVersion(),
                 plan.madeAtMs(),
-                plan.changes().stream().map(Change::subject).toList());
+                plan.changes().stream().map(Change::subject).toList(),
+                null);
+    }
+
+    /** Returns this summary once a fresh plan has taken its place. */
+    public PlanSummary replacedBy(PlanId fresh) {
+        return new PlanSummary(id, office, reason, baseVersion, madeAtMs, subjects, fresh);
     }
 }
--- a/entry/src/main/java/org/hawthornglade/entry/operator/StatusReader.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/StatusReader.java
@@ -77,7 +77,7 @@
                 store,
                 nodes(current.version()),
                 rows.stream().map(row -> replica(row.assignment())).toList(),
-                open);
+                open.stream().filter(plan -> plan.replacedBy() == null).toList());
     }
 
     private List<Status.Node> nodes(long newest) {
