--- a/entry/src/main/java/org/hawthornglade/entry/caller/ModelsResource.java
+++ b/entry/src/main/java/org/hawthornglade/entry/caller/ModelsResource.java
@@ -1,8 +1,5 @@
 package org.hawthornglade.entry.caller;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import jakarta.ws.rs.Consumes;
 import jakarta.ws.rs.GET;
@@ -14,14 +11,13 @@
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.core.StreamingOutput;
-import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
 import org.hawthornglade.core.entry.AttemptOutcome;
 import org.hawthornglade.core.entry.IncomingRequest;
+import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.entry.attempt.CallerRequest;
 import org.hawthornglade.entry.attempt.OutboundCall;
 import org.hawthornglade.entry.attempt.RequestRunner;
@@ -31,27 +27,29 @@
 @Path("/v1")
 @Produces(MediaType.APPLICATION_JSON)
 public final class ModelsResource {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final CallerKeys keys;
     private final RequestFactory requests;
     private final RequestRunner runner;
-    private final int maxBodyBytes;
+    private final BodyReader bodies;
+    private final ModelBoard board;
 
     /** Creates the resource. */
-    public ModelsResource(CallerKeys keys, RequestFactory requests, RequestRunner runner, int maxBodyBytes) {
+    public ModelsResource(
+            CallerKeys keys, RequestFactory requests, RequestRunner runner, BodyReader bodies, ModelBoard board) {
         this.keys = keys;
         this.requests = requests;
         this.runner = runner;
-        this.maxBodyBytes = maxBodyBytes;
+        this.bodies = bodies;
+        this.board = board;
     }
 
     /** Completes a conversation. */
     @POST
     @Path("/chat/completions")
     @Consumes(MediaType.WILDCARD)
-    public Response chat(@Context HttpHeaders headers, InputStream in) throws IOException, InterruptedException {
+    public Response chat(@Context HttpHeaders headers, InputStream in) throws InterruptedException {
         return complete("/v1/chat/completions", headers, in);
     }
 
@@ -59,7 +57,7 @@
     @POST
     @Path("/completions")
     @Consumes(MediaType.WILDCARD)
-    public Response text(@Context HttpHeaders headers, InputStream in) throws IOException, InterruptedException {
+    public Response text(@Context HttpHeaders headers, InputStream in) throws InterruptedException {
         return complete("/v1/completions", headers, in);
     }
 
@@ -72,20 +70,30 @@
             return Responses.failure(requests.nextId(), caller.getLeft());
         }
         List<ModelList.Entry> entries = requests.modelsOf(caller.get().organisation()).stream()
-                .map(name -> new ModelList.Entry(name.value(), "model", "hawthornglade"))
+                .map(this::entryOf)
                 .toList();
-        return Response.ok(new ModelList("list", entries)).build();
+        return Response.ok(new ModelList("list", entries))
+                .header(Responses.REQUEST_ID, requests.nextId().value())
+                .build();
+    }
+
+    private ModelList.Entry entryOf(ModelName name) {
+        ModelBoard.ModelState state = board.stateOf(requests.baseOf(name));
+        return new ModelList.Entry(name.value(), "model", "hawthornglade", state.name(), state.readyReplicas());
     }
 
-    private Response complete(String path, HttpHeaders headers, InputStream in)
-            throws IOException, InterruptedException {
+    private Response complete(String path, HttpHeaders headers, InputStream in) throws InterruptedException {
         RequestId id = requests.nextId();
         Either<Failure, Caller> caller = keys.authenticate(headers.getHeaderString(HttpHeaders.AUTHORIZATION));
         if (caller.isLeft()) {
             return Responses.failure(id, caller.getLeft());
         }
-        byte[] body = in.readNBytes(maxBodyBytes + 1);
-        Either<Failure, CompletionBody> parsed = parse(body);
+        Either<Failure, byte[]> read = bodies.read(headers, in);
+        if (read.isLeft()) {
+            return Responses.failure(id, read.getLeft());
+        }
+        byte[] body = read.get();
+        Either<Failure, CompletionBody> parsed = CompletionBody.parse(body);
         if (parsed.isLeft()) {
             return Responses.failure(id, parsed.getLeft());
         }
@@ -126,24 +134,4 @@
                 .entity(output)
                 .build();
     }
-
-    private Either<Failure, CompletionBody> parse(byte[] body) {
-        if (body.length > maxBodyBytes) {
-            return Either.left(
-                    Failure.of(ResultCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes"));
-        }
-        JsonNode tree;
-        try {
-            tree = MAPPER.readTree(body);
-        } catch (JsonProcessingException e) {
-            return Either.left(Failure.of(ResultCode.BAD_JSON, e.getOriginalMessage()));
-        } catch (IOException e) {
-            return Either.left(Failure.of(ResultCode.BAD_JSON, "the body cannot be read"));
-        }
-        if (!tree.path("model").isTextual()) {
-            return Either.left(Failure.of(ResultCode.BAD_REQUEST, "the field model is missing"));
-        }
-        return Either.right(new CompletionBody(
-                tree.get("model").asText(), tree.path("stream").asBoolean(false)));
-    }
 }
