--- a/entry/src/main/java/org/hawthornglade/entry/operator/OperatorResource.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/OperatorResource.java
@@ -93,7 +93,7 @@
     @Path("/plans/{id}/confirm")
     @Consumes(MediaType.WILDCARD)
     public Response confirm(@HeaderParam(HttpHeaders.AUTHORIZATION) String authorization, @PathParam("id") String id) {
-        return asOffice(authorization, office -> confirm(office, id));
+        return asOffice(authorization, office -> confirm(office, authorization, id));
     }
 
     /** Returns the state of the whole system. */
@@ -175,13 +175,15 @@
         return plan.fold(OperatorAnswers::refusal, made -> Response.ok(made).build());
     }
 
-    private Response confirm(OfficeId office, String id) {
+    private Response confirm(OfficeId office, String authorization, String id) {
         PlanId planId;
         try {
             planId = PlanId.of(id);
         } catch (IllegalArgumentException e) {
             return OperatorAnswers.failure(Failure.of(ResultCode.UNKNOWN_PLAN, e.getMessage()));
         }
+        // A stale plan comes with a fresh one, which names the processes that are behind.
+        status.refresh(authorization);
         Either<ConfirmRefusal, Confirmation> answer = desk.confirm(office, planId);
         answer.peek(confirmation -> confirmed(office, planId, confirmation.configuration()))
                 .peekLeft(refusal -> timeline.record(EventDraft.of(EventKind.PLAN_REFUSED)
