Stand-ins: closing a port waits until connections are refused

Cause: HttpTableServiceTest.aRefusedConnectionSendsNothing failed 3 times in 150 on a loaded machine (expected PLATFORM_UNAVAILABLE, was PLATFORM_OUTCOME_UNKNOWN after 20 s): the kernel went on taking connections until Jetty's acceptor thread noticed the close, and such a connection was never answered. Ruled out: a stale pooled connection (the client is new in each test).

--- a/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
@@ -3,6 +3,9 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.jakarta.rs.json.JacksonJsonProvider;
 import jakarta.servlet.DispatcherType;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.util.EnumSet;
 import java.util.LinkedHashMap;
@@ -27,6 +30,7 @@
 
 /** One server for all stand-ins of a process, each on a port of its own. */
 public final class StandinServer implements AutoCloseable {
+    private static final int MAX_REFUSAL_CHECKS = 10_000;
     private static final String LOOPBACK = "127.0.0.1";
     private static final int THREADS = 64;
     private static final int THREADS_PER_PORT = 2;
@@ -141,6 +145,19 @@
         } catch (Exception e) {
             throw new IllegalStateException("the port does not close: " + name, e);
         }
+        awaitRefused(port);
+    }
+
+    /** The kernel takes connections until the thread that waits in accept has noticed that the port is closed. */
+    private static void awaitRefused(int port) {
+        for (int attempt = 0; attempt < MAX_REFUSAL_CHECKS; attempt++) {
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress(LOOPBACK, port));
+            } catch (IOException refused) {
+                return;
+            }
+        }
+        throw new IllegalStateException("port " + port + " is still open");
     }
 
     /** Opens the port of a stand-in again. */
