--- a/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
+++ b/standin/src/main/java/org/hawthornglade/standin/http/StandinServer.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.jakarta.rs.json.JacksonJsonProvider;
 import jakarta.servlet.DispatcherType;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -152,7 +153,7 @@
     private static void awaitRefused(int port) {
         for (int attempt = 0; attempt < MAX_REFUSAL_CHECKS; attempt++) {
             try (Socket socket = new Socket()) {
-                socket.connect(new InetSocketAddress(LOOPBACK, port));
+                socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             } catch (IOException refused) {
                 return;
             }
