--- a/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
@@ -75,6 +75,20 @@
                 .map(current -> current.holder().equals(holder));
     }
 
+    /**
+     * Reads the condition under which this process still has the newest number.
+     *
+     * @return left with STALE_FENCING_NUMBER if it has not, else if the table service failed
+     */
+    public Either<Failure, Condition> stillMine() {
+        return table.read(TABLE, instance.value())
+                .flatMap(row -> parse(row)
+                        .flatMap(current -> row.isPresent() && current.holder().equals(holder)
+                                ? Either.right(Condition.unchanged(row.get()))
+                                : Either.left(Failure.of(
+                                        ResultCode.STALE_FENCING_NUMBER, "another process took a newer number"))));
+    }
+
     private Either<Failure, Long> takeAfter(Optional<Row> row, Fence current, long above) {
         boolean mine = current.holder().equals(holder);
         if (mine && current.number() > above) {
--- a/agent/src/main/java/org/hawthornglade/agent/assignment/TableWatcher.java
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/TableWatcher.java
@@ -80,9 +80,14 @@
         }
     }
 
-    /** Writes that a row is released. */
+    /**
+     * Writes that a row is released, unless another process has taken a newer fencing number: only the newest process
+     * knows what the engine may still be ordered to load.
+     */
     public void release(AssignmentRow row) {
-        boolean released = assignments.release(row).getOrElse(false);
+        boolean released = fences.stillMine()
+                .flatMap(mine -> assignments.release(row, mine))
+                .getOrElse(false);
         events.accept(released ? new AgentEvent.RowReleased(row) : new AgentEvent.RowNotReleased(row));
     }
 
--- a/agent/src/main/java/org/hawthornglade/agent/endpoint/EnginePoller.java
+++ b/agent/src/main/java/org/hawthornglade/agent/endpoint/EnginePoller.java
@@ -38,7 +38,8 @@
     /** Gives an order without waiting for its answer. */
     public void give(EngineOrder order) {
         orders.execute(() -> engine.order(order)
-                .peek(answer -> events.accept(new AgentEvent.OrderTaken(order, answer.orderSequence())))
+                .peek(answer ->
+                        events.accept(new AgentEvent.OrderTaken(order, answer.orderSequence(), answer.bootId())))
                 .peekLeft(failure -> {
                     LOG.atWarning().log(
                             "event=order_failed kind=%s model=%s code=%d detail=\"%s\"",
--- /dev/null
+++ b/agent/src/test/java/org/hawthornglade/agent/assignment/TableWatcherTest.java
@@ -0,0 +1,103 @@
+package org.hawthornglade.agent.assignment;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hawthornglade.core.agent.AgentEvent;
+import org.hawthornglade.core.assignment.Assignment;
+import org.hawthornglade.core.assignment.AssignmentState;
+import org.hawthornglade.core.config.ConfigurationHolder;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.placement.AssignmentRow;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.platform.configuration.AssignmentStore;
+import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.platform.http.PlatformJson;
+import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.standin.fault.FaultGate;
+import org.hawthornglade.standin.fault.FaultScript;
+import org.hawthornglade.standin.fault.FaultyCalls;
+import org.hawthornglade.standin.table.FaultyTableService;
+import org.hawthornglade.standin.table.InMemoryTableService;
+import org.hawthornglade.standin.table.TableSettings;
+import org.junit.jupiter.api.Test;
+
+/** Two processes of one instance at the table service, and replies that are lost. */
+final class TableWatcherTest {
+    private static final InstanceId ME = InstanceId.of("engine-1");
+    private static final Clock CLOCK = () -> 1_000;
+
+    private final InMemoryTableService table = new InMemoryTableService(SETTINGS, CLOCK);
+
+    private static final TableSettings SETTINGS = new TableSettings("table", 0, 0, 0, null);
+
+    private static Assignment releasing() {
+        return new Assignment(ModelName.of("quote"), 0, ME, AssignmentState.RELEASING, 1);
+    }
+
+    private TableWatcher watcher(String process, List<AgentEvent> events) {
+        return new TableWatcher(
+                ME,
+                new FenceStore(table, ME, process),
+                new AssignmentStore(table),
+                new ConfigurationStore(table),
+                new ConfigurationHolder(),
+                CLOCK,
+                events::add);
+    }
+
+    private AssignmentRow insertRow() {
+        Write write = Write.put(Assignment.TABLE, releasing().key(), PlatformJson.write(releasing()));
+        assertThat(table.transact(new Transaction(List.of(), List.of(write))).isRight())
+                .isTrue();
+        return new AssignmentStore(table).rowsOf(ME).get().get(0);
+    }
+
+    /** Found by AgentPropertyTest: the newer process may still load what the older one vouches to be gone. */
+    @Test
+    void overtakenProcessReleasesNothing() {
+        AssignmentRow row = insertRow();
+        List<AgentEvent> events = new ArrayList<>();
+        TableWatcher older = watcher("older", events);
+        older.poll();
+        watcher("newer", new ArrayList<>()).poll();
+        older.release(row);
+        assertThat(events).contains(new AgentEvent.RowNotReleased(row));
+        assertThat(new AssignmentStore(table).rowsOf(ME).get()).containsExactly(row);
+    }
+
+    @Test
+    void newestProcessReleases() {
+        AssignmentRow row = insertRow();
+        List<AgentEvent> events = new ArrayList<>();
+        TableWatcher watcher = watcher("only", events);
+        watcher.poll();
+        watcher.renewFence();
+        watcher.release(row);
+        assertThat(events).contains(new AgentEvent.RowReleased(row));
+    }
+
+    @Test
+    void overtakenProcessLearnsOfIt() {
+        List<AgentEvent> events = new ArrayList<>();
+        TableWatcher older = watcher("older", events);
+        older.poll();
+        watcher("newer", new ArrayList<>()).poll();
+        older.renewFence();
+        assertThat(events).contains(new AgentEvent.FenceLost());
+        older.poll();
+        assertThat(events).doesNotContain(new AgentEvent.FenceTaken(3));
+    }
+
+    @Test
+    void numberWhoseReplyWasLostIsRecognised() {
+        FaultScript loseAll = new FaultScript(0, 0, 0, false, 0, 0, 1, 0, false, 0, 0, false, 0);
+        FaultGate faults = new FaultGate(loseAll);
+        FenceStore store = new FenceStore(new FaultyTableService(table, new FaultyCalls(faults, 0)), ME, "only");
+        assertThat(store.take(0).isLeft()).isTrue();
+        assertThat(store.take(0).get()).isEqualTo(1);
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/agent/AgentDecider.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentDecider.java
@@ -19,6 +19,9 @@
 public final class AgentDecider implements Decider<AgentEvent, AgentCommand> {
     private static final long BUSY_RETRY_MS = 100;
 
+    /** A process that has decided nothing for longer, not even on a tick, was stopped. */
+    private static final long PAUSE_MS = 3_000;
+
     private final AgentIdentity identity;
     private final AttemptBook attempts = new AttemptBook();
     private final DemandBook demand = new DemandBook();
@@ -34,6 +37,7 @@
     private boolean draining;
     private boolean drainReported;
     private long drainEndsAtMs;
+    private long lastEventAtMs;
     private long revision;
     private AgentView published;
 
@@ -57,6 +61,10 @@
     @Override
     public List<AgentCommand> on(AgentEvent event, long nowMs) {
         List<AgentCommand> commands = new ArrayList<>();
+        if (nowMs - lastEventAtMs > PAUSE_MS && lastEventAtMs > 0) {
+            fence.paused(nowMs);
+        }
+        lastEventAtMs = nowMs;
         take(event, nowMs, commands);
         if (identity.servesModels()) {
             replicas.decide(configuration, draining, nowMs, commands);
@@ -96,7 +104,7 @@
             endpointReachable = true;
             engine.reported(reported.report(), nowMs);
         } else if (event instanceof AgentEvent.OrderTaken taken) {
-            engine.orderTaken(taken.order(), taken.orderSequence(), nowMs);
+            engine.orderTaken(taken, nowMs);
         } else if (event instanceof AgentEvent.OrderFailed failed) {
             engine.orderFailed(failed.order(), failed.failure(), nowMs);
         } else {
--- a/core/src/main/java/org/hawthornglade/core/agent/AgentEvent.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentEvent.java
@@ -58,8 +58,14 @@
     /** The endpoint, a plain service, answers. */
     record EndpointFound() implements AgentEvent {}
 
-    /** The engine took in an order under this number. */
-    record OrderTaken(EngineOrder order, long orderSequence) implements AgentEvent {}
+    /**
+     * The engine took in an order.
+     *
+     * @param order the order
+     * @param orderSequence its number in the engine's run
+     * @param bootId the engine's run
+     */
+    record OrderTaken(EngineOrder order, long orderSequence, long bootId) implements AgentEvent {}
 
     /** The engine refused an order, or it was lost. */
     record OrderFailed(EngineOrder order, Failure failure) implements AgentEvent {}
--- a/core/src/main/java/org/hawthornglade/core/agent/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/EngineBook.java
@@ -26,7 +26,6 @@
     private final MemoryLedger ledger = new MemoryLedger();
     private final Map<ModelName, Replica> replicas = new TreeMap<>();
     private final List<AgentCommand> events = new ArrayList<>();
-    private long highestSequence;
 
     EngineBook(AgentPolicies policies, FenceKeeper fence) {
         this.policies = policies;
@@ -86,7 +85,6 @@
         if (!ledger.take(report)) {
             return;
         }
-        highestSequence = restarted ? report.orderSequence() : Math.max(highestSequence, report.orderSequence());
         report.models().forEach(held -> replica(held.model(), nowMs));
         for (Replica replica : replicas.values()) {
             if (restarted) {
@@ -135,37 +133,40 @@
     boolean decideFence(long nowMs, List<AgentCommand> commands) {
         commands.addAll(events);
         events.clear();
-        fence.decide(latest(), highestSequence, nowMs, commands);
+        fence.decide(latest(), nowMs, commands);
         return known() && fence.isRaised(latest());
     }
 
-    void orderTaken(EngineOrder order, long orderSequence, long nowMs) {
+    void orderTaken(AgentEvent.OrderTaken taken, long nowMs) {
+        EngineOrder order = taken.order();
         if (order.kind() == EngineOrder.Kind.FENCE) {
-            fenceRaised(order, orderSequence);
+            fenceRaised(taken, nowMs);
             return;
         }
         Replica replica = replica(order.model(), nowMs);
         if (!replica.isOpen(order)) {
             return;
         }
-        if (!replica.taken(orderSequence, latest().bootId())) {
-            // The engine has restarted meanwhile: which of its runs took the order is not known.
+        if (taken.bootId() != latest().bootId() && !ledger.isPast(taken.bootId())) {
+            // A run that has not reported yet: the number is raised there before its reports count.
             inDoubt(replica, order, order.fencingNumber() - 1, nowMs);
             return;
         }
-        highestSequence = Math.max(highestSequence, orderSequence);
+        // What an earlier run took in is gone, or half present in the reports of this one.
+        long sequence = taken.bootId() == latest().bootId() ? taken.orderSequence() : 0;
+        replica.taken(sequence);
         if (order.kind() == EngineOrder.Kind.LOAD) {
-            ledger.ordered(order.model(), orderSequence);
+            ledger.ordered(order.model(), sequence);
         }
     }
 
-    private void fenceRaised(EngineOrder order, long orderSequence) {
-        if (!fence.raiseTaken(order, orderSequence, latest(), events)) {
+    private void fenceRaised(AgentEvent.OrderTaken taken, long nowMs) {
+        if (!fence.raiseTaken(taken, latest(), nowMs, events)) {
             return;
         }
-        highestSequence = Math.max(highestSequence, orderSequence);
-        ledger.fenced(order.fencingNumber(), orderSequence);
-        replicas.values().forEach(replica -> replica.fenced(order.fencingNumber()));
+        long number = taken.order().fencingNumber();
+        ledger.fenced(number, taken.orderSequence());
+        replicas.values().forEach(replica -> replica.fenced(number));
     }
 
     void orderFailed(EngineOrder order, Failure failure, long nowMs) {
@@ -254,7 +255,7 @@
 
     /** Orders a load whose memory is reserved. */
     void load(Replica replica, EngineOrder order, long nowMs, List<AgentCommand> commands) {
-        replica.give(order, latest().bootId(), highestSequence, nowMs);
+        replica.give(order, nowMs);
         replica.noteLoad(tierOf(order.model(), order.version()), loading(order.base() != null));
         commands.add(new AgentCommand.GiveOrder(order));
         record(EventKind.LOAD_STARTED, replica, order.memoryMb() + " MiB");
@@ -264,7 +265,7 @@
     void unload(Replica replica, long nowMs, List<AgentCommand> commands) {
         EngineOrder order =
                 new EngineOrder(EngineOrder.Kind.UNLOAD, replica.name(), null, replica.base(), 0, fence.number());
-        replica.give(order, latest().bootId(), highestSequence, nowMs);
+        replica.give(order, nowMs);
         commands.add(new AgentCommand.GiveOrder(order));
     }
 
--- a/core/src/main/java/org/hawthornglade/core/agent/FenceKeeper.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/FenceKeeper.java
@@ -15,6 +15,7 @@
 final class FenceKeeper {
     private static final long RENEWAL_INTERVAL_MS = 2_000;
     private static final long CHECK_INTERVAL_MS = 500;
+    private static final long RERAISE_DELAY_MS = 200;
 
     private final AgentPolicies policies;
     private final long checkMaxAgeMs;
@@ -22,12 +23,11 @@
     private boolean lost;
     private long checkedAtMs = Long.MIN_VALUE / 2;
     private long nextCheckAtMs;
+    private long pausedUntilMs = Long.MIN_VALUE;
     private boolean renewalWanted;
     private long nextRenewalAtMs;
 
     private boolean raiseOpen;
-    private long raiseBootId;
-    private long raiseFloor;
     private int raiseFailures;
     private long nextRaiseAtMs;
     private long raisedNumber;
@@ -57,6 +57,11 @@
         nextCheckAtMs = 0;
     }
 
+    /** Notes that the process did not run for a while, in which another may have taken over. */
+    void paused(long nowMs) {
+        pausedUntilMs = nowMs;
+    }
+
     void lost() {
         lost = true;
     }
@@ -71,7 +76,7 @@
     }
 
     /** Raises and renews the number as the state calls for. */
-    void decide(EngineReport latest, long highestSequence, long nowMs, List<AgentCommand> commands) {
+    void decide(EngineReport latest, long nowMs, List<AgentCommand> commands) {
         if (lost || number == 0 || latest == null) {
             return;
         }
@@ -84,8 +89,6 @@
             return;
         }
         raiseOpen = true;
-        raiseBootId = latest.bootId();
-        raiseFloor = highestSequence;
         commands.add(new AgentCommand.GiveOrder(new EngineOrder(EngineOrder.Kind.FENCE, null, null, null, 0, number)));
     }
 
@@ -98,8 +101,14 @@
                 && raisedSequence <= latest.orderSequence();
     }
 
-    /** Returns whether an order may be given; an engine that ignores numbers needs a recent check of the number. */
+    /**
+     * Returns whether an order may be given: after a pause the number must be checked, since an engine forgets it in a
+     * restart, and for an engine that ignores numbers the check must be recent.
+     */
     boolean mayOrder(EngineReport latest, long nowMs) {
+        if (checkedAtMs < pausedUntilMs) {
+            return false;
+        }
         return latest.fencingNumber() > 0 || nowMs - checkedAtMs <= checkMaxAgeMs;
     }
 
@@ -112,15 +121,17 @@
     }
 
     /** Returns whether the number is now raised. */
-    boolean raiseTaken(EngineOrder order, long orderSequence, EngineReport latest, List<AgentCommand> commands) {
+    boolean raiseTaken(AgentEvent.OrderTaken taken, EngineReport latest, long nowMs, List<AgentCommand> commands) {
         raiseOpen = false;
         raiseFailures = 0;
-        if (latest.bootId() != raiseBootId || orderSequence <= raiseFloor || order.fencingNumber() < number) {
+        if (taken.bootId() != latest.bootId()) {
+            // Sequence numbers of a run that has not reported yet, or no longer does, cannot be compared.
+            nextRaiseAtMs = nowMs + RERAISE_DELAY_MS;
             return false;
         }
-        raisedNumber = order.fencingNumber();
-        raisedBootId = raiseBootId;
-        raisedSequence = orderSequence;
+        raisedNumber = taken.order().fencingNumber();
+        raisedBootId = taken.bootId();
+        raisedSequence = taken.orderSequence();
         commands.add(new AgentCommand.RecordEvent(
                 EventDraft.of(EventKind.FENCE_RAISED).detail("number " + raisedNumber)));
         return true;
--- a/core/src/main/java/org/hawthornglade/core/agent/Replica.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/Replica.java
@@ -13,6 +13,7 @@
 /** One model or adapter at an engine: its state by the replica chart and the order whose effect is not yet seen. */
 final class Replica {
     private static final long UNANSWERED = Long.MAX_VALUE;
+    private static final long NOTHING_LOST = -1;
 
     private final ModelName name;
     private final ChartInstance<ReplicaState, ReplicaEvent> chart = Charts.REPLICA.start();
@@ -20,9 +21,8 @@
     private String version = "";
     private EngineOrder openOrder;
     private long openSequence;
-    private long openFloor;
-    private long openBootId;
-    private long lostUnloadUnder;
+    private long lostUnloadUnder = NOTHING_LOST;
+    private boolean loadInDoubt;
     private int failures;
     private long retryAtMs;
     private long lastUsedAtMs;
@@ -73,8 +73,8 @@
     /** Returns whether a load may be ordered: not while an unload may still reach the engine. */
     boolean mayLoad(long nowMs) {
         boolean absent = state() == ReplicaState.ABSENT || state() == ReplicaState.WAITING;
-        boolean repeat = state() == ReplicaState.LOADING && openOrder == null && failures > 0;
-        return (absent || repeat) && !isWaiting(nowMs) && lostUnloadUnder == 0;
+        boolean repeat = state() == ReplicaState.LOADING && loadInDoubt;
+        return (absent || repeat) && !isWaiting(nowMs) && lostUnloadUnder == NOTHING_LOST;
     }
 
     void want(long nowMs) {
@@ -92,21 +92,14 @@
         return fire(ReplicaEvent.UNLOAD_DECIDED);
     }
 
-    /**
-     * Notes an order that is given.
-     *
-     * @param bootId the engine run that it is meant for
-     * @param highestSequence the highest sequence number known of that run
-     */
-    void give(EngineOrder order, long bootId, long highestSequence, long nowMs) {
+    void give(EngineOrder order, long nowMs) {
         openOrder = order;
         openSequence = UNANSWERED;
-        openBootId = bootId;
-        openFloor = highestSequence;
         if (order.kind() == EngineOrder.Kind.LOAD) {
             base = order.base();
             version = order.version();
             loadGivenAtMs = nowMs;
+            loadInDoubt = false;
             fire(ReplicaEvent.LOAD_ORDERED);
         } else {
             fire(ReplicaEvent.DRAINED);
@@ -118,13 +111,9 @@
         loadsBeside = besides;
     }
 
-    /** Returns whether the answer is certainly of the engine run that the order was given to. */
-    boolean taken(long orderSequence, long latestBootId) {
-        if (openBootId != latestBootId || orderSequence <= openFloor) {
-            return false;
-        }
+    /** Notes that the engine run that reports now took in the open order. */
+    void taken(long orderSequence) {
         openSequence = orderSequence;
-        return true;
     }
 
     /** Notes that the open order had no effect. */
@@ -146,7 +135,8 @@
         openOrder = null;
         failures++;
         retryAtMs = nextAtMs;
-        if (order.kind() == EngineOrder.Kind.UNLOAD) {
+        loadInDoubt = order.kind() == EngineOrder.Kind.LOAD;
+        if (!loadInDoubt) {
             lostUnloadUnder = lostUnder;
         }
     }
@@ -158,7 +148,7 @@
     /** Notes that the engine refuses orders below a number. */
     void fenced(long fencingNumber) {
         if (lostUnloadUnder < fencingNumber) {
-            lostUnloadUnder = 0;
+            lostUnloadUnder = NOTHING_LOST;
         }
     }
 
@@ -184,12 +174,14 @@
         }
         openOrder = null;
         if (held == null) {
-            boolean loadInDoubt = mayBeUnseen && state() == ReplicaState.LOADING;
-            if (state() != ReplicaState.WAITING && !loadInDoubt) {
+            boolean mayCome = mayBeUnseen && loadInDoubt;
+            if (state() != ReplicaState.WAITING && !mayCome) {
+                loadInDoubt = false;
                 fire(ReplicaEvent.GONE_REPORTED);
             }
             return;
         }
+        loadInDoubt = false;
         base = held.base();
         version = held.version();
         abandon();
@@ -251,6 +243,6 @@
 
     /** Returns whether nothing needs to be remembered of it. */
     boolean isForgettable(long nowMs) {
-        return state() == ReplicaState.ABSENT && !isWaiting(nowMs) && lostUnloadUnder == 0;
+        return state() == ReplicaState.ABSENT && !isWaiting(nowMs) && lostUnloadUnder == NOTHING_LOST;
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/ledger/MemoryLedger.java
+++ b/core/src/main/java/org/hawthornglade/core/ledger/MemoryLedger.java
@@ -20,6 +20,7 @@
  */
 public final class MemoryLedger {
     private static final long UNANSWERED = Long.MAX_VALUE;
+    private static final long NOTHING_LOST = -1;
 
     private final Map<ModelName, Reservation> reservations = new TreeMap<>();
     private final Set<Long> pastBootIds = new HashSet<>();
@@ -31,6 +32,11 @@
         return latest != null;
     }
 
+    /** Returns whether an engine run has ended, as a later one has reported. */
+    public boolean isPast(long bootId) {
+        return pastBootIds.contains(bootId);
+    }
+
     /** Returns the latest report, or null. */
     public EngineReport latest() {
         return latest;
@@ -70,7 +76,7 @@
             return false;
         }
         Reservation earlier = reservations.get(model);
-        long lostUnder = earlier == null ? 0 : earlier.lostUnder;
+        long lostUnder = earlier == null ? NOTHING_LOST : earlier.lostUnder;
         int keptMb = earlier == null ? 0 : earlier.memoryMb;
         reservations.put(model, new Reservation(Math.max(keptMb, memoryMb), UNANSWERED, lostUnder));
         return true;
@@ -98,15 +104,16 @@
      * @param orderSequence the sequence number of the order that raised it
      */
     public void fenced(long fencingNumber, long orderSequence) {
-        reservations.replaceAll((model, old) -> old.lostUnder == 0 || old.lostUnder >= fencingNumber
+        reservations.replaceAll((model, old) -> old.lostUnder == NOTHING_LOST || old.lostUnder >= fencingNumber
                 ? old
-                : new Reservation(old.memoryMb, Math.max(old.orderSequence, orderSequence), 0));
+                : new Reservation(old.memoryMb, Math.max(old.orderSequence, orderSequence), NOTHING_LOST));
     }
 
     /** Ends a reservation whose order certainly had no effect; one of an earlier order in doubt stays. */
     public void cancel(ModelName model) {
         reservations.computeIfPresent(
-                model, (name, old) -> old.lostUnder == 0 ? null : new Reservation(old.memoryMb, 0, old.lostUnder));
+                model,
+                (name, old) -> old.lostUnder == NOTHING_LOST ? null : new Reservation(old.memoryMb, 0, old.lostUnder));
     }
 
     /**
@@ -154,10 +161,10 @@
         return names.stream().mapToInt(this::takenMb).sum();
     }
 
-    /** {@code lostUnder} is the fencing number of an order that may still take effect; 0 if there is none. */
+    /** {@code lostUnder} is the fencing number of an order that may still take effect. */
     private record Reservation(int memoryMb, long orderSequence, long lostUnder) {
         boolean seenBy(long reportSequence) {
-            return lostUnder == 0 && orderSequence <= reportSequence;
+            return lostUnder == NOTHING_LOST && orderSequence <= reportSequence;
         }
     }
 }
--- a/core/src/test/java/org/hawthornglade/core/agent/AgentSession.java
+++ b/core/src/test/java/org/hawthornglade/core/agent/AgentSession.java
@@ -26,6 +26,7 @@
     static final InstanceId ME = InstanceId.of("engine-1");
     static final int MEMORY_MB = 2_000;
     static final long BOOT = 7;
+    private static final long TICK_MS = 1_000;
 
     final AgentDecider decider;
     final List<AgentCommand> commands = new ArrayList<>();
@@ -68,7 +69,12 @@
     }
 
     List<AgentCommand> after(long ms) {
-        nowMs += ms;
+        long endMs = nowMs + ms;
+        while (nowMs + TICK_MS < endMs) {
+            nowMs += TICK_MS;
+            give(new AgentEvent.Tick());
+        }
+        nowMs = endMs;
         return give(new AgentEvent.Tick());
     }
 
@@ -107,7 +113,7 @@
     /** Answers all orders that were given since the last call as taken in. */
     void takeAll() {
         for (EngineOrder order : newOrders()) {
-            give(new AgentEvent.OrderTaken(order, ++orderSequence));
+            give(new AgentEvent.OrderTaken(order, ++orderSequence, BOOT));
         }
     }
 
--- a/core/src/test/java/org/hawthornglade/core/agent/ReplicaFaultsTest.java
+++ b/core/src/test/java/org/hawthornglade/core/agent/ReplicaFaultsTest.java
@@ -151,7 +151,7 @@
         AgentSession session = loaded(SOUND, held("quote", 1));
         session.reportOf(AgentSession.BOOT + 1, 0);
         EngineOrder fence = session.newOrders().get(0);
-        session.give(new AgentEvent.OrderTaken(fence, 1));
+        session.give(new AgentEvent.OrderTaken(fence, 1, AgentSession.BOOT + 1));
         session.reportOf(AgentSession.BOOT + 1, 1);
         session.demand("quote", 1);
         assertThat(session.orderTexts()).containsExactly("LOAD quote");
@@ -163,15 +163,29 @@
         session.demand("quote", 1);
         EngineOrder load = session.newOrders().get(0);
         session.reportOf(AgentSession.BOOT + 1, 0);
-        session.give(new AgentEvent.OrderTaken(load, 500));
+        session.give(new AgentEvent.OrderTaken(load, 500, AgentSession.BOOT));
         EngineOrder fence = session.newOrders().get(0);
-        session.give(new AgentEvent.OrderTaken(fence, 1));
+        session.give(new AgentEvent.OrderTaken(fence, 1, AgentSession.BOOT + 1));
         session.after(10_000);
         session.reportOf(AgentSession.BOOT + 1, 1);
         session.demand("quote", 1);
         assertThat(session.orderTexts()).containsExactly("LOAD quote");
     }
 
+    /** Found by AgentPropertyTest, when answers did not name the engine run: the row went while a load was coming. */
+    @Test
+    void answerOfARunThatHasNotReportedYetDoesNotCountForTheOldOne() {
+        AgentSession session = AgentSession.ready(SOUND, held("quote", 1));
+        session.demand("quote", 1);
+        EngineOrder load = session.newOrders().get(0);
+        session.give(new AgentEvent.OrderTaken(load, session.orderSequence, AgentSession.BOOT + 1));
+        session.read(row("quote", AssignmentState.RELEASING, 2));
+        session.report();
+        session.after(10_000);
+        session.report();
+        assertThat(session.take(AgentCommand.ReleaseRow.class)).isEmpty();
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = LoadState.class,
@@ -296,11 +310,44 @@
                         SOUND.models().get(0).name(),
                         0,
                         1),
-                ++session.orderSequence));
+                ++session.orderSequence,
+                AgentSession.BOOT));
         session.report(engineModel("quote", LoadState.READY));
         assertThat(session.orderTexts()).containsExactly("UNLOAD quote");
     }
 
+    /** Found by AgentPropertyTest: after an earlier failure every load was ordered again when a report showed it. */
+    @Test
+    void loadThatAReportShowsIsNotOrderedAgain() {
+        AgentSession session = loaded(SOUND, held("quote", 1));
+        session.after(120_000);
+        session.fail(session.newOrders().get(0), ResultCode.ENGINE_REFUSED);
+        session.after(20_000);
+        session.takeAll();
+        session.report();
+        session.demand("quote", 1);
+        assertThat(session.orderTexts()).containsExactly("LOAD quote");
+        session.give(new AgentEvent.OrderTaken(
+                new EngineOrder(EngineOrder.Kind.LOAD, SOUND.models().get(0).name(), "1", null, 1_000, 1),
+                ++session.orderSequence,
+                AgentSession.BOOT));
+        session.report(engineModel("quote", LoadState.LOADING));
+        session.demand("quote", 1);
+        assertThat(session.orderTexts()).isEmpty();
+    }
+
+    /** Found by AgentPropertyTest: a process woke just after its engine had restarted and forgotten the newer number. */
+    @Test
+    void processThatWasStoppedChecksItsNumberBeforeAnOrder() {
+        AgentSession session = AgentSession.ready(SOUND, held("quote", 1));
+        session.nowMs += 10_000;
+        session.demand("quote", 1);
+        assertThat(session.orderTexts()).isEmpty();
+        assertThat(session.take(AgentCommand.CheckFence.class)).hasSize(1);
+        session.give(new AgentEvent.FenceChecked(session.nowMs));
+        assertThat(session.orderTexts()).containsExactly("LOAD quote");
+    }
+
     @Test
     void engineThatIgnoresNumbersGetsNoOrderOnAnOldCheck() {
         AgentSession session = AgentSession.ready(SOUND, held("quote", 1));
--- a/standin/src/main/java/org/hawthornglade/standin/engine/EngineState.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/EngineState.java
@@ -237,7 +237,7 @@
 
     private Either<Failure, OrderAnswer> accept() {
         orderSequence++;
-        return Either.right(new OrderAnswer(orderSequence));
+        return Either.right(new OrderAnswer(orderSequence, bootId));
     }
 
     private static Either<Failure, OrderAnswer> refuse(ResultCode code, String message) {
