Agent: frames that show a slow attempt lives, a limit between bytes, a stop that comes before the call

Cause: nothing was sent before the endpoint answered, so the entry could not tell silence from slowness and the agent did not notice an entry that was gone; an endpoint silent in mid answer was only cut at the deadline; a stop between the decision and the call was lost.

--- a/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
@@ -7,11 +7,13 @@
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.hawthornglade.agent.assignment.FenceStore;
 import org.hawthornglade.agent.assignment.TableWatcher;
+import org.hawthornglade.agent.attempt.AnswerLimits;
 import org.hawthornglade.agent.attempt.AttemptDesk;
 import org.hawthornglade.agent.attempt.AttemptsResource;
 import org.hawthornglade.agent.attempt.EndpointClient;
@@ -182,7 +184,7 @@
 
     @Provides
     @Singleton
-    EndpointClient endpointClient() {
+    EndpointClient endpointClient(Clock clock) {
         CloseableHttpClient client = HttpClients.custom()
                 .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
                         .setMaxConnPerRoute(ENDPOINT_CONNECTIONS)
@@ -193,7 +195,16 @@
                 .disableCookieManagement()
                 .disableContentCompression()
                 .build();
-        return new EndpointClient(client, settings.getEndpointUri());
+        AnswerLimits limits = new AnswerLimits(settings.getKeepAliveIntervalMs(), settings.getBetweenBytesTimeoutMs());
+        return new EndpointClient(client, settings.getEndpointUri(), limits, clock, watchTimer());
+    }
+
+    private static ScheduledExecutorService watchTimer() {
+        return Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "answer-watch");
+            thread.setDaemon(true);
+            return thread;
+        });
     }
 
     @Provides
--- a/agent/src/main/java/org/hawthornglade/agent/AgentSettings.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentSettings.java
@@ -40,6 +40,14 @@
     @Max(60_000)
     private long fenceCheckMaxAgeMs = 1_000;
 
+    @Min(50)
+    @Max(60_000)
+    private long keepAliveIntervalMs = 500;
+
+    @Min(100)
+    @Max(600_000)
+    private long betweenBytesTimeoutMs = 10_000;
+
     @Min(1)
     @Max(100_000)
     private int maxRunning = 1_024;
@@ -162,4 +170,26 @@
     public void setMaxRunning(int value) {
         maxRunning = value;
     }
+
+    @JsonProperty
+    public long getKeepAliveIntervalMs() {
+        return keepAliveIntervalMs;
+    }
+
+    /** Sets how often an entry is told that a slow attempt lives, in milliseconds. */
+    @JsonProperty
+    public void setKeepAliveIntervalMs(long value) {
+        keepAliveIntervalMs = value;
+    }
+
+    @JsonProperty
+    public long getBetweenBytesTimeoutMs() {
+        return betweenBytesTimeoutMs;
+    }
+
+    /** Sets how long an endpoint may be silent in the middle of an answer, in milliseconds. */
+    @JsonProperty
+    public void setBetweenBytesTimeoutMs(long value) {
+        betweenBytesTimeoutMs = value;
+    }
 }
--- /dev/null
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/AnswerWatch.java
@@ -0,0 +1,130 @@
+package org.hawthornglade.agent.attempt;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.locks.ReentrantLock;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.protocol.frame.FrameWriter;
+import org.hawthornglade.protocol.gen.Header;
+
+/**
+ * The frames of one attempt's answer, written by the thread that reads the endpoint and by a timer.
+ *
+ * <p>The timer tells the entry that a slow attempt lives, notices an entry that is gone before the endpoint has
+ * answered, and breaks off an endpoint that falls silent in the middle of an answer.
+ */
+final class AnswerWatch {
+    private final FrameWriter writer;
+    private final AnswerLimits limits;
+    private final Clock clock;
+    private final Runnable abort;
+    private final ReentrantLock lock = new ReentrantLock();
+    private long lastFrameAtMs;
+    private long lastByteAtMs;
+    private boolean headSent;
+    private boolean ended;
+    private boolean silent;
+    private IOException sinkFailure;
+
+    /** Starts a watch; {@code abort} breaks off the call to the endpoint. */
+    AnswerWatch(FrameWriter writer, AnswerLimits limits, Clock clock, Runnable abort) {
+        this.writer = writer;
+        this.limits = limits;
+        this.clock = clock;
+        this.abort = abort;
+        this.lastFrameAtMs = clock.nowMs();
+    }
+
+    void head(int status, List<Header> headers) throws IOException {
+        write(() -> writer.head(status, headers));
+        headSent = true;
+    }
+
+    void data(byte[] bytes, int length) throws IOException {
+        write(() -> writer.data(bytes, 0, length));
+    }
+
+    void end() throws IOException {
+        write(writer::end);
+        ended = true;
+    }
+
+    void failed(Failure failure) throws IOException {
+        write(() -> writer.failed(failure));
+        ended = true;
+    }
+
+    /** Returns whether the endpoint was broken off because it fell silent in the middle of its answer. */
+    boolean wasSilent() {
+        lock.lock();
+        try {
+            return silent;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Throws if the timer found that frames can no longer be written. */
+    void checkSink() throws FrameSinkException {
+        lock.lock();
+        try {
+            if (sinkFailure != null) {
+                throw new FrameSinkException(sinkFailure);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Called by the timer; does nothing while a frame is being written. */
+    void tick() {
+        if (!lock.tryLock()) {
+            return;
+        }
+        try {
+            tickLocked(clock.nowMs());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void tickLocked(long nowMs) {
+        if (ended || silent || sinkFailure != null) {
+            return;
+        }
+        if (headSent && nowMs - lastByteAtMs >= limits.betweenBytesTimeoutMs()) {
+            silent = true;
+            abort.run();
+            return;
+        }
+        if (nowMs - lastFrameAtMs < limits.keepAliveIntervalMs()) {
+            return;
+        }
+        try {
+            writer.keepAlive();
+            lastFrameAtMs = nowMs;
+        } catch (IOException e) {
+            sinkFailure = e;
+            abort.run();
+        }
+    }
+
+    private void write(FrameWrite frame) throws IOException {
+        lock.lock();
+        try {
+            frame.run();
+            lastFrameAtMs = clock.nowMs();
+            lastByteAtMs = lastFrameAtMs;
+        } catch (IOException e) {
+            throw new FrameSinkException(e);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @FunctionalInterface
+    private interface FrameWrite {
+        void run() throws IOException;
+    }
+}
--- a/agent/src/main/java/org/hawthornglade/agent/attempt/AttemptDesk.java
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/AttemptDesk.java
@@ -14,6 +14,15 @@
 
 /** Where threads that carry attempts and cancels wait for the decision on them. */
 public final class AttemptDesk {
+    private static final Runnable NOT_BEGUN = new NoCall();
+    private static final Runnable STOP_WANTED = new NoCall();
+
+    /** Stands for a call to the endpoint that has not begun. */
+    private static final class NoCall implements Runnable {
+        @Override
+        public void run() {}
+    }
+
     private final ConcurrentHashMap<AttemptId, CompletableFuture<Optional<Failure>>> arrivals =
             new ConcurrentHashMap<>();
     private final ConcurrentHashMap<AttemptId, CompletableFuture<CancelResult>> cancels = new ConcurrentHashMap<>();
@@ -63,9 +72,11 @@
         }
     }
 
-    /** Notes how a running attempt is stopped. */
+    /** Notes how a running attempt is stopped; one that is to be stopped already is stopped at once. */
     public void running(AttemptId id, Runnable stop) {
-        running.put(id, stop);
+        if (running.put(id, stop) == STOP_WANTED) {
+            stop.run();
+        }
     }
 
     /** Notes that an attempt has ended. */
@@ -76,6 +87,9 @@
 
     /** Hands the decision on an arrival to who waits for it. */
     public void decided(AttemptId id, Optional<Failure> refusal) {
+        if (refusal.isEmpty()) {
+            running.put(id, NOT_BEGUN);
+        }
         CompletableFuture<Optional<Failure>> waiting = arrivals.get(id);
         if (waiting != null) {
             waiting.complete(refusal);
@@ -90,9 +104,9 @@
         }
     }
 
-    /** Stops a running attempt. */
+    /** Stops an attempt that was let in, also if its call to the endpoint has not begun yet. */
     public void stop(AttemptId id) {
-        Runnable stop = running.get(id);
+        Runnable stop = running.computeIfPresent(id, (known, now) -> now == NOT_BEGUN ? STOP_WANTED : now);
         if (stop != null) {
             stop.run();
         }
--- a/agent/src/main/java/org/hawthornglade/agent/attempt/EndpointClient.java
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/EndpointClient.java
@@ -8,6 +8,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
@@ -19,6 +22,7 @@
 import org.hawthornglade.core.id.AttemptId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.protocol.frame.FrameWriter;
 import org.hawthornglade.protocol.gen.Header;
 
@@ -37,20 +41,31 @@
             "proxy-authenticate",
             "proxy-authorization",
             "set-cookie");
+    private static final long WATCH_TICK_MS = 100;
     private static final int BUFFER_BYTES = 8 * 1024;
 
     private final CloseableHttpClient client;
     private final URI base;
+    private final AnswerLimits limits;
+    private final Clock clock;
+    private final ScheduledExecutorService timer;
 
     /**
      * Creates a client.
      *
      * @param client makes the calls; stays the caller's to close
      * @param base the endpoint's address
+     * @param limits the time limits of its answers
+     * @param clock tells the time
+     * @param timer runs what watches the answers
      */
-    public EndpointClient(CloseableHttpClient client, URI base) {
+    public EndpointClient(
+            CloseableHttpClient client, URI base, AnswerLimits limits, Clock clock, ScheduledExecutorService timer) {
         this.client = client;
         this.base = base;
+        this.limits = limits;
+        this.clock = clock;
+        this.timer = timer;
     }
 
     /** Prepares a call; it can be cancelled from another thread. */
@@ -76,30 +91,41 @@
      * @throws IOException if the answer cannot be written to {@code out}
      */
     public void run(HttpUriRequestBase request, AttemptId attempt, OutputStream out) throws IOException {
-        FrameWriter writer = new FrameWriter(attempt, out);
+        AnswerWatch answer = new AnswerWatch(new FrameWriter(attempt, out), limits, clock, request::cancel);
+        ScheduledFuture<?> ticks =
+                timer.scheduleWithFixedDelay(answer::tick, WATCH_TICK_MS, WATCH_TICK_MS, TimeUnit.MILLISECONDS);
         try {
             client.execute(request, response -> {
-                passOn(response, writer);
+                passOn(response, answer);
                 return null;
             });
         } catch (FrameSinkException e) {
             request.cancel();
             throw e;
         } catch (IOException e) {
-            writer.failed(Failure.of(ResultCode.ENDPOINT_FAILED, "the endpoint broke off: " + e.getMessage()));
+            answer.checkSink();
+            answer.failed(Failure.of(ResultCode.ENDPOINT_FAILED, reasonOf(answer, e)));
             return;
+        } finally {
+            ticks.cancel(false);
         }
-        writer.end();
+        answer.end();
     }
 
-    private static void passOn(ClassicHttpResponse response, FrameWriter writer) throws IOException {
+    private String reasonOf(AnswerWatch answer, IOException e) {
+        return answer.wasSilent()
+                ? "the endpoint was silent for " + limits.betweenBytesTimeoutMs() + " ms"
+                : "the endpoint broke off: " + e.getMessage();
+    }
+
+    private static void passOn(ClassicHttpResponse response, AnswerWatch answer) throws IOException {
         List<Header> headers = new ArrayList<>();
         for (org.apache.hc.core5.http.Header header : response.getHeaders()) {
             if (!NOT_PASSED.contains(header.getName().toLowerCase(Locale.ROOT))) {
                 headers.add(new Header(header.getName(), header.getValue()));
             }
         }
-        sink(() -> writer.head(response.getCode(), headers));
+        answer.head(response.getCode(), headers);
         if (response.getEntity() == null) {
             return;
         }
@@ -107,8 +133,7 @@
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             for (int read = body.read(buffer); read >= 0; read = body.read(buffer)) {
-                int length = read;
-                sink(() -> writer.data(buffer, 0, length));
+                answer.data(buffer, read);
             }
         } catch (FrameSinkException e) {
             // The rest of the answer must not be read: the entry is gone.
@@ -117,21 +142,8 @@
         }
     }
 
-    private static void sink(FrameWrite write) throws FrameSinkException {
-        try {
-            write.run();
-        } catch (IOException e) {
-            throw new FrameSinkException(e);
-        }
-    }
-
     /** Closes all connections at once. */
     public void close() {
         client.close(CloseMode.IMMEDIATE);
     }
-
-    @FunctionalInterface
-    private interface FrameWrite {
-        void run() throws IOException;
-    }
 }
