--- a/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/EntryDecider.java
@@ -145,7 +145,7 @@
         attempt.ended(outcome);
         tracked.mayHaveRun(outcome.execution() != Execution.NOT_RUN);
         if (outcome.isComplete()) {
-            times.ran(tracked.queue(), attempt.ranMs(nowMs));
+            times.ran(tracked.queue(), attempt.ranMs(nowMs), nowMs);
             commands.add(record(EventKind.REQUEST_ANSWERED, tracked, ResultCode.OK, ""));
             return;
         }
@@ -303,7 +303,7 @@
     }
 
     private ServiceEstimate estimate(ModelName queue, long nowMs) {
-        return endpoints.estimate(queues.get(queue), times.expectedMs(queue), nowMs);
+        return endpoints.estimate(queues.get(queue), times.expectedMs(queue, nowMs), nowMs);
     }
 
     private void publishDemand(boolean anyChange, long nowMs, List<EntryCommand> commands) {
--- a/core/src/main/java/org/hawthornglade/core/entry/ServiceTimes.java
+++ b/core/src/main/java/org/hawthornglade/core/entry/ServiceTimes.java
@@ -4,19 +4,39 @@
 import java.util.Map;
 import org.hawthornglade.core.id.ModelName;
 
-/** How long requests run, learned from those that ended, as a moving average a queue. */
+/**
+ * How long requests run at least, learned from those that ended, for each queue.
+ *
+ * <p>The estimate follows the faster requests and fades while none ends. So a slow time in which nothing could be
+ * answered in time does not go on because all requests are refused on its account.
+ */
 final class ServiceTimes {
-    private static final double NEW_SHARE = 0.2;
+    private static final double FASTER_SHARE = 0.3;
+    private static final double SLOWER_SHARE = 0.02;
+    private static final double HALF_LIFE_MS = 2_000;
     private static final long UNKNOWN_MS = 1;
 
-    private final Map<ModelName, Double> averagesMs = new HashMap<>();
+    private final Map<ModelName, Learned> learned = new HashMap<>();
 
-    void ran(ModelName queue, long durationMs) {
-        averagesMs.merge(queue, (double) durationMs, (old, now) -> old + NEW_SHARE * (now - old));
+    void ran(ModelName queue, long durationMs, long nowMs) {
+        Learned known = learned.get(queue);
+        if (known == null) {
+            learned.put(queue, new Learned(durationMs, nowMs));
+            return;
+        }
+        double share = durationMs < known.estimateMs ? FASTER_SHARE : SLOWER_SHARE;
+        learned.put(queue, new Learned(known.estimateMs + share * (durationMs - known.estimateMs), nowMs));
     }
 
     /** Returns the expected time, in milliseconds; small while none is known, so that nothing is refused on a guess. */
-    long expectedMs(ModelName queue) {
-        return Math.max(UNKNOWN_MS, Math.round(averagesMs.getOrDefault(queue, (double) UNKNOWN_MS)));
+    long expectedMs(ModelName queue, long nowMs) {
+        Learned known = learned.get(queue);
+        if (known == null) {
+            return UNKNOWN_MS;
+        }
+        double faded = known.estimateMs * Math.pow(0.5, (nowMs - known.atMs) / HALF_LIFE_MS);
+        return Math.max(UNKNOWN_MS, Math.round(faded));
     }
+
+    private record Learned(double estimateMs, long atMs) {}
 }
--- a/entry/src/main/java/org/hawthornglade/entry/attempt/AttemptAnswer.java
+++ b/entry/src/main/java/org/hawthornglade/entry/attempt/AttemptAnswer.java
@@ -48,9 +48,16 @@
     /** Breaks the connection off if the answer was not read to its end, else keeps it for further attempts. */
     @Override
     public void close() throws IOException {
-        if (!ended) {
-            stop.run();
+        if (ended) {
+            connection.close();
+            return;
+        }
+        stop.run();
+        try {
+            connection.close();
+        } catch (IOException e) {
+            // It was broken off, so that reading its rest has to fail.
+            return;
         }
-        connection.close();
     }
 }
--- a/entry/src/test/java/org/hawthornglade/entry/attempt/WholeAnswerTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/attempt/WholeAnswerTest.java
@@ -7,11 +7,15 @@
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.hawthornglade.core.entry.AttemptOutcome;
+import org.hawthornglade.core.id.AttemptId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.time.ManualClock;
+import org.hawthornglade.protocol.frame.FrameReader;
 import org.hawthornglade.standin.table.InMemoryTableService;
 import org.hawthornglade.standin.table.TableSettings;
 import org.junit.jupiter.api.Test;
@@ -67,6 +71,17 @@
         assertThat(agent.runs()).hasSize(1);
     }
 
+    @Test
+    void aConnectionThatWasBrokenOffMayFailToClose() throws IOException {
+        FrameReader nothing = new FrameReader(AttemptId.of("r1.1"), InputStream.nullInputStream());
+        AtomicBoolean stopped = new AtomicBoolean();
+        AttemptAnswer answer = new AttemptAnswer(nothing, () -> stopped.set(true), () -> {
+            throw new IOException("Socket closed");
+        });
+        answer.close();
+        assertThat(stopped.get()).isTrue();
+    }
+
     @Test
     void aStreamWhoseFirstBytesAreForeignIsRunAgain() throws Exception {
         agent.next(FakeAgent.Fault.RUN_AND_CROSSED);
