--- a/bench/src/main/java/org/hawthornglade/bench/experiment/Experiment.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/Experiment.java
@@ -18,7 +18,7 @@
 
 /** Compares sets of policies over seeds and writes tables, JSON and plots. */
 public final class Experiment {
-    private static final int[] LOAD_TIMES = {1, 2, 4, 6, 10, 20, 40};
+    private static final int[] LOAD_TIMES = {1, 2, 4, 6, 10, 20, 40, 100, 200};
     private static final int SURGE_TIMES = 6;
 
     private final ExperimentOptions options;
