--- a/core/src/main/java/org/hawthornglade/core/agent/DemandBook.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/DemandBook.java
@@ -14,7 +14,7 @@
 /** What all entries connected to an agent want, by model. */
 final class DemandBook {
     /** How long an entry's demand counts after its last report. */
-    static final long DEMAND_TIMEOUT_MS = 5_000;
+    static final long DEMAND_TIMEOUT_MS = 3_000;
 
     private final Map<String, EntryDemand> byEntry = new TreeMap<>();
 
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/agent/AgentGoldenTest.java
@@ -0,0 +1,138 @@
+package org.hawthornglade.core.agent;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.hawthornglade.core.agent.AgentSession.engineModel;
+import static org.hawthornglade.core.agent.AgentSession.held;
+import static org.hawthornglade.core.agent.AgentSession.row;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.hawthornglade.core.assignment.AssignmentState;
+import org.hawthornglade.core.config.Configurations;
+import org.hawthornglade.core.engine.LoadState;
+import org.hawthornglade.core.report.AgentView;
+import org.hawthornglade.core.report.ReplicaView;
+import org.hawthornglade.core.result.ResultCode;
+import org.junit.jupiter.api.Test;
+
+/** A whole session of one agent, from its start to the end of its drain, compared with a readable file. */
+final class AgentGoldenTest {
+    private static final String FILE = "/org/hawthornglade/core/agent/agent.session";
+
+    private final AgentSession session = new AgentSession();
+    private final List<String> lines = new ArrayList<>();
+    private final List<AgentCommand> noted = new ArrayList<>();
+
+    @Test
+    void wholeSession() throws IOException {
+        start();
+        serve();
+        failAndRecover();
+        drain();
+        try (InputStream golden = AgentGoldenTest.class.getResourceAsStream(FILE)) {
+            assertThat(lines)
+                    .isEqualTo(new String(golden.readAllBytes(), UTF_8).lines().toList());
+        }
+    }
+
+    private void start() {
+        session.give(new AgentEvent.ConfigurationApplied(Configurations.sound()));
+        note("configuration 1 applied");
+        session.report(engineModel("left-over", LoadState.HALF_PRESENT));
+        note("engine reports a half-present model of another process");
+        session.give(new AgentEvent.FenceTaken(4));
+        note("fencing number 4 taken");
+        session.read(held("quote", 1));
+        note("row quote#0 read as held");
+        session.takeAll();
+        session.report(engineModel("left-over", LoadState.HALF_PRESENT));
+        note("engine takes the number and reports");
+        session.takeAll();
+        session.report();
+        note("engine unloads and reports nothing");
+    }
+
+    private void serve() {
+        session.demand("quote", 2, "quote-ms");
+        note("entry reports 2 waiting, one for adapter quote-ms");
+        session.takeAll();
+        session.report(engineModel("quote", LoadState.LOADING));
+        note("engine takes the load and reports it under way");
+        session.nowMs += 2_000;
+        session.report(engineModel("quote", LoadState.READY));
+        note("2 s later the engine reports it ready");
+        session.takeAll();
+        session.report(engineModel("quote", LoadState.READY), engineModel("quote-ms", "1", "quote", LoadState.READY));
+        note("engine reports the adapter ready");
+        session.arrive("a1", "quote");
+        note("attempt a1 arrives");
+        session.arrive("a1", "quote");
+        note("attempt a1 arrives again");
+        session.give(
+                new AgentEvent.CancelRequested(session.attempt("a2", "quote").id()));
+        session.arrive("a2", "quote");
+        note("attempt a2 is given up before it arrives");
+    }
+
+    private void failAndRecover() {
+        session.give(new AgentEvent.AttemptEnded(session.attempt("a1", "quote").id()));
+        session.demand("quote", 0);
+        note("attempt a1 ends, nothing waits");
+        session.after(61_000);
+        note("61 s pass");
+        session.fail(session.newOrders().get(0), ResultCode.PLATFORM_OUTCOME_UNKNOWN);
+        note("the reply to the unload of the adapter is lost");
+        session.give(new AgentEvent.FenceTaken(5));
+        session.takeAll();
+        session.report();
+        note("number 5 taken and raised, engine reports nothing");
+    }
+
+    private void drain() {
+        session.give(new AgentEvent.DrainRequested("process stopping"));
+        note("drain requested");
+        session.give(new AgentEvent.RowReleased(held("quote", 1)));
+        session.read(row("quote", AssignmentState.RELEASED, 2));
+        note("row quote#0 released");
+    }
+
+    /** Adds what happened and what the agent gave out since the last note; orders stay for the session to answer. */
+    private void note(String event) {
+        lines.add("> " + event);
+        for (AgentCommand command : session.commands) {
+            boolean recorded = command instanceof AgentCommand.RecordEvent;
+            if (!recorded && !noted.contains(command)) {
+                lines.add("< " + text(command));
+            }
+        }
+        noted.clear();
+        session.commands.removeIf(command -> !(command instanceof AgentCommand.GiveOrder));
+        noted.addAll(session.commands);
+    }
+
+    private static String text(AgentCommand command) {
+        if (command instanceof AgentCommand.GiveOrder give) {
+            return "order " + AgentSession.text(give.order()) + " under "
+                    + give.order().fencingNumber();
+        }
+        if (command instanceof AgentCommand.Publish publish) {
+            return "view " + text(publish.view());
+        }
+        return command.toString();
+    }
+
+    private static String text(AgentView view) {
+        List<String> replicas =
+                view.replicas().stream().map(AgentGoldenTest::text).toList();
+        return "revision=" + view.revision() + " draining=" + view.draining() + " running=" + view.running()
+                + " freeMb=" + view.freeMemoryMb() + " replicas=" + replicas;
+    }
+
+    private static String text(ReplicaView replica) {
+        return replica.model() + " " + replica.phase() + " readyInMs=" + replica.readyInMs() + " adapters="
+                + replica.adapters();
+    }
+}
