--- a/core/src/test/java/org/hawthornglade/core/agent/AgentRun.java
+++ b/core/src/test/java/org/hawthornglade/core/agent/AgentRun.java
@@ -14,7 +14,10 @@
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 
-/** One agent process beside a fake engine: what it sends and receives is delayed, lost or held up while it is frozen. */
+/**
+ * One agent process beside a fake engine: what it sends and receives is delayed, lost or held up while it is
+ * frozen.
+ */
 final class AgentRun {
     private static final int MAX_DELAY_MS = 250;
 
--- a/core/src/test/java/org/hawthornglade/core/agent/AgentWorld.java
+++ b/core/src/test/java/org/hawthornglade/core/agent/AgentWorld.java
@@ -22,8 +22,8 @@
 import org.hawthornglade.core.report.ModelDemand;
 
 /**
- * One run of agents, engines, the table and placement under random faults, in pairs and repeated; an observer who sees the
- * fakes' truth checks after every step what must always hold, and that the fleet works again after the last fault.
+ * One run of agents, engines, the table and placement under random faults, in pairs and repeated; an observer who sees
+ * the fakes' truth checks after every step what must always hold, and that the fleet works again after the last fault.
  */
 final class AgentWorld {
     private static final int STEP_MS = 50;
--- a/core/src/test/java/org/hawthornglade/core/agent/ReplicaFaultsTest.java
+++ b/core/src/test/java/org/hawthornglade/core/agent/ReplicaFaultsTest.java
@@ -336,7 +336,10 @@
         assertThat(session.orderTexts()).isEmpty();
     }
 
-    /** Found by AgentPropertyTest: a process woke just after its engine had restarted and forgotten the newer number. */
+    /**
+     * Found by AgentPropertyTest: a process woke just after its engine had restarted and forgotten the newer
+     * number.
+     */
     @Test
     void processThatWasStoppedChecksItsNumberBeforeAnOrder() {
         AgentSession session = AgentSession.ready(SOUND, held("quote", 1));
