--- /dev/null
+++ b/node/src/test/java/org/hawthornglade/node/auth/ClusterKeysTest.java
@@ -0,0 +1,48 @@
+package org.hawthornglade.node.auth;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class ClusterKeysTest {
+    private static final String OLD = "old-key-0123456789";
+    private static final String NEW = "new-key-0123456789";
+    private static final byte[] MESSAGE = "r-1.1 /v1/completions".getBytes(UTF_8);
+
+    @ParameterizedTest
+    @CsvSource({
+        // Each step of a rotation: the sender's keys, the receiver's, and whether they understand each other.
+        OLD + "," + OLD + ",true",
+        OLD + "," + OLD + "+" + NEW + ",true",
+        NEW + "+" + OLD + "," + OLD + "+" + NEW + ",true",
+        NEW + "," + NEW + "+" + OLD + ",true",
+        NEW + "," + OLD + ",false",
+    })
+    void acceptsEveryStepOfARotation(String sender, String receiver, boolean accepted) {
+        byte[] proof = keys(sender).prove(Purposes.ATTEMPT, MESSAGE);
+        assertThat(keys(receiver).verify(Purposes.ATTEMPT, MESSAGE, proof)).isEqualTo(accepted);
+    }
+
+    @Test
+    void aProofServesForNoOtherPurposeAndNoOtherMessage() {
+        ClusterKeys keys = keys(OLD);
+        byte[] proof = keys.prove(Purposes.ENTRY_HELLO, MESSAGE);
+        assertThat(keys.verify(Purposes.AGENT_HELLO, MESSAGE, proof)).isFalse();
+        assertThat(keys.verify(Purposes.ENTRY_HELLO, new byte[] {1}, proof)).isFalse();
+    }
+
+    @Test
+    void refusesShortKeysAndNone() {
+        assertThrows(IllegalArgumentException.class, () -> new ClusterKeys(List.of("short")));
+        assertThrows(IllegalArgumentException.class, () -> new ClusterKeys(List.of()));
+    }
+
+    private static ClusterKeys keys(String joined) {
+        return new ClusterKeys(List.of(joined.split("\\+")));
+    }
+}
