--- a/app/src/test/java/org/hawthornglade/app/process/ProcessTestBase.java
+++ b/app/src/test/java/org/hawthornglade/app/process/ProcessTestBase.java
@@ -5,9 +5,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.file.Path;
-import org.hawthornglade.core.engine.LoadState;
 import org.hawthornglade.core.id.InstanceId;
-import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.standin.engine.Violation;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -79,11 +77,6 @@
         });
     }
 
-    boolean isReady(InstanceId engine, ModelName model) {
-        return deployment.standins().engine(engine.value()).state().models().stream()
-                .anyMatch(held -> held.model().equals(model) && held.state() == LoadState.READY);
-    }
-
     /** Asserts that an answer is final, came in time, and is whole if it is a success. */
     static void assertTrueAndInTime(Answer answer, String prompt) {
         assertWithMessage("final: %s", answer).that(answer.definite()).isTrue();
