--- a/app/src/test/java/org/hawthornglade/app/process/SilentConnectionTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/SilentConnectionTest.java
@@ -50,7 +50,7 @@
     void aCallOverASilentConnectionIsNeverRunTwice(Silence way) throws Exception {
         deploy(SETTINGS, 1_000);
         assertThat(order(0, "before").join().status()).isEqualTo(200);
-        TestCaller.Call call = caller().order(entryUri(0), "key-1", "{}", 8_000);
+        TestCaller.Call call = caller().order(entryUri(0), "key-1", "{\"key\":\"key-1\"}", 8_000);
         Waiting.until(
                 "the call runs",
                 LIMIT_MS,
