--- a/entry/src/test/java/org/hawthornglade/entry/claim/ClaimTableTest.java
+++ b/entry/src/test/java/org/hawthornglade/entry/claim/ClaimTableTest.java
@@ -64,6 +64,16 @@
                 .isEqualTo("2");
     }
 
+    @Test
+    void aRefusedClaimThatArrivesLateKeepsNobodyOff() {
+        faulty.next(Fault.LATE);
+        ClaimTry one = attempt("a", "1");
+        claims.claim(List.of(one));
+        claims.settle(List.of(Settlement.notRun(one)));
+        faulty.deliverLate();
+        assertThat(nameOf(claims.claim(List.of(attempt("a", "2"))).get(0))).isEqualTo("Taken");
+    }
+
     @Test
     void claimsOfAGroupShareOneTransaction() {
         List<ClaimTry> group = IntStream.range(0, 40)
