Agents decide idleness by the configuration's price; evict least recently used

Without any gap seen the histogram unloaded at once; it now keeps a model until that has cost as much as a cold start. Pre-warming is off from 60 s an idle hour on, as measured. Before: HistogramIdlePolicyTest failed at 5 minutes with no gap known; after: passes.

--- a/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
@@ -27,11 +27,14 @@
 import org.hawthornglade.core.agent.AgentIdentity;
 import org.hawthornglade.core.agent.AgentLimits;
 import org.hawthornglade.core.agent.AgentPolicies;
+import org.hawthornglade.core.config.Configuration;
 import org.hawthornglade.core.config.ConfigurationHolder;
 import org.hawthornglade.core.event.Timeline;
 import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.idle.FixedKeepAlive;
+import org.hawthornglade.core.idle.HistogramIdlePolicy;
+import org.hawthornglade.core.idle.IdlePolicy;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.log.TimelineLog;
@@ -87,8 +90,10 @@
     @Provides
     @Singleton
     AgentDecider decider(AgentIdentity identity) {
-        AgentPolicies policies = AgentPolicies.with(
-                FixedKeepAlive.ofMs(settings.getKeepAliveMs()), new SplittableRandom(identity.bootId()));
+        IdlePolicy idle = settings.hasKeepAlive()
+                ? FixedKeepAlive.ofMs(settings.getKeepAliveMs())
+                : HistogramIdlePolicy.of(Configuration.empty().idle());
+        AgentPolicies policies = AgentPolicies.with(idle, new SplittableRandom(identity.bootId()));
         AgentLimits limits = new AgentLimits(
                 settings.getDrainTimeoutMs(), settings.getFenceCheckMaxAgeMs(), settings.getMaxRunning());
         return new AgentDecider(identity, policies, limits);
--- a/agent/src/main/java/org/hawthornglade/agent/AgentSettings.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentSettings.java
@@ -12,6 +12,8 @@
 
 /** The settings of an agent. */
 public final class AgentSettings extends NodeSettings {
+    private static final long BY_PRICE = -1;
+
     @NotNull
     private URI endpointUri;
 
@@ -28,9 +30,9 @@
     @Max(10_000)
     private long reportIntervalMs = 200;
 
-    @Min(0)
+    @Min(BY_PRICE)
     @Max(86_400_000)
-    private long keepAliveMs = 300_000;
+    private long keepAliveMs = BY_PRICE;
 
     @Min(100)
     @Max(3_600_000)
@@ -121,7 +123,15 @@
         return keepAliveMs;
     }
 
-    /** Sets how long a model stays loaded after its last request, in milliseconds. */
+    /** Returns whether models stay loaded for a fixed time, not for as long as the configuration's price says. */
+    public boolean hasKeepAlive() {
+        return keepAliveMs != BY_PRICE;
+    }
+
+    /**
+     * Sets how long a model stays loaded after its last request, in milliseconds; -1 decides by the idle gaps seen and
+     * the configuration's price.
+     */
     @JsonProperty
     public void setKeepAliveMs(long value) {
         keepAliveMs = value;
--- a/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
+++ b/core/src/main/java/org/hawthornglade/core/agent/AgentPolicies.java
@@ -46,7 +46,6 @@
             Map.of(CheckpointTier.MEMORY, 40_000.0, CheckpointTier.DISK, 16_000.0, CheckpointTier.REMOTE, 8_000.0);
 
     private static final long AGEING_MS = 10_000;
-    private static final double RELOAD_TAIL_EXPONENT = 2;
     private static final int START_LOADS = 2;
     private static final int MAX_LOADS = 8;
     private static final Backoff ORDER_BACKOFF = new Backoff(500, 10_000);
@@ -59,7 +58,7 @@
                 new SmithLoadOrder(AGEING_MS),
                 new AdaptiveLoadConcurrency(START_LOADS, MAX_LOADS),
                 new AdapterLoadLimit(),
-                OrderedEviction.cheapestToReload(RELOAD_TAIL_EXPONENT),
+                OrderedEviction.leastRecentlyUsed(),
                 idle,
                 new LoadTimeEstimator<>(CheckpointTier.class, ASSUMED_MB_PER_SECOND),
                 ORDER_BACKOFF,
--- a/core/src/main/java/org/hawthornglade/core/idle/HistogramIdlePolicy.java
+++ b/core/src/main/java/org/hawthornglade/core/idle/HistogramIdlePolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.hawthornglade.core.config.IdleSpec;
 import org.hawthornglade.core.id.ModelName;
 
 /**
@@ -18,11 +19,21 @@
     private static final double PRIOR_WEIGHT = 2;
     private static final double REPLAN_SHARE = 0.1;
 
-    private final IdlePrice price;
-    private final boolean prewarm;
+    /** From this price on, pre-warming cost more idle hours than it saved waiting; docs/measurements/POLICY.md. */
+    private static final double NO_PREWARM_FROM_SECONDS_PER_HOUR = 60;
+
+    private IdlePrice price;
+    private boolean prewarm;
     private final GapHistogram all = new GapHistogram();
     private final Map<ModelName, History> histories = new HashMap<>();
 
+    /** Makes a policy that follows the configuration's price. */
+    public static HistogramIdlePolicy of(IdleSpec spec) {
+        HistogramIdlePolicy policy = new HistogramIdlePolicy(IdlePrice.linear(spec), false);
+        policy.reprice(spec);
+        return policy;
+    }
+
     /**
      * Makes a policy.
      *
@@ -58,7 +69,19 @@
         return history.plan.from(idleSinceMs);
     }
 
+    @Override
+    public void reprice(IdleSpec spec) {
+        price = IdlePrice.linear(spec);
+        prewarm = spec.coldSecondsPerIdleHour() < NO_PREWARM_FROM_SECONDS_PER_HOUR;
+        histories.values().forEach(history -> history.plan = null);
+    }
+
     private Offsets cheapest(GapHistogram gaps, ReplicaCost cost) {
+        if (all.total() + gaps.total() < 1) {
+            // Without any gap seen, keeping until that costs as much as a cold start is at most twice the optimum.
+            double breakEvenMs = coldCost(price, cost) / holdingCost(price, cost, 1);
+            return new Offsets(Math.round(breakEvenMs), IdlePlan.NEVER, IdlePlan.NEVER);
+        }
         double[] probability = new double[GapHistogram.BINS];
         double[] middleMs = new double[GapHistogram.BINS];
         double priorTotal = Math.max(1, all.total());
--- a/core/src/main/java/org/hawthornglade/core/idle/IdlePolicy.java
+++ b/core/src/main/java/org/hawthornglade/core/idle/IdlePolicy.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.core.idle;
 
+import org.hawthornglade.core.config.IdleSpec;
 import org.hawthornglade.core.id.ModelName;
 
 /** When an idle model is unloaded and loaded again ahead of requests. Calls must not overlap. */
@@ -21,4 +22,11 @@
      * @return the plan; it holds until the next request
      */
     IdlePlan plan(ModelName model, long idleSinceMs, ReplicaCost cost);
+
+    /**
+     * Takes in what operators say idleness costs against waiting; a policy that weighs neither ignores it.
+     *
+     * @param spec the price of the configuration in force
+     */
+    default void reprice(IdleSpec spec) {}
 }
--- a/core/src/test/java/org/hawthornglade/core/idle/HistogramIdlePolicyTest.java
+++ b/core/src/test/java/org/hawthornglade/core/idle/HistogramIdlePolicyTest.java
@@ -42,6 +42,31 @@
         assertThat(plan.loadedAt(gapMinutes * MINUTE_MS)).isEqualTo(kept);
     }
 
+    @Test
+    void keepsAModelOfWhichNothingIsKnownUntilThatHasCostAsMuchAsAColdStart() {
+        HistogramIdlePolicy policy = HistogramIdlePolicy.of(new IdleSpec(60));
+        policy.onRequest(MODEL, 0);
+        // 40 s of cold start are worth 40 minutes of one accelerator.
+        assertThat(policy.plan(MODEL, 0, COST).loadedAt(5 * MINUTE_MS)).isTrue();
+        assertThat(policy.plan(MODEL, 0, COST).loadedAt(41 * MINUTE_MS)).isFalse();
+    }
+
+    @Test
+    void aNewPriceCountsAtOnce() {
+        HistogramIdlePolicy policy = HistogramIdlePolicy.of(new IdleSpec(10));
+        long nowMs = 0;
+        for (int i = 0; i < 30; i++) {
+            policy.onRequest(MODEL, nowMs);
+            policy.plan(MODEL, nowMs, COST);
+            nowMs += 60 * MINUTE_MS;
+        }
+        assertThat(policy.plan(MODEL, 0, COST).loadedAt(60 * MINUTE_MS)).isTrue();
+
+        policy.reprice(new IdleSpec(200));
+
+        assertThat(policy.plan(MODEL, 0, COST).loadedAt(60 * MINUTE_MS)).isFalse();
+    }
+
     @Test
     void loadsAheadOfARegularWake() {
         long gapMs = 60 * MINUTE_MS;
