--- a/agent/src/main/java/org/hawthornglade/agent/attempt/AttemptsResource.java
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/AttemptsResource.java
@@ -73,11 +73,12 @@
         } catch (IllegalArgumentException e) {
             return Response.status(Response.Status.BAD_REQUEST).build();
         }
+        EndpointCall call = call(headers, path, body);
         Optional<Failure> refusal = desk.arrive(attempt);
         if (refusal.isPresent()) {
             return frames(out -> new FrameWriter(attempt.id(), out).refused(refusal.get()));
         }
-        return frames(stream(attempt, call(headers, path, body)));
+        return frames(stream(attempt, call));
     }
 
     private StreamingOutput stream(AttemptRequest attempt, EndpointCall call) {
