--- a/agent/src/main/java/org/hawthornglade/agent/AgentCommandRunner.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentCommandRunner.java
@@ -7,10 +7,12 @@
 import org.hawthornglade.core.agent.AgentCommand;
 import org.hawthornglade.core.engine.EngineOrder;
 import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.placement.AssignmentRow;
 
 /** Carries out an agent's commands; nothing here blocks. */
 public final class AgentCommandRunner implements Consumer<AgentCommand> {
+    private final InstanceId instance;
     private final AttemptDesk desk;
     private final ViewBoard views;
     private final Timeline timeline;
@@ -23,6 +25,7 @@
     /**
      * Creates a runner.
      *
+     * @param instance the agent's own instance, which events concern that name no other
      * @param desk takes the decisions on attempts
      * @param views shows the agent's view
      * @param timeline records events
@@ -33,6 +36,7 @@
      * @param drained called when a drain has finished, with whether it is complete
      */
     public AgentCommandRunner(
+            InstanceId instance,
             AttemptDesk desk,
             ViewBoard views,
             Timeline timeline,
@@ -41,6 +45,7 @@
             Runnable fenceChecks,
             Runnable fenceRenewals,
             Consumer<Boolean> drained) {
+        this.instance = instance;
         this.desk = desk;
         this.views = views;
         this.timeline = timeline;
@@ -68,7 +73,7 @@
         } else if (command instanceof AgentCommand.Publish publish) {
             views.show(publish.view());
         } else if (command instanceof AgentCommand.RecordEvent record) {
-            timeline.record(record.event());
+            timeline.record(record.event().instanceIfAbsent(instance));
         } else if (command instanceof AgentCommand.CheckFence) {
             fenceChecks.run();
         } else if (command instanceof AgentCommand.RenewFence) {
--- a/agent/src/main/java/org/hawthornglade/agent/AgentProcess.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentProcess.java
@@ -21,6 +21,7 @@
 import org.hawthornglade.core.event.EventDraft;
 import org.hawthornglade.core.event.EventKind;
 import org.hawthornglade.core.event.Timeline;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.node.loop.DecisionLoop;
 import org.hawthornglade.node.loop.EventQueue;
@@ -66,6 +67,7 @@
         this.control = new ControlServer(
                 controlContext, new InetSocketAddress(settings.getControlHost(), settings.getControlPort()));
         AgentCommandRunner runner = new AgentCommandRunner(
+                InstanceId.of(settings.getInstanceId()),
                 desk,
                 views,
                 timeline,
--- a/core/src/main/java/org/hawthornglade/core/event/EventDraft.java
+++ b/core/src/main/java/org/hawthornglade/core/event/EventDraft.java
@@ -47,6 +47,11 @@
         return this;
     }
 
+    /** Names the instance concerned unless one is named already. */
+    public EventDraft instanceIfAbsent(Object id) {
+        return instance == null ? instance(id) : this;
+    }
+
     /** Gives the configuration version in force. */
     public EventDraft configVersion(long version) {
         configVersion = version;
