--- a/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
+++ b/agent/src/main/java/org/hawthornglade/agent/AgentModule.java
@@ -39,11 +39,11 @@
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.http.DataClients;
 import org.hawthornglade.node.loop.EventQueue;
-import org.hawthornglade.platform.configuration.AssignmentStore;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
-import org.hawthornglade.platform.engine.HttpEngineControl;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.configuration.AssignmentStore;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
+import org.hawthornglade.ports.engine.HttpEngineControl;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.table.TableService;
 
 /** Puts an agent together. */
 public final class AgentModule extends AbstractModule {
--- a/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/FenceStore.java
@@ -7,12 +7,12 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.Write;
 
 /**
  * The fencing number of one instance in the table service.
--- a/agent/src/main/java/org/hawthornglade/agent/assignment/TableWatcher.java
+++ b/agent/src/main/java/org/hawthornglade/agent/assignment/TableWatcher.java
@@ -9,8 +9,8 @@
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.time.Clock;
-import org.hawthornglade.platform.configuration.AssignmentStore;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.ports.configuration.AssignmentStore;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
 
 /**
  * Reads what the table service holds for one instance: its fencing number, its assignments and the configuration.
--- a/agent/src/main/java/org/hawthornglade/agent/endpoint/EnginePoller.java
+++ b/agent/src/main/java/org/hawthornglade/agent/endpoint/EnginePoller.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import org.hawthornglade.core.agent.AgentEvent;
 import org.hawthornglade.core.engine.EngineOrder;
-import org.hawthornglade.platform.engine.EngineControl;
+import org.hawthornglade.ports.engine.EngineControl;
 
 /** Asks the engine for its report and gives it orders, turning its answers into events. */
 public final class EnginePoller implements EndpointPoller {
--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -20,6 +20,7 @@
     static List<Command> all() {
         List<Command> commands = new ArrayList<>();
         commands.add(new EntryCommand());
+        commands.add(new GatewayCommand());
         commands.add(new AgentCommand());
         commands.add(new StandinCommand());
         commands.add(new ChatCommand());
--- a/app/src/main/java/org/hawthornglade/app/LoadCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/LoadCommand.java
@@ -15,7 +15,7 @@
 import org.hawthornglade.app.load.LoadSettings;
 import org.hawthornglade.app.load.ReportTable;
 import org.hawthornglade.core.time.Clock;
-import org.hawthornglade.platform.http.PlatformJson;
+import org.hawthornglade.ports.http.PlatformJson;
 
 /** Sends open-loop load to entries and reports what became of each request. */
 @Parameters(commandDescription = "Sends open-loop load to entries and reports what became of each request")
--- a/app/src/main/java/org/hawthornglade/app/load/ExecutionCheck.java
+++ b/app/src/main/java/org/hawthornglade/app/load/ExecutionCheck.java
@@ -8,11 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.http.HttpReply;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformHttpSettings;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.http.PlatformUris;
+import org.hawthornglade.ports.http.HttpReply;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformHttpSettings;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.http.PlatformUris;
 import org.hawthornglade.standin.service.ExecutedCall;
 
 /** Compares what callers were told with what plain stand-ins ran. */
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/Dispatcher.java
@@ -0,0 +1,45 @@
+package org.hawthornglade.core.dispatch;
+
+import java.util.List;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Decides for each call whether it is sent, waits or is refused. */
+public final class Dispatcher {
+    /** With less time than this left no answer can be made any more. */
+    private static final long MIN_SERVICE_MS = 20;
+    /** When to come back while a service has no instance. */
+    private static final long NO_ENDPOINT_RETRY_MS = 1_000;
+    /** When to come back after the time ran out in the queue. */
+    private static final long EXPIRED_RETRY_MS = 500;
+
+    private final Fleet fleet;
+    private final EndpointSelector plain;
+    private final EndpointSelector generations;
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param plain picks for services without models
+     * @param generations picks for model engines
+     */
+    public Dispatcher(Fleet fleet, EndpointSelector plain, EndpointSelector generations) {
+        this.fleet = fleet;
+        this.plain = plain;
+        this.generations = generations;
+    }
+
+    /** Decides what happens to a call now. */
+    public Decision decide(CallView call, long nowMs) {
+        if (call.remainingMs(nowMs) < MIN_SERVICE_MS) {
+            return new Decision.Refuse(ResultCode.DEADLINE_PASSED_WAITING, EXPIRED_RETRY_MS);
+        }
+        List<Endpoint> usable = fleet.usable(call.service());
+        if (usable.isEmpty()) {
+            return new Decision.Refuse(ResultCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MS);
+        }
+        EndpointSelector selector = call.demand().isPresent() ? generations : plain;
+        return selector.select(call, usable, nowMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
@@ -0,0 +1,94 @@
+package org.hawthornglade.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.serving.EngineDefinition;
+
+/** Sends generations to the instance that is expected to produce the first token soonest. */
+public final class FirstTokenSelector implements EndpointSelector {
+    /** Prompt tokens that an engine reads in a millisecond. */
+    private static final double PREFILL_TOKENS_PER_MS = 30;
+    /** How much each running request slows the first token. */
+    private static final double MS_PER_RUNNING_REQUEST = 0.5;
+    /** What leaving the own failure domain costs. */
+    private static final double DISTANCE_MS = 3;
+    /** What an instance costs that fails all its requests. */
+    private static final double FAILURE_MS = 2_000;
+    /** Share of the KV cache that may be promised to running requests; beyond it the engine preempts some. */
+    private static final double KV_FILL = 0.85;
+    /** Share of the batch that is filled before calls wait here. */
+    private static final double BATCH_FILL = 0.95;
+
+    private final FailureDomain here;
+    private final Function<ServiceName, EngineDefinition> engines;
+
+    /**
+     * Creates a selector.
+     *
+     * @param here the failure domain of this entry
+     * @param engines gives the engine of a service that has one
+     */
+    public FirstTokenSelector(FailureDomain here, Function<ServiceName, EngineDefinition> engines) {
+        this.here = here;
+        this.engines = engines;
+    }
+
+    @Override
+    public Decision select(CallView call, List<Endpoint> usable, long nowMs) {
+        ModelDemand demand = call.demand().orElseThrow();
+        List<Endpoint> holders = new ArrayList<>();
+        for (Endpoint endpoint : usable) {
+            if (endpoint.serves(demand.model(), demand.adapter(), nowMs)) {
+                holders.add(endpoint);
+            }
+        }
+        if (holders.isEmpty()) {
+            return new Decision.Wait("replica");
+        }
+        Endpoint best = soonest(call, demand, holders, nowMs);
+        if (best == null) {
+            return new Decision.Wait("capacity");
+        }
+        int cached = best.prefixCache().cachedTokens(demand.variant(), demand.prefix());
+        return new Decision.Send(best, cached, "first-token");
+    }
+
+    private Endpoint soonest(CallView call, ModelDemand demand, List<Endpoint> holders, long nowMs) {
+        EngineDefinition engine = engines.apply(call.service());
+        Endpoint best = null;
+        double bestMs = Double.MAX_VALUE;
+        for (Endpoint endpoint : Candidates.preferred(call, holders, nowMs)) {
+            if (!hasRoom(endpoint, demand, engine, nowMs)) {
+                continue;
+            }
+            double expectedMs = expectedMs(endpoint, demand, nowMs);
+            if (expectedMs < bestMs) {
+                best = endpoint;
+                bestMs = expectedMs;
+            }
+        }
+        return best;
+    }
+
+    private static boolean hasRoom(Endpoint endpoint, ModelDemand demand, EngineDefinition engine, long nowMs) {
+        if (endpoint.load().requests(nowMs) >= BATCH_FILL * engine.batchSlots()) {
+            return false;
+        }
+        long tokens = endpoint.load().ownTokens();
+        return tokens == 0 || tokens + demand.kvTokens() <= KV_FILL * engine.kvCapacityTokens();
+    }
+
+    private double expectedMs(Endpoint endpoint, ModelDemand demand, long nowMs) {
+        int cached = endpoint.prefixCache().cachedTokens(demand.variant(), demand.prefix());
+        long toRead = endpoint.load().ownPrefillTokens() + demand.promptTokens() - cached;
+        double distance = endpoint.listed().failureDomain().equals(here) ? 0 : DISTANCE_MS;
+        return toRead / PREFILL_TOKENS_PER_MS
+                + endpoint.load().requests(nowMs) * MS_PER_RUNNING_REQUEST
+                + distance
+                + FAILURE_MS * endpoint.health().failureRate(nowMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/LeastLoadedSelector.java
@@ -0,0 +1,48 @@
+package org.hawthornglade.core.dispatch;
+
+import java.util.List;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.id.FailureDomain;
+
+/** Sends calls of plain services to the instance with the largest share of free slots. */
+public final class LeastLoadedSelector implements EndpointSelector {
+    /** What a failing instance costs, in shares of a full one. */
+    private static final double FAILURE_COST = 2.0;
+    /** What leaving the own failure domain costs, in shares of a full instance. */
+    private static final double DISTANCE_COST = 0.1;
+
+    private final FailureDomain here;
+
+    /**
+     * Creates a selector.
+     *
+     * @param here the failure domain of this entry
+     */
+    public LeastLoadedSelector(FailureDomain here) {
+        this.here = here;
+    }
+
+    @Override
+    public Decision select(CallView call, List<Endpoint> usable, long nowMs) {
+        Endpoint best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (Endpoint endpoint : Candidates.preferred(call, usable, nowMs)) {
+            int requests = endpoint.load().requests(nowMs);
+            if (requests >= endpoint.listed().slots()) {
+                continue;
+            }
+            double cost = cost(endpoint, requests, nowMs);
+            if (cost < bestCost) {
+                best = endpoint;
+                bestCost = cost;
+            }
+        }
+        return best == null ? new Decision.Wait("slots") : new Decision.Send(best, 0, "least-loaded");
+    }
+
+    private double cost(Endpoint endpoint, int requests, long nowMs) {
+        double load = (double) requests / endpoint.listed().slots();
+        double distance = endpoint.listed().failureDomain().equals(here) ? 0 : DISTANCE_COST;
+        return load + distance + FAILURE_COST * endpoint.health().failureRate(nowMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
@@ -0,0 +1,95 @@
+package org.hawthornglade.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hawthornglade.core.id.AdapterName;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+
+/** One instance as an entry sees it: its record, the models on it, and the work that is under way there. */
+public final class Endpoint {
+    private final EndpointHealth health = new EndpointHealth();
+    private final EndpointLoad load = new EndpointLoad();
+    private final PrefixCache prefixCache = new PrefixCache();
+    private final Map<ModelName, Long> refusedUntilMs = new HashMap<>();
+    private InstanceRecord listed;
+    private InstancePlacement placement;
+
+    Endpoint(InstanceRecord listed) {
+        this.listed = listed;
+    }
+
+    public InstanceId id() {
+        return listed.id();
+    }
+
+    public InstanceRecord listed() {
+        return listed;
+    }
+
+    public EndpointHealth health() {
+        return health;
+    }
+
+    public EndpointLoad load() {
+        return load;
+    }
+
+    public PrefixCache prefixCache() {
+        return prefixCache;
+    }
+
+    void listed(InstanceRecord newer) {
+        if (newer.version().bornMs() != listed.version().bornMs()) {
+            placement = null;
+            prefixCache.clear();
+        }
+        listed = newer;
+    }
+
+    /** Takes what the leader tells; what is older than the instance's own word is left aside. */
+    void placement(InstancePlacement told) {
+        if (told.version().bornMs() == listed.version().bornMs()) {
+            placement = told;
+        }
+    }
+
+    void forgetPlacement() {
+        placement = null;
+    }
+
+    /** Returns what is known of a model here: by the leader where it knows at least as much as the list. */
+    public Optional<ReplicaState> replica(ModelName model) {
+        if (leaderKnowsMore()) {
+            return Optional.ofNullable(placement.models().get(model));
+        }
+        if (!listed.models().containsKey(model)) {
+            return Optional.empty();
+        }
+        Map<AdapterName, ReplicaStatus> adapters = new HashMap<>();
+        listed.models().get(model).forEach(adapter -> adapters.put(adapter, ReplicaStatus.READY));
+        return Optional.of(new ReplicaState(ReplicaStatus.READY, 0, adapters));
+    }
+
+    private boolean leaderKnowsMore() {
+        return placement != null && placement.version().compareTo(listed.version()) >= 0;
+    }
+
+    /** Leaves a model of this instance alone for a while after the instance refused it. */
+    public void refuseModel(ModelName model, long untilMs) {
+        refusedUntilMs.put(model, untilMs);
+    }
+
+    /** Returns whether requests for a model and an optional adapter would run here now. */
+    public boolean serves(ModelName model, Optional<AdapterName> adapter, long nowMs) {
+        if (refusedUntilMs.getOrDefault(model, 0L) > nowMs) {
+            return false;
+        }
+        Optional<ReplicaState> replica = replica(model);
+        if (replica.isEmpty() || replica.get().status() != ReplicaStatus.READY) {
+            return false;
+        }
+        return adapter.isEmpty() || replica.get().adapters().get(adapter.get()) == ReplicaStatus.READY;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/fleet/EndpointHealth.java
@@ -0,0 +1,71 @@
+package org.hawthornglade.core.fleet;
+
+/**
+ * How far an endpoint is trusted, judged by the answers that it gives to real requests.
+ *
+ * <p>An endpoint that fails is left out for a while; the pause doubles with each failure in a row and ends with the
+ * first good answer.
+ */
+public final class EndpointHealth {
+    /** The first pause after a failed connection or a lost answer. */
+    static final long FIRST_PAUSE_MS = 500;
+    /** The longest pause. */
+    static final long MAX_PAUSE_MS = 8_000;
+    /** Weight of the newest outcome in the failure rate. */
+    private static final double NEWEST_WEIGHT = 0.25;
+    /** Failure rate above which an endpoint that still answers is left out. */
+    private static final double SUSPECT_RATE = 0.4;
+    /** The failure rate halves in this time without a new outcome. */
+    private static final double HALF_LIFE_MS = 4_000;
+
+    private double failureRate;
+    private long rateAtMs;
+    private long pauseMs;
+    private long pausedUntilMs;
+
+    /** Takes note of a good answer. */
+    public void onSuccess(long nowMs) {
+        note(0, nowMs);
+        pauseMs = 0;
+        pausedUntilMs = failureRate > SUSPECT_RATE ? pausedUntilMs : 0;
+    }
+
+    /** Takes note of an answer that tells of a fault of the endpoint, while it can be reached. */
+    public void onFailure(long nowMs) {
+        note(1, nowMs);
+        if (failureRate > SUSPECT_RATE) {
+            pause(nowMs);
+        }
+    }
+
+    /** Takes note that the endpoint could not be reached or fell silent. */
+    public void onUnreachable(long nowMs) {
+        note(1, nowMs);
+        pause(nowMs);
+    }
+
+    /** Returns whether requests should go elsewhere if they can. */
+    public boolean paused(long nowMs) {
+        return nowMs < pausedUntilMs;
+    }
+
+    /** Returns the recent share of failed answers, from 0 to 1. */
+    public double failureRate(long nowMs) {
+        double halvings = (nowMs - rateAtMs) / HALF_LIFE_MS;
+        return failureRate * Math.pow(0.5, halvings);
+    }
+
+    private void note(double outcome, long nowMs) {
+        double current = failureRate(nowMs);
+        failureRate = current + NEWEST_WEIGHT * (outcome - current);
+        rateAtMs = nowMs;
+    }
+
+    private void pause(long nowMs) {
+        if (paused(nowMs)) {
+            return;
+        }
+        pauseMs = pauseMs == 0 ? FIRST_PAUSE_MS : Math.min(MAX_PAUSE_MS, pauseMs * 2);
+        pausedUntilMs = nowMs + pauseMs;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/fleet/EndpointLoad.java
@@ -0,0 +1,55 @@
+package org.hawthornglade.core.fleet;
+
+/** The work that is under way at an endpoint: this entry's own exactly, that of others as last told. */
+public final class EndpointLoad {
+    /** After this time without news the work of others is taken to have ended. */
+    private static final long OTHERS_VALID_MS = 1_500;
+
+    private int ownRequests;
+    private long ownTokens;
+    private long ownPrefillTokens;
+    private int othersRequests;
+    private long othersAtMs = -OTHERS_VALID_MS;
+
+    /** Counts an attempt that is sent. */
+    public void begin(long tokens, long prefillTokens) {
+        ownRequests++;
+        ownTokens += tokens;
+        ownPrefillTokens += prefillTokens;
+    }
+
+    /** Counts that an attempt's prompt has been read. */
+    public void prefilled(long prefillTokens) {
+        ownPrefillTokens -= prefillTokens;
+    }
+
+    /** Counts an attempt that has ended. */
+    public void end(long tokens) {
+        ownRequests--;
+        ownTokens -= tokens;
+    }
+
+    /** Takes the number of requests that other entries have under way. */
+    public void others(int requests, long nowMs) {
+        othersRequests = Math.max(0, requests);
+        othersAtMs = nowMs;
+    }
+
+    public int ownRequests() {
+        return ownRequests;
+    }
+
+    public long ownTokens() {
+        return ownTokens;
+    }
+
+    public long ownPrefillTokens() {
+        return ownPrefillTokens;
+    }
+
+    /** Returns the requests under way from all entries, as far as known. */
+    public int requests(long nowMs) {
+        boolean valid = nowMs - othersAtMs < OTHERS_VALID_MS;
+        return ownRequests + (valid ? othersRequests : 0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -0,0 +1,152 @@
+package org.hawthornglade.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ServiceName;
+
+/**
+ * The instances that requests may be sent to, kept by the platform's list.
+ *
+ * <p>An instance that has announced its leaving stays left, whatever an older record says. While the list cannot be
+ * read nothing is removed. An instance that is missing when the list can be read again has {@link #RETURN_MS} to
+ * write itself anew.
+ */
+public final class Fleet {
+    /** The platform's bound for an instance whose record lapsed during an outage of the list to be back. */
+    public static final long RETURN_MS = 2_000;
+
+    private final Map<InstanceId, Endpoint> endpoints = new HashMap<>();
+    private final Map<InstanceId, Long> missingUntilMs = new HashMap<>();
+    private boolean listReachable;
+    private long reachableSinceMs;
+    private boolean loaded;
+
+    /** Takes the whole list, as read at one moment. */
+    public void onSnapshot(Collection<InstanceRecord> records, long nowMs) {
+        onListReachable(nowMs);
+        Set<InstanceId> present = new HashSet<>();
+        for (InstanceRecord record : records) {
+            present.add(record.id());
+            onChanged(record, nowMs);
+        }
+        for (InstanceId id : List.copyOf(endpoints.keySet())) {
+            if (!present.contains(id)) {
+                onRemoved(id, nowMs);
+            }
+        }
+        loaded = true;
+    }
+
+    /** Takes note that the list answers. */
+    public void onListReachable(long nowMs) {
+        if (!listReachable) {
+            listReachable = true;
+            reachableSinceMs = nowMs;
+        }
+    }
+
+    /** Takes note that the list does not answer. */
+    public void onListLost() {
+        listReachable = false;
+    }
+
+    /** Takes a new or changed record. */
+    public void onChanged(InstanceRecord record, long nowMs) {
+        missingUntilMs.remove(record.id());
+        Endpoint known = endpoints.get(record.id());
+        if (known == null) {
+            endpoints.put(record.id(), new Endpoint(record));
+            return;
+        }
+        int order = record.version().compareTo(known.listed().version());
+        if (order < 0) {
+            return;
+        }
+        boolean sameStart =
+                record.version().bornMs() == known.listed().version().bornMs();
+        if (sameStart && known.listed().leaving() && !record.leaving()) {
+            return;
+        }
+        known.listed(record);
+    }
+
+    /** Takes note that a record is no longer on the list. */
+    public void onRemoved(InstanceId id, long nowMs) {
+        Endpoint known = endpoints.get(id);
+        if (known == null) {
+            return;
+        }
+        boolean mayReturn = loaded && nowMs - reachableSinceMs < RETURN_MS;
+        if (mayReturn && !known.listed().leaving()) {
+            missingUntilMs.putIfAbsent(id, reachableSinceMs + RETURN_MS);
+            return;
+        }
+        endpoints.remove(id);
+    }
+
+    /** Removes what has not come back in time; call it now and then. */
+    public void expire(long nowMs) {
+        if (!listReachable) {
+            return;
+        }
+        for (Map.Entry<InstanceId, Long> missing : List.copyOf(missingUntilMs.entrySet())) {
+            if (missing.getValue() <= nowMs) {
+                missingUntilMs.remove(missing.getKey());
+                endpoints.remove(missing.getKey());
+            }
+        }
+    }
+
+    /** Takes what the placement leader tells of an instance. */
+    public void onPlacement(InstancePlacement placement) {
+        Endpoint endpoint = endpoints.get(placement.instance());
+        if (endpoint != null) {
+            endpoint.placement(placement);
+        }
+    }
+
+    /** Goes back to the list's own word, after the leader was lost. */
+    public void forgetPlacements() {
+        endpoints.values().forEach(Endpoint::forgetPlacement);
+    }
+
+    /** Takes note that another instance, or none, answers at an instance's address. */
+    public void onMisdirected(InstanceId id) {
+        endpoints.remove(id);
+        missingUntilMs.remove(id);
+    }
+
+    /** Returns whether the list has been read at least once. */
+    public boolean loaded() {
+        return loaded;
+    }
+
+    /** Returns an instance by id. */
+    public Optional<Endpoint> endpoint(InstanceId id) {
+        return Optional.ofNullable(endpoints.get(id));
+    }
+
+    /** Returns every instance, leaving ones included. */
+    public Collection<Endpoint> all() {
+        return endpoints.values();
+    }
+
+    /** Returns the instances of a service that take new work. */
+    public List<Endpoint> usable(ServiceName service) {
+        List<Endpoint> usable = new ArrayList<>();
+        for (Endpoint endpoint : endpoints.values()) {
+            if (endpoint.listed().service().equals(service)
+                    && !endpoint.listed().leaving()) {
+                usable.add(endpoint);
+            }
+        }
+        return usable;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/serving/ServingConfiguration.java
@@ -0,0 +1,81 @@
+package org.hawthornglade.core.serving;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.hawthornglade.core.id.ServiceName;
+
+/** One version of the routes, services and limits; immutable. */
+public final class ServingConfiguration {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<ServiceName, ServiceDefinition> services;
+    private final RequestLimits limits;
+
+    /**
+     * Indexes the routes by host.
+     *
+     * @param version rises with each change
+     */
+    public ServingConfiguration(
+            long version, Collection<Route> routes, Collection<ServiceDefinition> services, RequestLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        this.routesByHost = byHost(routes);
+        this.services = services.stream().collect(ImmutableMap.toImmutableMap(ServiceDefinition::name, s -> s));
+    }
+
+    private static Map<String, List<Route>> byHost(Collection<Route> routes) {
+        Map<String, List<Route>> byHost = new HashMap<>(routes.stream().collect(Collectors.groupingBy(Route::host)));
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        byHost.replaceAll((host, list) -> list.stream().sorted(longestFirst).toList());
+        return byHost;
+    }
+
+    public long version() {
+        return version;
+    }
+
+    public RequestLimits limits() {
+        return limits;
+    }
+
+    public Collection<ServiceDefinition> services() {
+        return services.values();
+    }
+
+    /** Returns a service by name. */
+    public Optional<ServiceDefinition> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds the route with the longest prefix.
+     *
+     * @param host as the caller sent it; a port and the case are ignored
+     * @param path the path without its query
+     */
+    public Optional<Route> route(String host, String path) {
+        List<Route> candidates = routesByHost.getOrDefault(plainHost(host), List.of());
+        for (Route route : candidates) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String plainHost(String host) {
+        int colon = host.indexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- a/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryModule.java
@@ -40,11 +40,11 @@
 import org.hawthornglade.node.auth.ClusterKeys;
 import org.hawthornglade.node.http.DataClients;
 import org.hawthornglade.node.loop.EventQueue;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.instance.HttpInstanceList;
-import org.hawthornglade.platform.instance.InstanceList;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.instance.HttpInstanceList;
+import org.hawthornglade.ports.instance.InstanceList;
+import org.hawthornglade.ports.table.TableService;
 
 /** Puts an entry together. */
 public final class EntryModule extends AbstractModule {
--- a/entry/src/main/java/org/hawthornglade/entry/EntryProcess.java
+++ b/entry/src/main/java/org/hawthornglade/entry/EntryProcess.java
@@ -23,8 +23,8 @@
 import org.hawthornglade.node.loop.DecisionLoop;
 import org.hawthornglade.node.loop.EventQueue;
 import org.hawthornglade.node.loop.PeriodicTasks;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
-import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
+import org.hawthornglade.ports.instance.InstanceList;
 
 /** The running parts of an entry: starts them in order, and on a stop lets requests end first. */
 @Singleton
--- a/entry/src/main/java/org/hawthornglade/entry/claim/ClaimCleaner.java
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/ClaimCleaner.java
@@ -5,12 +5,12 @@
 import org.hawthornglade.core.id.OrganisationId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.time.Clock;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.TransactionOutcome;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.TransactionOutcome;
+import org.hawthornglade.ports.table.Write;
 
 /**
  * Deletes claims that are older than the retention period, a small part of the table at a time.
--- a/entry/src/main/java/org/hawthornglade/entry/claim/ClaimJson.java
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/ClaimJson.java
@@ -5,7 +5,7 @@
 import java.io.UncheckedIOException;
 import java.util.Base64;
 import java.util.Optional;
-import org.hawthornglade.platform.table.Row;
+import org.hawthornglade.ports.table.Row;
 
 /** Claims as the values of rows. */
 final class ClaimJson {
--- a/entry/src/main/java/org/hawthornglade/entry/claim/GroupedClaims.java
+++ b/entry/src/main/java/org/hawthornglade/entry/claim/GroupedClaims.java
@@ -15,7 +15,7 @@
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.retry.Backoff;
 import org.hawthornglade.core.time.Clock;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.table.TableService;
 
 /** Claims that are committed in groups: those of a few milliseconds share one transaction. */
 public final class GroupedClaims implements Claims, AutoCloseable {
--- a/entry/src/main/java/org/hawthornglade/entry/operator/FleetBook.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/FleetBook.java
@@ -15,7 +15,7 @@
 import org.hawthornglade.core.placement.PlacementInstance;
 import org.hawthornglade.core.plan.NodeVersion;
 import org.hawthornglade.core.report.AgentView;
-import org.hawthornglade.platform.configuration.Fleet;
+import org.hawthornglade.ports.configuration.Fleet;
 
 /**
  * What this entry has last heard of the other processes.
--- a/entry/src/main/java/org/hawthornglade/entry/operator/OperatorAnswers.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/OperatorAnswers.java
@@ -10,8 +10,8 @@
 import org.hawthornglade.core.plan.PlanRefusal;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.entry.caller.ErrorBody;
-import org.hawthornglade.platform.configuration.ConfirmRefusal;
-import org.hawthornglade.platform.configuration.Confirmation;
+import org.hawthornglade.ports.configuration.ConfirmRefusal;
+import org.hawthornglade.ports.configuration.Confirmation;
 
 /** The forms of the answers to operators. */
 final class OperatorAnswers {
--- a/entry/src/main/java/org/hawthornglade/entry/operator/OperatorModule.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/OperatorModule.java
@@ -21,11 +21,11 @@
 import org.hawthornglade.entry.placement.Reconciler;
 import org.hawthornglade.entry.placement.ReconcilerLoop;
 import org.hawthornglade.node.auth.ClusterKeys;
-import org.hawthornglade.platform.configuration.AssignmentStore;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
-import org.hawthornglade.platform.configuration.PlanDesk;
-import org.hawthornglade.platform.configuration.PlanStore;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.configuration.AssignmentStore;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
+import org.hawthornglade.ports.configuration.PlanDesk;
+import org.hawthornglade.ports.configuration.PlanStore;
+import org.hawthornglade.ports.table.TableService;
 
 /** Puts the operators' part of an entry together. */
 public final class OperatorModule extends AbstractModule {
--- a/entry/src/main/java/org/hawthornglade/entry/operator/OperatorResource.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/OperatorResource.java
@@ -34,9 +34,9 @@
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.entry.control.AgentLinks;
-import org.hawthornglade.platform.configuration.ConfirmRefusal;
-import org.hawthornglade.platform.configuration.Confirmation;
-import org.hawthornglade.platform.configuration.PlanDesk;
+import org.hawthornglade.ports.configuration.ConfirmRefusal;
+import org.hawthornglade.ports.configuration.Confirmation;
+import org.hawthornglade.ports.configuration.PlanDesk;
 
 /** The operators' routes; every one needs an operator's token. */
 @Path("/operator")
--- a/entry/src/main/java/org/hawthornglade/entry/operator/StatusReader.java
+++ b/entry/src/main/java/org/hawthornglade/entry/operator/StatusReader.java
@@ -19,9 +19,9 @@
 import org.hawthornglade.core.report.AgentView;
 import org.hawthornglade.core.report.ReplicaView;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.configuration.AssignmentStore;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
-import org.hawthornglade.platform.configuration.PlanStore;
+import org.hawthornglade.ports.configuration.AssignmentStore;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
+import org.hawthornglade.ports.configuration.PlanStore;
 
 /** Puts together the state of the whole system; what the table service cannot tell is left empty. */
 public final class StatusReader {
--- a/entry/src/main/java/org/hawthornglade/entry/placement/Reconciler.java
+++ b/entry/src/main/java/org/hawthornglade/entry/placement/Reconciler.java
@@ -21,9 +21,9 @@
 import org.hawthornglade.core.placement.RowChange;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.configuration.AssignmentStore;
-import org.hawthornglade.platform.configuration.ConfigurationHead;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.ports.configuration.AssignmentStore;
+import org.hawthornglade.ports.configuration.ConfigurationHead;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
 
 /**
  * Writes what placement decides.
--- a/entry/src/test/java/org/hawthornglade/entry/attempt/EntryHarness.java
+++ b/entry/src/test/java/org/hawthornglade/entry/attempt/EntryHarness.java
@@ -23,7 +23,7 @@
 import org.hawthornglade.core.time.ManualClock;
 import org.hawthornglade.entry.claim.ClaimKey;
 import org.hawthornglade.entry.claim.DirectClaims;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.table.TableService;
 
 /** An entry's requests, decisions and claims on one thread, with agents of a plain service that the test makes up. */
 final class EntryHarness {
--- a/entry/src/test/java/org/hawthornglade/entry/claim/DirectClaims.java
+++ b/entry/src/test/java/org/hawthornglade/entry/claim/DirectClaims.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.time.Clock;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.table.TableService;
 
 /** Claims without threads: each is a group of its own, and settlements are tried when {@link #settleAll} says. */
 public final class DirectClaims implements Claims {
--- a/entry/src/test/java/org/hawthornglade/entry/claim/FaultyTable.java
+++ b/entry/src/test/java/org/hawthornglade/entry/claim/FaultyTable.java
@@ -7,10 +7,10 @@
 import java.util.function.Supplier;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.TransactionOutcome;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.TransactionOutcome;
 
 /** A table service whose calls fail as a source of faults says. */
 public final class FaultyTable implements TableService {
--- a/entry/src/test/java/org/hawthornglade/entry/operator/OperatorFixture.java
+++ b/entry/src/test/java/org/hawthornglade/entry/operator/OperatorFixture.java
@@ -17,11 +17,11 @@
 import org.hawthornglade.entry.control.AgentLinks;
 import org.hawthornglade.entry.control.LinkContext;
 import org.hawthornglade.node.auth.ClusterKeys;
-import org.hawthornglade.platform.configuration.AssignmentStore;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
-import org.hawthornglade.platform.configuration.PlanDesk;
-import org.hawthornglade.platform.configuration.PlanStore;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.configuration.AssignmentStore;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
+import org.hawthornglade.ports.configuration.PlanDesk;
+import org.hawthornglade.ports.configuration.PlanStore;
+import org.hawthornglade.ports.table.TableService;
 
 /** The operators' part of one entry, without sockets. */
 final class OperatorFixture {
--- a/entry/src/test/java/org/hawthornglade/entry/placement/Cluster.java
+++ b/entry/src/test/java/org/hawthornglade/entry/placement/Cluster.java
@@ -18,8 +18,8 @@
 import org.hawthornglade.core.plan.Planner;
 import org.hawthornglade.core.plan.World;
 import org.hawthornglade.core.time.ManualClock;
-import org.hawthornglade.platform.configuration.AssignmentStore;
-import org.hawthornglade.platform.configuration.ConfigurationStore;
+import org.hawthornglade.ports.configuration.AssignmentStore;
+import org.hawthornglade.ports.configuration.ConfigurationStore;
 import org.hawthornglade.standin.table.InMemoryTableService;
 import org.hawthornglade.standin.table.TableSettings;
 
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -0,0 +1,219 @@
+package org.hawthornglade.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.hawthornglade.core.dispatch.Dispatcher;
+import org.hawthornglade.core.dispatch.FirstTokenSelector;
+import org.hawthornglade.core.dispatch.LeastLoadedSelector;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.InstanceRecord;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.serving.EngineDefinition;
+import org.hawthornglade.core.serving.RequestLimits;
+import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.exchange.CallEntrance;
+import org.hawthornglade.gateway.exchange.EndpointLinks;
+import org.hawthornglade.gateway.exchange.ExchangeContext;
+import org.hawthornglade.gateway.exchange.RetryBudgets;
+import org.hawthornglade.gateway.exchange.WaitingCalls;
+import org.hawthornglade.gateway.http.CallerServer;
+import org.hawthornglade.gateway.http.IncomingCall;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.port.CallProtocol;
+import org.hawthornglade.gateway.port.StoreFeeds;
+import org.hawthornglade.gateway.port.StoreListener;
+
+/** One entry: its servers, its view of the fleet and its exchanges, all on one event loop. */
+public final class Gateway implements StoreListener {
+    /** How often calls that wait are looked at when nothing has changed. */
+    private static final long WAITING_CHECK_MS = 50;
+    /** How long after a stop was asked for new connections may still come from the balancer. */
+    private static final long BALANCER_REACTION_MS = 2_500;
+    /** Time kept for closing after the last call of a stop. */
+    private static final long EXIT_RESERVE_MS = 700;
+    /** How often a stop looks whether it is done. */
+    private static final long STOP_CHECK_MS = 20;
+    /** This entry's part of the retry budget: one of so many entries. */
+    private static final int BUDGET_PARTS = 8;
+
+    private final GatewaySettings settings;
+    private final Timers timers;
+    private final Clock clock;
+    private final EventLog log;
+    private final CallProtocol protocol;
+    private final Fleet fleet = new Fleet();
+    private final WaitingCalls waiting = new WaitingCalls();
+    private final EndpointLinks links;
+    private final CallerServer callers;
+    private final CallerServer readiness;
+    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private volatile boolean stopping;
+
+    /** Puts an entry together; nothing listens yet. */
+    public Gateway(
+            GatewaySettings settings, EventLoop loop, Timers timers, Clock clock, EventLog log, CallProtocol protocol) {
+        this.timers = timers;
+        this.settings = settings;
+        this.clock = clock;
+        this.log = log;
+        this.protocol = protocol;
+        this.links = new EndpointLinks(loop, clock);
+        ExchangeContext context = new ExchangeContext(
+                timers,
+                clock,
+                fleet,
+                dispatcher(settings),
+                links,
+                waiting,
+                new RetryBudgets(settings.retryShare() / 2, Math.max(2, settings.retryBurst() / BUDGET_PARTS)),
+                protocol,
+                log);
+        CallEntrance entrance = new CallEntrance(context, () -> configuration, new Random());
+        this.callers = new CallerServer(loop, timers, clock, this::limits, entrance);
+        this.readiness = new CallerServer(loop, timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
+    }
+
+    private Dispatcher dispatcher(GatewaySettings from) {
+        return new Dispatcher(
+                fleet,
+                new LeastLoadedSelector(from.failureDomain()),
+                new FirstTokenSelector(from.failureDomain(), this::engine));
+    }
+
+    /** Starts to listen and to follow the store; must not be called on the event loop. */
+    public void start(StoreFeeds feeds) {
+        readiness.listen(settings.readinessAddress());
+        callers.listen(settings.callerAddress());
+        timers.run(() -> feeds.start(this));
+        timers.every(WAITING_CHECK_MS, this::tick);
+        log.event("start")
+                .with("node", settings.node())
+                .with("callers", settings.callerAddress())
+                .write();
+    }
+
+    /**
+     * Stops without cutting an open call: leaves the balancer's rotation, answers what comes until that has taken
+     * effect, waits for the open calls and returns. Must not be called on the event loop.
+     */
+    public void stop() {
+        long startMs = clock.nowMs();
+        timers.run(this::beginStop);
+        long latestMs = startMs + settings.graceMs() - EXIT_RESERVE_MS;
+        while (clock.nowMs() < latestMs && !mayExit(startMs)) {
+            pause(STOP_CHECK_MS);
+        }
+        timers.run(callers::close);
+        pause(STOP_CHECK_MS);
+        log.event("stop").with("took_ms", clock.nowMs() - startMs).write();
+        pause(STOP_CHECK_MS);
+    }
+
+    private void beginStop() {
+        stopping = true;
+        callers.stopping();
+        log.event("stopping").with("open", callers.openCalls()).write();
+    }
+
+    private boolean mayExit(long startMs) {
+        return clock.nowMs() - startMs >= BALANCER_REACTION_MS && callers.openCalls() == 0;
+    }
+
+    private static void pause(long ms) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
+    private void tick() {
+        fleet.expire(clock.nowMs());
+        if (!waiting.isEmpty()) {
+            waiting.reconsider();
+        }
+    }
+
+    private void answerReadiness(IncomingCall call) {
+        boolean known = call.head().uri().equals(protocol.readinessPath());
+        HttpResponseStatus unready = known ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.NOT_FOUND;
+        HttpResponseStatus status = known && ready() ? HttpResponseStatus.OK : unready;
+        call.response().sendWhole(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+    }
+
+    private boolean ready() {
+        return !stopping && configuration.isPresent() && fleet.loaded();
+    }
+
+    private RequestLimits limits() {
+        return configuration.map(ServingConfiguration::limits).orElse(RequestLimits.DEFAULT);
+    }
+
+    private EngineDefinition engine(ServiceName service) {
+        return configuration
+                .flatMap(known -> known.service(service))
+                .flatMap(definition -> definition.engine())
+                .orElseThrow();
+    }
+
+    @Override
+    public void onConfiguration(ServingConfiguration received) {
+        if (configuration.isPresent() && configuration.get().version() >= received.version()) {
+            return;
+        }
+        configuration = Optional.of(received);
+        log.event("config").with("version", received.version()).write();
+        waiting.reconsider();
+    }
+
+    @Override
+    public void onInstances(Collection<InstanceRecord> records) {
+        fleet.onSnapshot(records, clock.nowMs());
+        log.event("instances").with("count", records.size()).write();
+        fleetChanged();
+    }
+
+    @Override
+    public void onInstance(InstanceRecord record) {
+        fleet.onChanged(record, clock.nowMs());
+        log.event("instance")
+                .with("id", record.id())
+                .with("service", record.service())
+                .with("leaving", record.leaving())
+                .with("born", record.version().bornMs())
+                .with("seq", record.version().orderSequence())
+                .with("models", record.models())
+                .write();
+        fleetChanged();
+    }
+
+    @Override
+    public void onInstanceRemoved(InstanceId id) {
+        fleet.onRemoved(id, clock.nowMs());
+        log.event("instance-removed").with("id", id).write();
+        fleetChanged();
+    }
+
+    @Override
+    public void onListReachable() {
+        fleet.onListReachable(clock.nowMs());
+        log.event("list-reachable").write();
+    }
+
+    @Override
+    public void onListLost(String reason) {
+        fleet.onListLost();
+        log.event("list-lost").with("reason", reason).write();
+    }
+
+    private void fleetChanged() {
+        links.retain(fleet.all());
+        waiting.reconsider();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/AnswerWriter.java
@@ -0,0 +1,92 @@
+package org.hawthornglade.gateway.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.gateway.http.CallerResponse;
+import org.hawthornglade.gateway.port.CallProtocol;
+import org.hawthornglade.gateway.port.CallRequest;
+
+/** Writes the answer of one call: an endpoint's, whole or as a stream of events, or one of the system's own. */
+final class AnswerWriter {
+    private final CallProtocol protocol;
+    private final CallerResponse response;
+    private final CallRequest request;
+    private Optional<String> lastEventId = Optional.empty();
+    private boolean started;
+
+    AnswerWriter(CallProtocol protocol, CallerResponse response, CallRequest request) {
+        this.protocol = protocol;
+        this.response = response;
+        this.request = request;
+    }
+
+    /** Returns whether the caller has received part of an answer. */
+    boolean started() {
+        return started;
+    }
+
+    Optional<String> lastEventId() {
+        return lastEventId;
+    }
+
+    /** Sends an endpoint's whole answer. */
+    void sendWhole(HttpResponse head, ByteBuf body) {
+        started = true;
+        response.sendWhole(head.status(), protocol.callerHeaders(head.headers()), body);
+    }
+
+    /** Sends pieces of an endpoint's answer, after its head if nothing was sent before. */
+    void stream(HttpResponse head, ByteBuf piece) {
+        if (!started) {
+            started = true;
+            response.start(head.status(), protocol.callerHeaders(head.headers()));
+        }
+        if (piece.isReadable()) {
+            response.write(piece);
+        } else {
+            piece.release();
+        }
+    }
+
+    void streamedUpTo(Optional<String> eventId) {
+        lastEventId = eventId;
+    }
+
+    void finish() {
+        response.finish();
+    }
+
+    void abort() {
+        response.abort();
+    }
+
+    boolean writable() {
+        return response.writable();
+    }
+
+    void onWritable(Runnable action) {
+        response.onWritable(action);
+    }
+
+    /**
+     * Sends an answer of the system's own.
+     *
+     * @return its HTTP status
+     */
+    int sendOwn(ResultCode code, long retryAfterMs) {
+        started = true;
+        HttpHeaders headers = protocol.ownAnswerHeaders(request.id(), code, retryAfterMs);
+        String body = "{\"error\":{\"code\":" + code.number() + ",\"name\":\"" + code.name() + "\"}}\n";
+        response.sendWhole(
+                HttpResponseStatus.valueOf(code.httpStatus()),
+                headers,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        return code.httpStatus();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
@@ -0,0 +1,131 @@
+package org.hawthornglade.gateway.exchange;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.core.serving.ServiceDefinition;
+import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.serving.WeightedService;
+import org.hawthornglade.gateway.http.CallHandler;
+import org.hawthornglade.gateway.http.IncomingCall;
+import org.hawthornglade.gateway.port.CallRequest;
+
+/** Takes calls in: reads their headers, finds their route and starts an exchange for each. */
+public final class CallEntrance implements CallHandler {
+    /** When to come back while no configuration is known. */
+    private static final long NOT_READY_RETRY_MS = 500;
+    /** A call ends this long before its caller gives up, so that the answer arrives in time. */
+    private static final long ANSWER_RESERVE_MS = 5;
+
+    private final ExchangeContext context;
+    private final Supplier<Optional<ServingConfiguration>> configuration;
+    private final Random random;
+    private long calls;
+
+    /**
+     * Creates an entrance.
+     *
+     * @param configuration the version in force, if one is known
+     * @param random splits traffic over the targets of a route
+     */
+    public CallEntrance(
+            ExchangeContext context, Supplier<Optional<ServingConfiguration>> configuration, Random random) {
+        this.context = context;
+        this.configuration = configuration;
+        this.random = random;
+    }
+
+    @Override
+    public void onCall(IncomingCall call) {
+        Either<Failure, CallRequest> read = context.protocol().readCall(call.head());
+        if (read.isLeft()) {
+            answer(
+                    call,
+                    RequestId.of("none"),
+                    read.getLeft().code(),
+                    0,
+                    read.getLeft().message());
+            return;
+        }
+        CallRequest request = read.get();
+        Optional<ServingConfiguration> known = configuration.get();
+        if (known.isEmpty()) {
+            answer(call, request.id(), ResultCode.NOT_READY, NOT_READY_RETRY_MS, "no configuration yet");
+            return;
+        }
+        String host = call.head().headers().get(HttpHeaderNames.HOST);
+        Optional<Route> route = known.get().route(host, path(call.head().uri()));
+        if (route.isEmpty()) {
+            answer(
+                    call,
+                    request.id(),
+                    ResultCode.UNKNOWN_SERVICE,
+                    0,
+                    "config " + known.get().version());
+            return;
+        }
+        start(call, request, route.get(), known.get());
+    }
+
+    private void start(IncomingCall call, CallRequest request, Route route, ServingConfiguration known) {
+        ServiceName service = pick(route.targets());
+        boolean runsModels =
+                known.service(service).flatMap(ServiceDefinition::engine).isPresent();
+        Optional<ModelDemand> demand = runsModels ? request.demand() : Optional.empty();
+        long budgetMs = Math.min(request.timeLeftMs().orElse(route.timeoutMs()), route.timeoutMs());
+        long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs - ANSWER_RESERVE_MS);
+        CallView view = new CallView(service, route, demand, call.arrivedAtMs(), deadlineAtMs);
+        new Exchange(context, ++calls, call, request, view, known.version()).start();
+    }
+
+    private ServiceName pick(List<WeightedService> targets) {
+        double total = 0;
+        for (WeightedService target : targets) {
+            total += target.weight();
+        }
+        double drawn = random.nextDouble() * total;
+        for (WeightedService target : targets) {
+            drawn -= target.weight();
+            if (drawn < 0) {
+                return target.service();
+            }
+        }
+        return targets.get(targets.size() - 1).service();
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private void answer(IncomingCall call, RequestId id, ResultCode code, long retryAfterMs, String why) {
+        context.log()
+                .event("call")
+                .with("request", id)
+                .with("code", code.number())
+                .with("status", code.httpStatus())
+                .with("why", why)
+                .write();
+        HttpHeaders headers = context.protocol().ownAnswerHeaders(id, code, retryAfterMs);
+        String body = "{\"error\":{\"code\":" + code.number() + ",\"name\":\"" + code.name() + "\"}}\n";
+        call.response()
+                .sendWhole(
+                        HttpResponseStatus.valueOf(code.httpStatus()),
+                        headers,
+                        Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -0,0 +1,77 @@
+package org.hawthornglade.gateway.exchange;
+
+import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.Decision;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.log.LogLine;
+
+/** Collects what happened to a call and writes it as one line when the call ends. */
+final class CallRecord {
+    private static final int MAX_NOTES_LENGTH = 300;
+
+    private final RequestId id;
+    private final CallView view;
+    private final long configurationVersion;
+    private final StringBuilder notes = new StringBuilder();
+    private String waitedFor = "";
+    private String instance = "";
+    private int sends;
+    private long sentAtMs;
+    private long firstByteAtMs;
+
+    CallRecord(RequestId id, CallView view, long configurationVersion) {
+        this.id = id;
+        this.view = view;
+        this.configurationVersion = configurationVersion;
+    }
+
+    void waits(String reason) {
+        waitedFor = reason;
+    }
+
+    void sent(Decision.Send decision, long nowMs) {
+        sends++;
+        sentAtMs = nowMs;
+        instance = decision.endpoint().id().value();
+    }
+
+    void firstByte(long nowMs) {
+        if (firstByteAtMs == 0) {
+            firstByteAtMs = nowMs;
+        }
+    }
+
+    void note(String what) {
+        if (notes.length() < MAX_NOTES_LENGTH) {
+            notes.append(notes.length() == 0 ? "" : ",").append(what);
+        }
+    }
+
+    void write(EventLog log, ResultCode code, int status, long nowMs) {
+        LogLine line = log.event("call")
+                .with("request", id)
+                .with("route", view.route().name())
+                .with("service", view.service())
+                .with("config", configurationVersion)
+                .with("code", code.number())
+                .with("status", status)
+                .with("sends", sends)
+                .with("total_ms", nowMs - view.arrivedAtMs());
+        view.demand().ifPresent(demand -> line.with("model", demand.variant()).with("prompt", demand.promptTokens()));
+        if (sends > 0) {
+            line.with("instance", instance).with("waited_ms", sentAtMs - view.arrivedAtMs());
+        }
+        if (!waitedFor.isEmpty()) {
+            line.with("waited_for", waitedFor);
+        }
+        if (firstByteAtMs > 0) {
+            line.with("first_ms", firstByteAtMs - view.arrivedAtMs());
+        }
+        if (notes.length() > 0) {
+            line.with("notes", notes);
+        }
+        line.write();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -0,0 +1,273 @@
+package org.hawthornglade.gateway.exchange;
+
+import java.util.Optional;
+import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.Decision;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.gateway.http.IncomingCall;
+import org.hawthornglade.gateway.http.OutboundFailure;
+import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.port.AnswerHead;
+import org.hawthornglade.gateway.port.CallRequest;
+
+/**
+ * One call from its arrival to its final answer.
+ *
+ * <p>At most one attempt is open at a time. A call that may run once is sent again only after an endpoint has stated
+ * that it did not run it, or when no connection could be made.
+ */
+public final class Exchange {
+    /** How often a call may fail to be taken by an endpoint before it is refused. */
+    private static final int MAX_REJECTIONS = 6;
+    /** How long an endpoint that was too busy, or is changing its models, is left alone for that model. */
+    private static final long REJECTED_PAUSE_MS = 60;
+    /** The same for an endpoint that does not have the model. */
+    private static final long MISSING_MODEL_PAUSE_MS = 300;
+    /** When to come back after repeated attempts ran out. */
+    private static final long BUSY_RETRY_MS = 500;
+
+    private final ExchangeContext context;
+    private final long number;
+    private final IncomingCall call;
+    private final CallRequest request;
+    private final CallView view;
+    private final AnswerWriter answer;
+    private final CallRecord record;
+    private Timers.Timeout deadline;
+    private Attempt attempt;
+    private int runs;
+    private int rejections;
+    private boolean ended;
+
+    Exchange(
+            ExchangeContext context,
+            long number,
+            IncomingCall call,
+            CallRequest request,
+            CallView view,
+            long configurationVersion) {
+        this.context = context;
+        this.number = number;
+        this.call = call;
+        this.request = request;
+        this.view = view;
+        this.answer = new AnswerWriter(context.protocol(), call.response(), request);
+        this.record = new CallRecord(request.id(), view, configurationVersion);
+    }
+
+    public CallView view() {
+        return view;
+    }
+
+    long number() {
+        return number;
+    }
+
+    IncomingCall call() {
+        return call;
+    }
+
+    CallRequest request() {
+        return request;
+    }
+
+    AnswerWriter answer() {
+        return answer;
+    }
+
+    CallRecord record() {
+        return record;
+    }
+
+    void start() {
+        call.response().onGone(this::callerGone);
+        long remainingMs = Math.max(0, view.remainingMs(context.clock().nowMs()));
+        deadline = context.timers().after(remainingMs, this::deadlinePassed);
+        context.budgets().of(view.service()).onRequest();
+        decide();
+    }
+
+    /** Decides anew for a call that waits. */
+    void reconsider() {
+        if (ended || attempt != null) {
+            return;
+        }
+        context.waiting().remove(this);
+        decide();
+    }
+
+    private void decide() {
+        Decision decision = context.dispatcher().decide(view, context.clock().nowMs());
+        if (decision instanceof Decision.Send sending) {
+            send(sending);
+        } else if (decision instanceof Decision.Wait waits) {
+            record.waits(waits.reason());
+            context.waiting().add(this);
+        } else if (decision instanceof Decision.Refuse refusal) {
+            refuse(refusal.code(), refusal.retryAfterMs());
+        }
+    }
+
+    private void send(Decision.Send decision) {
+        record.sent(decision, context.clock().nowMs());
+        attempt = new Attempt(context, this, decision.endpoint(), decision.cachedTokens());
+        attempt.start();
+    }
+
+    /** Takes note that no connection could be made; nothing was sent. */
+    void notConnected(Endpoint endpoint) {
+        attempt = null;
+        view.tried().add(endpoint.id());
+        record.note("unreachable:" + endpoint.id());
+        retryNotRun();
+    }
+
+    /** Takes note that an endpoint stated that it did not run the call. */
+    void rejected(Endpoint endpoint, AnswerHead head) {
+        attempt = null;
+        record.note("rejected-" + head.status() + ":" + endpoint.id());
+        long nowMs = context.clock().nowMs();
+        boolean misdirected =
+                head.instance().isPresent() && !head.instance().get().equals(endpoint.id());
+        if (misdirected) {
+            context.fleet().onMisdirected(endpoint.id());
+        } else if (view.demand().isPresent()) {
+            ModelName model = view.demand().get().model();
+            boolean missing = head.status() == 421;
+            endpoint.refuseModel(model, nowMs + (missing ? MISSING_MODEL_PAUSE_MS : REJECTED_PAUSE_MS));
+        } else {
+            view.tried().add(endpoint.id());
+        }
+        if (!context.budgets().of(view.service()).tryRetry()) {
+            refuse(ResultCode.QUEUE_FULL, BUSY_RETRY_MS);
+            return;
+        }
+        retryNotRun();
+    }
+
+    private void retryNotRun() {
+        if (ended) {
+            return;
+        }
+        rejections++;
+        if (rejections >= MAX_REJECTIONS) {
+            refuse(ResultCode.QUEUE_FULL, BUSY_RETRY_MS);
+            return;
+        }
+        decide();
+    }
+
+    /** Takes note that an attempt that may have run ended without a whole answer. */
+    void failed(Endpoint endpoint, OutboundFailure failure) {
+        attempt = null;
+        runs++;
+        view.tried().add(endpoint.id());
+        record.note(failure + ":" + endpoint.id());
+        if (mayRunAgain()) {
+            decide();
+            return;
+        }
+        if (answer.started()) {
+            answer.abort();
+            end(ResultCode.ANSWER_INCOMPLETE, 0);
+            return;
+        }
+        ResultCode code =
+                failure == OutboundFailure.TIMED_OUT ? ResultCode.OUTCOME_UNKNOWN : ResultCode.ENDPOINT_FAILED;
+        end(code, answer.sendOwn(code, 0));
+    }
+
+    /** Returns whether the call may run once more, and takes that out of the budget. */
+    boolean mayRunAgain() {
+        return !ended
+                && view.route().repeatable()
+                && runs < view.route().maxAttempts()
+                && context.budgets().of(view.service()).tryRetry();
+    }
+
+    /** Returns whether the call could run at another endpoint, without taking that out of the budget. */
+    boolean mayRunElsewhere() {
+        return view.route().repeatable() && runs + 1 < view.route().maxAttempts();
+    }
+
+    /** Runs a safe call again after the endpoint answered with a failure of its own. */
+    void runAgain(Endpoint endpoint, int status) {
+        attempt = null;
+        view.tried().add(endpoint.id());
+        record.note("status-" + status + ":" + endpoint.id());
+        decide();
+    }
+
+    /** Counts an attempt that ran to an answer. */
+    void countRun() {
+        runs++;
+    }
+
+    /** Takes note that the answer is complete. */
+    void answered(int status) {
+        attempt = null;
+        end(ResultCode.OK, status);
+    }
+
+    /** Ends a call whose endpoint answered with a refusal but did not state that it did not run it. */
+    void answeredUnclearly(int status) {
+        attempt = null;
+        record.note("unclear-" + status);
+        end(ResultCode.ENDPOINT_FAILED, answer.sendOwn(ResultCode.ENDPOINT_FAILED, 0));
+    }
+
+    private void refuse(ResultCode code, long retryAfterMs) {
+        if (answer.started()) {
+            answer.abort();
+            end(ResultCode.ANSWER_INCOMPLETE, 0);
+            return;
+        }
+        ResultCode honest = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
+        end(honest, answer.sendOwn(honest, honest.comeBack() ? retryAfterMs : 0));
+    }
+
+    private void deadlinePassed() {
+        if (ended) {
+            return;
+        }
+        boolean mayHaveRun = runs > 0 || (attempt != null && attempt.sent());
+        dropAttempt();
+        if (answer.started()) {
+            answer.abort();
+            end(ResultCode.DEADLINE_PASSED_RUNNING, 0);
+            return;
+        }
+        ResultCode code = mayHaveRun ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.DEADLINE_PASSED_WAITING;
+        end(code, answer.sendOwn(code, mayHaveRun ? 0 : BUSY_RETRY_MS));
+    }
+
+    private void callerGone() {
+        if (ended) {
+            return;
+        }
+        dropAttempt();
+        record.note("caller-left");
+        end(ResultCode.CANCELLED_BEFORE_START, 0);
+    }
+
+    private void dropAttempt() {
+        if (attempt != null) {
+            attempt.cancel();
+            attempt = null;
+        }
+    }
+
+    private void end(ResultCode code, int status) {
+        ended = true;
+        deadline.cancel();
+        context.waiting().remove(this);
+        record.write(context.log(), code, status, context.clock().nowMs());
+        context.timers().run(context.waiting()::reconsider);
+    }
+
+    Optional<String> resumeFrom() {
+        return answer.lastEventId().or(request::lastEventId);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -0,0 +1,32 @@
+package org.hawthornglade.gateway.exchange;
+
+import org.hawthornglade.core.dispatch.Dispatcher;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.port.CallProtocol;
+
+/**
+ * What all exchanges of an entry share.
+ *
+ * @param timers runs actions on the only thread that exchanges use
+ * @param clock the steady clock
+ * @param fleet the known instances
+ * @param dispatcher decides where calls go
+ * @param links the connections to endpoints
+ * @param waiting the calls that wait
+ * @param budgets limits repeated attempts
+ * @param protocol translates headers
+ * @param log takes a line for each call
+ */
+public record ExchangeContext(
+        Timers timers,
+        Clock clock,
+        Fleet fleet,
+        Dispatcher dispatcher,
+        EndpointLinks links,
+        WaitingCalls waiting,
+        RetryBudgets budgets,
+        CallProtocol protocol,
+        EventLog log) {}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
@@ -0,0 +1,42 @@
+package org.hawthornglade.gateway.exchange;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.TreeSet;
+
+/** The calls that wait at this entry, the most urgent first. */
+public final class WaitingCalls {
+    private static final Comparator<Exchange> URGENT_FIRST = Comparator.comparingInt(
+                    (Exchange exchange) -> exchange.view().route().priority())
+            .thenComparingLong(exchange -> exchange.view().arrivedAtMs())
+            .thenComparingLong(Exchange::number);
+
+    private final TreeSet<Exchange> calls = new TreeSet<>(URGENT_FIRST);
+
+    void add(Exchange exchange) {
+        calls.add(exchange);
+    }
+
+    void remove(Exchange exchange) {
+        calls.remove(exchange);
+    }
+
+    /** Decides anew for every call, after something has changed. */
+    public void reconsider() {
+        for (Exchange exchange : new ArrayList<>(calls)) {
+            exchange.reconsider();
+        }
+    }
+
+    /** Returns the calls that wait, in their order. */
+    public Collection<Exchange> all() {
+        return Collections.unmodifiableSortedSet(calls);
+    }
+
+    /** Returns whether a call waits. */
+    public boolean isEmpty() {
+        return calls.isEmpty();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -0,0 +1,151 @@
+package org.hawthornglade.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.hawthornglade.core.fleet.InstanceAddress;
+import org.hawthornglade.core.serving.RequestLimits;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.loop.Timers;
+
+/** Listens for callers at one address. */
+public final class CallerServer {
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoop loop;
+    private final Timers timers;
+    private final Clock clock;
+    private final Supplier<RequestLimits> limits;
+    private final CallHandler handler;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private Channel listener;
+    private volatile int openCalls;
+    private boolean stopping;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param limits the limits in force at each request
+     * @param handler answers the calls
+     */
+    public CallerServer(
+            EventLoop loop, Timers timers, Clock clock, Supplier<RequestLimits> limits, CallHandler handler) {
+        this.loop = loop;
+        this.timers = timers;
+        this.clock = clock;
+        this.limits = limits;
+        this.handler = handler;
+    }
+
+    /** Starts listening; must not be called on the event loop. */
+    public void listen(InstanceAddress address) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        CallerConnection connection = new CallerConnection(CallerServer.this);
+                        channel.pipeline()
+                                .addLast(
+                                        new ByteWatch(connection),
+                                        new RequestDecoder(limits.get().maxHeaderBytes()),
+                                        new HttpResponseEncoder(),
+                                        connection);
+                    }
+                });
+        listener = bootstrap
+                .bind(address.host(), address.port())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Asks callers to leave with their next answer; what is open goes on. */
+    public void stopping() {
+        this.stopping = true;
+    }
+
+    /** Stops listening and ends the connections without an open request. */
+    public void close() {
+        if (listener != null) {
+            Channels.close(listener);
+        }
+        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    /** Returns how many requests are open; may be called on any thread. */
+    public int openCalls() {
+        return openCalls;
+    }
+
+    void callOpened() {
+        open(1);
+    }
+
+    void callClosed() {
+        open(-1);
+    }
+
+    /** Only the event loop changes the number. */
+    private void open(int change) {
+        int now = openCalls;
+        openCalls = now + change;
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    RequestLimits limits() {
+        return limits.get();
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    CallHandler handler() {
+        return handler;
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Tells the connection of bytes before they are decoded. */
+    private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        ByteWatch(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.onBytes();
+            context.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/ConnectionPool.java
@@ -0,0 +1,136 @@
+package org.hawthornglade.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import jdk.net.ExtendedSocketOptions;
+import org.hawthornglade.core.fleet.InstanceAddress;
+import org.hawthornglade.core.time.Clock;
+
+/**
+ * The connections to one address; used on the event loop only.
+ *
+ * <p>TCP keep-alive finds connections that went silent for good within {@link #KEEP_ALIVE_IDLE_S} and
+ * {@link #KEEP_ALIVE_PROBES} further seconds.
+ */
+public final class ConnectionPool {
+    private static final int KEEP_ALIVE_IDLE_S = 1;
+    private static final int KEEP_ALIVE_INTERVAL_S = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+    /** How long an idle connection is trusted while the other side has not told its own limit. */
+    private static final long DEFAULT_IDLE_LIMIT_MS = 4_000;
+    /** Share of the idle limit after which a connection is no longer used. */
+    private static final double IDLE_SHARE = 0.8;
+    /** The same for a request that must not be sent again. */
+    private static final double IDLE_SHARE_ONCE = 0.5;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final InstanceAddress address;
+    private final int connectTimeoutMs;
+    private final Deque<OutboundConnection> idle = new ArrayDeque<>();
+    private final Set<OutboundConnection> open = new HashSet<>();
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param connectTimeoutMs how long a new connection may take
+     */
+    public ConnectionPool(EventLoop loop, Clock clock, InstanceAddress address, int connectTimeoutMs) {
+        this.loop = loop;
+        this.clock = clock;
+        this.address = address;
+        this.connectTimeoutMs = connectTimeoutMs;
+    }
+
+    /**
+     * Gives a connection, a kept one if there is one.
+     *
+     * @param sendOnce whether the request must not be sent again if the connection turns out to be dead
+     * @param ready takes the connection
+     * @param failed takes the cause if none could be made; nothing was sent then
+     */
+    public void acquire(boolean sendOnce, Consumer<OutboundConnection> ready, Consumer<Throwable> failed) {
+        OutboundConnection kept = pollIdle(sendOnce ? IDLE_SHARE_ONCE : IDLE_SHARE);
+        if (kept != null) {
+            ready.accept(kept);
+            return;
+        }
+        connect(ready, failed);
+    }
+
+    private OutboundConnection pollIdle(double shareOfLimit) {
+        long nowMs = clock.nowMs();
+        while (!idle.isEmpty()) {
+            OutboundConnection connection = idle.pollFirst();
+            if (connection.isOpen() && !connection.idleTooLong(nowMs, shareOfLimit)) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private void connect(Consumer<OutboundConnection> ready, Consumer<Throwable> failed) {
+        ResponseDecoder decoder = new ResponseDecoder();
+        OutboundConnection connection = new OutboundConnection(this, decoder);
+        connection.idleLimit(DEFAULT_IDLE_LIMIT_MS);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_S)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_S)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
+                    }
+                });
+        ChannelFuture future = bootstrap.connect(address.host(), address.port());
+        future.addListener(done -> {
+            if (done.isSuccess()) {
+                open.add(connection);
+                ready.accept(connection);
+            } else {
+                failed.accept(done.cause());
+            }
+        });
+    }
+
+    void release(OutboundConnection connection) {
+        connection.idle(clock.nowMs());
+        idle.addFirst(connection);
+    }
+
+    void closed(OutboundConnection connection) {
+        open.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** Ends the connections that no request uses. */
+    public void closeIdle() {
+        List.copyOf(idle).forEach(OutboundConnection::close);
+        idle.clear();
+    }
+
+    /** Returns how many connections are open. */
+    public int openConnections() {
+        return open.size();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/KeepAliveHint.java
@@ -0,0 +1,22 @@
+package org.hawthornglade.gateway.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.OptionalInt;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads how long the other side keeps an idle connection. */
+final class KeepAliveHint {
+    private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
+    private KeepAliveHint() {}
+
+    static OptionalInt seconds(HttpHeaders headers) {
+        String value = headers.get("Keep-Alive");
+        if (value == null) {
+            return OptionalInt.empty();
+        }
+        Matcher matcher = TIMEOUT.matcher(value);
+        return matcher.find() ? OptionalInt.of(Integer.parseInt(matcher.group(1))) : OptionalInt.empty();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -0,0 +1,222 @@
+package org.hawthornglade.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+
+/**
+ * A connection to another process that carries one request at a time.
+ *
+ * <p>A response whose id is not that of the open request is skipped: it is a late or second answer to an earlier
+ * one. Bytes that arrive while no request is open end the connection.
+ */
+public final class OutboundConnection extends ChannelInboundHandlerAdapter {
+    private static final String REQUEST_ID_HEADER = "X-Request-Id";
+
+    private final ConnectionPool pool;
+    private final ResponseDecoder decoder;
+    private Channel channel;
+    private ResponseListener listener;
+    private Optional<String> answerId = Optional.empty();
+    private boolean written;
+    private boolean headSeen;
+    private boolean skipping;
+    private boolean reset;
+    private boolean reusable;
+    private boolean endsWithConnection;
+    private long idleSinceMs;
+    private long idleLimitMs;
+
+    OutboundConnection(ConnectionPool pool, ResponseDecoder decoder) {
+        this.pool = pool;
+        this.decoder = decoder;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    /** Sends a request; its body is released in any case. */
+    public void send(OutboundRequest request, ResponseListener responseListener) {
+        listener = responseListener;
+        answerId = request.answerId();
+        written = false;
+        headSeen = false;
+        skipping = false;
+        reusable = false;
+        decoder.expectResponseTo(request.method());
+        if (request.body().isReadable() || request.method().equals(HttpMethod.POST)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+        }
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                request.body(),
+                request.headers(),
+                EmptyHttpHeaders.INSTANCE);
+        channel.writeAndFlush(message).addListener(done -> {
+            written = done.isSuccess();
+            if (!done.isSuccess()) {
+                fail(OutboundFailure.CLOSED);
+            }
+        });
+    }
+
+    /** Gives up on the open request and ends the connection, which tells the other side. */
+    public void cancel() {
+        listener = null;
+        Channels.close(channel);
+    }
+
+    /** Stops or resumes reading, to keep pace with a slower receiver. */
+    public void reading(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
+    boolean idleTooLong(long nowMs, double shareOfLimit) {
+        return nowMs - idleSinceMs > idleLimitMs * shareOfLimit;
+    }
+
+    void idle(long nowMs) {
+        idleSinceMs = nowMs;
+    }
+
+    void close() {
+        Channels.close(channel);
+    }
+
+    void idleLimit(long limitMs) {
+        idleLimitMs = limitMs;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            read((HttpObject) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            fail(OutboundFailure.MALFORMED);
+            return;
+        }
+        if (listener == null) {
+            Channels.close(channel);
+            return;
+        }
+        if (message instanceof HttpResponse head) {
+            readHead(head);
+        }
+        if (message instanceof HttpContent content) {
+            readContent(content);
+        }
+    }
+
+    private void readHead(HttpResponse head) {
+        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean otherAnswer = answerId.isPresent()
+                && head.headers().contains(REQUEST_ID_HEADER)
+                && !answerId.get().equals(head.headers().get(REQUEST_ID_HEADER));
+        skipping = interim || otherAnswer;
+        if (skipping) {
+            return;
+        }
+        if (answerId.isPresent() && !head.headers().contains(REQUEST_ID_HEADER)) {
+            fail(OutboundFailure.MALFORMED);
+            return;
+        }
+        headSeen = true;
+        endsWithConnection = endsWithConnection(head);
+        reusable = HttpUtil.isKeepAlive(head) && !endsWithConnection;
+        KeepAliveHint.seconds(head.headers()).ifPresent(seconds -> idleLimitMs = seconds * 1_000L);
+        listener.onHead(head);
+    }
+
+    private static boolean endsWithConnection(HttpResponse head) {
+        boolean noBody = head.status().equals(HttpResponseStatus.NO_CONTENT)
+                || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        return !noBody
+                && !HttpUtil.isTransferEncodingChunked(head)
+                && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+
+    private void readContent(HttpContent content) {
+        if (!skipping && listener != null && content.content().isReadable()) {
+            listener.onContent(content.content());
+        }
+        if (content instanceof LastHttpContent && listener != null) {
+            endOfMessage();
+        }
+    }
+
+    private void endOfMessage() {
+        if (skipping) {
+            skipping = false;
+            return;
+        }
+        if (endsWithConnection && reset) {
+            fail(OutboundFailure.BROKEN_OFF);
+            return;
+        }
+        ResponseListener ended = listener;
+        listener = null;
+        if (reusable && written && channel.isActive()) {
+            pool.release(this);
+        } else {
+            Channels.close(channel);
+        }
+        ended.onEnd();
+    }
+
+    private void fail(OutboundFailure failure) {
+        ResponseListener failed = listener;
+        listener = null;
+        Channels.close(channel);
+        if (failed != null) {
+            failed.onFailure(failure);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        pool.closed(this);
+        fail(headSeen ? OutboundFailure.BROKEN_OFF : OutboundFailure.CLOSED);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        reset = true;
+        fail(headSeen ? OutboundFailure.BROKEN_OFF : OutboundFailure.CLOSED);
+    }
+
+    /** Returns an empty body. */
+    public static ByteBuf noBody() {
+        return Unpooled.EMPTY_BUFFER;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundRequest.java
@@ -0,0 +1,18 @@
+package org.hawthornglade.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+
+/**
+ * A request to another process.
+ *
+ * @param method its method
+ * @param uri the path with its query, sent as it is
+ * @param headers complete but for the length
+ * @param body the whole body; the sender releases it
+ * @param answerId the id that the response must repeat, if responses carry one
+ */
+public record OutboundRequest(
+        HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, Optional<String> answerId) {}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/log/EventLog.java
@@ -0,0 +1,79 @@
+package org.hawthornglade.gateway.log;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hawthornglade.core.time.Clock;
+
+/**
+ * Writes events as lines of key=value pairs.
+ *
+ * <p>Writing happens on a thread of its own. When that falls behind, or more than {@link #MAX_LINES_PER_S} lines come
+ * within a second, lines are dropped and their number is written instead.
+ */
+public final class EventLog {
+    /** The most lines that are written within a second. */
+    static final int MAX_LINES_PER_S = 500;
+
+    private static final int QUEUE_LINES = 2_000;
+
+    private final Clock clock;
+    private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private long secondStartMs;
+    private int linesThisSecond;
+
+    /** Starts the writer. */
+    public EventLog(Clock clock, PrintStream out) {
+        this.clock = clock;
+        Thread writer = new Thread(() -> writeAll(out), "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /** Starts a line; {@link LogLine#write()} ends it. */
+    public LogLine event(String name) {
+        return new LogLine(this, name);
+    }
+
+    long nowMs() {
+        return clock.nowMs();
+    }
+
+    void add(String line) {
+        if (!withinRate() || !queue.offer(line)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private synchronized boolean withinRate() {
+        long nowMs = clock.nowMs();
+        if (nowMs - secondStartMs >= 1_000) {
+            secondStartMs = nowMs;
+            linesThisSecond = 0;
+        }
+        return ++linesThisSecond <= MAX_LINES_PER_S;
+    }
+
+    private void writeAll(PrintStream out) {
+        try {
+            while (true) {
+                StringBuilder lines = new StringBuilder(queue.take()).append('\n');
+                for (String line = queue.poll(); line != null; line = queue.poll()) {
+                    lines.append(line).append('\n');
+                }
+                long lost = dropped.getAndSet(0);
+                if (lost > 0) {
+                    lines.append("event=log-dropped lines=").append(lost).append('\n');
+                }
+                byte[] bytes = lines.toString().getBytes(StandardCharsets.UTF_8);
+                out.write(bytes, 0, bytes.length);
+                out.flush();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/log/LogLine.java
@@ -0,0 +1,33 @@
+package org.hawthornglade.gateway.log;
+
+/** One line of the log while it is put together. */
+public final class LogLine {
+    private static final int USUAL_LENGTH = 160;
+
+    private final EventLog log;
+    private final StringBuilder text = new StringBuilder(USUAL_LENGTH);
+
+    LogLine(EventLog log, String name) {
+        this.log = log;
+        text.append("at=").append(log.nowMs()).append(" event=").append(name);
+    }
+
+    /** Adds a field; a value with blanks, quotes or control characters is quoted. */
+    public LogLine with(String key, Object value) {
+        text.append(' ').append(key).append('=');
+        String written = String.valueOf(value);
+        if (written.chars().noneMatch(c -> c <= ' ' || c == '"' || c == '=')) {
+            text.append(written);
+            return this;
+        }
+        text.append('"');
+        written.chars().forEach(c -> text.append(c < ' ' || c == '"' ? ' ' : (char) c));
+        text.append('"');
+        return this;
+    }
+
+    /** Ends the line. */
+    public void write() {
+        log.add(text.toString());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/AnswerHead.java
@@ -0,0 +1,35 @@
+package org.hawthornglade.gateway.port;
+
+import java.util.Optional;
+import org.hawthornglade.core.id.InstanceId;
+
+/**
+ * What the head of an endpoint's answer says.
+ *
+ * @param status the HTTP status
+ * @param notRun whether the endpoint states that it did not run the request
+ * @param proven whether the endpoint's signature is there, without which a success counts for nothing
+ * @param eventStream whether the body is a series of events
+ * @param instance who answered, where it is said
+ * @param load the work at the endpoint, where it is said
+ */
+public record AnswerHead(
+        int status,
+        boolean notRun,
+        boolean proven,
+        boolean eventStream,
+        Optional<InstanceId> instance,
+        Optional<ReportedLoad> load) {
+    /**
+     * Work at an endpoint.
+     *
+     * @param running requests that run
+     * @param waiting requests in its queue
+     * @param slots how many run at once
+     */
+    public record ReportedLoad(int running, int waiting, int slots) {}
+
+    public boolean success() {
+        return status >= 200 && status < 300;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/StoreFeeds.java
@@ -0,0 +1,7 @@
+package org.hawthornglade.gateway.port;
+
+/** Follows the configuration and the list of instances in the platform's store. */
+public interface StoreFeeds {
+    /** Starts to follow; the listener is called until the process ends. */
+    void start(StoreListener listener);
+}
--- a/node/src/main/java/org/hawthornglade/node/NodeModule.java
+++ b/node/src/main/java/org/hawthornglade/node/NodeModule.java
@@ -11,10 +11,10 @@
 import org.hawthornglade.node.metrics.Metrics;
 import org.hawthornglade.node.metrics.RequestMetrics;
 import org.hawthornglade.node.settings.NodeSettings;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformHttpSettings;
-import org.hawthornglade.platform.table.HttpTableService;
-import org.hawthornglade.platform.table.TableService;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformHttpSettings;
+import org.hawthornglade.ports.table.HttpTableService;
+import org.hawthornglade.ports.table.TableService;
 
 /** Puts together what both roles share. */
 public final class NodeModule extends AbstractModule {
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/AssignmentStore.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/AssignmentStore.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
@@ -13,13 +13,13 @@
 import org.hawthornglade.core.placement.RowChange;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.TransactionOutcome;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.TransactionOutcome;
+import org.hawthornglade.ports.table.Write;
 
 /** The assignment rows; every write depends on the row being as it was read. */
 public final class AssignmentStore {
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/ConfigurationHead.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/ConfigurationHead.java
@@ -1,13 +1,13 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
 import java.util.Optional;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.Row;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.Row;
 
 /**
  * Which configuration version is the newest confirmed one.
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/ConfigurationStore.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -9,11 +9,11 @@
 import org.hawthornglade.core.plan.Plan;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.Write;
 
 /**
  * The confirmed configurations: one head row and immutable snapshots.
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/ConfirmRefusal.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/ConfirmRefusal.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import java.util.Optional;
 import org.hawthornglade.core.plan.Plan;
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/Fleet.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/Fleet.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import java.util.List;
 import org.hawthornglade.core.placement.PlacementInstance;
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/PlanDesk.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/PlanDesk.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import io.vavr.control.Either;
 import java.util.List;
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/PlanStore.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/PlanStore.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
@@ -11,12 +11,12 @@
 import org.hawthornglade.core.plan.PlanSummary;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.Write;
 
 /** The plans of all offices, kept so that any entry can confirm them. */
 public final class PlanStore {
--- a/platform/src/main/java/org/hawthornglade/platform/configuration/package-info.java
+++ b/ports/src/main/java/org/hawthornglade/ports/configuration/package-info.java
@@ -1,2 +1,2 @@
 /** Configurations, plans and assignments as rows of the table service. */
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
--- a/platform/src/main/java/org/hawthornglade/platform/engine/EngineControl.java
+++ b/ports/src/main/java/org/hawthornglade/ports/engine/EngineControl.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.ports.engine;
 
 import io.vavr.control.Either;
 import org.hawthornglade.core.engine.EngineOrder;
--- a/platform/src/main/java/org/hawthornglade/platform/engine/EngineError.java
+++ b/ports/src/main/java/org/hawthornglade/ports/engine/EngineError.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.ports.engine;
 
 /**
  * The body of an engine's refusal.
--- a/platform/src/main/java/org/hawthornglade/platform/engine/HttpEngineControl.java
+++ b/ports/src/main/java/org/hawthornglade/ports/engine/HttpEngineControl.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.ports.engine;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
@@ -8,10 +8,10 @@
 import org.hawthornglade.core.engine.EngineReport;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.HttpReply;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.http.PlatformUris;
+import org.hawthornglade.ports.http.HttpReply;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.http.PlatformUris;
 
 /** The control side of one engine over HTTP. */
 public final class HttpEngineControl implements EngineControl {
--- a/platform/src/main/java/org/hawthornglade/platform/engine/OrderAnswer.java
+++ b/ports/src/main/java/org/hawthornglade/ports/engine/OrderAnswer.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.ports.engine;
 
 /**
  * An engine's answer to an order that it took in.
--- a/platform/src/main/java/org/hawthornglade/platform/engine/package-info.java
+++ b/ports/src/main/java/org/hawthornglade/ports/engine/package-info.java
@@ -1,2 +1,2 @@
 /** Model engines: orders, state and inference. */
-package org.hawthornglade.platform.engine;
+package org.hawthornglade.ports.engine;
--- a/platform/src/main/java/org/hawthornglade/platform/http/CallEffect.java
+++ b/ports/src/main/java/org/hawthornglade/ports/http/CallEffect.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.http;
+package org.hawthornglade.ports.http;
 
 /** Whether a call may change something at the other side. */
 public enum CallEffect {
--- a/platform/src/main/java/org/hawthornglade/platform/http/PlatformHttp.java
+++ b/ports/src/main/java/org/hawthornglade/ports/http/PlatformHttp.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.http;
+package org.hawthornglade.ports.http;
 
 import io.vavr.control.Either;
 import java.io.IOException;
--- a/platform/src/main/java/org/hawthornglade/platform/http/PlatformHttpSettings.java
+++ b/ports/src/main/java/org/hawthornglade/ports/http/PlatformHttpSettings.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.http;
+package org.hawthornglade.ports.http;
 
 /**
  * Limits of the calls to the platform.
--- a/platform/src/main/java/org/hawthornglade/platform/http/PlatformJson.java
+++ b/ports/src/main/java/org/hawthornglade/ports/http/PlatformJson.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.http;
+package org.hawthornglade.ports.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
--- a/platform/src/main/java/org/hawthornglade/platform/http/PlatformUris.java
+++ b/ports/src/main/java/org/hawthornglade/ports/http/PlatformUris.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.http;
+package org.hawthornglade.ports.http;
 
 import java.net.URI;
 import java.net.URLEncoder;
--- a/platform/src/main/java/org/hawthornglade/platform/http/package-info.java
+++ b/ports/src/main/java/org/hawthornglade/ports/http/package-info.java
@@ -1,2 +1,2 @@
 /** HTTP calls to the platform and to engines, with failures mapped to result codes. */
-package org.hawthornglade.platform.http;
+package org.hawthornglade.ports.http;
--- a/platform/src/main/java/org/hawthornglade/platform/instance/HttpInstanceList.java
+++ b/ports/src/main/java/org/hawthornglade/ports/instance/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.instance;
+package org.hawthornglade.ports.instance;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
@@ -7,9 +7,9 @@
 import org.hawthornglade.core.instance.InstanceInfo;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.http.PlatformUris;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.http.PlatformUris;
 
 /** The platform's list of instances over HTTP. */
 public final class HttpInstanceList implements InstanceList {
--- a/platform/src/main/java/org/hawthornglade/platform/instance/InstanceList.java
+++ b/ports/src/main/java/org/hawthornglade/ports/instance/InstanceList.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.instance;
+package org.hawthornglade.ports.instance;
 
 import io.vavr.control.Either;
 import java.util.List;
--- /dev/null
+++ b/ports/src/main/java/org/hawthornglade/ports/instance/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's list of instances. */
+package org.hawthornglade.ports.instance;
--- a/platform/src/main/java/org/hawthornglade/platform/table/Condition.java
+++ b/ports/src/main/java/org/hawthornglade/ports/table/Condition.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.table;
+package org.hawthornglade.ports.table;
 
 /**
  * What must be true of a row for a transaction to commit.
--- a/platform/src/main/java/org/hawthornglade/platform/table/HttpTableService.java
+++ b/ports/src/main/java/org/hawthornglade/ports/table/HttpTableService.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.table;
+package org.hawthornglade.ports.table;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.vavr.control.Either;
@@ -8,10 +8,10 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.HttpReply;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.http.PlatformUris;
+import org.hawthornglade.ports.http.HttpReply;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.http.PlatformUris;
 
 /** The table service over HTTP. */
 public final class HttpTableService implements TableService {
--- a/platform/src/main/java/org/hawthornglade/platform/table/TableService.java
+++ b/ports/src/main/java/org/hawthornglade/ports/table/TableService.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.table;
+package org.hawthornglade.ports.table;
 
 import io.vavr.control.Either;
 import java.util.List;
--- a/platform/src/main/java/org/hawthornglade/platform/table/TransactionOutcome.java
+++ b/ports/src/main/java/org/hawthornglade/ports/table/TransactionOutcome.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.table;
+package org.hawthornglade.ports.table;
 
 import java.util.List;
 
--- a/platform/src/main/java/org/hawthornglade/platform/table/Write.java
+++ b/ports/src/main/java/org/hawthornglade/ports/table/Write.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.table;
+package org.hawthornglade.ports.table;
 
 /**
  * One write of a transaction.
--- /dev/null
+++ b/ports/src/main/java/org/hawthornglade/ports/table/package-info.java
@@ -0,0 +1,2 @@
+/** The transactional table service. */
+package org.hawthornglade.ports.table;
--- a/platform/src/test/java/org/hawthornglade/platform/configuration/AssignmentStoreTest.java
+++ b/ports/src/test/java/org/hawthornglade/ports/configuration/AssignmentStoreTest.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -12,7 +12,7 @@
 import org.hawthornglade.core.placement.RowChange;
 import org.hawthornglade.core.plan.Plan;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.table.FakeTable.Fault;
+import org.hawthornglade.ports.table.FakeTable.Fault;
 import org.junit.jupiter.api.Test;
 
 final class AssignmentStoreTest {
--- a/platform/src/test/java/org/hawthornglade/platform/configuration/ConfirmPropertyTest.java
+++ b/ports/src/test/java/org/hawthornglade/ports/configuration/ConfirmPropertyTest.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -18,7 +18,7 @@
 import org.hawthornglade.core.plan.PlanRefusal;
 import org.hawthornglade.core.result.Execution;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.table.FakeTable.Fault;
+import org.hawthornglade.ports.table.FakeTable.Fault;
 
 /** Two offices plan and confirm in random order while the table service fails at random. */
 final class ConfirmPropertyTest {
--- a/platform/src/test/java/org/hawthornglade/platform/configuration/Offices.java
+++ b/ports/src/test/java/org/hawthornglade/ports/configuration/Offices.java
@@ -1,4 +1,4 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,7 +13,7 @@
 import org.hawthornglade.core.plan.NodeVersion;
 import org.hawthornglade.core.plan.Plan;
 import org.hawthornglade.core.time.ManualClock;
-import org.hawthornglade.platform.table.FakeTable;
+import org.hawthornglade.ports.table.FakeTable;
 
 /** Two offices' desks at two entries over one fake table service. */
 final class Offices {
--- a/platform/src/test/java/org/hawthornglade/platform/configuration/PlanDeskTest.java
+++ b/ports/src/test/java/org/hawthornglade/ports/configuration/PlanDeskTest.java
@@ -1,9 +1,9 @@
-package org.hawthornglade.platform.configuration;
+package org.hawthornglade.ports.configuration;
 
 import static com.google.common.truth.Truth.assertThat;
-import static org.hawthornglade.platform.configuration.Offices.NORTH;
-import static org.hawthornglade.platform.configuration.Offices.SOUTH;
-import static org.hawthornglade.platform.configuration.Offices.setting;
+import static org.hawthornglade.ports.configuration.Offices.NORTH;
+import static org.hawthornglade.ports.configuration.Offices.SOUTH;
+import static org.hawthornglade.ports.configuration.Offices.setting;
 
 import io.vavr.control.Either;
 import java.util.List;
@@ -12,7 +12,7 @@
 import org.hawthornglade.core.config.ModelSpec;
 import org.hawthornglade.core.plan.Plan;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.table.FakeTable.Fault;
+import org.hawthornglade.ports.table.FakeTable.Fault;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
--- a/standin/src/main/java/org/hawthornglade/standin/engine/EngineState.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/EngineState.java
@@ -14,7 +14,7 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.engine.OrderAnswer;
+import org.hawthornglade.ports.engine.OrderAnswer;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.time.Timers;
 
@@ -59,7 +59,7 @@
         cutRequests = next;
     }
 
-    /** Takes an order in; see {@link org.hawthornglade.platform.engine.EngineControl#order}. */
+    /** Takes an order in; see {@link org.hawthornglade.ports.engine.EngineControl#order}. */
     public synchronized Either<Failure, OrderAnswer> order(EngineOrder order) {
         if (order.kind() == null || (order.kind() != EngineOrder.Kind.FENCE && order.model() == null)) {
             return refuse(ResultCode.ENGINE_REFUSED, "the order names no kind or no model");
--- a/standin/src/main/java/org/hawthornglade/standin/engine/FaultyEngineControl.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/FaultyEngineControl.java
@@ -4,8 +4,8 @@
 import org.hawthornglade.core.engine.EngineOrder;
 import org.hawthornglade.core.engine.EngineReport;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.engine.EngineControl;
-import org.hawthornglade.platform.engine.OrderAnswer;
+import org.hawthornglade.ports.engine.EngineControl;
+import org.hawthornglade.ports.engine.OrderAnswer;
 import org.hawthornglade.standin.fault.FaultyCalls;
 
 /** The control side of an engine within the process whose calls meet faults. */
--- a/standin/src/main/java/org/hawthornglade/standin/engine/InferenceServlet.java
+++ b/standin/src/main/java/org/hawthornglade/standin/engine/InferenceServlet.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.PlatformJson;
+import org.hawthornglade.ports.http.PlatformJson;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.http.Connections;
 
--- a/standin/src/main/java/org/hawthornglade/standin/http/Answers.java
+++ b/standin/src/main/java/org/hawthornglade/standin/http/Answers.java
@@ -5,8 +5,8 @@
 import jakarta.ws.rs.core.Response;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.engine.EngineError;
-import org.hawthornglade.platform.http.PlatformHttp;
+import org.hawthornglade.ports.engine.EngineError;
+import org.hawthornglade.ports.http.PlatformHttp;
 
 /** Turns results into HTTP answers. */
 public final class Answers {
--- a/standin/src/main/java/org/hawthornglade/standin/http/Connections.java
+++ b/standin/src/main/java/org/hawthornglade/standin/http/Connections.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
-import org.hawthornglade.platform.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformHttp;
 
 /** What the stand-ins do to connections beside answering. */
 public final class Connections {
--- a/standin/src/main/java/org/hawthornglade/standin/instance/FaultyInstanceList.java
+++ b/standin/src/main/java/org/hawthornglade/standin/instance/FaultyInstanceList.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import org.hawthornglade.core.instance.InstanceInfo;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.ports.instance.InstanceList;
 import org.hawthornglade.standin.fault.FaultyCalls;
 
 /** An instance list within the process whose calls meet faults. */
--- a/standin/src/main/java/org/hawthornglade/standin/instance/InMemoryInstanceList.java
+++ b/standin/src/main/java/org/hawthornglade/standin/instance/InMemoryInstanceList.java
@@ -8,7 +8,7 @@
 import org.hawthornglade.core.instance.InstanceInfo;
 import org.hawthornglade.core.instance.InstanceState;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.ports.instance.InstanceList;
 import org.hawthornglade.standin.time.Timers;
 
 /** An instance list in memory, whose lines change later than the truth. */
--- a/standin/src/main/java/org/hawthornglade/standin/table/FaultyTableService.java
+++ b/standin/src/main/java/org/hawthornglade/standin/table/FaultyTableService.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.TransactionOutcome;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.TransactionOutcome;
 import org.hawthornglade.standin.fault.FaultyCalls;
 
 /** A table service within the process whose calls meet faults. */
--- a/standin/src/main/java/org/hawthornglade/standin/table/InMemoryTableService.java
+++ b/standin/src/main/java/org/hawthornglade/standin/table/InMemoryTableService.java
@@ -12,12 +12,12 @@
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.time.Clock;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.TransactionOutcome;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.TransactionOutcome;
+import org.hawthornglade.ports.table.Write;
 import org.hawthornglade.standin.time.RateLimit;
 
 /** A table service in memory: serialisable transactions, revisions that never return, and rate limits. */
--- a/standin/src/main/java/org/hawthornglade/standin/table/TableResource.java
+++ b/standin/src/main/java/org/hawthornglade/standin/table/TableResource.java
@@ -11,7 +11,7 @@
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.ports.table.Transaction;
 import org.hawthornglade.standin.http.Answers;
 
 /** The table service over HTTP. */
--- a/standin/src/main/java/org/hawthornglade/standin/weight/HttpWeightStore.java
+++ b/standin/src/main/java/org/hawthornglade/standin/weight/HttpWeightStore.java
@@ -8,11 +8,11 @@
 import java.util.function.Consumer;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.http.HttpReply;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformHttpSettings;
-import org.hawthornglade.platform.http.PlatformJson;
-import org.hawthornglade.platform.http.PlatformUris;
+import org.hawthornglade.ports.http.HttpReply;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformHttpSettings;
+import org.hawthornglade.ports.http.PlatformJson;
+import org.hawthornglade.ports.http.PlatformUris;
 
 /** A weight store over HTTP; each fetch holds one thread and one connection until its end. */
 public final class HttpWeightStore implements WeightStore, AutoCloseable {
--- a/standin/src/test/java/org/hawthornglade/standin/HttpFixture.java
+++ b/standin/src/test/java/org/hawthornglade/standin/HttpFixture.java
@@ -1,8 +1,8 @@
 package org.hawthornglade.standin;
 
 import java.net.URI;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformHttpSettings;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformHttpSettings;
 import org.hawthornglade.standin.time.SystemTimers;
 import org.hawthornglade.standin.time.Timers;
 
--- a/standin/src/test/java/org/hawthornglade/standin/StandinsTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/StandinsTest.java
@@ -11,14 +11,14 @@
 import org.hawthornglade.core.engine.EngineOrder;
 import org.hawthornglade.core.engine.LoadState;
 import org.hawthornglade.core.id.ModelName;
-import org.hawthornglade.platform.engine.HttpEngineControl;
-import org.hawthornglade.platform.http.PlatformHttp;
-import org.hawthornglade.platform.http.PlatformHttpSettings;
-import org.hawthornglade.platform.table.Condition;
-import org.hawthornglade.platform.table.HttpTableService;
-import org.hawthornglade.platform.table.Row;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.engine.HttpEngineControl;
+import org.hawthornglade.ports.http.PlatformHttp;
+import org.hawthornglade.ports.http.PlatformHttpSettings;
+import org.hawthornglade.ports.table.Condition;
+import org.hawthornglade.ports.table.HttpTableService;
+import org.hawthornglade.ports.table.Row;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.Write;
 import org.junit.jupiter.api.Test;
 
 final class StandinsTest {
--- a/standin/src/test/java/org/hawthornglade/standin/engine/HttpEngineControlTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/engine/HttpEngineControlTest.java
@@ -1,7 +1,7 @@
 package org.hawthornglade.standin.engine;
 
-import org.hawthornglade.platform.engine.EngineControl;
-import org.hawthornglade.platform.engine.HttpEngineControl;
+import org.hawthornglade.ports.engine.EngineControl;
+import org.hawthornglade.ports.engine.HttpEngineControl;
 import org.hawthornglade.standin.HttpFixture;
 import org.hawthornglade.standin.StandinsSettings;
 import org.hawthornglade.standin.time.ManualTimers;
--- a/standin/src/test/java/org/hawthornglade/standin/engine/InMemoryEngineTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/engine/InMemoryEngineTest.java
@@ -1,6 +1,6 @@
 package org.hawthornglade.standin.engine;
 
-import org.hawthornglade.platform.engine.EngineControl;
+import org.hawthornglade.ports.engine.EngineControl;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.fault.FaultyCalls;
 import org.hawthornglade.standin.time.ManualTimers;
--- a/standin/src/test/java/org/hawthornglade/standin/instance/HttpInstanceListTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/instance/HttpInstanceListTest.java
@@ -1,8 +1,8 @@
 package org.hawthornglade.standin.instance;
 
 import java.util.List;
-import org.hawthornglade.platform.instance.HttpInstanceList;
-import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.ports.instance.HttpInstanceList;
+import org.hawthornglade.ports.instance.InstanceList;
 import org.hawthornglade.standin.HttpFixture;
 import org.hawthornglade.standin.StandinsSettings;
 import org.hawthornglade.standin.fault.FaultScript;
--- a/standin/src/test/java/org/hawthornglade/standin/instance/InMemoryInstanceListTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/instance/InMemoryInstanceListTest.java
@@ -1,7 +1,7 @@
 package org.hawthornglade.standin.instance;
 
 import java.util.List;
-import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.ports.instance.InstanceList;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.fault.FaultScript;
 import org.hawthornglade.standin.fault.FaultyCalls;
--- a/standin/src/test/java/org/hawthornglade/standin/instance/InstanceListContract.java
+++ b/standin/src/test/java/org/hawthornglade/standin/instance/InstanceListContract.java
@@ -11,7 +11,7 @@
 import org.hawthornglade.core.instance.InstanceRole;
 import org.hawthornglade.core.instance.InstanceState;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.platform.instance.InstanceList;
+import org.hawthornglade.ports.instance.InstanceList;
 import org.hawthornglade.standin.fault.FaultCase;
 import org.hawthornglade.standin.fault.FaultScript;
 import org.junit.jupiter.api.Test;
--- a/standin/src/test/java/org/hawthornglade/standin/table/HttpTableServiceTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/table/HttpTableServiceTest.java
@@ -4,10 +4,10 @@
 
 import java.util.List;
 import org.hawthornglade.core.result.ResultCode;
-import org.hawthornglade.platform.table.HttpTableService;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
-import org.hawthornglade.platform.table.Write;
+import org.hawthornglade.ports.table.HttpTableService;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
+import org.hawthornglade.ports.table.Write;
 import org.hawthornglade.standin.HttpFixture;
 import org.hawthornglade.standin.fault.FaultScript;
 import org.junit.jupiter.api.AfterEach;
--- a/standin/src/test/java/org/hawthornglade/standin/table/InMemoryTableServiceTest.java
+++ b/standin/src/test/java/org/hawthornglade/standin/table/InMemoryTableServiceTest.java
@@ -4,8 +4,8 @@
 
 import java.util.List;
 import org.hawthornglade.core.time.ManualClock;
-import org.hawthornglade.platform.table.TableService;
-import org.hawthornglade.platform.table.Transaction;
+import org.hawthornglade.ports.table.TableService;
+import org.hawthornglade.ports.table.Transaction;
 import org.hawthornglade.standin.fault.FaultGate;
 import org.hawthornglade.standin.fault.FaultScript;
 import org.hawthornglade.standin.fault.FaultyCalls;
