--- a/app/src/main/java/org/hawthornglade/app/GatewayCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/GatewayCommand.java
@@ -9,10 +9,10 @@
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.Gateway;
 import org.hawthornglade.gateway.GatewaySettings;
+import org.hawthornglade.gateway.exchange.EndpointLinks;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
-import org.hawthornglade.platform.PlatformCallProtocol;
-import org.hawthornglade.platform.PlatformFeeds;
+import org.hawthornglade.platform.Platform;
 import org.hawthornglade.platform.SettingsFile;
 
 /** Runs an entry on the users' platform until the process is stopped. */
@@ -34,8 +34,20 @@
         EventLog log = new EventLog(clock, out);
         EventLoop loop = new NioEventLoopGroup(1).next();
         Timers timers = new Timers(loop, log);
-        Gateway gateway = new Gateway(settings, loop, timers, clock, log, new PlatformCallProtocol());
-        gateway.start(new PlatformFeeds(loop, timers, clock, settings.storeAddress(), log));
+        EndpointLinks links = new EndpointLinks(loop, clock);
+        Platform platform = Platform.create(loop, timers, clock, log, settings.storeAddress(), links);
+        Gateway gateway = new Gateway(
+                settings,
+                loop,
+                timers,
+                clock,
+                log,
+                platform.protocol(),
+                links,
+                platform.lease(),
+                platform.engines(),
+                System::currentTimeMillis);
+        gateway.start(platform.feeds());
         Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
         return ExitCode.RUNNING;
     }
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/chart/LeadershipEvent.java
@@ -0,0 +1,9 @@
+package org.hawthornglade.core.chart;
+
+/** What changes an entry's part in the lease of the placement leader. */
+public enum LeadershipEvent {
+    CLAIM_SENT,
+    WON,
+    LOST,
+    STOP
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/chart/LeadershipState.java
@@ -0,0 +1,9 @@
+package org.hawthornglade.core.chart;
+
+/** An entry's part in the lease of the placement leader. */
+public enum LeadershipState {
+    FOLLOWING,
+    CLAIMING,
+    LEADING,
+    RESIGNED
+}
--- a/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
@@ -41,16 +41,16 @@
     }
 
     void listed(InstanceRecord newer) {
-        if (newer.version().bornMs() != listed.version().bornMs()) {
+        if (newer.bornMs() != listed.bornMs()) {
             placement = null;
             prefixCache.clear();
         }
         listed = newer;
     }
 
-    /** Takes what the leader tells; what is older than the instance's own word is left aside. */
+    /** Takes what the leader tells; what refers to another start of the instance is left aside. */
     void placement(InstancePlacement told) {
-        if (told.version().bornMs() == listed.version().bornMs()) {
+        if (told.bornMs() == listed.bornMs()) {
             placement = told;
         }
     }
@@ -59,9 +59,9 @@
         placement = null;
     }
 
-    /** Returns what is known of a model here: by the leader where it knows at least as much as the list. */
+    /** Returns what is known of a model here: by the leader if there is one, else by the list. */
     public Optional<ReplicaState> replica(ModelName model) {
-        if (leaderKnowsMore()) {
+        if (placement != null) {
             return Optional.ofNullable(placement.models().get(model));
         }
         if (!listed.models().containsKey(model)) {
@@ -72,10 +72,6 @@
         return Optional.of(new ReplicaState(ReplicaStatus.READY, 0, adapters));
     }
 
-    private boolean leaderKnowsMore() {
-        return placement != null && placement.version().compareTo(listed.version()) >= 0;
-    }
-
     /** Leaves a model of this instance alone for a while after the instance refused it. */
     public void refuseModel(ModelName model, long untilMs) {
         refusedUntilMs.put(model, untilMs);
--- a/core/src/main/java/org/hawthornglade/core/fleet/EndpointLoad.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/EndpointLoad.java
@@ -1,10 +1,16 @@
 package org.hawthornglade.core.fleet;
 
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
 /** The work that is under way at an endpoint: this entry's own exactly, that of others as last told. */
 public final class EndpointLoad {
     /** After this time without news the work of others is taken to have ended. */
     private static final long OTHERS_VALID_MS = 1_500;
 
+    private final Map<Variant, Integer> byVariant = new HashMap<>();
     private int ownRequests;
     private long ownTokens;
     private long ownPrefillTokens;
@@ -12,8 +18,9 @@
     private long othersAtMs = -OTHERS_VALID_MS;
 
     /** Counts an attempt that is sent. */
-    public void begin(long tokens, long prefillTokens) {
+    public void begin(Optional<Variant> variant, long tokens, long prefillTokens) {
         ownRequests++;
+        variant.ifPresent(name -> byVariant.merge(name, 1, Integer::sum));
         ownTokens += tokens;
         ownPrefillTokens += prefillTokens;
     }
@@ -24,8 +31,9 @@
     }
 
     /** Counts an attempt that has ended. */
-    public void end(long tokens) {
+    public void end(Optional<Variant> variant, long tokens) {
         ownRequests--;
+        variant.ifPresent(name -> byVariant.computeIfPresent(name, (key, count) -> count == 1 ? null : count - 1));
         ownTokens -= tokens;
     }
 
@@ -39,6 +47,11 @@
         return ownRequests;
     }
 
+    /** Returns this entry's requests under way by model and adapter. */
+    public Map<Variant, Integer> byVariant() {
+        return Collections.unmodifiableMap(byVariant);
+    }
+
     public long ownTokens() {
         return ownTokens;
     }
--- a/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -65,12 +65,13 @@
             endpoints.put(record.id(), new Endpoint(record));
             return;
         }
-        int order = record.version().compareTo(known.listed().version());
-        if (order < 0) {
+        boolean sameStart = record.bornMs() == known.listed().bornMs();
+        boolean older = sameStart
+                ? record.recordSequence() < known.listed().recordSequence()
+                : record.bornMs() < known.listed().bornMs();
+        if (older) {
             return;
         }
-        boolean sameStart =
-                record.version().bornMs() == known.listed().version().bornMs();
         if (sameStart && known.listed().leaving() && !record.leaving()) {
             return;
         }
--- a/core/src/main/java/org/hawthornglade/core/fleet/InstanceRecord.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/InstanceRecord.java
@@ -20,7 +20,8 @@
  * @param slots how many requests it runs at once
  * @param leaving whether it has announced that it will stop
  * @param remainingMs the time until it is gone, where it was announced
- * @param version its start and the orders that it had accepted
+ * @param bornMs the wall time of its start
+ * @param recordSequence rises with each record of one start
  * @param models the models in accelerator memory, each with its adapters
  * @param inMemory the models whose weights lie in host memory
  * @param onDisk the models whose weights lie on its disk
@@ -33,7 +34,8 @@
         int slots,
         boolean leaving,
         OptionalLong remainingMs,
-        InstanceVersion version,
+        long bornMs,
+        long recordSequence,
         Map<ModelName, Set<AdapterName>> models,
         Set<ModelName> inMemory,
         Set<ModelName> onDisk) {
--- a/core/src/main/java/org/hawthornglade/core/fleet/InstanceVersion.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/InstanceVersion.java
@@ -1,15 +1,9 @@
 package org.hawthornglade.core.fleet;
 
 /**
- * Orders what is said of one instance: a later start goes before more orders taken.
+ * How many orders one start of an instance has accepted.
  *
  * @param bornMs the wall time of the instance's start
- * @param orderSequence how many orders it had accepted since
+ * @param orderSequence the orders that it has accepted since
  */
-public record InstanceVersion(long bornMs, long orderSequence) implements Comparable<InstanceVersion> {
-    @Override
-    public int compareTo(InstanceVersion other) {
-        int byStart = Long.compare(bornMs, other.bornMs);
-        return byStart != 0 ? byStart : Long.compare(orderSequence, other.orderSequence);
-    }
-}
+public record InstanceVersion(long bornMs, long orderSequence) {}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -0,0 +1,216 @@
+package org.hawthornglade.core.lease;
+
+import java.util.Optional;
+import org.hawthornglade.core.chart.ChartInstance;
+import org.hawthornglade.core.chart.Charts;
+import org.hawthornglade.core.chart.LeadershipEvent;
+import org.hawthornglade.core.chart.LeadershipState;
+import org.hawthornglade.core.result.Failure;
+
+/**
+ * Decides when an entry reads, claims, renews and gives up the lease.
+ *
+ * <p>A lease counts from the moment at which its write was sent. Another entry takes over only after the row has
+ * stood still for longer than the lease on its own steady clock, counted from when it first read that revision. Both
+ * clocks may stand still while a machine is suspended; the wall clock tells that, and a leader that sees it renews
+ * before it orders again.
+ */
+public final class Leadership {
+    /** How often a follower without a leader reads the row. */
+    private static final long READ_EVERY_MS = 300;
+    /** A leader renews this many times within a lease. */
+    private static final long RENEWALS_PER_LEASE = 3;
+    /** A leader stops ordering this long before its lease ends. */
+    private static final long SAFETY_MS = 400;
+    /** By how much the wall clock may run ahead of the steady one before a suspension is assumed. */
+    private static final long MAX_CLOCK_DRIFT_MS = 250;
+
+    private final String node;
+    private final String address;
+    private final String nonce;
+    private final long leaseMs;
+    private final ChartInstance<LeadershipState, LeadershipEvent> state = Charts.LEADERSHIP.start();
+    private StoredLease seen = new StoredLease(-1, Optional.empty());
+    private long seenSinceMs;
+    private long nextReadMs;
+    private long nextRenewalMs;
+    private long leaseUntilMs;
+    private long wallMinusSteadyMs;
+    private boolean callOpen;
+
+    /**
+     * Starts as a follower.
+     *
+     * @param node this entry's name
+     * @param address where other entries reach it
+     * @param nonce names this process
+     * @param leaseMs how long a lease lasts
+     */
+    public Leadership(String node, String address, String nonce, long leaseMs) {
+        this.node = node;
+        this.address = address;
+        this.nonce = nonce;
+        this.leaseMs = leaseMs;
+    }
+
+    /** Returns whether the row should be read now. */
+    public boolean wantsRead(boolean leaderHeard, long nowMs) {
+        return state.state() == LeadershipState.FOLLOWING && !leaderHeard && !callOpen && nowMs >= nextReadMs;
+    }
+
+    /** Takes note that a read is sent. */
+    public void onReadSent(long nowMs) {
+        callOpen = true;
+        nextReadMs = nowMs + READ_EVERY_MS;
+    }
+
+    /** Takes note that a read failed; the row may have changed meanwhile. */
+    public void onReadFailed() {
+        callOpen = false;
+    }
+
+    /**
+     * Takes the row as it was read.
+     *
+     * @return the claim to be written, if the lease is free
+     */
+    public Optional<LeaseWrite> onRead(StoredLease stored, long nowMs) {
+        callOpen = false;
+        note(stored, nowMs);
+        if (state.state() != LeadershipState.FOLLOWING || !free(nowMs)) {
+            return Optional.empty();
+        }
+        fire(LeadershipEvent.CLAIM_SENT);
+        callOpen = true;
+        long token = stored.row().map(LeaseRow::token).orElse(0L) + 1;
+        return Optional.of(new LeaseWrite(stored.revision(), new LeaseRow(node, address, token, nonce, 0, false)));
+    }
+
+    private void note(StoredLease stored, long nowMs) {
+        if (stored.revision() != seen.revision()) {
+            seenSinceMs = nowMs;
+        }
+        seen = stored;
+    }
+
+    private boolean free(long nowMs) {
+        if (seen.row().isEmpty()) {
+            return true;
+        }
+        LeaseRow row = seen.row().get();
+        // A process on the same machine under the same name was this entry's predecessor, which has ended.
+        boolean predecessor = row.holder().equals(node) && row.address().equals(address);
+        return row.released() || predecessor || nowMs - seenSinceMs > leaseMs + SAFETY_MS;
+    }
+
+    /** Takes note that a claim or renewal was written; the lease counts from when it was sent. */
+    public void onWritten(LeaseWrite write, long revision, long sentAtMs, long wallSentMs) {
+        callOpen = false;
+        seen = new StoredLease(revision, Optional.of(write.row()));
+        seenSinceMs = sentAtMs;
+        if (state.state() == LeadershipState.CLAIMING) {
+            fire(LeadershipEvent.WON);
+        }
+        leaseUntilMs = sentAtMs + leaseMs - SAFETY_MS;
+        wallMinusSteadyMs = wallSentMs - sentAtMs;
+        nextRenewalMs = sentAtMs + leaseMs / RENEWALS_PER_LEASE;
+    }
+
+    /** Takes note that the row was another one than expected. */
+    public void onConflict(StoredLease stored, LeaseWrite write, long nowMs) {
+        callOpen = false;
+        boolean ownEarlierWrite = stored.row().isPresent()
+                && stored.row().get().nonce().equals(nonce)
+                && !stored.row().get().released();
+        note(stored, nowMs);
+        if (ownEarlierWrite && state.state() == LeadershipState.LEADING) {
+            nextRenewalMs = nowMs;
+            return;
+        }
+        lose();
+    }
+
+    /** Takes note that it is not known whether a write took effect. */
+    public void onWriteUnknown(long nowMs) {
+        callOpen = false;
+        if (state.state() == LeadershipState.CLAIMING) {
+            lose();
+            return;
+        }
+        nextRenewalMs = nowMs + READ_EVERY_MS;
+    }
+
+    /** Returns the renewal to be written, if it is time. */
+    public Optional<LeaseWrite> renewal(long nowMs) {
+        if (state.state() != LeadershipState.LEADING || callOpen || nowMs < nextRenewalMs) {
+            return Optional.empty();
+        }
+        callOpen = true;
+        return Optional.of(
+                new LeaseWrite(seen.revision(), seen.row().orElseThrow().renewed()));
+    }
+
+    /** Returns whether this entry may send orders at this moment. */
+    public boolean mayOrder(long nowMs, long wallNowMs) {
+        return state.state() == LeadershipState.LEADING
+                && nowMs < leaseUntilMs
+                && Math.abs(wallNowMs - nowMs - wallMinusSteadyMs) <= MAX_CLOCK_DRIFT_MS;
+    }
+
+    /** Steps down when the lease has run out, and asks for a renewal when a suspension is suspected. */
+    public void check(long nowMs, long wallNowMs) {
+        if (state.state() != LeadershipState.LEADING) {
+            return;
+        }
+        if (nowMs >= leaseUntilMs) {
+            lose();
+        } else if (!mayOrder(nowMs, wallNowMs)) {
+            nextRenewalMs = Math.min(nextRenewalMs, nowMs);
+        }
+    }
+
+    /** Steps down, as after an engine has refused this leader's token for a higher one. */
+    public void lose() {
+        if (state.accepts(LeadershipEvent.LOST)) {
+            fire(LeadershipEvent.LOST);
+        }
+    }
+
+    /**
+     * Steps down for good.
+     *
+     * @return the write by which the lease is given up, if it is held
+     */
+    public Optional<LeaseWrite> resign() {
+        boolean leading = state.state() == LeadershipState.LEADING;
+        if (state.accepts(LeadershipEvent.STOP)) {
+            fire(LeadershipEvent.STOP);
+        }
+        return leading
+                ? Optional.of(
+                        new LeaseWrite(seen.revision(), seen.row().orElseThrow().givenUp()))
+                : Optional.empty();
+    }
+
+    public boolean leading() {
+        return state.state() == LeadershipState.LEADING;
+    }
+
+    /** Returns the fencing token of this entry's own lease. */
+    public long token() {
+        return seen.row().orElseThrow().token();
+    }
+
+    /** Returns the lease as last seen. */
+    public StoredLease seen() {
+        return seen;
+    }
+
+    private void fire(LeadershipEvent event) {
+        state.fire(event).getOrElseThrow(Leadership::broken);
+    }
+
+    private static IllegalStateException broken(Failure failure) {
+        return new IllegalStateException(failure.message());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseWrite.java
@@ -0,0 +1,9 @@
+package org.hawthornglade.core.lease;
+
+/**
+ * A conditional write of the lease row.
+ *
+ * @param expectedRevision the revision that the row must have; 0 if there must be none
+ * @param row the new row
+ */
+public record LeaseWrite(long expectedRevision, LeaseRow row) {}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/EntryDemand.java
@@ -0,0 +1,25 @@
+package org.hawthornglade.core.replica;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+
+/**
+ * What one entry tells the placement leader.
+ *
+ * @param waiting the calls that wait there
+ * @param arrivals how many calls have asked for each model since the entry's start
+ * @param running the calls under way at each instance, by variant
+ */
+public record EntryDemand(
+        List<VariantDemand> waiting, Map<ModelName, Long> arrivals, Map<InstanceId, Map<Variant, Integer>> running) {
+    /** Copies the collections. */
+    public EntryDemand {
+        waiting = List.copyOf(waiting);
+        arrivals = ImmutableMap.copyOf(arrivals);
+        running = ImmutableMap.copyOf(running);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -0,0 +1,198 @@
+package org.hawthornglade.core.replica;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.serving.EngineDefinition;
+import org.hawthornglade.core.serving.ModelDefinition;
+
+/**
+ * Decides the next orders to the engines of one service.
+ *
+ * <p>First come the adapters and models that calls wait for, the most urgent first. What capacity is left brings a
+ * copy of each model that is nowhere yet to some engine's disk, so that the first call for it waits for a short load
+ * only.
+ */
+public final class ReplicaPlanner {
+    private final EngineDefinition engine;
+    private final DemandBook demand;
+    private final LoadPacer pacer;
+    private final AdapterPlanner adapters;
+    private final VictimChooser victims;
+
+    /** Creates a planner for one version of a service's engines. */
+    public ReplicaPlanner(EngineDefinition engine, DemandBook demand, LoadPacer pacer) {
+        this.engine = engine;
+        this.demand = demand;
+        this.pacer = pacer;
+        this.adapters = new AdapterPlanner(engine, demand);
+        this.victims = new VictimChooser(engine, demand);
+    }
+
+    /**
+     * Returns the orders to send now, at most one for each engine. The caller notes each with {@link EngineBook#onSent}
+     * before it asks again.
+     */
+    public List<ReplicaOrder> plan(Collection<EngineBook> books, long nowMs) {
+        List<ReplicaOrder> orders = new ArrayList<>();
+        Set<EngineBook> taken = new HashSet<>();
+        List<VariantDemand> waiting = demand.waiting(nowMs);
+        continueGoals(books, taken, orders, nowMs);
+        for (VariantDemand each : waiting) {
+            if (each.variant().adapter().isPresent()) {
+                adapters.order(each.variant(), books, taken, nowMs)
+                        .ifPresent(order -> add(order, books, taken, orders));
+            }
+        }
+        for (VariantDemand each : waiting) {
+            if (wanted(each.variant().model(), books)) {
+                bring(each.variant().model(), books, taken, orders, nowMs);
+            }
+        }
+        spread(books, taken, orders, nowMs);
+        return orders;
+    }
+
+    private static void add(
+            ReplicaOrder order, Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders) {
+        orders.add(order);
+        for (EngineBook book : books) {
+            if (book.id().equals(order.instance())) {
+                taken.add(book);
+            }
+        }
+    }
+
+    /** Goes on with engines on which room is being made for a model. */
+    private void continueGoals(
+            Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders, long nowMs) {
+        for (EngineBook book : books) {
+            if (book.goal().isPresent() && book.takesModelOrder()) {
+                step(book, book.goal().get(), books, taken, orders, nowMs);
+            }
+        }
+    }
+
+    /** Returns whether a model that calls wait for is on no engine and on no way to one. */
+    private boolean wanted(ModelName model, Collection<EngineBook> books) {
+        if (!engine.models().containsKey(model)) {
+            return false;
+        }
+        for (EngineBook book : books) {
+            boolean coming = book.goal().equals(Optional.of(model));
+            if (!book.listed().leaving() && (coming || book.holds(model))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void bring(
+            ModelName model,
+            Collection<EngineBook> books,
+            Set<EngineBook> taken,
+            List<ReplicaOrder> orders,
+            long nowMs) {
+        ModelDefinition definition = engine.models().get(model);
+        boolean mayLoadRemotely = mayLoadRemotely(books, nowMs);
+        EngineBook best = null;
+        double bestMs = Double.MAX_VALUE;
+        for (EngineBook book : books) {
+            if (taken.contains(book) || !book.takesModelOrder() || (!book.atHand(model) && !mayLoadRemotely)) {
+                continue;
+            }
+            double costMs = book.loadMs(definition) + victims.costMs(book, definition, books, nowMs);
+            if (costMs < bestMs) {
+                best = book;
+                bestMs = costMs;
+            }
+        }
+        if (best != null) {
+            step(best, model, books, taken, orders, nowMs);
+        }
+    }
+
+    /** Orders the load, or the next unload that makes room for it. */
+    private void step(
+            EngineBook book,
+            ModelName model,
+            Collection<EngineBook> books,
+            Set<EngineBook> taken,
+            List<ReplicaOrder> orders,
+            long nowMs) {
+        ModelDefinition definition = engine.models().get(model);
+        if (definition == null || book.holds(model)) {
+            book.goal(Optional.empty());
+            return;
+        }
+        if (book.usedMb(engine) + definition.sizeMb() <= engine.modelMemoryMb()) {
+            load(book, definition, books, taken, orders, nowMs);
+            return;
+        }
+        Optional<ModelName> victim = victims.next(book, books, nowMs);
+        if (victim.isEmpty()) {
+            book.goal(Optional.empty());
+            return;
+        }
+        book.goal(Optional.of(model));
+        taken.add(book);
+        orders.add(new ReplicaOrder(book.id(), OrderAction.UNLOAD, victim.get(), Optional.empty(), book.version()));
+    }
+
+    private void load(
+            EngineBook book,
+            ModelDefinition definition,
+            Collection<EngineBook> books,
+            Set<EngineBook> taken,
+            List<ReplicaOrder> orders,
+            long nowMs) {
+        if (!book.atHand(definition.name())) {
+            if (!mayLoadRemotely(books, nowMs)) {
+                return;
+            }
+            pacer.onBegin(nowMs);
+        }
+        taken.add(book);
+        orders.add(new ReplicaOrder(book.id(), OrderAction.LOAD, definition.name(), Optional.empty(), book.version()));
+    }
+
+    private boolean mayLoadRemotely(Collection<EngineBook> books, long nowMs) {
+        int running = 0;
+        for (EngineBook book : books) {
+            running += book.loadingRemotely(nowMs) ? 1 : 0;
+        }
+        return pacer.mayBegin(engine.remoteLoadsPerSecond(), running, nowMs);
+    }
+
+    /** Brings models that are nowhere to an engine that can spare the room. */
+    private void spread(Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders, long nowMs) {
+        for (ModelName model : engine.models().keySet()) {
+            if (!mayLoadRemotely(books, nowMs)) {
+                return;
+            }
+            if (somewhere(model, books)) {
+                continue;
+            }
+            EngineBook host = victims.cheapestHost(engine.models().get(model), books, taken, nowMs);
+            if (host == null) {
+                return;
+            }
+            step(host, model, books, taken, orders, nowMs);
+        }
+    }
+
+    private static boolean somewhere(ModelName model, Collection<EngineBook> books) {
+        for (EngineBook book : books) {
+            boolean here =
+                    book.holds(model) || book.atHand(model) || book.goal().equals(Optional.of(model));
+            if (here && !book.listed().leaving()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/VariantDemand.java
@@ -0,0 +1,17 @@
+package org.hawthornglade.core.replica;
+
+import org.hawthornglade.core.fleet.Variant;
+
+/**
+ * The calls that wait for a variant.
+ *
+ * @param variant what they ask for
+ * @param calls how many wait
+ * @param slackMs how long the most urgent of them can still wait within its latency target; negative when late
+ */
+public record VariantDemand(Variant variant, int calls, long slackMs) {
+    /** Adds up the demand of two entries for the same variant. */
+    public VariantDemand plus(VariantDemand other) {
+        return new VariantDemand(variant, calls + other.calls, Math.min(slackMs, other.slackMs));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
@@ -0,0 +1,105 @@
+package org.hawthornglade.core.replica;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.serving.EngineDefinition;
+import org.hawthornglade.core.serving.ModelDefinition;
+
+/** Says which models make room on an engine and what their going costs in waiting time. */
+final class VictimChooser {
+    /** For how long ahead the calls for a removed model are counted. */
+    private static final double HORIZON_S = 4;
+    /** What is expected of a model that nobody has asked for lately. */
+    private static final double UNKNOWN_CALLS_PER_S = 0.02;
+    /** Share of a removed model's cost when another engine has it too. */
+    private static final double SPARE_COPY_SHARE = 0.1;
+    /** An unload waits for the calls that run; they take about this long. */
+    private static final double RUNNING_MS = 1_500;
+    /** An unload of a model that nobody uses. */
+    private static final double UNLOAD_MS = 30;
+
+    private final EngineDefinition engine;
+    private final DemandBook demand;
+
+    VictimChooser(EngineDefinition engine, DemandBook demand) {
+        this.engine = engine;
+        this.demand = demand;
+    }
+
+    /** Returns the model whose going costs least; nothing if none may go. */
+    Optional<ModelName> next(EngineBook book, Collection<EngineBook> books, long nowMs) {
+        List<ModelName> sorted = cheapestFirst(book, books, nowMs);
+        return sorted.isEmpty() ? Optional.empty() : Optional.of(sorted.get(0));
+    }
+
+    /** Returns what making room for a model costs, in milliseconds of waiting; infinite if that is not possible. */
+    double costMs(EngineBook book, ModelDefinition wanted, Collection<EngineBook> books, long nowMs) {
+        double missingMb = book.usedMb(engine) + wanted.sizeMb() - engine.modelMemoryMb();
+        double costMs = 0;
+        for (ModelName victim : cheapestFirst(book, books, nowMs)) {
+            if (missingMb <= 0) {
+                return costMs;
+            }
+            missingMb -= engine.models().containsKey(victim)
+                    ? engine.models().get(victim).sizeMb()
+                    : 0;
+            costMs += removalMs(book, victim, books, nowMs);
+        }
+        return missingMb <= 0 ? costMs : Double.POSITIVE_INFINITY;
+    }
+
+    /** Returns the engine on which room costs least; null if there is none. */
+    EngineBook cheapestHost(ModelDefinition wanted, Collection<EngineBook> books, Set<EngineBook> taken, long nowMs) {
+        EngineBook best = null;
+        double bestMs = Double.POSITIVE_INFINITY;
+        for (EngineBook book : books) {
+            if (taken.contains(book) || !book.takesModelOrder() || book.goal().isPresent()) {
+                continue;
+            }
+            double costMs = costMs(book, wanted, books, nowMs);
+            if (costMs < bestMs) {
+                best = book;
+                bestMs = costMs;
+            }
+        }
+        return best;
+    }
+
+    private List<ModelName> cheapestFirst(EngineBook book, Collection<EngineBook> books, long nowMs) {
+        List<ModelName> models = new ArrayList<>();
+        for (Map.Entry<ModelName, Resident> entry : book.models().entrySet()) {
+            if (entry.getValue().ready()) {
+                models.add(entry.getKey());
+            }
+        }
+        models.sort(Comparator.comparingDouble((ModelName model) -> removalMs(book, model, books, nowMs))
+                .thenComparing(model -> model));
+        return models;
+    }
+
+    private double removalMs(EngineBook book, ModelName model, Collection<EngineBook> books, long nowMs) {
+        double waitMs = demand.running(book.id(), model, nowMs) > 0 ? RUNNING_MS : UNLOAD_MS;
+        ModelDefinition definition = engine.models().get(model);
+        if (definition == null) {
+            return waitMs;
+        }
+        double calls = Math.max(UNKNOWN_CALLS_PER_S, demand.callsPerSecond(model, nowMs)) * HORIZON_S;
+        double share = elsewhere(book, model, books) ? SPARE_COPY_SHARE : 1;
+        return waitMs + calls * share * definition.diskLoadMs();
+    }
+
+    private static boolean elsewhere(EngineBook here, ModelName model, Collection<EngineBook> books) {
+        for (EngineBook book : books) {
+            if (!book.id().equals(here.id()) && book.serves(model)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -27,9 +27,13 @@
 import org.hawthornglade.gateway.exchange.WaitingCalls;
 import org.hawthornglade.gateway.http.CallerServer;
 import org.hawthornglade.gateway.http.IncomingCall;
+import org.hawthornglade.gateway.leader.DemandCollector;
+import org.hawthornglade.gateway.leader.PlacementStar;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.port.CallProtocol;
+import org.hawthornglade.gateway.port.EngineControl;
+import org.hawthornglade.gateway.port.LeaseStore;
 import org.hawthornglade.gateway.port.StoreFeeds;
 import org.hawthornglade.gateway.port.StoreListener;
 
@@ -54,6 +58,7 @@
     private final Fleet fleet = new Fleet();
     private final WaitingCalls waiting = new WaitingCalls();
     private final EndpointLinks links;
+    private final PlacementStar star;
     private final CallerServer callers;
     private final CallerServer readiness;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -61,13 +66,26 @@
 
     /** Puts an entry together; nothing listens yet. */
     public Gateway(
-            GatewaySettings settings, EventLoop loop, Timers timers, Clock clock, EventLog log, CallProtocol protocol) {
+            GatewaySettings settings,
+            EventLoop loop,
+            Timers timers,
+            Clock clock,
+            EventLog log,
+            CallProtocol protocol,
+            EndpointLinks links,
+            LeaseStore leaseStore,
+            EngineControl control,
+            Clock wallClock) {
         this.timers = timers;
         this.settings = settings;
         this.clock = clock;
         this.log = log;
         this.protocol = protocol;
-        this.links = new EndpointLinks(loop, clock);
+        this.links = links;
+        DemandCollector collector = new DemandCollector(settings.node(), fleet, waiting);
+        this.star = new PlacementStar(
+                settings, loop, timers, clock, wallClock, log, fleet, waiting, collector, leaseStore, control);
+        waiting.onNewCall(star::demandChanged);
         ExchangeContext context = new ExchangeContext(
                 timers,
                 clock,
@@ -78,7 +96,7 @@
                 new RetryBudgets(settings.retryShare() / 2, Math.max(2, settings.retryBurst() / BUDGET_PARTS)),
                 protocol,
                 log);
-        CallEntrance entrance = new CallEntrance(context, () -> configuration, new Random());
+        CallEntrance entrance = new CallEntrance(context, () -> configuration, collector::onCall, new Random());
         this.callers = new CallerServer(loop, timers, clock, this::limits, entrance);
         this.readiness = new CallerServer(loop, timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
     }
@@ -92,6 +110,7 @@
 
     /** Starts to listen and to follow the store; must not be called on the event loop. */
     public void start(StoreFeeds feeds) {
+        star.start();
         readiness.listen(settings.readinessAddress());
         callers.listen(settings.callerAddress());
         timers.run(() -> feeds.start(this));
@@ -122,6 +141,7 @@
     private void beginStop() {
         stopping = true;
         callers.stopping();
+        star.resign();
         log.event("stopping").with("open", callers.openCalls()).write();
     }
 
@@ -169,6 +189,7 @@
         }
         configuration = Optional.of(received);
         log.event("config").with("version", received.version()).write();
+        star.onConfiguration(received);
         waiting.reconsider();
     }
 
@@ -186,9 +207,11 @@
                 .with("id", record.id())
                 .with("service", record.service())
                 .with("leaving", record.leaving())
-                .with("born", record.version().bornMs())
-                .with("seq", record.version().orderSequence())
+                .with("born", record.bornMs())
+                .with("seq", record.recordSequence())
                 .with("models", record.models())
+                .with("memory", record.inMemory())
+                .with("disk", record.onDisk())
                 .write();
         fleetChanged();
     }
@@ -214,6 +237,7 @@
 
     private void fleetChanged() {
         links.retain(fleet.all());
+        star.fleetChanged();
         waiting.reconsider();
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.gateway.http.OutboundConnection;
@@ -22,6 +23,7 @@
 final class Attempt implements ResponseListener {
     /** Answers up to this size are passed on only when they are whole. */
     private static final int MAX_HELD_BYTES = 1_048_576;
+
     private static final int USUAL_ANSWER_BYTES = 1_024;
     /** A repeatable call is taken elsewhere when its endpoint is silent for longer than this share of the target. */
     private static final double SILENCE_SHARE = 0.8;
@@ -35,6 +37,7 @@
     private final ExchangeContext context;
     private final Exchange exchange;
     private final Endpoint endpoint;
+    private final Optional<Variant> variant;
     private final long kvTokens;
     private final int prefillTokens;
     private OutboundConnection connection;
@@ -52,13 +55,14 @@
         this.exchange = exchange;
         this.endpoint = endpoint;
         Optional<ModelDemand> demand = exchange.view().demand();
+        this.variant = demand.map(d -> new Variant(d.model(), d.adapter()));
         this.kvTokens = demand.map(ModelDemand::kvTokens).orElse(0L);
         this.prefillTokens =
                 demand.map(d -> Math.max(0, d.promptTokens() - cachedTokens)).orElse(0);
     }
 
     void start() {
-        endpoint.load().begin(kvTokens, prefillTokens);
+        endpoint.load().begin(variant, kvTokens, prefillTokens);
         boolean sendOnce = !exchange.view().route().repeatable();
         context.links().pool(endpoint.listed()).acquire(sendOnce, this::connected, cause -> notConnected());
     }
@@ -299,6 +303,6 @@
         if (!prefilled) {
             endpoint.load().prefilled(prefillTokens);
         }
-        endpoint.load().end(kvTokens);
+        endpoint.load().end(variant, kvTokens);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.ModelDemand;
@@ -33,6 +34,7 @@
 
     private final ExchangeContext context;
     private final Supplier<Optional<ServingConfiguration>> configuration;
+    private final Consumer<CallView> arrivals;
     private final Random random;
     private long calls;
 
@@ -40,10 +42,15 @@
      * Creates an entrance.
      *
      * @param configuration the version in force, if one is known
+     * @param arrivals is told of each call that has a route
      * @param random splits traffic over the targets of a route
      */
     public CallEntrance(
-            ExchangeContext context, Supplier<Optional<ServingConfiguration>> configuration, Random random) {
+            ExchangeContext context,
+            Supplier<Optional<ServingConfiguration>> configuration,
+            Consumer<CallView> arrivals,
+            Random random) {
+        this.arrivals = arrivals;
         this.context = context;
         this.configuration = configuration;
         this.random = random;
@@ -89,6 +96,7 @@
         long budgetMs = Math.min(request.timeLeftMs().orElse(route.timeoutMs()), route.timeoutMs());
         long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs - ANSWER_RESERVE_MS);
         CallView view = new CallView(service, route, demand, call.arrivedAtMs(), deadlineAtMs);
+        arrivals.accept(view);
         new Exchange(context, ++calls, call, request, view, known.version()).start();
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointLinks.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointLinks.java
@@ -49,6 +49,6 @@
     }
 
     private static Lifetime lifetime(InstanceRecord record) {
-        return new Lifetime(record.id(), record.version().bornMs(), record.address());
+        return new Lifetime(record.id(), record.bornMs(), record.address());
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -39,6 +39,7 @@
     private Attempt attempt;
     private int runs;
     private int rejections;
+    private boolean waited;
     private boolean ended;
 
     Exchange(
@@ -104,12 +105,21 @@
             send(sending);
         } else if (decision instanceof Decision.Wait waits) {
             record.waits(waits.reason());
-            context.waiting().add(this);
+            waitOn();
         } else if (decision instanceof Decision.Refuse refusal) {
             refuse(refusal.code(), refusal.retryAfterMs());
         }
     }
 
+    private void waitOn() {
+        if (waited) {
+            context.waiting().add(this);
+            return;
+        }
+        waited = true;
+        context.waiting().addNew(this);
+    }
+
     private void send(Decision.Send decision) {
         record.sent(decision, context.clock().nowMs());
         attempt = new Attempt(context, this, decision.endpoint(), decision.cachedTokens());
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
@@ -14,6 +14,17 @@
             .thenComparingLong(Exchange::number);
 
     private final TreeSet<Exchange> calls = new TreeSet<>(URGENT_FIRST);
+    private Runnable newCall = () -> {};
+
+    /** Sets what happens when a call begins to wait. */
+    public void onNewCall(Runnable action) {
+        newCall = action;
+    }
+
+    void addNew(Exchange exchange) {
+        calls.add(exchange);
+        newCall.run();
+    }
 
     void add(Exchange exchange) {
         calls.add(exchange);
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -89,7 +89,8 @@
         head = request;
         body = context.alloc().buffer();
         if (HttpUtil.is100ContinueExpected(request)) {
-            Channels.write(context.channel(), new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            Channels.write(
+                    context.channel(), new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -0,0 +1,81 @@
+package org.hawthornglade.gateway.leader;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.replica.EntryDemand;
+import org.hawthornglade.core.replica.VariantDemand;
+import org.hawthornglade.gateway.exchange.Exchange;
+import org.hawthornglade.gateway.exchange.WaitingCalls;
+import org.hawthornglade.gateway.peer.DemandNews;
+
+/** Sums up this entry's demand for models. */
+public final class DemandCollector {
+    private final String entry;
+    private final Fleet fleet;
+    private final WaitingCalls waiting;
+    private final Map<ServiceName, Map<ModelName, Long>> arrivals = new HashMap<>();
+
+    /**
+     * Creates a collector.
+     *
+     * @param entry the name of this entry
+     */
+    public DemandCollector(String entry, Fleet fleet, WaitingCalls waiting) {
+        this.entry = entry;
+        this.fleet = fleet;
+        this.waiting = waiting;
+    }
+
+    /** Counts a call that asks for a model. */
+    public void onCall(CallView call) {
+        call.demand()
+                .ifPresent(demand -> arrivals.computeIfAbsent(call.service(), service -> new HashMap<>())
+                        .merge(demand.model(), 1L, Long::sum));
+    }
+
+    /** Returns the demand as it is now. */
+    public DemandNews collect(long nowMs) {
+        Map<ServiceName, EntryDemand> services = new HashMap<>();
+        arrivals.forEach((service, counts) ->
+                services.put(service, new EntryDemand(waiting(service, nowMs), counts, running(service))));
+        return new DemandNews(entry, services);
+    }
+
+    private List<VariantDemand> waiting(ServiceName service, long nowMs) {
+        Map<Variant, VariantDemand> sums = new HashMap<>();
+        for (Exchange exchange : waiting.all()) {
+            CallView call = exchange.view();
+            if (call.demand().isPresent() && call.service().equals(service)) {
+                VariantDemand one = demandOf(call, call.demand().get(), nowMs);
+                sums.merge(one.variant(), one, VariantDemand::plus);
+            }
+        }
+        return new ArrayList<>(sums.values());
+    }
+
+    private static VariantDemand demandOf(CallView call, ModelDemand demand, long nowMs) {
+        long slackMs = call.arrivedAtMs() + call.route().targetMs() - nowMs;
+        return new VariantDemand(new Variant(demand.model(), demand.adapter()), 1, slackMs);
+    }
+
+    private Map<InstanceId, Map<Variant, Integer>> running(ServiceName service) {
+        Map<InstanceId, Map<Variant, Integer>> running = new HashMap<>();
+        for (Endpoint endpoint : fleet.all()) {
+            Map<Variant, Integer> use = endpoint.load().byVariant();
+            if (endpoint.listed().service().equals(service) && !use.isEmpty()) {
+                running.put(endpoint.id(), Map.copyOf(use));
+            }
+        }
+        return running;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePark.java
@@ -0,0 +1,86 @@
+package org.hawthornglade.gateway.leader;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.InstanceRecord;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.replica.DemandBook;
+import org.hawthornglade.core.replica.EngineBook;
+import org.hawthornglade.core.replica.LoadPacer;
+import org.hawthornglade.core.replica.ReplicaPlanner;
+import org.hawthornglade.core.serving.EngineDefinition;
+
+/** The engines of one service as the leader keeps them. */
+final class EnginePark {
+    private final ServiceName service;
+    private final DemandBook demand = new DemandBook();
+    private final LoadPacer pacer = new LoadPacer();
+    private final Map<InstanceId, EngineBook> books = new HashMap<>();
+    private EngineDefinition engine;
+    private ReplicaPlanner planner;
+
+    EnginePark(ServiceName service, EngineDefinition engine) {
+        this.service = service;
+        this.engine = engine;
+        this.planner = new ReplicaPlanner(engine, demand, pacer);
+    }
+
+    /** Takes the definition of the newest configuration. */
+    void engine(EngineDefinition newest) {
+        if (!newest.equals(engine)) {
+            engine = newest;
+            planner = new ReplicaPlanner(newest, demand, pacer);
+        }
+    }
+
+    EngineDefinition engine() {
+        return engine;
+    }
+
+    DemandBook demand() {
+        return demand;
+    }
+
+    ReplicaPlanner planner() {
+        return planner;
+    }
+
+    Collection<EngineBook> books() {
+        return books.values();
+    }
+
+    Optional<EngineBook> book(InstanceId id) {
+        return Optional.ofNullable(books.get(id));
+    }
+
+    /** Forgets what was believed of the engines, as when the lease was won anew. */
+    void forget() {
+        books.clear();
+    }
+
+    /** Follows the list of instances. */
+    void follow(Fleet fleet) {
+        List<InstanceId> present = new ArrayList<>();
+        for (Endpoint endpoint : fleet.all()) {
+            InstanceRecord record = endpoint.listed();
+            if (!record.service().equals(service)) {
+                continue;
+            }
+            present.add(record.id());
+            EngineBook book = books.get(record.id());
+            if (book == null) {
+                books.put(record.id(), new EngineBook(record));
+            } else if (!book.listed().equals(record)) {
+                book.onListed(record);
+            }
+        }
+        books.keySet().retainAll(present);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseKeeper.java
@@ -0,0 +1,85 @@
+package org.hawthornglade.gateway.leader;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.hawthornglade.core.lease.Leadership;
+import org.hawthornglade.core.lease.LeaseWrite;
+import org.hawthornglade.core.lease.StoredLease;
+import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.port.LeaseStore;
+import org.hawthornglade.gateway.port.LeaseWriteResult;
+
+/** Makes the store calls that the leadership asks for. */
+final class LeaseKeeper {
+    private final Leadership leadership;
+    private final LeaseStore store;
+    private final Clock clock;
+    private final Clock wallClock;
+    private final EventLog log;
+
+    LeaseKeeper(Leadership leadership, LeaseStore store, Clock clock, Clock wallClock, EventLog log) {
+        this.leadership = leadership;
+        this.store = store;
+        this.clock = clock;
+        this.wallClock = wallClock;
+        this.log = log;
+    }
+
+    /** Reads, claims or renews as needed; call it often. */
+    void check(boolean leaderHeard) {
+        long nowMs = clock.nowMs();
+        leadership.check(nowMs, wallClock.nowMs());
+        if (leadership.wantsRead(leaderHeard, nowMs)) {
+            leadership.onReadSent(nowMs);
+            store.read(this::onRead);
+            return;
+        }
+        leadership.renewal(nowMs).ifPresent(this::write);
+    }
+
+    boolean mayOrder() {
+        return leadership.mayOrder(clock.nowMs(), wallClock.nowMs());
+    }
+
+    private void onRead(Either<Failure, StoredLease> answer) {
+        if (answer.isLeft()) {
+            leadership.onReadFailed();
+            log.event("lease-read-failed")
+                    .with("reason", answer.getLeft().message())
+                    .write();
+            return;
+        }
+        Optional<LeaseWrite> claim = leadership.onRead(answer.get(), clock.nowMs());
+        claim.ifPresent(this::write);
+    }
+
+    private void write(LeaseWrite write) {
+        long sentAtMs = clock.nowMs();
+        long wallSentMs = wallClock.nowMs();
+        store.write(write, result -> onResult(write, result, sentAtMs, wallSentMs));
+    }
+
+    private void onResult(LeaseWrite write, LeaseWriteResult result, long sentAtMs, long wallSentMs) {
+        if (result instanceof LeaseWriteResult.Written written) {
+            leadership.onWritten(write, written.revision(), sentAtMs, wallSentMs);
+        } else if (result instanceof LeaseWriteResult.Conflict conflict) {
+            leadership.onConflict(conflict.stored(), write, clock.nowMs());
+        } else if (result instanceof LeaseWriteResult.Unknown unknown) {
+            log.event("lease-write-unknown").with("reason", unknown.reason()).write();
+            leadership.onWriteUnknown(clock.nowMs());
+        }
+    }
+
+    /** Gives the lease up. */
+    void resign() {
+        leadership
+                .resign()
+                .ifPresent(write -> store.write(
+                        write,
+                        result -> log.event("lease-given-up")
+                                .with("written", result instanceof LeaseWriteResult.Written)
+                                .write()));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -0,0 +1,235 @@
+package org.hawthornglade.gateway.leader;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.lease.Leadership;
+import org.hawthornglade.core.replica.EngineBook;
+import org.hawthornglade.core.replica.OrderAction;
+import org.hawthornglade.core.replica.OrderOutcome;
+import org.hawthornglade.core.replica.ReplicaOrder;
+import org.hawthornglade.core.serving.ModelDefinition;
+import org.hawthornglade.core.serving.ServiceDefinition;
+import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.peer.DemandNews;
+import org.hawthornglade.gateway.peer.PlacementNews;
+import org.hawthornglade.gateway.port.EngineControl;
+
+/** Orders loads and unloads while this entry holds the lease, and tells all entries what is placed where. */
+public final class PlacementLeader {
+    /** An unload of a model that nobody uses takes about this long. */
+    private static final long UNLOAD_MS = 20;
+    /** News go out at least this often, so that followers know that the leader lives. */
+    private static final long NEWS_EVERY_MS = 300;
+
+    /** Takes what the leader tells. */
+    public interface Audience {
+        /** Takes news for all entries. */
+        void onNews(PlacementNews news);
+    }
+
+    private final String node;
+    private final Fleet fleet;
+    private final Leadership leadership;
+    private final LeaseKeeper lease;
+    private final EngineControl control;
+    private final Audience audience;
+    private final Timers timers;
+    private final Clock clock;
+    private final EventLog log;
+    private final Map<ServiceName, EnginePark> parks = new HashMap<>();
+    private boolean led;
+    private boolean wakePending;
+    private long newsAtMs;
+
+    PlacementLeader(
+            String node,
+            Fleet fleet,
+            Leadership leadership,
+            LeaseKeeper lease,
+            EngineControl control,
+            Audience audience,
+            Timers timers,
+            Clock clock,
+            EventLog log) {
+        this.node = node;
+        this.fleet = fleet;
+        this.leadership = leadership;
+        this.lease = lease;
+        this.control = control;
+        this.audience = audience;
+        this.timers = timers;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Takes the newest configuration. */
+    void onConfiguration(ServingConfiguration configuration) {
+        for (ServiceDefinition service : configuration.services()) {
+            if (service.engine().isPresent()) {
+                parks.computeIfAbsent(
+                                service.name(),
+                                name -> new EnginePark(name, service.engine().get()))
+                        .engine(service.engine().get());
+            }
+        }
+        wake();
+    }
+
+    /** Takes an entry's demand, this entry's own included. */
+    public void onDemand(DemandNews news) {
+        news.services().forEach((service, demand) -> {
+            EnginePark park = parks.get(service);
+            if (park != null) {
+                park.demand().onDemand(news.entry(), demand, clock.nowMs());
+            }
+        });
+        wake();
+    }
+
+    /** Forgets an entry's demand. */
+    public void onEntryGone(String entry) {
+        parks.values().forEach(park -> park.demand().onEntryGone(entry));
+    }
+
+    /** Looks at everything soon; several calls before that count once. */
+    public void wake() {
+        if (!wakePending) {
+            wakePending = true;
+            timers.run(this::work);
+        }
+    }
+
+    boolean leading() {
+        return leadership.leading();
+    }
+
+    private void work() {
+        wakePending = false;
+        noteLeadership();
+        if (!lease.mayOrder()) {
+            return;
+        }
+        boolean changed = false;
+        for (EnginePark park : parks.values()) {
+            park.follow(fleet);
+            askReports(park);
+            changed |= sendOrders(park);
+        }
+        if (changed || clock.nowMs() - newsAtMs >= NEWS_EVERY_MS) {
+            tell();
+        }
+    }
+
+    private void noteLeadership() {
+        if (led == leadership.leading()) {
+            return;
+        }
+        led = leadership.leading();
+        log.event(led ? "leader-won" : "leader-lost-lease")
+                .with("token", leadership.token())
+                .write();
+        if (led) {
+            parks.values().forEach(EnginePark::forget);
+        }
+    }
+
+    private void askReports(EnginePark park) {
+        long nowMs = clock.nowMs();
+        for (EngineBook book : park.books()) {
+            if (book.needsReport(nowMs)) {
+                book.onReportAsked(nowMs);
+                control.report(book.listed(), answer -> {
+                    answer.peek(report -> book.onReport(report, clock.nowMs()));
+                    answer.peekLeft(failure -> log.event("report-failed")
+                            .with("instance", book.id())
+                            .with("reason", failure.message())
+                            .write());
+                    wake();
+                });
+            }
+        }
+    }
+
+    private boolean sendOrders(EnginePark park) {
+        List<ReplicaOrder> orders = park.planner().plan(park.books(), clock.nowMs());
+        for (ReplicaOrder order : orders) {
+            Optional<EngineBook> book = park.book(order.instance());
+            book.ifPresent(target -> send(park, target, order));
+        }
+        return !orders.isEmpty();
+    }
+
+    private void send(EnginePark park, EngineBook book, ReplicaOrder order) {
+        long expectedMs = expectedMs(park, book, order);
+        book.onSent(order);
+        log.event("order")
+                .with("instance", order.instance())
+                .with("action", order.action())
+                .with("model", order.model())
+                .with("adapter", order.adapter().map(Object::toString).orElse("-"))
+                .with("seq", order.expected().orderSequence())
+                .with("token", leadership.token())
+                .with("expected_ms", expectedMs)
+                .write();
+        control.order(
+                book.listed(), order, node, leadership.token(), outcome -> answered(book, order, outcome, expectedMs));
+    }
+
+    private static long expectedMs(EnginePark park, EngineBook book, ReplicaOrder order) {
+        if (order.adapter().isPresent()) {
+            return 0;
+        }
+        ModelDefinition model = park.engine().models().get(order.model());
+        return order.action() == OrderAction.UNLOAD || model == null ? UNLOAD_MS : book.loadMs(model);
+    }
+
+    private void answered(EngineBook book, ReplicaOrder order, OrderOutcome outcome, long expectedMs) {
+        book.onAnswer(order, outcome, expectedMs, clock.nowMs());
+        if (outcome != OrderOutcome.ACCEPTED) {
+            log.event("order-answer")
+                    .with("instance", order.instance())
+                    .with("outcome", outcome)
+                    .with("seq", order.expected().orderSequence())
+                    .write();
+        }
+        if (outcome == OrderOutcome.FENCED_OFF) {
+            leadership.lose();
+        }
+        tell();
+        timers.after(EngineBook.ADAPTER_LOAD_MS + 1, this::tellAndWake);
+        wake();
+    }
+
+    private void tellAndWake() {
+        tell();
+        wake();
+    }
+
+    /** Tells all entries what is placed where. */
+    public void tell() {
+        if (!leadership.leading()) {
+            return;
+        }
+        long nowMs = clock.nowMs();
+        newsAtMs = nowMs;
+        List<InstancePlacement> placements = new ArrayList<>();
+        Map<InstanceId, Integer> running = new HashMap<>();
+        for (EnginePark park : parks.values()) {
+            for (EngineBook book : park.books()) {
+                placements.add(book.placement(nowMs));
+                running.put(book.id(), park.demand().running(book.id(), nowMs));
+            }
+        }
+        audience.onNews(new PlacementNews(leadership.token(), placements, running));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
@@ -0,0 +1,182 @@
+package org.hawthornglade.gateway.leader;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.InstanceAddress;
+import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.lease.Leadership;
+import org.hawthornglade.core.lease.LeaseRow;
+import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.GatewaySettings;
+import org.hawthornglade.gateway.exchange.WaitingCalls;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.peer.DemandNews;
+import org.hawthornglade.gateway.peer.FollowerServer;
+import org.hawthornglade.gateway.peer.LeaderLink;
+import org.hawthornglade.gateway.peer.PlacementNews;
+import org.hawthornglade.gateway.port.EngineControl;
+import org.hawthornglade.gateway.port.LeaseStore;
+
+/**
+ * This entry's place in the star: it leads, or follows the entry that does.
+ *
+ * <p>Without a leader it goes on with the list's own word.
+ */
+public final class PlacementStar implements LeaderLink.Listener, FollowerServer.Listener, PlacementLeader.Audience {
+    private static final long CHECK_MS = 50;
+    /** Demand is told at least this often while a leader is connected. */
+    private static final long DEMAND_EVERY_MS = 250;
+
+    private final GatewaySettings settings;
+    private final Fleet fleet;
+    private final WaitingCalls waiting;
+    private final DemandCollector collector;
+    private final Leadership leadership;
+    private final LeaseKeeper lease;
+    private final PlacementLeader leader;
+    private final LeaderLink link;
+    private final FollowerServer followers;
+    private final Timers timers;
+    private final Clock clock;
+    private long demandAtMs;
+    private boolean demandPending;
+    private boolean wasLeading;
+
+    /** Puts the star's end at this entry together. */
+    public PlacementStar(
+            GatewaySettings settings,
+            EventLoop loop,
+            Timers timers,
+            Clock clock,
+            Clock wallClock,
+            EventLog log,
+            Fleet fleet,
+            WaitingCalls waiting,
+            DemandCollector collector,
+            LeaseStore leaseStore,
+            EngineControl control) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.waiting = waiting;
+        this.collector = collector;
+        this.timers = timers;
+        this.clock = clock;
+        String nonce = settings.node() + "-" + wallClock.nowMs();
+        this.leadership = new Leadership(settings.node(), settings.peerAddress().toString(), nonce, settings.leaseMs());
+        this.lease = new LeaseKeeper(leadership, leaseStore, clock, wallClock, log);
+        this.leader = new PlacementLeader(settings.node(), fleet, leadership, lease, control, this, timers, clock, log);
+        this.link = new LeaderLink(loop, clock, log, this);
+        this.followers = new FollowerServer(loop, clock, this);
+    }
+
+    /** Starts; must not be called on the event loop. */
+    public void start() {
+        followers.listen(settings.peerAddress());
+        timers.every(CHECK_MS, this::check);
+    }
+
+    /** Gives the lease up, as at a stop. */
+    public void resign() {
+        lease.resign();
+    }
+
+    private void check() {
+        lease.check(link.heard());
+        boolean leading = leadership.leading();
+        if (wasLeading && !leading) {
+            followers.dismiss();
+            fleet.forgetPlacements();
+        }
+        wasLeading = leading;
+        link.target(leading ? Optional.empty() : leaderAddress());
+        link.check();
+        if (clock.nowMs() - demandAtMs >= DEMAND_EVERY_MS) {
+            tellDemand();
+        }
+        leader.wake();
+    }
+
+    private Optional<InstanceAddress> leaderAddress() {
+        return leadership
+                .seen()
+                .row()
+                .filter(row -> !row.released() && !row.holder().equals(settings.node()))
+                .map(LeaseRow::address)
+                .map(InstanceAddress::parse);
+    }
+
+    /** Takes note that the waiting calls have changed; the leader hears it soon. */
+    public void demandChanged() {
+        if (!demandPending) {
+            demandPending = true;
+            timers.run(this::tellDemand);
+        }
+    }
+
+    private void tellDemand() {
+        demandPending = false;
+        demandAtMs = clock.nowMs();
+        DemandNews news = collector.collect(demandAtMs);
+        if (leadership.leading()) {
+            leader.onDemand(news);
+        } else {
+            link.send(news);
+        }
+    }
+
+    /** Takes the newest configuration. */
+    public void onConfiguration(ServingConfiguration configuration) {
+        leader.onConfiguration(configuration);
+    }
+
+    /** Takes note that the list of instances has changed. */
+    public void fleetChanged() {
+        leader.wake();
+    }
+
+    @Override
+    public void onNews(PlacementNews news) {
+        long nowMs = clock.nowMs();
+        for (InstancePlacement placement : news.placements()) {
+            fleet.onPlacement(placement);
+            Optional<Endpoint> endpoint = fleet.endpoint(placement.instance());
+            int running = news.running().getOrDefault(placement.instance(), 0);
+            endpoint.ifPresent(
+                    known -> known.load().others(running - known.load().ownRequests(), nowMs));
+        }
+        if (leadership.leading()) {
+            followers.send(news);
+        }
+        waiting.reconsider();
+    }
+
+    @Override
+    public void onLeaderFound() {
+        tellDemand();
+    }
+
+    @Override
+    public void onLeaderLost() {
+        fleet.forgetPlacements();
+        waiting.reconsider();
+    }
+
+    @Override
+    public void onDemand(DemandNews news) {
+        leader.onDemand(news);
+    }
+
+    @Override
+    public void onFollower() {
+        leader.tell();
+    }
+
+    @Override
+    public void onFollowerGone(String entry) {
+        leader.onEntryGone(entry);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/FollowerServer.java
@@ -0,0 +1,99 @@
+package org.hawthornglade.gateway.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.fleet.InstanceAddress;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.protocol.gen.peer.PeerMessage;
+
+/** Takes the connections of the other entries; only the leader's are used. */
+public final class FollowerServer {
+    /** Takes what followers tell. */
+    public interface Listener {
+        /** Takes a follower's demand. */
+        void onDemand(DemandNews news);
+
+        /** Takes note of a new follower, which knows nothing yet. */
+        void onFollower();
+
+        /** Takes note that a follower's connection has ended. */
+        void onFollowerGone(String entry);
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Listener listener;
+    private final Map<PeerChannel, String> followers = new HashMap<>();
+
+    /** Creates a server that does not listen yet. */
+    public FollowerServer(EventLoop loop, Clock clock, Listener listener) {
+        this.loop = loop;
+        this.clock = clock;
+        this.listener = listener;
+    }
+
+    /** Starts listening; must not be called on the event loop. */
+    public void listen(InstanceAddress address) {
+        new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        PeerChannel.install(channel, new Events());
+                    }
+                })
+                .bind(address.host(), address.port())
+                .syncUninterruptibly();
+    }
+
+    /** Tells all followers. */
+    public void send(PlacementNews news) {
+        if (followers.isEmpty()) {
+            return;
+        }
+        byte[] frame = PeerCodec.encode(news, clock.nowMs());
+        followers.keySet().forEach(follower -> follower.send(frame));
+    }
+
+    /** Ends all connections, as after the lease was lost. */
+    public void dismiss() {
+        List.copyOf(followers.keySet()).forEach(PeerChannel::close);
+    }
+
+    /** What happens on the connections. */
+    private final class Events implements PeerChannel.Listener {
+        @Override
+        public void onOpen(PeerChannel channel) {
+            followers.put(channel, "");
+            listener.onFollower();
+        }
+
+        @Override
+        public void onMessage(PeerChannel channel, PeerMessage message) {
+            if (!message.isSetDemand()) {
+                return;
+            }
+            DemandNews news = PeerCodec.demand(message.getDemand());
+            followers.put(channel, news.entry());
+            listener.onDemand(news);
+        }
+
+        @Override
+        public void onClosed(PeerChannel channel) {
+            String entry = followers.remove(channel);
+            if (entry != null && !entry.isEmpty() && !followers.containsValue(entry)) {
+                listener.onFollowerGone(entry);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderLink.java
@@ -0,0 +1,136 @@
+package org.hawthornglade.gateway.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.Optional;
+import org.hawthornglade.core.fleet.InstanceAddress;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.protocol.gen.peer.PeerMessage;
+
+/** An entry's connection to the placement leader. */
+public final class LeaderLink {
+    /** A leader that says nothing for this long is taken to be lost. */
+    static final long SILENCE_MS = 1_200;
+
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final long RECONNECT_MS = 200;
+
+    /** Takes what the leader tells. */
+    public interface Listener {
+        /** Takes news. */
+        void onNews(PlacementNews news);
+
+        /** Takes note that a leader can be told the demand. */
+        void onLeaderFound();
+
+        /** Takes note that no leader is heard any more. */
+        void onLeaderLost();
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final EventLog log;
+    private final Listener listener;
+    private Optional<InstanceAddress> target = Optional.empty();
+    private Optional<PeerChannel> open = Optional.empty();
+    private boolean connecting;
+    private long lastTryMs;
+    private long heardAtMs;
+
+    /** Creates a link that is not connected. */
+    public LeaderLink(EventLoop loop, Clock clock, EventLog log, Listener listener) {
+        this.loop = loop;
+        this.clock = clock;
+        this.log = log;
+        this.listener = listener;
+    }
+
+    /** Sets where the leader is; nothing if this entry leads itself or none is known. */
+    public void target(Optional<InstanceAddress> address) {
+        if (address.equals(target)) {
+            return;
+        }
+        target = address;
+        open.ifPresent(PeerChannel::close);
+        lastTryMs = 0;
+    }
+
+    /** Returns whether the leader was heard lately. */
+    public boolean heard() {
+        return open.isPresent() && clock.nowMs() - heardAtMs <= SILENCE_MS;
+    }
+
+    /** Connects if needed, and ends a connection that has fallen silent; call it now and then. */
+    public void check() {
+        long nowMs = clock.nowMs();
+        if (open.isPresent()) {
+            if (nowMs - heardAtMs > SILENCE_MS) {
+                open.get().close();
+            }
+            return;
+        }
+        if (target.isPresent() && !connecting && nowMs - lastTryMs >= RECONNECT_MS) {
+            lastTryMs = nowMs;
+            connect(target.get());
+        }
+    }
+
+    /** Tells the leader this entry's demand, if one is connected. */
+    public void send(DemandNews news) {
+        open.ifPresent(channel -> channel.send(PeerCodec.encode(news)));
+    }
+
+    private void connect(InstanceAddress address) {
+        connecting = true;
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        PeerChannel.install(channel, new Events());
+                    }
+                });
+        bootstrap.connect(address.host(), address.port()).addListener(done -> connecting = false);
+    }
+
+    /** What happens on the connection. */
+    private final class Events implements PeerChannel.Listener {
+        @Override
+        public void onOpen(PeerChannel channel) {
+            open = Optional.of(channel);
+            heardAtMs = clock.nowMs();
+            log.event("leader-connected")
+                    .with("address", target.map(InstanceAddress::toString).orElse(""))
+                    .write();
+            listener.onLeaderFound();
+        }
+
+        @Override
+        public void onMessage(PeerChannel channel, PeerMessage message) {
+            heardAtMs = clock.nowMs();
+            if (message.isSetPlacement()) {
+                listener.onNews(PeerCodec.placement(message.getPlacement(), heardAtMs));
+            }
+        }
+
+        @Override
+        public void onClosed(PeerChannel channel) {
+            if (!open.equals(Optional.of(channel))) {
+                return;
+            }
+            open = Optional.empty();
+            log.event("leader-lost")
+                    .with("silent_ms", clock.nowMs() - heardAtMs)
+                    .write();
+            listener.onLeaderLost();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerChannel.java
@@ -0,0 +1,80 @@
+package org.hawthornglade.gateway.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import org.hawthornglade.protocol.gen.peer.PeerMessage;
+
+/** A connection between two entries that carries frames both ways. */
+final class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final int MAX_FRAME_BYTES = 4_194_304;
+    private static final int LENGTH_BYTES = 4;
+
+    /** Takes what happens on a connection, on the event loop. */
+    interface Listener {
+        /** Takes note that frames can be sent. */
+        void onOpen(PeerChannel channel);
+
+        /** Takes a message. */
+        void onMessage(PeerChannel channel, PeerMessage message);
+
+        /** Takes note that the connection has ended. */
+        void onClosed(PeerChannel channel);
+    }
+
+    private final Listener listener;
+    private Channel channel;
+
+    private PeerChannel(Listener listener) {
+        super(ByteBuf.class);
+        this.listener = listener;
+    }
+
+    /** Sets up a connection. */
+    static void install(Channel channel, Listener listener) {
+        PeerChannel peer = new PeerChannel(listener);
+        peer.channel = channel;
+        channel.pipeline()
+                .addLast(
+                        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                        new LengthFieldPrepender(LENGTH_BYTES),
+                        peer);
+    }
+
+    /** Sends a frame, unless the other side is far behind; a later frame says the same anew. */
+    void send(byte[] frame) {
+        if (channel.isWritable()) {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(frame)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+    }
+
+    void close() {
+        channel.close().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        listener.onOpen(this);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+        listener.onMessage(this, PeerCodec.decode(ByteBufUtil.getBytes(frame)));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        listener.onClosed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -0,0 +1,171 @@
+package org.hawthornglade.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.fleet.ReplicaState;
+import org.hawthornglade.core.fleet.ReplicaStatus;
+import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.id.AdapterName;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.replica.EntryDemand;
+import org.hawthornglade.core.replica.VariantDemand;
+import org.hawthornglade.protocol.gen.peer.DemandReport;
+import org.hawthornglade.protocol.gen.peer.InstanceUse;
+import org.hawthornglade.protocol.gen.peer.PeerMessage;
+import org.hawthornglade.protocol.gen.peer.PlacedInstance;
+import org.hawthornglade.protocol.gen.peer.PlacedModel;
+import org.hawthornglade.protocol.gen.peer.PlacedStatus;
+import org.hawthornglade.protocol.gen.peer.Running;
+import org.hawthornglade.protocol.gen.peer.ServiceDemand;
+import org.hawthornglade.protocol.gen.peer.Waiting;
+
+/** Turns what entries tell each other into bytes and back. */
+final class PeerCodec {
+    private PeerCodec() {}
+
+    static byte[] encode(DemandNews news) {
+        DemandReport report = new DemandReport(news.entry(), new ArrayList<>());
+        news.services().forEach((service, demand) -> report.addToServices(serviceDemand(service, demand)));
+        PeerMessage message = new PeerMessage();
+        message.setDemand(report);
+        return bytes(message);
+    }
+
+    static byte[] encode(PlacementNews news, long nowMs) {
+        List<PlacedInstance> instances = new ArrayList<>();
+        for (InstancePlacement placement : news.placements()) {
+            int running = news.running().getOrDefault(placement.instance(), 0);
+            instances.add(placedInstance(placement, running, nowMs));
+        }
+        PeerMessage message = new PeerMessage();
+        message.setPlacement(new org.hawthornglade.protocol.gen.peer.PlacementNews(news.token(), instances));
+        return bytes(message);
+    }
+
+    private static byte[] bytes(PeerMessage message) {
+        try {
+            return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
+        } catch (TException e) {
+            throw new IllegalStateException("a message cannot be written", e);
+        }
+    }
+
+    /**
+     * Reads a frame.
+     *
+     * @throws IllegalArgumentException if it is no message
+     */
+    static PeerMessage decode(byte[] frame) {
+        PeerMessage message = new PeerMessage();
+        try {
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, frame);
+        } catch (TException e) {
+            throw new IllegalArgumentException("not a message of an entry", e);
+        }
+        return message;
+    }
+
+    private static ServiceDemand serviceDemand(ServiceName service, EntryDemand demand) {
+        ServiceDemand coded = new ServiceDemand(service.value(), new ArrayList<>(), new HashMap<>(), new ArrayList<>());
+        for (VariantDemand each : demand.waiting()) {
+            Waiting waiting = new Waiting(each.variant().model().value(), each.calls(), each.slackMs());
+            each.variant().adapter().ifPresent(adapter -> waiting.setAdapter(adapter.value()));
+            coded.addToWaiting(waiting);
+        }
+        demand.arrivals().forEach((model, count) -> coded.putToArrivals(model.value(), count));
+        demand.running().forEach((instance, use) -> coded.addToInstances(instanceUse(instance, use)));
+        return coded;
+    }
+
+    private static InstanceUse instanceUse(InstanceId instance, Map<Variant, Integer> use) {
+        InstanceUse coded = new InstanceUse(instance.value(), new ArrayList<>());
+        use.forEach((variant, count) -> {
+            Running running = new Running(variant.model().value(), count);
+            variant.adapter().ifPresent(adapter -> running.setAdapter(adapter.value()));
+            coded.addToRunning(running);
+        });
+        return coded;
+    }
+
+    static DemandNews demand(DemandReport report) {
+        Map<ServiceName, EntryDemand> services = new HashMap<>();
+        for (ServiceDemand coded : report.getServices()) {
+            services.put(ServiceName.of(coded.getServiceName()), entryDemand(coded));
+        }
+        return new DemandNews(report.getEntry(), services);
+    }
+
+    private static EntryDemand entryDemand(ServiceDemand coded) {
+        List<VariantDemand> waiting = new ArrayList<>();
+        for (Waiting each : coded.getWaiting()) {
+            waiting.add(
+                    new VariantDemand(variant(each.getModel(), each.getAdapter()), each.getCalls(), each.getSlackMs()));
+        }
+        Map<ModelName, Long> arrivals = new HashMap<>();
+        coded.getArrivals().forEach((model, count) -> arrivals.put(ModelName.of(model), count));
+        Map<InstanceId, Map<Variant, Integer>> running = new HashMap<>();
+        for (InstanceUse use : coded.getInstances()) {
+            Map<Variant, Integer> counts = new HashMap<>();
+            for (Running each : use.getRunning()) {
+                counts.put(variant(each.getModel(), each.getAdapter()), each.getCalls());
+            }
+            running.put(InstanceId.of(use.getInstance()), counts);
+        }
+        return new EntryDemand(waiting, arrivals, running);
+    }
+
+    private static Variant variant(String model, String adapter) {
+        return new Variant(ModelName.of(model), Optional.ofNullable(adapter).map(AdapterName::of));
+    }
+
+    private static PlacedInstance placedInstance(InstancePlacement placement, int running, long nowMs) {
+        PlacedInstance coded =
+                new PlacedInstance(placement.instance().value(), placement.bornMs(), new ArrayList<>(), running);
+        placement.models().forEach((model, state) -> {
+            long readyInMs = state.status() == ReplicaStatus.LOADING ? Math.max(0, state.readyAtMs() - nowMs) : 0;
+            PlacedModel placed = new PlacedModel(model.value(), coded(state.status()), readyInMs, new HashMap<>());
+            state.adapters().forEach((adapter, status) -> placed.putToAdapters(adapter.value(), coded(status)));
+            coded.addToModels(placed);
+        });
+        return coded;
+    }
+
+    private static PlacedStatus coded(ReplicaStatus status) {
+        return PlacedStatus.valueOf(status.name());
+    }
+
+    static PlacementNews placement(org.hawthornglade.protocol.gen.peer.PlacementNews coded, long nowMs) {
+        List<InstancePlacement> placements = new ArrayList<>();
+        Map<InstanceId, Integer> running = new HashMap<>();
+        for (PlacedInstance instance : coded.getInstances()) {
+            InstanceId id = InstanceId.of(instance.getInstance());
+            placements.add(new InstancePlacement(id, instance.getBornMs(), models(instance, nowMs)));
+            running.put(id, instance.getRunning());
+        }
+        return new PlacementNews(coded.getFencingToken(), placements, running);
+    }
+
+    private static Map<ModelName, ReplicaState> models(PlacedInstance instance, long nowMs) {
+        Map<ModelName, ReplicaState> models = new HashMap<>();
+        for (PlacedModel placed : instance.getModels()) {
+            ReplicaStatus status = ReplicaStatus.valueOf(placed.getStatus().name());
+            Map<AdapterName, ReplicaStatus> adapters = new HashMap<>();
+            placed.getAdapters()
+                    .forEach((adapter, coded) ->
+                            adapters.put(AdapterName.of(adapter), ReplicaStatus.valueOf(coded.name())));
+            long readyAtMs = status == ReplicaStatus.LOADING ? nowMs + placed.getReadyInMs() : 0;
+            models.put(ModelName.of(placed.getModel()), new ReplicaState(status, readyAtMs, adapters));
+        }
+        return models;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementNews.java
@@ -0,0 +1,21 @@
+package org.hawthornglade.gateway.peer;
+
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.id.InstanceId;
+
+/**
+ * What the leader tells entries.
+ *
+ * @param token the leader's fencing token
+ * @param placements the engines
+ * @param running the calls under way at each of them from all entries
+ */
+public record PlacementNews(long token, List<InstancePlacement> placements, Map<InstanceId, Integer> running) {
+    /** Copies the collections. */
+    public PlacementNews {
+        placements = List.copyOf(placements);
+        running = Map.copyOf(running);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/thrift/peer.thrift
@@ -0,0 +1,78 @@
+/**
+ * What entries and the placement leader tell each other. One frame holds one PeerMessage in Thrift's compact form.
+ */
+namespace java org.hawthornglade.protocol.gen.peer
+
+/** Calls that wait for a model or adapter. */
+struct Waiting {
+  1: string model
+  2: optional string adapter
+  3: i32 calls
+  /** How long the most urgent call can still wait within its latency target; negative when late. */
+  4: i64 slackMs
+}
+
+/** Calls under way for a model or adapter. */
+struct Running {
+  1: string model
+  2: optional string adapter
+  3: i32 calls
+}
+
+/** Calls under way at an instance. */
+struct InstanceUse {
+  1: string instance
+  2: list<Running> running
+}
+
+/** The demand for one service at one entry. */
+struct ServiceDemand {
+  1: string serviceName
+  2: list<Waiting> waiting
+  /** Calls for each model since the entry's start. */
+  3: map<string, i64> arrivals
+  4: list<InstanceUse> instances
+}
+
+/** What an entry tells the leader. */
+struct DemandReport {
+  1: string entry
+  2: list<ServiceDemand> services
+}
+
+/** How far a model or adapter is on an instance. */
+enum PlacedStatus {
+  READY = 1
+  LOADING = 2
+  UNLOADING = 3
+}
+
+/** A model on an instance. */
+struct PlacedModel {
+  1: string model
+  2: PlacedStatus status
+  /** When it is expected to be ready, from now; 0 unless loading. */
+  3: i64 readyInMs
+  4: map<string, PlacedStatus> adapters
+}
+
+/** The models on an instance, for one start of it. */
+struct PlacedInstance {
+  1: string instance
+  2: i64 bornMs
+  3: list<PlacedModel> models
+  /** Calls under way there from all entries. */
+  4: i32 running
+}
+
+/** What the leader tells entries. */
+struct PlacementNews {
+  1: i64 fencingToken
+  2: list<PlacedInstance> instances
+}
+
+/** One frame: exactly one field is set. */
+struct PeerMessage {
+  1: optional DemandReport demand
+  2: optional PlacementNews placement
+}
