Leader: bring models where the weights are, even to a busy engine; second copies; awaited models stay

Cause: while a disk holder was busy the model was loaded from the weight store elsewhere (28 loads, 6 s each, during which that engine took no adapters), and models were removed before the calls they came for arrived.

--- a/core/src/main/java/org/hawthornglade/core/replica/DemandBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/DemandBook.java
@@ -18,20 +18,44 @@
 
     private final Map<String, Told> byEntry = new HashMap<>();
     private final ArrivalRates rates = new ArrivalRates();
+    private final Map<ModelName, Long> targetsMs = new HashMap<>();
 
     /** Takes what an entry tells; its earlier word no longer counts. */
     public void onDemand(String entry, EntryDemand demand, long nowMs) {
         Told before = byEntry.put(entry, new Told(demand, nowMs));
-        demand.arrivals().forEach((model, total) -> {
-            long known = before == null ? 0 : before.demand().arrivals().getOrDefault(model, 0L);
+        demand.arrivals().forEach((model, arrivals) -> {
+            long known = before == null ? 0 : callsKnown(before.demand(), model);
             // A total that has fallen means that the entry was restarted.
-            long added = total >= known ? total - known : total;
+            long added = arrivals.calls() >= known ? arrivals.calls() - known : arrivals.calls();
             if (added > 0) {
                 rates.add(model, added, nowMs);
+                targetsMs.put(model, arrivals.tightestTargetMs());
             }
         });
     }
 
+    private static long callsKnown(EntryDemand demand, ModelName model) {
+        ModelArrivals known = demand.arrivals().get(model);
+        return known == null ? 0 : known.calls();
+    }
+
+    /** Returns the latency target of the calls for a model; the longest time if none is known. */
+    public long targetMs(ModelName model) {
+        return targetsMs.getOrDefault(model, Long.MAX_VALUE);
+    }
+
+    /** Returns whether calls wait for a model or an adapter on it. */
+    public boolean awaited(ModelName model, long nowMs) {
+        for (EntryDemand demand : current(nowMs)) {
+            for (VariantDemand each : demand.waiting()) {
+                if (each.variant().model().equals(model)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /** Forgets an entry whose connection has ended. */
     public void onEntryGone(String entry) {
         byEntry.remove(entry);
--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -25,6 +25,8 @@
 public final class EngineBook {
     /** An adapter is taken to be ready this long after its order was accepted. */
     public static final long ADAPTER_LOAD_MS = 15;
+    /** An order is answered, and a small one carried out, within about this time. */
+    private static final long ANSWER_MS = 60;
     /** How long after the expected end of an order its effect is looked up at the engine itself. */
     private static final long OVERDUE_MS = 150;
     /** How old a report is at the most; one asked for earlier after an order does not show the order's effect. */
@@ -46,7 +48,7 @@
     public EngineBook(InstanceRecord listed) {
         this.listed = listed;
         this.version = new InstanceVersion(listed.bornMs(), 0);
-        takeModels(listed.models());
+        takeModels(listed.models(), 0);
         inMemory.addAll(listed.inMemory());
         onDisk.addAll(listed.onDisk());
     }
@@ -60,10 +62,10 @@
     }
 
     /** Takes a newer record from the list. */
-    public void onListed(InstanceRecord record) {
+    public void onListed(InstanceRecord record, long nowMs) {
         listed = record;
         if (record.bornMs() != version.bornMs()) {
-            restart(record);
+            restart(record, nowMs);
             return;
         }
         takeCopies(record.inMemory(), record.onDisk());
@@ -72,7 +74,7 @@
             Resident resident = models.get(model);
             agrees &= resident != null;
             if (resident != null && resident.status() == ReplicaStatus.LOADING) {
-                resident.becomes(ReplicaStatus.READY);
+                resident.becomes(ReplicaStatus.READY, nowMs);
             }
         }
         models.entrySet()
@@ -84,7 +86,7 @@
         known &= agrees;
     }
 
-    private void restart(InstanceRecord record) {
+    private void restart(InstanceRecord record, long nowMs) {
         models.clear();
         inMemory.clear();
         onDisk.clear();
@@ -93,7 +95,7 @@
         known = false;
         busyElsewhere = false;
         version = new InstanceVersion(record.bornMs(), 0);
-        takeModels(record.models());
+        takeModels(record.models(), nowMs);
         takeCopies(record.inMemory(), record.onDisk());
     }
 
@@ -111,18 +113,18 @@
         if (!report.busy()) {
             models.values().removeIf(resident -> resident.status() == ReplicaStatus.UNLOADING);
         }
-        takeModels(report.models());
+        takeModels(report.models(), nowMs);
         if (!report.busy()) {
             models.keySet().retainAll(report.models().keySet());
         }
         takeCopies(report.inMemory(), report.onDisk());
     }
 
-    private void takeModels(Map<ModelName, Set<AdapterName>> held) {
+    private void takeModels(Map<ModelName, Set<AdapterName>> held, long nowMs) {
         held.forEach((model, adapters) -> {
             Resident resident = models.computeIfAbsent(model, name -> new Resident(ReplicaStatus.READY, 0));
             if (resident.status() == ReplicaStatus.LOADING) {
-                resident.becomes(ReplicaStatus.READY);
+                resident.becomes(ReplicaStatus.READY, nowMs);
             }
             for (AdapterName adapter : adapters) {
                 if (!resident.adapters().containsKey(adapter)) {
@@ -142,8 +144,14 @@
     }
 
     /** Takes note that an order is sent. */
-    public void onSent(ReplicaOrder order) {
+    public void onSent(ReplicaOrder order, long nowMs) {
         open = Optional.of(order);
+        boolean removal =
+                order.action() == OrderAction.UNLOAD && order.adapter().isEmpty();
+        if (removal && models.containsKey(order.model())) {
+            // Entries must send nothing there any more, whatever becomes of the order.
+            models.get(order.model()).becomes(ReplicaStatus.UNLOADING, nowMs);
+        }
     }
 
     /** Takes the answer to the open order. */
@@ -180,8 +188,6 @@
             if (goal.equals(Optional.of(order.model()))) {
                 goal = Optional.empty();
             }
-        } else if (models.containsKey(order.model())) {
-            models.get(order.model()).becomes(ReplicaStatus.UNLOADING);
         }
         reportNotBeforeMs = nowMs + expectedMs + OVERDUE_MS;
     }
@@ -259,6 +265,20 @@
         return inMemory.contains(model) || onDisk.contains(model);
     }
 
+    /** Returns in how many milliseconds a model order can be sent, as far as can be foreseen; 0 if now. */
+    long freeInMs(long nowMs) {
+        if (takesModelOrder()) {
+            return 0;
+        }
+        long freeInMs = ANSWER_MS;
+        for (Resident resident : models.values()) {
+            if (resident.status() == ReplicaStatus.LOADING) {
+                freeInMs = Math.max(freeInMs, resident.readyAtMs() - nowMs);
+            }
+        }
+        return freeInMs;
+    }
+
     /** Returns whether a load from the weight store runs here. */
     boolean loadingRemotely(long nowMs) {
         return remoteUntilMs > nowMs;
--- a/core/src/main/java/org/hawthornglade/core/replica/EntryDemand.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EntryDemand.java
@@ -11,11 +11,13 @@
  * What one entry tells the placement leader.
  *
  * @param waiting the calls that wait there
- * @param arrivals how many calls have asked for each model since the entry's start
+ * @param arrivals the calls that have asked for each model
  * @param running the calls under way at each instance, by variant
  */
 public record EntryDemand(
-        List<VariantDemand> waiting, Map<ModelName, Long> arrivals, Map<InstanceId, Map<Variant, Integer>> running) {
+        List<VariantDemand> waiting,
+        Map<ModelName, ModelArrivals> arrivals,
+        Map<InstanceId, Map<Variant, Integer>> running) {
     /** Copies the collections. */
     public EntryDemand {
         waiting = List.copyOf(waiting);
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/HostChooser.java
@@ -0,0 +1,97 @@
+package org.hawthornglade.core.replica;
+
+import java.util.Collection;
+import java.util.Set;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.serving.ModelDefinition;
+
+/** Says which engine a model is brought to. */
+final class HostChooser {
+    /** While an engine loads a model it takes no adapters; this share of its calls is held up by that. */
+    private static final double ADAPTER_CALL_SHARE = 0.5;
+
+    private static final double MS_PER_S = 1_000;
+
+    private final DemandBook demand;
+    private final VictimChooser victims;
+
+    HostChooser(DemandBook demand, VictimChooser victims) {
+        this.demand = demand;
+        this.victims = victims;
+    }
+
+    /** Returns the engine that will have the model soonest and at the least cost to others, busy ones included. */
+    EngineBook soonest(ModelDefinition model, Collection<EngineBook> books, boolean mayLoadRemotely, long nowMs) {
+        EngineBook best = null;
+        double bestMs = Double.POSITIVE_INFINITY;
+        for (EngineBook book : books) {
+            boolean possible = book.atHand(model.name()) || mayLoadRemotely;
+            if (!possible || book.listed().leaving() || book.goal().isPresent()) {
+                continue;
+            }
+            double costMs = book.freeInMs(nowMs) + costMs(book, model, books, nowMs);
+            if (costMs < bestMs) {
+                best = book;
+                bestMs = costMs;
+            }
+        }
+        return best;
+    }
+
+    /** Returns the free engine on which the model costs least; null if there is none. */
+    EngineBook cheapest(ModelDefinition model, Collection<EngineBook> books, Set<EngineBook> taken, long nowMs) {
+        EngineBook best = null;
+        double bestMs = Double.POSITIVE_INFINITY;
+        for (EngineBook book : books) {
+            if (!free(book, taken) || book.holds(model.name())) {
+                continue;
+            }
+            double costMs = costMs(book, model, books, nowMs);
+            if (costMs < bestMs) {
+                best = book;
+                bestMs = costMs;
+            }
+        }
+        return best;
+    }
+
+    /** Returns the free engine with the weights at hand on which the model costs least; null if there is none. */
+    EngineBook cheapestWithWeights(
+            ModelDefinition model, Collection<EngineBook> books, Set<EngineBook> taken, long nowMs) {
+        EngineBook best = null;
+        double bestMs = Double.POSITIVE_INFINITY;
+        for (EngineBook book : books) {
+            if (!free(book, taken) || !book.atHand(model.name()) || book.holds(model.name())) {
+                continue;
+            }
+            double costMs = costMs(book, model, books, nowMs);
+            if (costMs < bestMs) {
+                best = book;
+                bestMs = costMs;
+            }
+        }
+        return best;
+    }
+
+    private static boolean free(EngineBook book, Set<EngineBook> taken) {
+        return !taken.contains(book)
+                && book.takesModelOrder()
+                && book.goal().isEmpty()
+                && !book.listed().leaving();
+    }
+
+    private double costMs(EngineBook book, ModelDefinition model, Collection<EngineBook> books, long nowMs) {
+        double loadMs = book.loadMs(model);
+        return loadMs + victims.costMs(book, model, books, nowMs) + heldUpMs(book, loadMs, nowMs);
+    }
+
+    /** Returns the waiting of calls for adapters that the engine cannot load meanwhile. */
+    private double heldUpMs(EngineBook book, double loadMs, long nowMs) {
+        double callsPerS = 0;
+        for (ModelName resident : book.models().keySet()) {
+            boolean hasAdapters = !book.models().get(resident).adapters().isEmpty();
+            callsPerS += hasAdapters ? demand.callsPerSecond(resident, nowMs) : 0;
+        }
+        return ADAPTER_CALL_SHARE * callsPerS * loadMs / MS_PER_S * loadMs;
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -18,11 +18,15 @@
  * only.
  */
 public final class ReplicaPlanner {
+    /** A model with this many calls a second gets a second copy, if its callers cannot wait for a load. */
+    private static final double COPY_CALLS_PER_S = 0.5;
+
     private final EngineDefinition engine;
     private final DemandBook demand;
     private final LoadPacer pacer;
     private final AdapterPlanner adapters;
     private final VictimChooser victims;
+    private final HostChooser hosts;
 
     /** Creates a planner for one version of a service's engines. */
     public ReplicaPlanner(EngineDefinition engine, DemandBook demand, LoadPacer pacer) {
@@ -31,6 +35,7 @@
         this.pacer = pacer;
         this.adapters = new AdapterPlanner(engine, demand);
         this.victims = new VictimChooser(engine, demand);
+        this.hosts = new HostChooser(demand, victims);
     }
 
     /**
@@ -53,6 +58,7 @@
                 bring(each.variant().model(), books, taken, orders, nowMs);
             }
         }
+        addCopies(books, taken, orders, nowMs);
         spread(books, taken, orders, nowMs);
         return orders;
     }
@@ -98,20 +104,9 @@
             List<ReplicaOrder> orders,
             long nowMs) {
         ModelDefinition definition = engine.models().get(model);
-        boolean mayLoadRemotely = mayLoadRemotely(books, nowMs);
-        EngineBook best = null;
-        double bestMs = Double.MAX_VALUE;
-        for (EngineBook book : books) {
-            if (taken.contains(book) || !book.takesModelOrder() || (!book.atHand(model) && !mayLoadRemotely)) {
-                continue;
-            }
-            double costMs = book.loadMs(definition) + victims.costMs(book, definition, books, nowMs);
-            if (costMs < bestMs) {
-                best = book;
-                bestMs = costMs;
-            }
-        }
-        if (best != null) {
+        EngineBook best = hosts.soonest(definition, books, mayLoadRemotely(books, nowMs), nowMs);
+        // A busy engine that will have the model sooner than any free one is waited for.
+        if (best != null && !taken.contains(best) && best.takesModelOrder()) {
             step(best, model, books, taken, orders, nowMs);
         }
     }
@@ -168,6 +163,32 @@
         return pacer.mayBegin(engine.remoteLoadsPerSecond(), running, nowMs);
     }
 
+    /** Gives each model with steady calls that cannot wait for a load a second copy. */
+    private void addCopies(Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders, long nowMs) {
+        for (ModelDefinition model : engine.models().values()) {
+            if (!deservesCopy(model, nowMs) || copies(model.name(), books) != 1) {
+                continue;
+            }
+            EngineBook host = hosts.cheapestWithWeights(model, books, taken, nowMs);
+            if (host != null) {
+                step(host, model.name(), books, taken, orders, nowMs);
+            }
+        }
+    }
+
+    private boolean deservesCopy(ModelDefinition model, long nowMs) {
+        return demand.callsPerSecond(model.name(), nowMs) >= COPY_CALLS_PER_S && !victims.callersCanWait(model);
+    }
+
+    private static int copies(ModelName model, Collection<EngineBook> books) {
+        int copies = 0;
+        for (EngineBook book : books) {
+            boolean here = book.holds(model) || book.goal().equals(Optional.of(model));
+            copies += here && !book.listed().leaving() ? 1 : 0;
+        }
+        return copies;
+    }
+
     /** Brings models that are nowhere to an engine that can spare the room. */
     private void spread(Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders, long nowMs) {
         for (ModelName model : engine.models().keySet()) {
@@ -177,7 +198,7 @@
             if (somewhere(model, books)) {
                 continue;
             }
-            EngineBook host = victims.cheapestHost(engine.models().get(model), books, taken, nowMs);
+            EngineBook host = hosts.cheapest(engine.models().get(model), books, taken, nowMs);
             if (host == null) {
                 return;
             }
--- a/core/src/main/java/org/hawthornglade/core/replica/Resident.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/Resident.java
@@ -12,6 +12,7 @@
     private final Map<AdapterName, Long> adapterUsedAtMs = new HashMap<>();
     private ReplicaStatus status;
     private long readyAtMs;
+    private long readySinceMs;
 
     Resident(ReplicaStatus status, long readyAtMs) {
         this.status = status;
@@ -30,9 +31,15 @@
         return status == ReplicaStatus.READY;
     }
 
-    void becomes(ReplicaStatus newStatus) {
+    void becomes(ReplicaStatus newStatus, long nowMs) {
         status = newStatus;
         readyAtMs = 0;
+        readySinceMs = nowMs;
+    }
+
+    /** Returns when the model became ready; 0 if it was found here. */
+    long readySinceMs() {
+        return readySinceMs;
     }
 
     Map<AdapterName, Long> adapters() {
--- a/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.ModelDefinition;
@@ -19,6 +18,12 @@
     private static final double UNKNOWN_CALLS_PER_S = 0.02;
     /** Share of a removed model's cost when another engine has it too. */
     private static final double SPARE_COPY_SHARE = 0.1;
+    /** Share of a removed model's cost when its callers are on time even after a load. */
+    private static final double PATIENT_SHARE = 0.25;
+    /** A load takes this many times its own time with the unload before and the queue behind it. */
+    private static final double WAIT_FACTOR = 2;
+    /** How long a model stays at least, so that the calls which it came for arrive. */
+    private static final long SETTLE_MS = 700;
     /** An unload waits for the calls that run; they take about this long. */
     private static final double RUNNING_MS = 1_500;
     /** An unload of a model that nobody uses. */
@@ -54,27 +59,10 @@
         return missingMb <= 0 ? costMs : Double.POSITIVE_INFINITY;
     }
 
-    /** Returns the engine on which room costs least; null if there is none. */
-    EngineBook cheapestHost(ModelDefinition wanted, Collection<EngineBook> books, Set<EngineBook> taken, long nowMs) {
-        EngineBook best = null;
-        double bestMs = Double.POSITIVE_INFINITY;
-        for (EngineBook book : books) {
-            if (taken.contains(book) || !book.takesModelOrder() || book.goal().isPresent()) {
-                continue;
-            }
-            double costMs = costMs(book, wanted, books, nowMs);
-            if (costMs < bestMs) {
-                best = book;
-                bestMs = costMs;
-            }
-        }
-        return best;
-    }
-
     private List<ModelName> cheapestFirst(EngineBook book, Collection<EngineBook> books, long nowMs) {
         List<ModelName> models = new ArrayList<>();
         for (Map.Entry<ModelName, Resident> entry : book.models().entrySet()) {
-            if (entry.getValue().ready()) {
+            if (mayGo(entry.getKey(), entry.getValue(), nowMs)) {
                 models.add(entry.getKey());
             }
         }
@@ -83,6 +71,17 @@
         return models;
     }
 
+    /** A model that calls wait for, or that has only just come for them, stays. */
+    private boolean mayGo(ModelName model, Resident resident, long nowMs) {
+        boolean settled = nowMs - resident.readySinceMs() >= SETTLE_MS;
+        return resident.ready() && settled && !demand.awaited(model, nowMs);
+    }
+
+    /** Returns whether the calls for a model can wait for a load from disk and still be on time. */
+    boolean callersCanWait(ModelDefinition model) {
+        return demand.targetMs(model.name()) > WAIT_FACTOR * model.diskLoadMs();
+    }
+
     private double removalMs(EngineBook book, ModelName model, Collection<EngineBook> books, long nowMs) {
         double waitMs = demand.running(book.id(), model, nowMs) > 0 ? RUNNING_MS : UNLOAD_MS;
         ModelDefinition definition = engine.models().get(model);
@@ -91,7 +90,8 @@
         }
         double calls = Math.max(UNKNOWN_CALLS_PER_S, demand.callsPerSecond(model, nowMs)) * HORIZON_S;
         double share = elsewhere(book, model, books) ? SPARE_COPY_SHARE : 1;
-        return waitMs + calls * share * definition.diskLoadMs();
+        double patience = callersCanWait(definition) ? PATIENT_SHARE : 1;
+        return waitMs + calls * share * patience * definition.diskLoadMs();
     }
 
     private static boolean elsewhere(EngineBook here, ModelName model, Collection<EngineBook> books) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -13,6 +13,7 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.replica.EntryDemand;
+import org.hawthornglade.core.replica.ModelArrivals;
 import org.hawthornglade.core.replica.VariantDemand;
 import org.hawthornglade.gateway.exchange.Exchange;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
@@ -20,10 +21,13 @@
 
 /** Sums up this entry's demand for models. */
 public final class DemandCollector {
+    /** The tightest target is taken anew after this many calls. */
+    private static final long CALLS_REMEMBERED = 16;
+
     private final String entry;
     private final Fleet fleet;
     private final WaitingCalls waiting;
-    private final Map<ServiceName, Map<ModelName, Long>> arrivals = new HashMap<>();
+    private final Map<ServiceName, Map<ModelName, ModelArrivals>> arrivals = new HashMap<>();
 
     /**
      * Creates a collector.
@@ -40,7 +44,17 @@
     public void onCall(CallView call) {
         call.demand()
                 .ifPresent(demand -> arrivals.computeIfAbsent(call.service(), service -> new HashMap<>())
-                        .merge(demand.model(), 1L, Long::sum));
+                        .merge(
+                                demand.model(),
+                                new ModelArrivals(1, call.route().targetMs()),
+                                DemandCollector::counted));
+    }
+
+    private static ModelArrivals counted(ModelArrivals before, ModelArrivals one) {
+        // A longer target counts again only after a while without the shorter one: the last few calls decide.
+        boolean forget = before.calls() % CALLS_REMEMBERED == 0;
+        long targetMs = forget ? one.tightestTargetMs() : Math.min(before.tightestTargetMs(), one.tightestTargetMs());
+        return new ModelArrivals(before.calls() + one.calls(), targetMs);
     }
 
     /** Returns the demand as it is now. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePark.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePark.java
@@ -66,7 +66,7 @@
     }
 
     /** Follows the list of instances. */
-    void follow(Fleet fleet) {
+    void follow(Fleet fleet, long nowMs) {
         List<InstanceId> present = new ArrayList<>();
         for (Endpoint endpoint : fleet.all()) {
             InstanceRecord record = endpoint.listed();
@@ -78,7 +78,7 @@
             if (book == null) {
                 books.put(record.id(), new EngineBook(record));
             } else if (!book.listed().equals(record)) {
-                book.onListed(record);
+                book.onListed(record, nowMs);
             }
         }
         books.keySet().retainAll(present);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -121,7 +121,7 @@
         }
         boolean changed = false;
         for (EnginePark park : parks.values()) {
-            park.follow(fleet);
+            park.follow(fleet, clock.nowMs());
             askReports(park);
             changed |= sendOrders(park);
         }
@@ -171,7 +171,7 @@
 
     private void send(EnginePark park, EngineBook book, ReplicaOrder order) {
         long expectedMs = expectedMs(park, book, order);
-        book.onSent(order);
+        book.onSent(order, clock.nowMs());
         log.event("order")
                 .with("instance", order.instance())
                 .with("action", order.action())
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -18,7 +18,9 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.replica.EntryDemand;
+import org.hawthornglade.core.replica.ModelArrivals;
 import org.hawthornglade.core.replica.VariantDemand;
+import org.hawthornglade.protocol.gen.peer.Arrivals;
 import org.hawthornglade.protocol.gen.peer.DemandReport;
 import org.hawthornglade.protocol.gen.peer.InstanceUse;
 import org.hawthornglade.protocol.gen.peer.PeerMessage;
@@ -82,7 +84,9 @@
             each.variant().adapter().ifPresent(adapter -> waiting.setAdapter(adapter.value()));
             coded.addToWaiting(waiting);
         }
-        demand.arrivals().forEach((model, count) -> coded.putToArrivals(model.value(), count));
+        demand.arrivals()
+                .forEach((model, count) ->
+                        coded.putToArrivals(model.value(), new Arrivals(count.calls(), count.tightestTargetMs())));
         demand.running().forEach((instance, use) -> coded.addToInstances(instanceUse(instance, use)));
         return coded;
     }
@@ -111,8 +115,10 @@
             waiting.add(
                     new VariantDemand(variant(each.getModel(), each.getAdapter()), each.getCalls(), each.getSlackMs()));
         }
-        Map<ModelName, Long> arrivals = new HashMap<>();
-        coded.getArrivals().forEach((model, count) -> arrivals.put(ModelName.of(model), count));
+        Map<ModelName, ModelArrivals> arrivals = new HashMap<>();
+        coded.getArrivals()
+                .forEach((model, count) -> arrivals.put(
+                        ModelName.of(model), new ModelArrivals(count.getCalls(), count.getTightestTargetMs())));
         Map<InstanceId, Map<Variant, Integer>> running = new HashMap<>();
         for (InstanceUse use : coded.getInstances()) {
             Map<Variant, Integer> counts = new HashMap<>();
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/ServiceDemand.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/ServiceDemand.java
@@ -23,7 +23,7 @@
 
   private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<Waiting> waiting; // required
-  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> arrivals; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,Arrivals> arrivals; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<InstanceUse> instances; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -31,7 +31,7 @@
     SERVICE_NAME((short)1, "serviceName"),
     WAITING((short)2, "waiting"),
     /**
-     * Calls for each model since the entry's start.
+     * Calls for each model.
      */
     ARRIVALS((short)3, "arrivals"),
     INSTANCES((short)4, "instances");
@@ -112,7 +112,7 @@
     tmpMap.put(_Fields.ARRIVALS, new org.apache.thrift.meta_data.FieldMetaData("arrivals", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Arrivals.class))));
     tmpMap.put(_Fields.INSTANCES, new org.apache.thrift.meta_data.FieldMetaData("instances", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, InstanceUse.class))));
@@ -126,7 +126,7 @@
   public ServiceDemand(
     java.lang.String serviceName,
     java.util.List<Waiting> waiting,
-    java.util.Map<java.lang.String,java.lang.Long> arrivals,
+    java.util.Map<java.lang.String,Arrivals> arrivals,
     java.util.List<InstanceUse> instances)
   {
     this();
@@ -151,7 +151,18 @@
       this.waiting = __this__waiting;
     }
     if (other.isSetArrivals()) {
-      java.util.Map<java.lang.String,java.lang.Long> __this__arrivals = new java.util.HashMap<java.lang.String,java.lang.Long>(other.arrivals);
+      java.util.Map<java.lang.String,Arrivals> __this__arrivals = new java.util.HashMap<java.lang.String,Arrivals>(other.arrivals.size());
+      for (java.util.Map.Entry<java.lang.String, Arrivals> other_element : other.arrivals.entrySet()) {
+
+        java.lang.String other_element_key = other_element.getKey();
+        Arrivals other_element_value = other_element.getValue();
+
+        java.lang.String __this__arrivals_copy_key = other_element_key;
+
+        Arrivals __this__arrivals_copy_value = new Arrivals(other_element_value);
+
+        __this__arrivals.put(__this__arrivals_copy_key, __this__arrivals_copy_value);
+      }
       this.arrivals = __this__arrivals;
     }
     if (other.isSetInstances()) {
@@ -246,25 +257,25 @@
     return (this.arrivals == null) ? 0 : this.arrivals.size();
   }
 
-  public void putToArrivals(java.lang.String key, long val) {
+  public void putToArrivals(java.lang.String key, Arrivals val) {
     if (this.arrivals == null) {
-      this.arrivals = new java.util.HashMap<java.lang.String,java.lang.Long>();
+      this.arrivals = new java.util.HashMap<java.lang.String,Arrivals>();
     }
     this.arrivals.put(key, val);
   }
 
   /**
-   * Calls for each model since the entry's start.
+   * Calls for each model.
    */
   @org.apache.thrift.annotation.Nullable
-  public java.util.Map<java.lang.String,java.lang.Long> getArrivals() {
+  public java.util.Map<java.lang.String,Arrivals> getArrivals() {
     return this.arrivals;
   }
 
   /**
-   * Calls for each model since the entry's start.
+   * Calls for each model.
    */
-  public ServiceDemand setArrivals(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> arrivals) {
+  public ServiceDemand setArrivals(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,Arrivals> arrivals) {
     this.arrivals = arrivals;
     return this;
   }
@@ -348,7 +359,7 @@
       if (value == null) {
         unsetArrivals();
       } else {
-        setArrivals((java.util.Map<java.lang.String,java.lang.Long>)value);
+        setArrivals((java.util.Map<java.lang.String,Arrivals>)value);
       }
       break;
 
@@ -657,13 +668,14 @@
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
                 org.apache.thrift.protocol.TMap _map11 = iprot.readMapBegin();
-                struct.arrivals = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map11.size);
+                struct.arrivals = new java.util.HashMap<java.lang.String,Arrivals>(2*_map11.size);
                 @org.apache.thrift.annotation.Nullable java.lang.String _key12;
-                long _val13;
+                @org.apache.thrift.annotation.Nullable Arrivals _val13;
                 for (int _i14 = 0; _i14 < _map11.size; ++_i14)
                 {
                   _key12 = iprot.readString();
-                  _val13 = iprot.readI64();
+                  _val13 = new Arrivals();
+                  _val13.read(iprot);
                   struct.arrivals.put(_key12, _val13);
                 }
                 iprot.readMapEnd();
@@ -728,11 +740,11 @@
       if (struct.arrivals != null) {
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
-          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.arrivals.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter19 : struct.arrivals.entrySet())
+          oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
+          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter19 : struct.arrivals.entrySet())
           {
             oprot.writeString(_iter19.getKey());
-            oprot.writeI64(_iter19.getValue());
+            _iter19.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -797,10 +809,10 @@
       if (struct.isSetArrivals()) {
         {
           oprot.writeI32(struct.arrivals.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter22 : struct.arrivals.entrySet())
+          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter22 : struct.arrivals.entrySet())
           {
             oprot.writeString(_iter22.getKey());
-            oprot.writeI64(_iter22.getValue());
+            _iter22.getValue().write(oprot);
           }
         }
       }
@@ -839,14 +851,15 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TMap _map27 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.arrivals = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map27.size);
+          org.apache.thrift.protocol.TMap _map27 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+          struct.arrivals = new java.util.HashMap<java.lang.String,Arrivals>(2*_map27.size);
           @org.apache.thrift.annotation.Nullable java.lang.String _key28;
-          long _val29;
+          @org.apache.thrift.annotation.Nullable Arrivals _val29;
           for (int _i30 = 0; _i30 < _map27.size; ++_i30)
           {
             _key28 = iprot.readString();
-            _val29 = iprot.readI64();
+            _val29 = new Arrivals();
+            _val29.read(iprot);
             struct.arrivals.put(_key28, _val29);
           }
         }
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -25,12 +25,19 @@
   2: list<Running> running
 }
 
+/** Calls that have asked for a model. */
+struct Arrivals {
+  /** Their number since the entry's start. */
+  1: i64 calls
+  2: i64 tightestTargetMs
+}
+
 /** The demand for one service at one entry. */
 struct ServiceDemand {
   1: string serviceName
   2: list<Waiting> waiting
-  /** Calls for each model since the entry's start. */
-  3: map<string, i64> arrivals
+  /** Calls for each model. */
+  3: map<string, Arrivals> arrivals
   4: list<InstanceUse> instances
 }
 
