--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -14,6 +14,10 @@
  * stood still for longer than the lease on its own steady clock, counted from when it first read that revision. Both
  * clocks may stand still while a machine is suspended; the wall clock tells that, and a leader that sees it renews
  * before it orders again.
+ *
+ * <p>There are two ways to go on sooner. A follower takes over at once when the leader's machine refuses connections,
+ * since its process has ended. And where engines check fencing tokens, a leader that cannot reach the store goes on
+ * after its lease: should another entry have taken over, the engines refuse the older token.
  */
 public final class Leadership {
     /** How often a follower without a leader reads the row. */
@@ -24,11 +28,16 @@
     private static final long SAFETY_MS = 400;
     /** By how much the wall clock may run ahead of the steady one before a suspension is assumed. */
     private static final long MAX_CLOCK_DRIFT_MS = 250;
+    /** A longer pause between two checks means that this process did not run. */
+    private static final long MAX_CHECK_GAP_MS = 400;
+    /** How long after a failed renewal the store is taken to be out of reach. */
+    private static final long UNREACHABLE_VALID_MS = 2_500;
 
     private final String node;
     private final String address;
     private final String nonce;
     private final long leaseMs;
+    private final boolean enginesCheckTokens;
     private final ChartInstance<LeadershipState, LeadershipEvent> state = Charts.LEADERSHIP.start();
     private StoredLease seen = new StoredLease(-1, Optional.empty());
     private long seenSinceMs;
@@ -36,6 +45,9 @@
     private long nextRenewalMs;
     private long leaseUntilMs;
     private long wallMinusSteadyMs;
+    private long checkedAtMs;
+    private long runningSinceMs;
+    private long unreachableAtMs = Long.MIN_VALUE / 2;
     private boolean callOpen;
 
     /**
@@ -45,8 +57,10 @@
      * @param address where other entries reach it
      * @param nonce names this process
      * @param leaseMs how long a lease lasts
+     * @param enginesCheckTokens whether engines refuse an older fencing token than one they have seen
      */
-    public Leadership(String node, String address, String nonce, long leaseMs) {
+    public Leadership(String node, String address, String nonce, long leaseMs, boolean enginesCheckTokens) {
+        this.enginesCheckTokens = enginesCheckTokens;
         this.node = node;
         this.address = address;
         this.nonce = nonce;
@@ -72,12 +86,13 @@
     /**
      * Takes the row as it was read.
      *
+     * @param ended the address of a leader whose process has ended, if that is known
      * @return the claim to be written, if the lease is free
      */
-    public Optional<LeaseWrite> onRead(StoredLease stored, long nowMs) {
+    public Optional<LeaseWrite> onRead(StoredLease stored, Optional<String> ended, long nowMs) {
         callOpen = false;
         note(stored, nowMs);
-        if (state.state() != LeadershipState.FOLLOWING || !free(nowMs)) {
+        if (state.state() != LeadershipState.FOLLOWING || !free(ended, nowMs)) {
             return Optional.empty();
         }
         fire(LeadershipEvent.CLAIM_SENT);
@@ -93,14 +108,15 @@
         seen = stored;
     }
 
-    private boolean free(long nowMs) {
+    private boolean free(Optional<String> ended, long nowMs) {
         if (seen.row().isEmpty()) {
             return true;
         }
         LeaseRow row = seen.row().get();
         // A process on the same machine under the same name was this entry's predecessor, which has ended.
         boolean predecessor = row.holder().equals(node) && row.address().equals(address);
-        return row.released() || predecessor || nowMs - seenSinceMs > leaseMs + SAFETY_MS;
+        boolean holderEnded = ended.equals(Optional.of(row.address()));
+        return row.released() || predecessor || holderEnded || nowMs - seenSinceMs > leaseMs + SAFETY_MS;
     }
 
     /** Takes note that a claim or renewal was written; the lease counts from when it was sent. */
@@ -131,8 +147,11 @@
     }
 
     /** Takes note that it is not known whether a write took effect. */
-    public void onWriteUnknown(long nowMs) {
+    public void onWriteUnknown(long sentAtMs, long nowMs) {
         callOpen = false;
+        if (sentAtMs >= runningSinceMs) {
+            unreachableAtMs = nowMs;
+        }
         if (state.state() == LeadershipState.CLAIMING) {
             lose();
             return;
@@ -152,17 +171,29 @@
 
     /** Returns whether this entry may send orders at this moment. */
     public boolean mayOrder(long nowMs, long wallNowMs) {
-        return state.state() == LeadershipState.LEADING
-                && nowMs < leaseUntilMs
-                && Math.abs(wallNowMs - nowMs - wallMinusSteadyMs) <= MAX_CLOCK_DRIFT_MS;
+        if (state.state() != LeadershipState.LEADING) {
+            return false;
+        }
+        boolean leaseHolds =
+                nowMs < leaseUntilMs && Math.abs(wallNowMs - nowMs - wallMinusSteadyMs) <= MAX_CLOCK_DRIFT_MS;
+        return leaseHolds || goesOnWithoutStore(nowMs);
+    }
+
+    private boolean goesOnWithoutStore(long nowMs) {
+        boolean ranAllTheWhile = nowMs - checkedAtMs <= MAX_CHECK_GAP_MS && unreachableAtMs >= runningSinceMs;
+        return enginesCheckTokens && ranAllTheWhile && nowMs - unreachableAtMs <= UNREACHABLE_VALID_MS;
     }
 
     /** Steps down when the lease has run out, and asks for a renewal when a suspension is suspected. */
     public void check(long nowMs, long wallNowMs) {
+        if (nowMs - checkedAtMs > MAX_CHECK_GAP_MS) {
+            runningSinceMs = nowMs;
+        }
+        checkedAtMs = nowMs;
         if (state.state() != LeadershipState.LEADING) {
             return;
         }
-        if (nowMs >= leaseUntilMs) {
+        if (nowMs >= leaseUntilMs && !callOpen && !goesOnWithoutStore(nowMs)) {
             lose();
         } else if (!mayOrder(nowMs, wallNowMs)) {
             nextRenewalMs = Math.min(nextRenewalMs, nowMs);
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -45,6 +45,8 @@
     private static final long BALANCER_REACTION_MS = 2_500;
     /** Time kept for closing after the last call of a stop. */
     private static final long EXIT_RESERVE_MS = 700;
+    /** How long calls may still wait for an instance after a stop was asked for. */
+    private static final long WAITING_AT_STOP_MS = 2_500;
     /** How often a stop looks whether it is done. */
     private static final long STOP_CHECK_MS = 20;
     /** This entry's part of the retry budget: one of so many entries. */
@@ -110,6 +112,7 @@
 
     /** Starts to listen and to follow the store; must not be called on the event loop. */
     public void start(StoreFeeds feeds) {
+        star.onLeadingChanged(feeds::urgent);
         star.start();
         readiness.listen(settings.readinessAddress());
         callers.listen(settings.callerAddress());
@@ -129,7 +132,12 @@
         long startMs = clock.nowMs();
         timers.run(this::beginStop);
         long latestMs = startMs + settings.graceMs() - EXIT_RESERVE_MS;
+        boolean refusing = false;
         while (clock.nowMs() < latestMs && !mayExit(startMs)) {
+            if (!refusing && clock.nowMs() - startMs >= WAITING_AT_STOP_MS) {
+                refusing = true;
+                timers.run(waiting::refuseAll);
+            }
             pause(STOP_CHECK_MS);
         }
         timers.run(callers::close);
--- a/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param storeAddress the platform's store
  * @param seeds addresses of other machines, possibly stale
  * @param leaseMs how long a lease of the placement leader lasts without a renewal
+ * @param enginesCheckTokens whether engines refuse an older fencing token than one they have seen
  * @param graceMs how long a stop may take
  * @param retryShare repeated attempts allowed for each request, over all entries
  * @param retryBurst repeated attempts allowed beyond that within the budget's window, over all entries
@@ -28,6 +29,7 @@
         InstanceAddress storeAddress,
         List<String> seeds,
         long leaseMs,
+        boolean enginesCheckTokens,
         long graceMs,
         double retryShare,
         double retryBurst) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -28,6 +28,9 @@
     /** When to come back after repeated attempts ran out. */
     private static final long BUSY_RETRY_MS = 500;
 
+    /** When to come back to another entry while this one stops. */
+    private static final long STOPPING_RETRY_MS = 50;
+
     private final ExchangeContext context;
     private final long number;
     private final IncomingCall call;
@@ -111,7 +114,18 @@
         }
     }
 
+    /** Refuses a call that waits while this entry stops; another entry may serve it. */
+    void refuseAtStop() {
+        if (!ended && attempt == null) {
+            refuse(ResultCode.STOPPING, STOPPING_RETRY_MS);
+        }
+    }
+
     private void waitOn() {
+        if (context.waiting().refusing()) {
+            refuseAtStop();
+            return;
+        }
         if (waited) {
             context.waiting().add(this);
             return;
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
@@ -14,6 +14,7 @@
             .thenComparingLong(Exchange::number);
 
     private final TreeSet<Exchange> calls = new TreeSet<>(URGENT_FIRST);
+    private boolean refusing;
     private Runnable newCall = () -> {};
 
     /** Sets what happens when a call begins to wait. */
@@ -41,6 +42,16 @@
         }
     }
 
+    /** Refuses every call that waits, now and from now on, as at a stop. */
+    public void refuseAll() {
+        refusing = true;
+        new ArrayList<>(calls).forEach(Exchange::refuseAtStop);
+    }
+
+    boolean refusing() {
+        return refusing;
+    }
+
     /** Returns the calls that wait, in their order. */
     public Collection<Exchange> all() {
         return Collections.unmodifiableSortedSet(calls);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseKeeper.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseKeeper.java
@@ -28,12 +28,12 @@
     }
 
     /** Reads, claims or renews as needed; call it often. */
-    void check(boolean leaderHeard) {
+    void check(boolean leaderHeard, Optional<String> endedLeader) {
         long nowMs = clock.nowMs();
         leadership.check(nowMs, wallClock.nowMs());
         if (leadership.wantsRead(leaderHeard, nowMs)) {
             leadership.onReadSent(nowMs);
-            store.read(this::onRead);
+            store.read(answer -> onRead(answer, endedLeader));
             return;
         }
         leadership.renewal(nowMs).ifPresent(this::write);
@@ -43,7 +43,7 @@
         return leadership.mayOrder(clock.nowMs(), wallClock.nowMs());
     }
 
-    private void onRead(Either<Failure, StoredLease> answer) {
+    private void onRead(Either<Failure, StoredLease> answer, Optional<String> endedLeader) {
         if (answer.isLeft()) {
             leadership.onReadFailed();
             log.event("lease-read-failed")
@@ -51,7 +51,7 @@
                     .write();
             return;
         }
-        Optional<LeaseWrite> claim = leadership.onRead(answer.get(), clock.nowMs());
+        Optional<LeaseWrite> claim = leadership.onRead(answer.get(), endedLeader, clock.nowMs());
         claim.ifPresent(this::write);
     }
 
@@ -68,7 +68,7 @@
             leadership.onConflict(conflict.stored(), write, clock.nowMs());
         } else if (result instanceof LeaseWriteResult.Unknown unknown) {
             log.event("lease-write-unknown").with("reason", unknown.reason()).write();
-            leadership.onWriteUnknown(clock.nowMs());
+            leadership.onWriteUnknown(sentAtMs, clock.nowMs());
         }
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstanceAddress;
@@ -44,6 +45,7 @@
     private final Clock clock;
     private long demandAtMs;
     private boolean demandPending;
+    private Consumer<Boolean> leadingChanged = leading -> {};
     private boolean wasLeading;
 
     /** Puts the star's end at this entry together. */
@@ -66,7 +68,12 @@
         this.timers = timers;
         this.clock = clock;
         String nonce = settings.node() + "-" + wallClock.nowMs();
-        this.leadership = new Leadership(settings.node(), settings.peerAddress().toString(), nonce, settings.leaseMs());
+        this.leadership = new Leadership(
+                settings.node(),
+                settings.peerAddress().toString(),
+                nonce,
+                settings.leaseMs(),
+                settings.enginesCheckTokens());
         this.lease = new LeaseKeeper(leadership, leaseStore, clock, wallClock, log);
         this.leader = new PlacementLeader(settings.node(), fleet, leadership, lease, control, this, timers, clock, log);
         this.link = new LeaderLink(loop, clock, log, this);
@@ -79,18 +86,26 @@
         timers.every(CHECK_MS, this::check);
     }
 
+    /** Sets what happens when this entry becomes the leader or stops being it. */
+    public void onLeadingChanged(Consumer<Boolean> action) {
+        leadingChanged = action;
+    }
+
     /** Gives the lease up, as at a stop. */
     public void resign() {
         lease.resign();
     }
 
     private void check() {
-        lease.check(link.heard());
+        lease.check(link.heard(), link.ended());
         boolean leading = leadership.leading();
         if (wasLeading && !leading) {
             followers.dismiss();
             fleet.forgetPlacements();
         }
+        if (wasLeading != leading) {
+            leadingChanged.accept(leading);
+        }
         wasLeading = leading;
         link.target(leading ? Optional.empty() : leaderAddress());
         link.check();
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderLink.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderLink.java
@@ -3,9 +3,11 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.util.Optional;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.hawthornglade.core.time.Clock;
@@ -38,6 +40,7 @@
     private final Listener listener;
     private Optional<InstanceAddress> target = Optional.empty();
     private Optional<PeerChannel> open = Optional.empty();
+    private Optional<String> ended = Optional.empty();
     private boolean connecting;
     private long lastTryMs;
     private long heardAtMs;
@@ -65,6 +68,11 @@
         return open.isPresent() && clock.nowMs() - heardAtMs <= SILENCE_MS;
     }
 
+    /** Returns the address of the leader if its process is known to have ended. */
+    public Optional<String> ended() {
+        return ended;
+    }
+
     /** Connects if needed, and ends a connection that has fallen silent; call it now and then. */
     public void check() {
         long nowMs = clock.nowMs();
@@ -98,7 +106,13 @@
                         PeerChannel.install(channel, new Events());
                     }
                 });
-        bootstrap.connect(address.host(), address.port()).addListener(done -> connecting = false);
+        bootstrap.connect(address.host(), address.port()).addListener(done -> {
+            connecting = false;
+            // Nothing listens there although the machine answers: the process has ended.
+            ended = done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException)
+                    ? Optional.of(address.toString())
+                    : Optional.empty();
+        });
     }
 
     /** What happens on the connection. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/StoreFeeds.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/StoreFeeds.java
@@ -4,4 +4,7 @@
 public interface StoreFeeds {
     /** Starts to follow; the listener is called until the process ends. */
     void start(StoreListener listener);
+
+    /** Says whether changes of instances are needed at once, as the placement leader needs them. */
+    void urgent(boolean on);
 }
