--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/architecture/PlatformBoundaryTest.java
@@ -0,0 +1,85 @@
+package org.hawthornglade.app.architecture;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The names of the users' platform stay in the adapter, and nothing but its one wiring place depends on it. */
+class PlatformBoundaryTest {
+    private static final int MAX_ADAPTER_LINES = 2_500;
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+
+    @Test
+    void onlyTheGatewayCommandDependsOnTheAdapter() {
+        JavaClasses classes = new ClassFileImporter()
+                .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+                .importPackages("org.hawthornglade");
+        noClasses()
+                .that()
+                .resideOutsideOfPackage("org.hawthornglade.platform..")
+                .and()
+                .doNotHaveSimpleName("GatewayCommand")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.hawthornglade.platform..")
+                .check(classes);
+    }
+
+    @Test
+    void theAdapterStaysSmall() throws IOException {
+        long lines = 0;
+        for (Path source : sources(ROOT.resolve("platform/src/main/java"))) {
+            lines += Files.readAllLines(source).size();
+        }
+        assertThat(lines).isAtMost(MAX_ADAPTER_LINES);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X-Expect-Instance",
+                "X-Server-Stamp",
+                "X-Not-Run",
+                "X-Token-Count",
+                "X-Prompt-Prefix",
+                "goalMs",
+                "pathPrefix",
+                "coldLeftMs",
+                "rows-feed",
+                "rows-get",
+                "rows-tx",
+                "/v1/order",
+                "/v1/report",
+                "atHand",
+                "HAWTHORNGLADE_NODE_FILE"
+            })
+    void aNameOfThePlatformStandsInTheAdapterOnly(String name) throws IOException {
+        for (String module : List.of("core", "gateway", "app", "node", "entry", "agent", "ports", "protocol")) {
+            for (Path source : sources(ROOT.resolve(module).resolve("src/main"))) {
+                String text = Files.readString(source);
+                boolean named = text.contains("\"" + name + "\"") || text.contains("\"" + name + "?");
+                assertThat(named ? source + " names " + name : "").isEmpty();
+            }
+        }
+    }
+
+    private static List<Path> sources(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            return files.filter(file -> file.toString().endsWith(".java")).toList();
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
+        }
+    }
+}
