--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -6,6 +6,8 @@
 import org.hawthornglade.app.caller.ChatCommand;
 import org.hawthornglade.app.caller.GetCommand;
 import org.hawthornglade.app.check.CheckCommand;
+import org.hawthornglade.app.gateway.GatewayCommand;
+import org.hawthornglade.app.gateway.RehearsalCommand;
 import org.hawthornglade.app.operator.ConfirmCommand;
 import org.hawthornglade.app.operator.DrainCommand;
 import org.hawthornglade.app.operator.ExplainCommand;
@@ -21,6 +23,7 @@
         List<Command> commands = new ArrayList<>();
         commands.add(new EntryCommand());
         commands.add(new GatewayCommand());
+        commands.add(new RehearsalCommand());
         commands.add(new AgentCommand());
         commands.add(new StandinCommand());
         commands.add(new ChatCommand());
--- a/app/src/main/java/org/hawthornglade/app/Main.java
+++ b/app/src/main/java/org/hawthornglade/app/Main.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.hawthornglade.app.gateway.GatewayCommand;
 
 /** Starts the command named by the first argument. */
 public final class Main {
@@ -15,7 +16,9 @@
 
     /** Runs a command and, unless it is a long-running role, ends the process with its exit code. */
     public static void main(String[] args) {
-        ExitCode code = run(args, System.out, System.err);
+        // Traffic does not wait for a restarted entry, so that it starts without the parser of the command line.
+        boolean gateway = args.length == 1 && args[0].equals(GatewayCommand.NAME);
+        ExitCode code = gateway ? run(new GatewayCommand(), System.out, System.err) : run(args, System.out, System.err);
         if (code != ExitCode.RUNNING) {
             System.exit(code.number());
         }
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
@@ -0,0 +1,66 @@
+package org.hawthornglade.app.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.PrintStream;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.Gateway;
+import org.hawthornglade.gateway.GatewaySettings;
+import org.hawthornglade.gateway.exchange.EndpointLinks;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.platform.Platform;
+
+/** An entry with its adapter, put together: the one place that names both. */
+final class GatewayProcess {
+    static {
+        // Netty would set up the logging of the product's other roles, which takes a third of the start.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
+    private final EventLoop loop = new NioEventLoopGroup(1).next();
+    private final Clock clock = Clock.system();
+    private final Timers timers;
+    private final Gateway gateway;
+    private final Platform platform;
+
+    GatewayProcess(GatewaySettings settings, PrintStream out) {
+        EventLog log = new EventLog(clock, out);
+        timers = new Timers(loop, log);
+        EndpointLinks links = new EndpointLinks(loop, clock);
+        platform = Platform.create(loop, timers, clock, log, settings.storeAddress(), links);
+        gateway = new Gateway(
+                settings,
+                loop,
+                timers,
+                clock,
+                log,
+                platform.protocol(),
+                links,
+                platform.lease(),
+                platform.engines(),
+                System::currentTimeMillis);
+    }
+
+    void start() {
+        gateway.start(platform.feeds());
+    }
+
+    void stop() {
+        gateway.stop();
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
@@ -0,0 +1,73 @@
+package org.hawthornglade.app.gateway;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.hawthornglade.app.Command;
+import org.hawthornglade.app.ExitCode;
+import org.hawthornglade.gateway.GatewaySettings;
+import org.hawthornglade.platform.SettingsFile;
+import org.hawthornglade.platform.standin.StandinPlatform;
+
+/** Runs a gateway before a stand-in platform in one process, makes a call of each kind and ends. */
+@Parameters(commandDescription = "Makes a call of each kind through a gateway before a stand-in platform, and ends")
+public final class RehearsalCommand implements Command {
+    private static final int ROUNDS = 12;
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
+    private static final int GATEWAY_PORTS = 10;
+
+    @Parameter(names = "--port", description = "The first of 20 free ports on loopback")
+    private int port = 28_400;
+
+    @Override
+    public String name() {
+        return "rehearsal";
+    }
+
+    @Override
+    public ExitCode run(PrintStream out) throws Exception {
+        GatewayProcess process = new GatewayProcess(settings(), out);
+        new StandinPlatform(process.loop(), process.timers(), process.clock(), port + GATEWAY_PORTS).start();
+        process.start();
+        int failed = 0;
+        HttpClient client = HttpClient.newHttpClient();
+        for (int round = 0; round < ROUNDS; round++) {
+            failed += call(client, "/chat/x", "m" + (1 + round % 3) + (round % 4 == 0 ? "/a1" : ""), round);
+            failed += call(client, "/read/x", "none", round);
+            failed += call(client, "/post/x", "none", round);
+        }
+        out.println("calls: " + 3 * ROUNDS + ", failed: " + failed);
+        process.stop();
+        return failed == 0 ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    /** Settings are written and read as on the platform, so that reading them is rehearsed too. */
+    private GatewaySettings settings() throws IOException {
+        Path file = Files.createTempFile("rehearsal", ".toml");
+        try {
+            Files.writeString(file, StandinPlatform.settings(port, port + GATEWAY_PORTS));
+            return SettingsFile.read(file);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private int call(HttpClient client, String path, String model, int round) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(CALL_TIMEOUT)
+                .header("X-Request-Id", "rehearsal-" + round)
+                .header("X-Model", model)
+                .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                .build();
+        HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+        return response.statusCode() == 200 ? 0 : 1;
+    }
+}
--- a/app/src/test/java/org/hawthornglade/app/architecture/PlatformBoundaryTest.java
+++ b/app/src/test/java/org/hawthornglade/app/architecture/PlatformBoundaryTest.java
@@ -22,15 +22,13 @@
     private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
 
     @Test
-    void onlyTheGatewayCommandDependsOnTheAdapter() {
+    void onlyTheGatewayCommandsDependOnTheAdapter() {
         JavaClasses classes = new ClassFileImporter()
                 .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
                 .importPackages("org.hawthornglade");
         noClasses()
                 .that()
-                .resideOutsideOfPackage("org.hawthornglade.platform..")
-                .and()
-                .doNotHaveSimpleName("GatewayCommand")
+                .resideOutsideOfPackages("org.hawthornglade.platform..", "org.hawthornglade.app.gateway")
                 .should()
                 .dependOnClassesThat()
                 .resideInAPackage("org.hawthornglade.platform..")
--- a/core/src/main/java/org/hawthornglade/core/chart/ChartFile.java
+++ b/core/src/main/java/org/hawthornglade/core/chart/ChartFile.java
@@ -1,5 +1,7 @@
 package org.hawthornglade.core.chart;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -25,6 +27,35 @@
         ignored = ignored == null ? List.of() : List.copyOf(ignored);
     }
 
+    /** Reads a file's content; what is missing stays empty and is found by the checks. */
+    static ChartFile read(JsonNode json) {
+        List<Edge> edges = new ArrayList<>();
+        for (JsonNode edge : json.path("transitions")) {
+            edges.add(new Edge(text(edge, "from"), text(edge, "on"), text(edge, "to")));
+        }
+        List<Ignored> ignored = new ArrayList<>();
+        for (JsonNode entry : json.path("ignored")) {
+            ignored.add(new Ignored(text(entry, "in"), texts(entry, "on")));
+        }
+        return new ChartFile(
+                text(json, "name"),
+                text(json, "about"),
+                text(json, "initial"),
+                texts(json, "terminal"),
+                edges,
+                ignored);
+    }
+
+    private static String text(JsonNode json, String field) {
+        return json.path(field).asText(null);
+    }
+
+    private static List<String> texts(JsonNode json, String field) {
+        List<String> texts = new ArrayList<>();
+        json.path(field).forEach(entry -> texts.add(entry.asText()));
+        return texts;
+    }
+
     /** One edge. */
     record Edge(String from, String on, String to) {}
 
--- a/core/src/main/java/org/hawthornglade/core/chart/ChartLoader.java
+++ b/core/src/main/java/org/hawthornglade/core/chart/ChartLoader.java
@@ -32,7 +32,7 @@
             if (in == null) {
                 throw new ChartException(resource, List.of("no such resource"));
             }
-            return check(MAPPER.readValue(in, ChartFile.class), states, events);
+            return check(ChartFile.read(MAPPER.readTree(in)), states, events);
         } catch (IOException e) {
             throw new ChartException(resource, List.of(e.getMessage()));
         }
--- a/core/src/main/java/org/hawthornglade/core/chart/Charts.java
+++ b/core/src/main/java/org/hawthornglade/core/chart/Charts.java
@@ -20,14 +20,10 @@
     public static final StateChart<PlanState, PlanEvent> PLAN =
             ChartLoader.load("plan.json", PlanState.class, PlanEvent.class);
 
-    /** An entry's part in the lease of the placement leader. */
-    public static final StateChart<LeadershipState, LeadershipEvent> LEADERSHIP =
-            ChartLoader.load("leadership.json", LeadershipState.class, LeadershipEvent.class);
-
     private Charts() {}
 
     /** Returns all charts, in the order of the docs. */
     public static List<StateChart<?, ?>> all() {
-        return List.of(REPLICA, ATTEMPT, ENDPOINT, PLAN, LEADERSHIP);
+        return List.of(REPLICA, ATTEMPT, ENDPOINT, PLAN, LeadershipChart.CHART);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import org.hawthornglade.core.chart.ChartInstance;
-import org.hawthornglade.core.chart.Charts;
+import org.hawthornglade.core.chart.LeadershipChart;
 import org.hawthornglade.core.chart.LeadershipEvent;
 import org.hawthornglade.core.chart.LeadershipState;
 import org.hawthornglade.core.result.Failure;
@@ -38,7 +38,7 @@
     private final String nonce;
     private final long leaseMs;
     private final boolean enginesCheckTokens;
-    private final ChartInstance<LeadershipState, LeadershipEvent> state = Charts.LEADERSHIP.start();
+    private final ChartInstance<LeadershipState, LeadershipEvent> state = LeadershipChart.CHART.start();
     private StoredLease seen = new StoredLease(-1, Optional.empty());
     private long seenSinceMs;
     private long nextReadMs;
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -61,6 +61,7 @@
     private final WaitingCalls waiting = new WaitingCalls();
     private final EndpointLinks links;
     private final PlacementStar star;
+    private final CallEntrance entrance;
     private final CallerServer callers;
     private final CallerServer readiness;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -98,7 +99,7 @@
                 new RetryBudgets(settings.retryShare() / 2, Math.max(2, settings.retryBurst() / BUDGET_PARTS)),
                 protocol,
                 log);
-        CallEntrance entrance = new CallEntrance(context, () -> configuration, collector::onCall, new Random());
+        this.entrance = new CallEntrance(context, () -> configuration, collector::onCall, new Random());
         this.callers = new CallerServer(loop, timers, clock, this::limits, entrance);
         this.readiness = new CallerServer(loop, timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
     }
@@ -112,10 +113,10 @@
 
     /** Starts to listen and to follow the store; must not be called on the event loop. */
     public void start(StoreFeeds feeds) {
+        callers.listen(settings.callerAddress());
         star.onLeadingChanged(feeds::urgent);
         star.start();
         readiness.listen(settings.readinessAddress());
-        callers.listen(settings.callerAddress());
         timers.run(() -> feeds.start(this));
         timers.every(WAITING_CHECK_MS, this::tick);
         log.event("start")
@@ -198,6 +199,7 @@
         configuration = Optional.of(received);
         log.event("config").with("version", received.version()).write();
         star.onConfiguration(received);
+        entrance.releaseEarly();
         waiting.reconsider();
     }
 
@@ -205,6 +207,7 @@
     public void onInstances(Collection<InstanceRecord> records) {
         fleet.onSnapshot(records, clock.nowMs());
         log.event("instances").with("count", records.size()).write();
+        entrance.releaseEarly();
         fleetChanged();
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
@@ -36,6 +36,7 @@
     private final Supplier<Optional<ServingConfiguration>> configuration;
     private final Consumer<CallView> arrivals;
     private final Random random;
+    private final EarlyCalls early;
     private long calls;
 
     /**
@@ -52,6 +53,7 @@
             Random random) {
         this.arrivals = arrivals;
         this.context = context;
+        this.early = new EarlyCalls(context.timers());
         this.configuration = configuration;
         this.random = random;
     }
@@ -70,8 +72,11 @@
         }
         CallRequest request = read.get();
         Optional<ServingConfiguration> known = configuration.get();
-        if (known.isEmpty()) {
-            answer(call, request.id(), ResultCode.NOT_READY, NOT_READY_RETRY_MS, "no configuration yet");
+        if (known.isEmpty() || !context.fleet().loaded()) {
+            early.hold(
+                    call,
+                    late -> answer(
+                            late, request.id(), ResultCode.NOT_READY, NOT_READY_RETRY_MS, "no configuration yet"));
             return;
         }
         String host = call.head().headers().get(HttpHeaderNames.HOST);
@@ -88,6 +93,13 @@
         start(call, request, route.get(), known.get());
     }
 
+    /** Goes on with the calls that arrived too early; call it when something has become known. */
+    public void releaseEarly() {
+        if (configuration.get().isPresent() && context.fleet().loaded()) {
+            early.release(this::onCall);
+        }
+    }
+
     private void start(IncomingCall call, CallRequest request, Route route, ServingConfiguration known) {
         ServiceName service = pick(route.targets());
         boolean runsModels =
