--- a/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
@@ -51,7 +51,7 @@
 
     /** Settings are written and read as on the platform, so that reading them is rehearsed too. */
     private GatewaySettings settings() throws IOException {
-        Path file = Files.createTempFile("rehearsal", ".toml");
+        Path file = Files.createTempFile("rehearsal", ".json");
         try {
             Files.writeString(file, StandinPlatform.settings(port, port + GATEWAY_PORTS));
             return SettingsFile.read(file);
