--- a/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
@@ -42,7 +42,8 @@
         ModelDemand demand = call.demand().orElseThrow();
         List<Endpoint> holders = new ArrayList<>();
         for (Endpoint endpoint : usable) {
-            if (endpoint.serves(demand.model(), demand.adapter(), nowMs)) {
+            boolean reachable = !endpoint.health().unreachable(nowMs);
+            if (reachable && endpoint.serves(demand.model(), demand.adapter(), nowMs)) {
                 holders.add(endpoint);
             }
         }
--- a/core/src/main/java/org/hawthornglade/core/fleet/EndpointHealth.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/EndpointHealth.java
@@ -22,11 +22,13 @@
     private long rateAtMs;
     private long pauseMs;
     private long pausedUntilMs;
+    private long unreachableUntilMs;
 
     /** Takes note of a good answer. */
     public void onSuccess(long nowMs) {
         note(0, nowMs);
         pauseMs = 0;
+        unreachableUntilMs = 0;
         pausedUntilMs = failureRate > SUSPECT_RATE ? pausedUntilMs : 0;
     }
 
@@ -42,6 +44,12 @@
     public void onUnreachable(long nowMs) {
         note(1, nowMs);
         pause(nowMs);
+        unreachableUntilMs = pausedUntilMs;
+    }
+
+    /** Returns whether the endpoint could lately not be reached; nothing should be sent there for now. */
+    public boolean unreachable(long nowMs) {
+        return nowMs < unreachableUntilMs;
     }
 
     /** Returns whether requests should go elsewhere if they can. */
--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -24,6 +24,8 @@
     private static final long READ_EVERY_MS = 300;
     /** A leader renews this many times within a lease. */
     private static final long RENEWALS_PER_LEASE = 3;
+    /** Where engines check tokens a shorter lease loses nothing and brings a new leader sooner. */
+    private static final long CHECKED_LEASE_MS = 1_800;
     /** A leader stops ordering this long before its lease ends. */
     private static final long SAFETY_MS = 400;
     /** By how much the wall clock may run ahead of the steady one before a suspension is assumed. */
@@ -64,7 +66,7 @@
         this.node = node;
         this.address = address;
         this.nonce = nonce;
-        this.leaseMs = leaseMs;
+        this.leaseMs = enginesCheckTokens ? Math.min(leaseMs, CHECKED_LEASE_MS) : leaseMs;
     }
 
     /** Returns whether the row should be read now. */
@@ -72,6 +74,16 @@
         return state.state() == LeadershipState.FOLLOWING && !leaderHeard && !callOpen && nowMs >= nextReadMs;
     }
 
+    /**
+     * Takes note that the leader was heard after it had written a revision. When the row still has that revision later,
+     * it has stood still at least since then.
+     */
+    public void onLeaderHeard(long revision, long nowMs) {
+        if (state.state() == LeadershipState.FOLLOWING && revision > seen.revision()) {
+            note(new StoredLease(revision, seen.row()), nowMs);
+        }
+    }
+
     /** Takes note that a read is sent. */
     public void onReadSent(long nowMs) {
         callOpen = true;
--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -29,6 +29,8 @@
     private static final long ANSWER_MS = 60;
     /** How long after the expected end of an order its effect is looked up at the engine itself. */
     private static final long OVERDUE_MS = 150;
+    /** A load that is late by more than this is taken to be lost. */
+    private static final long LOST_LOAD_MS = 1_500;
     /** How old a report is at the most; one asked for earlier after an order does not show the order's effect. */
     private static final long REPORT_LAG_MS = 300;
 
@@ -41,6 +43,7 @@
     private Optional<ModelName> goal = Optional.empty();
     private boolean known;
     private boolean busyElsewhere;
+    private boolean unreachable;
     private long reportNotBeforeMs;
     private long remoteUntilMs;
 
@@ -94,13 +97,43 @@
         goal = Optional.empty();
         known = false;
         busyElsewhere = false;
+        unreachable = false;
         version = new InstanceVersion(record.bornMs(), 0);
         takeModels(record.models(), nowMs);
         takeCopies(record.inMemory(), record.onDisk());
     }
 
+    /** Takes note that the engine did not answer a report. */
+    public void onReportFailed() {
+        known = false;
+        unreachable = true;
+    }
+
+    /** Takes note that an entry cannot reach the engine; the engine itself is asked next. */
+    public void doubt(long nowMs) {
+        if (known) {
+            known = false;
+            reportNotBeforeMs = nowMs;
+        }
+    }
+
+    /** Returns whether the engine is expected to run what is sent to it. */
+    boolean trusted() {
+        return !unreachable && !listed.leaving();
+    }
+
+    /** Returns whether a model is here, or is coming within the time that was expected. */
+    boolean offers(ModelName model, long nowMs) {
+        Resident resident = models.get(model);
+        if (resident == null || !trusted() || resident.status() == ReplicaStatus.UNLOADING) {
+            return false;
+        }
+        return resident.ready() || nowMs <= resident.readyAtMs() + LOST_LOAD_MS;
+    }
+
     /** Takes the engine's own report. */
     public void onReport(EngineReport report, long nowMs) {
+        unreachable = false;
         reportNotBeforeMs = nowMs + REPORT_LAG_MS;
         boolean otherStart = report.version().bornMs() != 0 && report.version().bornMs() != version.bornMs();
         boolean older = report.version().orderSequence() < version.orderSequence();
@@ -231,7 +264,7 @@
 
     /** Returns whether an adapter order may be sent. */
     public boolean takesAdapterOrder() {
-        return known && open.isEmpty() && !listed.leaving();
+        return known && open.isEmpty() && trusted();
     }
 
     /** Returns the model for which room is being made. */
@@ -257,7 +290,7 @@
 
     boolean serves(ModelName model) {
         Resident resident = models.get(model);
-        return resident != null && resident.ready() && !listed.leaving();
+        return resident != null && resident.ready() && trusted();
     }
 
     /** Returns whether the engine has a copy of the weights at hand, so that no load from the store is needed. */
--- a/core/src/main/java/org/hawthornglade/core/replica/EntryDemand.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EntryDemand.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
@@ -13,15 +14,18 @@
  * @param waiting the calls that wait there
  * @param arrivals the calls that have asked for each model
  * @param running the calls under way at each instance, by variant
+ * @param unreachable the instances that the entry lately failed to reach
  */
 public record EntryDemand(
         List<VariantDemand> waiting,
         Map<ModelName, ModelArrivals> arrivals,
-        Map<InstanceId, Map<Variant, Integer>> running) {
+        Map<InstanceId, Map<Variant, Integer>> running,
+        Set<InstanceId> unreachable) {
     /** Copies the collections. */
     public EntryDemand {
         waiting = List.copyOf(waiting);
         arrivals = ImmutableMap.copyOf(arrivals);
         running = ImmutableMap.copyOf(running);
+        unreachable = Set.copyOf(unreachable);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/replica/HostChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/HostChooser.java
@@ -26,7 +26,7 @@
         double bestMs = Double.POSITIVE_INFINITY;
         for (EngineBook book : books) {
             boolean possible = book.atHand(model.name()) || mayLoadRemotely;
-            if (!possible || book.listed().leaving() || book.goal().isPresent()) {
+            if (!possible || !book.trusted() || book.goal().isPresent()) {
                 continue;
             }
             double costMs = book.freeInMs(nowMs) + costMs(book, model, books, nowMs);
@@ -74,10 +74,7 @@
     }
 
     private static boolean free(EngineBook book, Set<EngineBook> taken) {
-        return !taken.contains(book)
-                && book.takesModelOrder()
-                && book.goal().isEmpty()
-                && !book.listed().leaving();
+        return !taken.contains(book) && book.takesModelOrder() && book.goal().isEmpty();
     }
 
     private double costMs(EngineBook book, ModelDefinition model, Collection<EngineBook> books, long nowMs) {
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -56,7 +56,7 @@
             }
         }
         for (VariantDemand each : waiting) {
-            if (wanted(each.variant().model(), books)) {
+            if (wanted(each.variant().model(), books, nowMs)) {
                 bring(each.variant().model(), books, taken, orders, nowMs);
             }
         }
@@ -86,13 +86,13 @@
     }
 
     /** Returns whether a model that calls wait for is on no engine and on no way to one. */
-    private boolean wanted(ModelName model, Collection<EngineBook> books) {
+    private boolean wanted(ModelName model, Collection<EngineBook> books, long nowMs) {
         if (!engine.models().containsKey(model)) {
             return false;
         }
         for (EngineBook book : books) {
-            boolean coming = book.goal().equals(Optional.of(model));
-            if (!book.listed().leaving() && (coming || book.holds(model))) {
+            boolean coming = book.trusted() && book.goal().equals(Optional.of(model));
+            if (coming || book.offers(model, nowMs)) {
                 return false;
             }
         }
@@ -187,7 +187,7 @@
         int copies = 0;
         for (EngineBook book : books) {
             boolean here = book.holds(model) || book.goal().equals(Optional.of(model));
-            copies += here && !book.listed().leaving() ? 1 : 0;
+            copies += here && book.trusted() ? 1 : 0;
         }
         return copies;
     }
--- a/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.serving.EngineDefinition;
@@ -24,6 +23,8 @@
     private static final double WAIT_FACTOR = 2;
     /** How long a model stays at least, so that the calls which it came for arrive. */
     private static final long SETTLE_MS = 700;
+    /** How long a model that may not go now is expected to stay. */
+    private static final double STAY_MS = 1_200;
     /** An unload waits for the calls that run; they take about this long. */
     private static final double RUNNING_MS = 1_500;
     /** An unload of a model that nobody uses. */
@@ -43,29 +44,35 @@
         return sorted.isEmpty() ? Optional.empty() : Optional.of(sorted.get(0));
     }
 
-    /** Returns what making room for a model costs, in milliseconds of waiting; infinite if that is not possible. */
+    /**
+     * Returns what making room for a model costs, in milliseconds of waiting; infinite if that is not possible.
+     *
+     * <p>A model that has to stay for the moment counts with the time until it may go.
+     */
     double costMs(EngineBook book, ModelDefinition wanted, Collection<EngineBook> books, long nowMs) {
         double missingMb = book.usedMb(engine) + wanted.sizeMb() - engine.modelMemoryMb();
         double costMs = 0;
-        for (ModelName victim : cheapestFirst(book, books, nowMs)) {
+        for (ModelName victim : allCheapestFirst(book, books, nowMs)) {
             if (missingMb <= 0) {
                 return costMs;
             }
             missingMb -= engine.models().containsKey(victim)
                     ? engine.models().get(victim).sizeMb()
                     : 0;
-            costMs += removalMs(book, victim, books, nowMs);
+            boolean mayGo = mayGo(victim, book.models().get(victim), nowMs);
+            costMs += removalMs(book, victim, books, nowMs) + (mayGo ? 0 : STAY_MS);
         }
         return missingMb <= 0 ? costMs : Double.POSITIVE_INFINITY;
     }
 
     private List<ModelName> cheapestFirst(EngineBook book, Collection<EngineBook> books, long nowMs) {
-        List<ModelName> models = new ArrayList<>();
-        for (Map.Entry<ModelName, Resident> entry : book.models().entrySet()) {
-            if (mayGo(entry.getKey(), entry.getValue(), nowMs)) {
-                models.add(entry.getKey());
-            }
-        }
+        List<ModelName> models = allCheapestFirst(book, books, nowMs);
+        models.removeIf(model -> !mayGo(model, book.models().get(model), nowMs));
+        return models;
+    }
+
+    private List<ModelName> allCheapestFirst(EngineBook book, Collection<EngineBook> books, long nowMs) {
+        List<ModelName> models = new ArrayList<>(book.models().keySet());
         models.sort(Comparator.comparingDouble((ModelName model) -> removalMs(book, model, books, nowMs))
                 .thenComparing(model -> model));
         return models;
--- a/core/src/test/java/org/hawthornglade/core/replica/EngineBookTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/EngineBookTest.java
@@ -99,6 +99,29 @@
         assertThat(book.serves(M0)).isTrue();
     }
 
+    @Test
+    void anEngineThatDoesNotAnswerOffersNothingUntilItDoes() {
+        book.onReport(report(4, false, M0), 0);
+        assertThat(book.offers(M0, 0)).isTrue();
+        book.doubt(10);
+        assertThat(book.needsReport(10)).isTrue();
+        book.onReportFailed();
+        assertThat(book.offers(M0, 20)).isFalse();
+        assertThat(book.takesModelOrder()).isFalse();
+        book.onReport(report(4, false, M0), 900);
+        assertThat(book.offers(M0, 900)).isTrue();
+    }
+
+    @Test
+    void aLoadThatIsLongOverdueIsNoOffer() {
+        book.onReport(report(4, false, M0), 0);
+        ReplicaOrder order = order(OrderAction.LOAD, M1);
+        book.onSent(order, 10);
+        book.onAnswer(order, OrderOutcome.ACCEPTED, 800, 20);
+        assertThat(book.offers(M1, 820)).isTrue();
+        assertThat(book.offers(M1, 2_500)).isFalse();
+    }
+
     @Test
     void aRestartUnderTheSameIdForgetsEverything() {
         book.onReport(report(4, false, M0), 0);
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
@@ -34,6 +34,25 @@
         assertThat(world.plan()).isEmpty();
     }
 
+    @Test
+    void anEngineWhoseModelsHaveToStayForAMomentIsWaitedForToo() {
+        ReplicaWorld world = new ReplicaWorld(5, 2)
+                .engine("a", List.of("m0", "m1"), List.of("m0", "m1", "m4"))
+                .engine("b", List.of(), List.of());
+        world.waiting(2_000, "m0", "m1", "m4");
+        assertThat(world.plan()).containsExactly("b LOAD m2");
+    }
+
+    @Test
+    void aModelWhoseEngineFellSilentIsBroughtElsewhere() {
+        ReplicaWorld world = new ReplicaWorld(3, 0)
+                .engine("a", List.of("m0"), List.of("m0"))
+                .engine("b", List.of("m1"), List.of("m0", "m1"));
+        world.books.get(0).onReportFailed();
+        world.waiting(2_000, "m0");
+        assertThat(world.plan()).containsExactly("b LOAD m0");
+    }
+
     @Test
     void theModelThatItsCallersMissLeastMakesRoom() {
         ReplicaWorld world = new ReplicaWorld(3, 0).engine("a", List.of("m0", "m1"), List.of("m0", "m1", "m2"));
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
@@ -60,8 +62,9 @@
     /** Returns the demand as it is now. */
     public DemandNews collect(long nowMs) {
         Map<ServiceName, EntryDemand> services = new HashMap<>();
-        arrivals.forEach((service, counts) ->
-                services.put(service, new EntryDemand(waiting(service, nowMs), counts, running(service))));
+        arrivals.forEach((service, counts) -> services.put(
+                service,
+                new EntryDemand(waiting(service, nowMs), counts, running(service), unreachable(service, nowMs))));
         return new DemandNews(entry, services);
     }
 
@@ -82,6 +85,16 @@
         return new VariantDemand(new Variant(demand.model(), demand.adapter()), 1, slackMs);
     }
 
+    private Set<InstanceId> unreachable(ServiceName service, long nowMs) {
+        Set<InstanceId> unreachable = new HashSet<>();
+        for (Endpoint endpoint : fleet.usable(service)) {
+            if (endpoint.health().unreachable(nowMs)) {
+                unreachable.add(endpoint.id());
+            }
+        }
+        return unreachable;
+    }
+
     private Map<InstanceId, Map<Variant, Integer>> running(ServiceName service) {
         Map<InstanceId, Map<Variant, Integer>> running = new HashMap<>();
         for (Endpoint endpoint : fleet.all()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -14,6 +14,7 @@
 import org.hawthornglade.core.replica.OrderAction;
 import org.hawthornglade.core.replica.OrderOutcome;
 import org.hawthornglade.core.replica.ReplicaOrder;
+import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.serving.ModelDefinition;
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
@@ -91,6 +92,9 @@
             EnginePark park = parks.get(service);
             if (park != null) {
                 park.demand().onDemand(news.entry(), demand, clock.nowMs());
+                for (InstanceId id : demand.unreachable()) {
+                    park.book(id).ifPresent(book -> book.doubt(clock.nowMs()));
+                }
             }
         });
         wake();
@@ -150,16 +154,21 @@
                 book.onReportAsked(nowMs);
                 control.report(book.listed(), answer -> {
                     answer.peek(report -> book.onReport(report, clock.nowMs()));
-                    answer.peekLeft(failure -> log.event("report-failed")
-                            .with("instance", book.id())
-                            .with("reason", failure.message())
-                            .write());
+                    answer.peekLeft(failure -> reportFailed(book, failure));
                     wake();
                 });
             }
         }
     }
 
+    private void reportFailed(EngineBook book, Failure failure) {
+        book.onReportFailed();
+        log.event("report-failed")
+                .with("instance", book.id())
+                .with("reason", failure.message())
+                .write();
+    }
+
     private boolean sendOrders(EnginePark park) {
         List<ReplicaOrder> orders = park.planner().plan(park.books(), clock.nowMs());
         for (ReplicaOrder order : orders) {
@@ -230,6 +239,6 @@
                 running.put(book.id(), park.demand().running(book.id(), nowMs));
             }
         }
-        audience.onNews(new PlacementNews(leadership.token(), placements, running));
+        audience.onNews(new PlacementNews(leadership.token(), leadership.seen().revision(), placements, running));
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
@@ -165,6 +165,8 @@
         }
         if (leadership.leading()) {
             followers.send(news);
+        } else {
+            leadership.onLeaderHeard(news.leaseRevision(), nowMs);
         }
         waiting.reconsider();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
@@ -50,7 +52,8 @@
             instances.add(placedInstance(placement, running, nowMs));
         }
         PeerMessage message = new PeerMessage();
-        message.setPlacement(new org.hawthornglade.protocol.gen.peer.PlacementNews(news.token(), instances));
+        message.setPlacement(
+                new org.hawthornglade.protocol.gen.peer.PlacementNews(news.token(), instances, news.leaseRevision()));
         return bytes(message);
     }
 
@@ -78,7 +81,9 @@
     }
 
     private static ServiceDemand serviceDemand(ServiceName service, EntryDemand demand) {
-        ServiceDemand coded = new ServiceDemand(service.value(), new ArrayList<>(), new HashMap<>(), new ArrayList<>());
+        ServiceDemand coded = new ServiceDemand(
+                service.value(), new ArrayList<>(), new HashMap<>(), new ArrayList<>(), new ArrayList<>());
+        demand.unreachable().forEach(instance -> coded.addToUnreachable(instance.value()));
         for (VariantDemand each : demand.waiting()) {
             Waiting waiting = new Waiting(each.variant().model().value(), each.calls(), each.slackMs());
             each.variant().adapter().ifPresent(adapter -> waiting.setAdapter(adapter.value()));
@@ -127,7 +132,9 @@
             }
             running.put(InstanceId.of(use.getInstance()), counts);
         }
-        return new EntryDemand(waiting, arrivals, running);
+        Set<InstanceId> unreachable = new HashSet<>();
+        coded.getUnreachable().forEach(instance -> unreachable.add(InstanceId.of(instance)));
+        return new EntryDemand(waiting, arrivals, running, unreachable);
     }
 
     private static Variant variant(String model, String adapter) {
@@ -158,7 +165,7 @@
             placements.add(new InstancePlacement(id, instance.getBornMs(), models(instance, nowMs)));
             running.put(id, instance.getRunning());
         }
-        return new PlacementNews(coded.getFencingToken(), placements, running);
+        return new PlacementNews(coded.getFencingToken(), coded.getLeaseRevision(), placements, running);
     }
 
     private static Map<ModelName, ReplicaState> models(PlacedInstance instance, long nowMs) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementNews.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementNews.java
@@ -9,10 +9,12 @@
  * What the leader tells entries.
  *
  * @param token the leader's fencing token
+ * @param leaseRevision the revision of the lease row that the leader wrote last
  * @param placements the engines
  * @param running the calls under way at each of them from all entries
  */
-public record PlacementNews(long token, List<InstancePlacement> placements, Map<InstanceId, Integer> running) {
+public record PlacementNews(
+        long token, long leaseRevision, List<InstancePlacement> placements, Map<InstanceId, Integer> running) {
     /** Copies the collections. */
     public PlacementNews {
         placements = List.copyOf(placements);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/DemandReport.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/DemandReport.java
@@ -429,14 +429,14 @@
           case 2: // SERVICES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list34 = iprot.readListBegin();
-                struct.services = new java.util.ArrayList<ServiceDemand>(_list34.size);
-                @org.apache.thrift.annotation.Nullable ServiceDemand _elem35;
-                for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+                org.apache.thrift.protocol.TList _list42 = iprot.readListBegin();
+                struct.services = new java.util.ArrayList<ServiceDemand>(_list42.size);
+                @org.apache.thrift.annotation.Nullable ServiceDemand _elem43;
+                for (int _i44 = 0; _i44 < _list42.size; ++_i44)
                 {
-                  _elem35 = new ServiceDemand();
-                  _elem35.read(iprot);
-                  struct.services.add(_elem35);
+                  _elem43 = new ServiceDemand();
+                  _elem43.read(iprot);
+                  struct.services.add(_elem43);
                 }
                 iprot.readListEnd();
               }
@@ -470,9 +470,9 @@
         oprot.writeFieldBegin(SERVICES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.services.size()));
-          for (ServiceDemand _iter37 : struct.services)
+          for (ServiceDemand _iter45 : struct.services)
           {
-            _iter37.write(oprot);
+            _iter45.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -510,9 +510,9 @@
       if (struct.isSetServices()) {
         {
           oprot.writeI32(struct.services.size());
-          for (ServiceDemand _iter38 : struct.services)
+          for (ServiceDemand _iter46 : struct.services)
           {
-            _iter38.write(oprot);
+            _iter46.write(oprot);
           }
         }
       }
@@ -528,14 +528,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list39 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.services = new java.util.ArrayList<ServiceDemand>(_list39.size);
-          @org.apache.thrift.annotation.Nullable ServiceDemand _elem40;
-          for (int _i41 = 0; _i41 < _list39.size; ++_i41)
+          org.apache.thrift.protocol.TList _list47 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.services = new java.util.ArrayList<ServiceDemand>(_list47.size);
+          @org.apache.thrift.annotation.Nullable ServiceDemand _elem48;
+          for (int _i49 = 0; _i49 < _list47.size; ++_i49)
           {
-            _elem40 = new ServiceDemand();
-            _elem40.read(iprot);
-            struct.services.add(_elem40);
+            _elem48 = new ServiceDemand();
+            _elem48.read(iprot);
+            struct.services.add(_elem48);
           }
         }
         struct.setServicesIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedInstance.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedInstance.java
@@ -600,14 +600,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list52 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<PlacedModel>(_list52.size);
-                @org.apache.thrift.annotation.Nullable PlacedModel _elem53;
-                for (int _i54 = 0; _i54 < _list52.size; ++_i54)
+                org.apache.thrift.protocol.TList _list60 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<PlacedModel>(_list60.size);
+                @org.apache.thrift.annotation.Nullable PlacedModel _elem61;
+                for (int _i62 = 0; _i62 < _list60.size; ++_i62)
                 {
-                  _elem53 = new PlacedModel();
-                  _elem53.read(iprot);
-                  struct.models.add(_elem53);
+                  _elem61 = new PlacedModel();
+                  _elem61.read(iprot);
+                  struct.models.add(_elem61);
                 }
                 iprot.readListEnd();
               }
@@ -652,9 +652,9 @@
         oprot.writeFieldBegin(MODELS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-          for (PlacedModel _iter55 : struct.models)
+          for (PlacedModel _iter63 : struct.models)
           {
-            _iter55.write(oprot);
+            _iter63.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -704,9 +704,9 @@
       if (struct.isSetModels()) {
         {
           oprot.writeI32(struct.models.size());
-          for (PlacedModel _iter56 : struct.models)
+          for (PlacedModel _iter64 : struct.models)
           {
-            _iter56.write(oprot);
+            _iter64.write(oprot);
           }
         }
       }
@@ -729,14 +729,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list57 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.models = new java.util.ArrayList<PlacedModel>(_list57.size);
-          @org.apache.thrift.annotation.Nullable PlacedModel _elem58;
-          for (int _i59 = 0; _i59 < _list57.size; ++_i59)
+          org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<PlacedModel>(_list65.size);
+          @org.apache.thrift.annotation.Nullable PlacedModel _elem66;
+          for (int _i67 = 0; _i67 < _list65.size; ++_i67)
           {
-            _elem58 = new PlacedModel();
-            _elem58.read(iprot);
-            struct.models.add(_elem58);
+            _elem66 = new PlacedModel();
+            _elem66.read(iprot);
+            struct.models.add(_elem66);
           }
         }
         struct.setModelsIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedModel.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedModel.java
@@ -631,15 +631,15 @@
           case 4: // ADAPTERS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map42 = iprot.readMapBegin();
-                struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map42.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key43;
-                @org.apache.thrift.annotation.Nullable PlacedStatus _val44;
-                for (int _i45 = 0; _i45 < _map42.size; ++_i45)
+                org.apache.thrift.protocol.TMap _map50 = iprot.readMapBegin();
+                struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map50.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key51;
+                @org.apache.thrift.annotation.Nullable PlacedStatus _val52;
+                for (int _i53 = 0; _i53 < _map50.size; ++_i53)
                 {
-                  _key43 = iprot.readString();
-                  _val44 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
-                  struct.adapters.put(_key43, _val44);
+                  _key51 = iprot.readString();
+                  _val52 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
+                  struct.adapters.put(_key51, _val52);
                 }
                 iprot.readMapEnd();
               }
@@ -681,10 +681,10 @@
         oprot.writeFieldBegin(ADAPTERS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32, struct.adapters.size()));
-          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter46 : struct.adapters.entrySet())
+          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter54 : struct.adapters.entrySet())
           {
-            oprot.writeString(_iter46.getKey());
-            oprot.writeI32(_iter46.getValue().getValue());
+            oprot.writeString(_iter54.getKey());
+            oprot.writeI32(_iter54.getValue().getValue());
           }
           oprot.writeMapEnd();
         }
@@ -734,10 +734,10 @@
       if (struct.isSetAdapters()) {
         {
           oprot.writeI32(struct.adapters.size());
-          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter47 : struct.adapters.entrySet())
+          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter55 : struct.adapters.entrySet())
           {
-            oprot.writeString(_iter47.getKey());
-            oprot.writeI32(_iter47.getValue().getValue());
+            oprot.writeString(_iter55.getKey());
+            oprot.writeI32(_iter55.getValue().getValue());
           }
         }
       }
@@ -761,15 +761,15 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TMap _map48 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32); 
-          struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map48.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key49;
-          @org.apache.thrift.annotation.Nullable PlacedStatus _val50;
-          for (int _i51 = 0; _i51 < _map48.size; ++_i51)
+          org.apache.thrift.protocol.TMap _map56 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32); 
+          struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map56.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key57;
+          @org.apache.thrift.annotation.Nullable PlacedStatus _val58;
+          for (int _i59 = 0; _i59 < _map56.size; ++_i59)
           {
-            _key49 = iprot.readString();
-            _val50 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
-            struct.adapters.put(_key49, _val50);
+            _key57 = iprot.readString();
+            _val58 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
+            struct.adapters.put(_key57, _val58);
           }
         }
         struct.setAdaptersIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
@@ -15,17 +15,23 @@
 
   private static final org.apache.thrift.protocol.TField FENCING_TOKEN_FIELD_DESC = new org.apache.thrift.protocol.TField("fencingToken", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField INSTANCES_FIELD_DESC = new org.apache.thrift.protocol.TField("instances", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField LEASE_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("leaseRevision", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PlacementNewsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PlacementNewsTupleSchemeFactory();
 
   private long fencingToken; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<PlacedInstance> instances; // required
+  private long leaseRevision; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     FENCING_TOKEN((short)1, "fencingToken"),
-    INSTANCES((short)2, "instances");
+    INSTANCES((short)2, "instances"),
+    /**
+     * The revision of the lease row that the leader wrote last.
+     */
+    LEASE_REVISION((short)3, "leaseRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +51,8 @@
           return FENCING_TOKEN;
         case 2: // INSTANCES
           return INSTANCES;
+        case 3: // LEASE_REVISION
+          return LEASE_REVISION;
         default:
           return null;
       }
@@ -89,6 +97,7 @@
 
   // isset id assignments
   private static final int __FENCINGTOKEN_ISSET_ID = 0;
+  private static final int __LEASEREVISION_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -98,6 +107,8 @@
     tmpMap.put(_Fields.INSTANCES, new org.apache.thrift.meta_data.FieldMetaData("instances", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PlacedInstance.class))));
+    tmpMap.put(_Fields.LEASE_REVISION, new org.apache.thrift.meta_data.FieldMetaData("leaseRevision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PlacementNews.class, metaDataMap);
   }
@@ -107,12 +118,15 @@
 
   public PlacementNews(
     long fencingToken,
-    java.util.List<PlacedInstance> instances)
+    java.util.List<PlacedInstance> instances,
+    long leaseRevision)
   {
     this();
     this.fencingToken = fencingToken;
     setFencingTokenIsSet(true);
     this.instances = instances;
+    this.leaseRevision = leaseRevision;
+    setLeaseRevisionIsSet(true);
   }
 
   /**
@@ -128,6 +142,7 @@
       }
       this.instances = __this__instances;
     }
+    this.leaseRevision = other.leaseRevision;
   }
 
   @Override
@@ -140,6 +155,8 @@
     setFencingTokenIsSet(false);
     this.fencingToken = 0;
     this.instances = null;
+    setLeaseRevisionIsSet(false);
+    this.leaseRevision = 0;
   }
 
   public long getFencingToken() {
@@ -206,6 +223,35 @@
     }
   }
 
+  /**
+   * The revision of the lease row that the leader wrote last.
+   */
+  public long getLeaseRevision() {
+    return this.leaseRevision;
+  }
+
+  /**
+   * The revision of the lease row that the leader wrote last.
+   */
+  public PlacementNews setLeaseRevision(long leaseRevision) {
+    this.leaseRevision = leaseRevision;
+    setLeaseRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetLeaseRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEASEREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field leaseRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaseRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEASEREVISION_ISSET_ID);
+  }
+
+  public void setLeaseRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEASEREVISION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -225,6 +271,14 @@
       }
       break;
 
+    case LEASE_REVISION:
+      if (value == null) {
+        unsetLeaseRevision();
+      } else {
+        setLeaseRevision((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -238,6 +292,9 @@
     case INSTANCES:
       return getInstances();
 
+    case LEASE_REVISION:
+      return getLeaseRevision();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -254,6 +311,8 @@
       return isSetFencingToken();
     case INSTANCES:
       return isSetInstances();
+    case LEASE_REVISION:
+      return isSetLeaseRevision();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -289,6 +348,15 @@
         return false;
     }
 
+    boolean this_present_leaseRevision = true;
+    boolean that_present_leaseRevision = true;
+    if (this_present_leaseRevision || that_present_leaseRevision) {
+      if (!(this_present_leaseRevision && that_present_leaseRevision))
+        return false;
+      if (this.leaseRevision != that.leaseRevision)
+        return false;
+    }
+
     return true;
   }
 
@@ -302,6 +370,8 @@
     if (isSetInstances())
       hashCode = hashCode * 8191 + instances.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(leaseRevision);
+
     return hashCode;
   }
 
@@ -333,6 +403,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaseRevision(), other.isSetLeaseRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaseRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaseRevision, other.leaseRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -368,6 +448,10 @@
       sb.append(this.instances);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("leaseRevision:");
+    sb.append(this.leaseRevision);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -426,14 +510,14 @@
           case 2: // INSTANCES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list60 = iprot.readListBegin();
-                struct.instances = new java.util.ArrayList<PlacedInstance>(_list60.size);
-                @org.apache.thrift.annotation.Nullable PlacedInstance _elem61;
-                for (int _i62 = 0; _i62 < _list60.size; ++_i62)
+                org.apache.thrift.protocol.TList _list68 = iprot.readListBegin();
+                struct.instances = new java.util.ArrayList<PlacedInstance>(_list68.size);
+                @org.apache.thrift.annotation.Nullable PlacedInstance _elem69;
+                for (int _i70 = 0; _i70 < _list68.size; ++_i70)
                 {
-                  _elem61 = new PlacedInstance();
-                  _elem61.read(iprot);
-                  struct.instances.add(_elem61);
+                  _elem69 = new PlacedInstance();
+                  _elem69.read(iprot);
+                  struct.instances.add(_elem69);
                 }
                 iprot.readListEnd();
               }
@@ -442,6 +526,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // LEASE_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.leaseRevision = iprot.readI64();
+              struct.setLeaseRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -465,14 +557,17 @@
         oprot.writeFieldBegin(INSTANCES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.instances.size()));
-          for (PlacedInstance _iter63 : struct.instances)
+          for (PlacedInstance _iter71 : struct.instances)
           {
-            _iter63.write(oprot);
+            _iter71.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(LEASE_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.leaseRevision);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -498,43 +593,53 @@
       if (struct.isSetInstances()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetLeaseRevision()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetFencingToken()) {
         oprot.writeI64(struct.fencingToken);
       }
       if (struct.isSetInstances()) {
         {
           oprot.writeI32(struct.instances.size());
-          for (PlacedInstance _iter64 : struct.instances)
+          for (PlacedInstance _iter72 : struct.instances)
           {
-            _iter64.write(oprot);
+            _iter72.write(oprot);
           }
         }
       }
+      if (struct.isSetLeaseRevision()) {
+        oprot.writeI64(struct.leaseRevision);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PlacementNews struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.fencingToken = iprot.readI64();
         struct.setFencingTokenIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.instances = new java.util.ArrayList<PlacedInstance>(_list65.size);
-          @org.apache.thrift.annotation.Nullable PlacedInstance _elem66;
-          for (int _i67 = 0; _i67 < _list65.size; ++_i67)
+          org.apache.thrift.protocol.TList _list73 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.instances = new java.util.ArrayList<PlacedInstance>(_list73.size);
+          @org.apache.thrift.annotation.Nullable PlacedInstance _elem74;
+          for (int _i75 = 0; _i75 < _list73.size; ++_i75)
           {
-            _elem66 = new PlacedInstance();
-            _elem66.read(iprot);
-            struct.instances.add(_elem66);
+            _elem74 = new PlacedInstance();
+            _elem74.read(iprot);
+            struct.instances.add(_elem74);
           }
         }
         struct.setInstancesIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.leaseRevision = iprot.readI64();
+        struct.setLeaseRevisionIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/ServiceDemand.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/ServiceDemand.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("arrivals", org.apache.thrift.protocol.TType.MAP, (short)3);
   private static final org.apache.thrift.protocol.TField INSTANCES_FIELD_DESC = new org.apache.thrift.protocol.TField("instances", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField UNREACHABLE_FIELD_DESC = new org.apache.thrift.protocol.TField("unreachable", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ServiceDemandStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ServiceDemandTupleSchemeFactory();
@@ -25,6 +26,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<Waiting> waiting; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,Arrivals> arrivals; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<InstanceUse> instances; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> unreachable; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,11 @@
      * Calls for each model.
      */
     ARRIVALS((short)3, "arrivals"),
-    INSTANCES((short)4, "instances");
+    INSTANCES((short)4, "instances"),
+    /**
+     * Instances that the entry lately failed to reach.
+     */
+    UNREACHABLE((short)5, "unreachable");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -58,6 +64,8 @@
           return ARRIVALS;
         case 4: // INSTANCES
           return INSTANCES;
+        case 5: // UNREACHABLE
+          return UNREACHABLE;
         default:
           return null;
       }
@@ -116,6 +124,9 @@
     tmpMap.put(_Fields.INSTANCES, new org.apache.thrift.meta_data.FieldMetaData("instances", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, InstanceUse.class))));
+    tmpMap.put(_Fields.UNREACHABLE, new org.apache.thrift.meta_data.FieldMetaData("unreachable", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ServiceDemand.class, metaDataMap);
   }
@@ -127,13 +138,15 @@
     java.lang.String serviceName,
     java.util.List<Waiting> waiting,
     java.util.Map<java.lang.String,Arrivals> arrivals,
-    java.util.List<InstanceUse> instances)
+    java.util.List<InstanceUse> instances,
+    java.util.List<java.lang.String> unreachable)
   {
     this();
     this.serviceName = serviceName;
     this.waiting = waiting;
     this.arrivals = arrivals;
     this.instances = instances;
+    this.unreachable = unreachable;
   }
 
   /**
@@ -172,6 +185,10 @@
       }
       this.instances = __this__instances;
     }
+    if (other.isSetUnreachable()) {
+      java.util.List<java.lang.String> __this__unreachable = new java.util.ArrayList<java.lang.String>(other.unreachable);
+      this.unreachable = __this__unreachable;
+    }
   }
 
   @Override
@@ -185,6 +202,7 @@
     this.waiting = null;
     this.arrivals = null;
     this.instances = null;
+    this.unreachable = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -336,6 +354,53 @@
     }
   }
 
+  public int getUnreachableSize() {
+    return (this.unreachable == null) ? 0 : this.unreachable.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getUnreachableIterator() {
+    return (this.unreachable == null) ? null : this.unreachable.iterator();
+  }
+
+  public void addToUnreachable(java.lang.String elem) {
+    if (this.unreachable == null) {
+      this.unreachable = new java.util.ArrayList<java.lang.String>();
+    }
+    this.unreachable.add(elem);
+  }
+
+  /**
+   * Instances that the entry lately failed to reach.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getUnreachable() {
+    return this.unreachable;
+  }
+
+  /**
+   * Instances that the entry lately failed to reach.
+   */
+  public ServiceDemand setUnreachable(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> unreachable) {
+    this.unreachable = unreachable;
+    return this;
+  }
+
+  public void unsetUnreachable() {
+    this.unreachable = null;
+  }
+
+  /** Returns true if field unreachable is set (has been assigned a value) and false otherwise */
+  public boolean isSetUnreachable() {
+    return this.unreachable != null;
+  }
+
+  public void setUnreachableIsSet(boolean value) {
+    if (!value) {
+      this.unreachable = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -371,6 +436,14 @@
       }
       break;
 
+    case UNREACHABLE:
+      if (value == null) {
+        unsetUnreachable();
+      } else {
+        setUnreachable((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -390,6 +463,9 @@
     case INSTANCES:
       return getInstances();
 
+    case UNREACHABLE:
+      return getUnreachable();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -410,6 +486,8 @@
       return isSetArrivals();
     case INSTANCES:
       return isSetInstances();
+    case UNREACHABLE:
+      return isSetUnreachable();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -463,6 +541,15 @@
         return false;
     }
 
+    boolean this_present_unreachable = true && this.isSetUnreachable();
+    boolean that_present_unreachable = true && that.isSetUnreachable();
+    if (this_present_unreachable || that_present_unreachable) {
+      if (!(this_present_unreachable && that_present_unreachable))
+        return false;
+      if (!this.unreachable.equals(that.unreachable))
+        return false;
+    }
+
     return true;
   }
 
@@ -486,6 +573,10 @@
     if (isSetInstances())
       hashCode = hashCode * 8191 + instances.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetUnreachable()) ? 131071 : 524287);
+    if (isSetUnreachable())
+      hashCode = hashCode * 8191 + unreachable.hashCode();
+
     return hashCode;
   }
 
@@ -537,6 +628,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetUnreachable(), other.isSetUnreachable());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetUnreachable()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.unreachable, other.unreachable);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -592,6 +693,14 @@
       sb.append(this.instances);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("unreachable:");
+    if (this.unreachable == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.unreachable);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -704,6 +813,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // UNREACHABLE
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list18 = iprot.readListBegin();
+                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list18.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem19;
+                for (int _i20 = 0; _i20 < _list18.size; ++_i20)
+                {
+                  _elem19 = iprot.readString();
+                  struct.unreachable.add(_elem19);
+                }
+                iprot.readListEnd();
+              }
+              struct.setUnreachableIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -729,9 +856,9 @@
         oprot.writeFieldBegin(WAITING_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.waiting.size()));
-          for (Waiting _iter18 : struct.waiting)
+          for (Waiting _iter21 : struct.waiting)
           {
-            _iter18.write(oprot);
+            _iter21.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -741,10 +868,10 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter19 : struct.arrivals.entrySet())
+          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter22 : struct.arrivals.entrySet())
           {
-            oprot.writeString(_iter19.getKey());
-            _iter19.getValue().write(oprot);
+            oprot.writeString(_iter22.getKey());
+            _iter22.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -754,9 +881,21 @@
         oprot.writeFieldBegin(INSTANCES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.instances.size()));
-          for (InstanceUse _iter20 : struct.instances)
+          for (InstanceUse _iter23 : struct.instances)
           {
-            _iter20.write(oprot);
+            _iter23.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.unreachable != null) {
+        oprot.writeFieldBegin(UNREACHABLE_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.unreachable.size()));
+          for (java.lang.String _iter24 : struct.unreachable)
+          {
+            oprot.writeString(_iter24);
           }
           oprot.writeListEnd();
         }
@@ -793,35 +932,47 @@
       if (struct.isSetInstances()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetUnreachable()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetServiceName()) {
         oprot.writeString(struct.serviceName);
       }
       if (struct.isSetWaiting()) {
         {
           oprot.writeI32(struct.waiting.size());
-          for (Waiting _iter21 : struct.waiting)
+          for (Waiting _iter25 : struct.waiting)
           {
-            _iter21.write(oprot);
+            _iter25.write(oprot);
           }
         }
       }
       if (struct.isSetArrivals()) {
         {
           oprot.writeI32(struct.arrivals.size());
-          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter22 : struct.arrivals.entrySet())
+          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter26 : struct.arrivals.entrySet())
           {
-            oprot.writeString(_iter22.getKey());
-            _iter22.getValue().write(oprot);
+            oprot.writeString(_iter26.getKey());
+            _iter26.getValue().write(oprot);
           }
         }
       }
       if (struct.isSetInstances()) {
         {
           oprot.writeI32(struct.instances.size());
-          for (InstanceUse _iter23 : struct.instances)
+          for (InstanceUse _iter27 : struct.instances)
           {
-            _iter23.write(oprot);
+            _iter27.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetUnreachable()) {
+        {
+          oprot.writeI32(struct.unreachable.size());
+          for (java.lang.String _iter28 : struct.unreachable)
+          {
+            oprot.writeString(_iter28);
           }
         }
       }
@@ -830,55 +981,68 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ServiceDemand struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.serviceName = iprot.readString();
         struct.setServiceNameIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list24 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.waiting = new java.util.ArrayList<Waiting>(_list24.size);
-          @org.apache.thrift.annotation.Nullable Waiting _elem25;
-          for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.waiting = new java.util.ArrayList<Waiting>(_list29.size);
+          @org.apache.thrift.annotation.Nullable Waiting _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
           {
-            _elem25 = new Waiting();
-            _elem25.read(iprot);
-            struct.waiting.add(_elem25);
+            _elem30 = new Waiting();
+            _elem30.read(iprot);
+            struct.waiting.add(_elem30);
           }
         }
         struct.setWaitingIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TMap _map27 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
-          struct.arrivals = new java.util.HashMap<java.lang.String,Arrivals>(2*_map27.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key28;
-          @org.apache.thrift.annotation.Nullable Arrivals _val29;
-          for (int _i30 = 0; _i30 < _map27.size; ++_i30)
+          org.apache.thrift.protocol.TMap _map32 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+          struct.arrivals = new java.util.HashMap<java.lang.String,Arrivals>(2*_map32.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key33;
+          @org.apache.thrift.annotation.Nullable Arrivals _val34;
+          for (int _i35 = 0; _i35 < _map32.size; ++_i35)
           {
-            _key28 = iprot.readString();
-            _val29 = new Arrivals();
-            _val29.read(iprot);
-            struct.arrivals.put(_key28, _val29);
+            _key33 = iprot.readString();
+            _val34 = new Arrivals();
+            _val34.read(iprot);
+            struct.arrivals.put(_key33, _val34);
           }
         }
         struct.setArrivalsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list31 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.instances = new java.util.ArrayList<InstanceUse>(_list31.size);
-          @org.apache.thrift.annotation.Nullable InstanceUse _elem32;
-          for (int _i33 = 0; _i33 < _list31.size; ++_i33)
+          org.apache.thrift.protocol.TList _list36 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.instances = new java.util.ArrayList<InstanceUse>(_list36.size);
+          @org.apache.thrift.annotation.Nullable InstanceUse _elem37;
+          for (int _i38 = 0; _i38 < _list36.size; ++_i38)
           {
-            _elem32 = new InstanceUse();
-            _elem32.read(iprot);
-            struct.instances.add(_elem32);
+            _elem37 = new InstanceUse();
+            _elem37.read(iprot);
+            struct.instances.add(_elem37);
           }
         }
         struct.setInstancesIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list39 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.unreachable = new java.util.ArrayList<java.lang.String>(_list39.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem40;
+          for (int _i41 = 0; _i41 < _list39.size; ++_i41)
+          {
+            _elem40 = iprot.readString();
+            struct.unreachable.add(_elem40);
+          }
+        }
+        struct.setUnreachableIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -39,6 +39,8 @@
   /** Calls for each model. */
   3: map<string, Arrivals> arrivals
   4: list<InstanceUse> instances
+  /** Instances that the entry lately failed to reach. */
+  5: list<string> unreachable
 }
 
 /** What an entry tells the leader. */
@@ -76,6 +78,8 @@
 struct PlacementNews {
   1: i64 fencingToken
   2: list<PlacedInstance> instances
+  /** The revision of the lease row that the leader wrote last. */
+  3: i64 leaseRevision
 }
 
 /** One frame: exactly one field is set. */
