--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -8,6 +8,7 @@
 import org.hawthornglade.app.check.CheckCommand;
 import org.hawthornglade.app.gateway.GatewayCommand;
 import org.hawthornglade.app.gateway.RehearsalCommand;
+import org.hawthornglade.app.logs.TraceCommand;
 import org.hawthornglade.app.operator.ConfirmCommand;
 import org.hawthornglade.app.operator.DrainCommand;
 import org.hawthornglade.app.operator.ExplainCommand;
@@ -36,6 +37,7 @@
         commands.add(new ExplainCommand());
         commands.add(new DrainCommand());
         commands.add(new TimelineCommand());
+        commands.add(new TraceCommand());
         commands.add(new CheckCommand());
         commands.add(new ExperimentCommand());
         return commands;
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/logs/TraceCommand.java
@@ -0,0 +1,47 @@
+package org.hawthornglade.app.logs;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hawthornglade.app.Command;
+import org.hawthornglade.app.ExitCode;
+
+/** Tells the story of one request from the logs of all entries. */
+@Parameters(commandDescription = "Tells the story of one request from the logs of all entries")
+public final class TraceCommand implements Command {
+    @Parameter(names = "--request", required = true, description = "The request's id")
+    private String request;
+
+    @Parameter(description = "LOG-FILE...", required = true)
+    private List<String> files = new ArrayList<>();
+
+    @Override
+    public String name() {
+        return "trace";
+    }
+
+    @Override
+    public ExitCode run(PrintStream out) throws IOException {
+        List<LogEvent> events = new ArrayList<>();
+        for (String file : files) {
+            for (String line : Files.readAllLines(Path.of(file))) {
+                LogEvent.parse(line).ifPresent(events::add);
+            }
+        }
+        RequestTrace trace = new RequestTrace(events);
+        Optional<LogEvent> call = trace.call(request);
+        if (call.isEmpty()) {
+            out.println("no entry logged the end of request " + request
+                    + ": it did not arrive, or its entry ended before it did");
+            return ExitCode.FAILED;
+        }
+        trace.around(call.get()).forEach(out::println);
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/logs/package-info.java
@@ -0,0 +1,2 @@
+/** Reading the structured logs of entries. */
+package org.hawthornglade.app.logs;
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -1,9 +1,11 @@
 package org.hawthornglade.gateway;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Optional;
 import java.util.Random;
@@ -31,6 +33,7 @@
 import org.hawthornglade.gateway.leader.PlacementStar;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.port.CallProtocol;
 import org.hawthornglade.gateway.port.EngineControl;
 import org.hawthornglade.gateway.port.LeaseStore;
@@ -47,6 +50,10 @@
     private static final long EXIT_RESERVE_MS = 700;
     /** How long calls may still wait for an instance after a stop was asked for. */
     private static final long WAITING_AT_STOP_MS = 2_500;
+    /** Where the readiness address serves metrics. */
+    private static final String METRICS_PATH = "/metrics";
+    /** Counting begins this long after the start. */
+    private static final long METRICS_AFTER_MS = 3_000;
     /** How often a stop looks whether it is done. */
     private static final long STOP_CHECK_MS = 20;
     /** This entry's part of the retry budget: one of so many entries. */
@@ -58,6 +65,7 @@
     private final EventLog log;
     private final CallProtocol protocol;
     private final Fleet fleet = new Fleet();
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private final WaitingCalls waiting = new WaitingCalls();
     private final EndpointLinks links;
     private final PlacementStar star;
@@ -98,7 +106,8 @@
                 waiting,
                 new RetryBudgets(settings.retryShare() / 2, Math.max(2, settings.retryBurst() / BUDGET_PARTS)),
                 protocol,
-                log);
+                log,
+                metrics);
         this.entrance = new CallEntrance(context, () -> configuration, collector::onCall, new Random());
         this.callers = new CallerServer(loop, timers, clock, this::limits, entrance);
         this.readiness = new CallerServer(loop, timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
@@ -119,6 +128,7 @@
         readiness.listen(settings.readinessAddress());
         timers.run(() -> feeds.start(this));
         timers.every(WAITING_CHECK_MS, this::tick);
+        timers.after(METRICS_AFTER_MS, metrics::begin);
         log.event("start")
                 .with("node", settings.node())
                 .with("callers", settings.callerAddress())
@@ -170,6 +180,11 @@
     }
 
     private void answerReadiness(IncomingCall call) {
+        if (call.head().uri().equals(METRICS_PATH)) {
+            ByteBuf text = Unpooled.copiedBuffer(metrics.text(), StandardCharsets.UTF_8);
+            call.response().sendWhole(HttpResponseStatus.OK, new DefaultHttpHeaders(), text);
+            return;
+        }
         boolean known = call.head().uri().equals(protocol.readinessPath());
         HttpResponseStatus unready = known ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.NOT_FOUND;
         HttpResponseStatus status = known && ready() ? HttpResponseStatus.OK : unready;
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -6,6 +6,7 @@
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.log.LogLine;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
 
 /** Collects what happened to a call and writes it as one line when the call ends. */
 final class CallRecord {
@@ -49,7 +50,7 @@
         }
     }
 
-    void write(EventLog log, ResultCode code, int status, long nowMs) {
+    void write(EventLog log, GatewayMetrics metrics, ResultCode code, int status, long nowMs) {
         LogLine line = log.event("call")
                 .with("request", id)
                 .with("route", view.route().name())
@@ -73,5 +74,7 @@
             line.with("notes", notes);
         }
         line.write();
+        long firstByteMs = firstByteAtMs > 0 ? firstByteAtMs - view.arrivedAtMs() : -1;
+        metrics.onCall(view.service(), code, firstByteMs, nowMs - view.arrivedAtMs());
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -271,9 +271,10 @@
         if (ended) {
             return;
         }
+        boolean mayHaveRun = runs > 0 || (attempt != null && attempt.sent());
         dropAttempt();
         record.note("caller-left");
-        end(ResultCode.CANCELLED_BEFORE_START, 0);
+        end(mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : ResultCode.CANCELLED_BEFORE_START, 0);
     }
 
     private void dropAttempt() {
@@ -287,7 +288,8 @@
         ended = true;
         deadline.cancel();
         context.waiting().remove(this);
-        record.write(context.log(), code, status, context.clock().nowMs());
+        record.write(
+                context.log(), context.metrics(), code, status, context.clock().nowMs());
         context.timers().run(context.waiting()::reconsider);
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -5,6 +5,7 @@
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.port.CallProtocol;
 
 /**
@@ -19,6 +20,7 @@
  * @param budgets limits repeated attempts
  * @param protocol translates headers
  * @param log takes a line for each call
+ * @param metrics counts calls
  */
 public record ExchangeContext(
         Timers timers,
@@ -29,4 +31,5 @@
         WaitingCalls waiting,
         RetryBudgets budgets,
         CallProtocol protocol,
-        EventLog log) {}
+        EventLog log,
+        GatewayMetrics metrics) {}
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -36,6 +36,7 @@
 import org.hawthornglade.gateway.http.CallerServer;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
 
 /** An entry in front of scripted endpoints, and a caller that speaks bytes. */
 final class TestEntry implements AutoCloseable {
@@ -67,7 +68,8 @@
                 new WaitingCalls(),
                 new RetryBudgets(0.1, 10),
                 new TestProtocol(),
-                log);
+                log,
+                new GatewayMetrics());
         CallEntrance entrance =
                 new CallEntrance(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
         CallerServer server = new CallerServer(loop, timers, clock, () -> LIMITS, entrance);
