--- a/core/src/main/java/org/hawthornglade/core/fleet/EndpointHealth.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/EndpointHealth.java
@@ -40,10 +40,15 @@
         }
     }
 
-    /** Takes note that the endpoint could not be reached or fell silent. */
-    public void onUnreachable(long nowMs) {
+    /** Takes note that an answer was lost: the connection ended, or nothing came in time. */
+    public void onLost(long nowMs) {
         note(1, nowMs);
         pause(nowMs);
+    }
+
+    /** Takes note that no connection could be made. */
+    public void onUnreachable(long nowMs) {
+        onLost(nowMs);
         unreachableUntilMs = pausedUntilMs;
     }
 
--- a/core/src/test/java/org/hawthornglade/core/fleet/EndpointHealthTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/EndpointHealthTest.java
@@ -24,6 +24,21 @@
         assertThat(nowMs - pausedAtMs).isEqualTo(pauseMs);
     }
 
+    @Test
+    void aLostAnswerPausesButDoesNotMakeUnreachable() {
+        health.onLost(0);
+        assertThat(health.paused(10)).isTrue();
+        assertThat(health.unreachable(10)).isFalse();
+    }
+
+    @Test
+    void aFailedConnectionMakesUnreachableUntilAGoodAnswer() {
+        health.onUnreachable(0);
+        assertThat(health.unreachable(10)).isTrue();
+        health.onSuccess(20);
+        assertThat(health.unreachable(30)).isFalse();
+    }
+
     @Test
     void aSingleFailedAnswerDoesNotPause() {
         health.onFailure(0);
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -288,7 +288,7 @@
         finish();
         long nowMs = context.clock().nowMs();
         if (failure == OutboundFailure.TIMED_OUT || failure == OutboundFailure.CLOSED) {
-            endpoint.health().onUnreachable(nowMs);
+            endpoint.health().onLost(nowMs);
         } else {
             endpoint.health().onFailure(nowMs);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseKeeper.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseKeeper.java
@@ -18,6 +18,7 @@
     private final Clock clock;
     private final Clock wallClock;
     private final EventLog log;
+    private String lastFault = "";
 
     LeaseKeeper(Leadership leadership, LeaseStore store, Clock clock, Clock wallClock, EventLog log) {
         this.leadership = leadership;
@@ -46,9 +47,7 @@
     private void onRead(Either<Failure, StoredLease> answer, Optional<String> endedLeader) {
         if (answer.isLeft()) {
             leadership.onReadFailed();
-            log.event("lease-read-failed")
-                    .with("reason", answer.getLeft().message())
-                    .write();
+            logOnce("lease-read-failed", answer.getLeft().message());
             return;
         }
         Optional<LeaseWrite> claim = leadership.onRead(answer.get(), endedLeader, clock.nowMs());
@@ -63,15 +62,25 @@
 
     private void onResult(LeaseWrite write, LeaseWriteResult result, long sentAtMs, long wallSentMs) {
         if (result instanceof LeaseWriteResult.Written written) {
+            lastFault = "";
             leadership.onWritten(write, written.revision(), sentAtMs, wallSentMs);
         } else if (result instanceof LeaseWriteResult.Conflict conflict) {
             leadership.onConflict(conflict.stored(), write, clock.nowMs());
         } else if (result instanceof LeaseWriteResult.Unknown unknown) {
-            log.event("lease-write-unknown").with("reason", unknown.reason()).write();
+            logOnce("lease-write-unknown", unknown.reason());
             leadership.onWriteUnknown(sentAtMs, clock.nowMs());
         }
     }
 
+    /** A fault that lasts is logged when it begins and when it becomes another one. */
+    private void logOnce(String event, String reason) {
+        String fault = event + reason;
+        if (!fault.equals(lastFault)) {
+            log.event(event).with("reason", reason).write();
+        }
+        lastFault = fault;
+    }
+
     /** Gives the lease up. */
     void resign() {
         leadership
