--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -48,7 +48,7 @@
     private static final long BALANCER_REACTION_MS = 2_500;
     /** Time kept for closing after the last call of a stop. */
     private static final long EXIT_RESERVE_MS = 700;
-    /** How long calls may still wait for an instance after a stop was asked for. */
+    /** How long after a stop was asked for calls are still taken, and may wait for an instance. */
     private static final long WAITING_AT_STOP_MS = 2_500;
     /** Where the readiness address serves metrics. */
     private static final String METRICS_PATH = "/metrics";
@@ -147,7 +147,7 @@
         while (clock.nowMs() < latestMs && !mayExit(startMs)) {
             if (!refusing && clock.nowMs() - startMs >= WAITING_AT_STOP_MS) {
                 refusing = true;
-                timers.run(waiting::refuseAll);
+                timers.run(this::refuseLate);
             }
             pause(STOP_CHECK_MS);
         }
@@ -157,6 +157,12 @@
         pause(STOP_CHECK_MS);
     }
 
+    /** The balancer sends nothing any more: what comes on kept connections could be cut by the end of the process. */
+    private void refuseLate() {
+        waiting.refuseAll();
+        callers.closeIdle();
+    }
+
     private void beginStop() {
         stopping = true;
         callers.stopping();
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
@@ -29,6 +29,8 @@
 public final class CallEntrance implements CallHandler {
     /** When to come back while no configuration is known. */
     private static final long NOT_READY_RETRY_MS = 500;
+    /** When to come back to another entry while this one stops. */
+    static final long STOPPING_RETRY_MS = 50;
     /** A call ends this long before its caller gives up, so that the answer arrives in time. */
     private static final long ANSWER_RESERVE_MS = 5;
 
@@ -71,6 +73,10 @@
             return;
         }
         CallRequest request = read.get();
+        if (context.waiting().refusing()) {
+            answer(call, request.id(), ResultCode.STOPPING, STOPPING_RETRY_MS, "stopping");
+            return;
+        }
         Optional<ServingConfiguration> known = configuration.get();
         if (known.isEmpty() || !context.fleet().loaded()) {
             early.hold(
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -28,9 +28,6 @@
     /** When to come back after repeated attempts ran out. */
     private static final long BUSY_RETRY_MS = 500;
 
-    /** When to come back to another entry while this one stops. */
-    private static final long STOPPING_RETRY_MS = 50;
-
     private final ExchangeContext context;
     private final long number;
     private final IncomingCall call;
@@ -117,7 +114,7 @@
     /** Refuses a call that waits while this entry stops; another entry may serve it. */
     void refuseAtStop() {
         if (!ended && attempt == null) {
-            refuse(ResultCode.STOPPING, STOPPING_RETRY_MS);
+            refuse(ResultCode.STOPPING, CallEntrance.STOPPING_RETRY_MS);
         }
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
@@ -42,7 +42,7 @@
         }
     }
 
-    /** Refuses every call that waits, now and from now on, as at a stop. */
+    /** Refuses every call that waits, and from now on every call that comes, as late in a stop. */
     public void refuseAll() {
         refusing = true;
         new ArrayList<>(calls).forEach(Exchange::refuseAtStop);
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -84,6 +84,11 @@
         if (listener != null) {
             Channels.close(listener);
         }
+        closeIdle();
+    }
+
+    /** Ends the connections without an open request. */
+    public void closeIdle() {
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ExchangeTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ExchangeTest.java
@@ -186,6 +186,17 @@
         assertThat(near.sawClose()).isTrue();
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/unsafe/x", "/safe/x", "/stream/x"})
+    void aCallThatComesLateInAStopIsRefusedAndNotPassedOn(String path) throws Exception {
+        near.answer(WHOLE, Then.KEEP);
+        entry.refuseFromNowOn();
+        String received = entry.call(path);
+        assertThat(received).startsWith("HTTP/1.1 503");
+        assertThat(received.toLowerCase(java.util.Locale.ROOT)).contains("retry-after");
+        assertThat(near.waitingRequests() + far.waitingRequests()).isEqualTo(0);
+    }
+
     @Test
     void requestsSentAheadAreAnsweredInOrder() throws Exception {
         near.answer(WHOLE, Then.KEEP).answer(SECOND, Then.KEEP);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -17,6 +17,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.dispatch.LeastLoadedSelector;
@@ -45,13 +46,15 @@
     private static final int READ_TIMEOUT_MS = 5_000;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final WaitingCalls waiting = new WaitingCalls();
+    private final Timers timers;
     private final int port;
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
         EventLoop loop = group.next();
         Clock clock = Clock.system();
         EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
-        Timers timers = new Timers(loop, log);
+        timers = new Timers(loop, log);
         Fleet fleet = new Fleet();
         List<InstanceRecord> records = new ArrayList<>();
         for (int i = 0; i < endpoints.size(); i++) {
@@ -65,7 +68,7 @@
                 fleet,
                 new Dispatcher(fleet, selector, selector),
                 new EndpointLinks(loop, clock),
-                new WaitingCalls(),
+                waiting,
                 new RetryBudgets(0.1, 10),
                 new TestProtocol(),
                 log,
@@ -129,6 +132,16 @@
                 List.of(new WeightedService(SERVICE, 1)));
     }
 
+    /** Refuses what waits and what comes, as late in a stop. */
+    void refuseFromNowOn() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        timers.run(() -> {
+            waiting.refuseAll();
+            done.countDown();
+        });
+        done.await(5, TimeUnit.SECONDS);
+    }
+
     /** Opens a caller's connection. */
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
