--- a/core/src/main/java/org/hawthornglade/core/replica/HostChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/HostChooser.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.serving.ModelDefinition;
 
@@ -40,28 +41,21 @@
 
     /** Returns the free engine on which the model costs least; null if there is none. */
     EngineBook cheapest(ModelDefinition model, Collection<EngineBook> books, Set<EngineBook> taken, long nowMs) {
-        EngineBook best = null;
-        double bestMs = Double.POSITIVE_INFINITY;
-        for (EngineBook book : books) {
-            if (!free(book, taken) || book.holds(model.name())) {
-                continue;
-            }
-            double costMs = costMs(book, model, books, nowMs);
-            if (costMs < bestMs) {
-                best = book;
-                bestMs = costMs;
-            }
-        }
-        return best;
+        return cheapest(model, books, book -> free(book, taken), nowMs);
     }
 
-    /** Returns the free engine with the weights at hand on which the model costs least; null if there is none. */
+    /** The same among the engines that have the weights at hand. */
     EngineBook cheapestWithWeights(
             ModelDefinition model, Collection<EngineBook> books, Set<EngineBook> taken, long nowMs) {
+        return cheapest(model, books, book -> free(book, taken) && book.atHand(model.name()), nowMs);
+    }
+
+    private EngineBook cheapest(
+            ModelDefinition model, Collection<EngineBook> books, Predicate<EngineBook> allowed, long nowMs) {
         EngineBook best = null;
         double bestMs = Double.POSITIVE_INFINITY;
         for (EngineBook book : books) {
-            if (!free(book, taken) || !book.atHand(model.name()) || book.holds(model.name())) {
+            if (!allowed.test(book) || book.holds(model.name())) {
                 continue;
             }
             double costMs = costMs(book, model, books, nowMs);
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/AnswerWriter.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/AnswerWriter.java
@@ -1,11 +1,7 @@
 package org.hawthornglade.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.CallerResponse;
@@ -81,12 +77,6 @@
      */
     int sendOwn(ResultCode code, long retryAfterMs) {
         started = true;
-        HttpHeaders headers = protocol.ownAnswerHeaders(request.id(), code, retryAfterMs);
-        String body = "{\"error\":{\"code\":" + code.number() + ",\"name\":\"" + code.name() + "\"}}\n";
-        response.sendWhole(
-                HttpResponseStatus.valueOf(code.httpStatus()),
-                headers,
-                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-        return code.httpStatus();
+        return OwnAnswer.send(protocol, response, request.id(), code, retryAfterMs);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallEntrance.java
@@ -1,11 +1,7 @@
 package org.hawthornglade.gateway.exchange;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vavr.control.Either;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -146,12 +142,6 @@
                 .with("status", code.httpStatus())
                 .with("why", why)
                 .write();
-        HttpHeaders headers = context.protocol().ownAnswerHeaders(id, code, retryAfterMs);
-        String body = "{\"error\":{\"code\":" + code.number() + ",\"name\":\"" + code.name() + "\"}}\n";
-        call.response()
-                .sendWhole(
-                        HttpResponseStatus.valueOf(code.httpStatus()),
-                        headers,
-                        Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        OwnAnswer.send(context.protocol(), call.response(), id, code, retryAfterMs);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/OwnAnswer.java
@@ -0,0 +1,31 @@
+package org.hawthornglade.gateway.exchange;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.gateway.http.CallerResponse;
+import org.hawthornglade.gateway.port.CallProtocol;
+
+/** Sends an answer of the system's own: a result code as HTTP status and JSON. */
+final class OwnAnswer {
+    private OwnAnswer() {}
+
+    /**
+     * Sends an answer.
+     *
+     * @param retryAfterMs when the caller may come back, from now; 0 if not at all
+     * @return its HTTP status
+     */
+    static int send(CallProtocol protocol, CallerResponse response, RequestId id, ResultCode code, long retryAfterMs) {
+        HttpHeaders headers = protocol.ownAnswerHeaders(id, code, retryAfterMs);
+        String body = "{\"error\":{\"code\":" + code.number() + ",\"name\":\"" + code.name() + "\"}}\n";
+        response.sendWhole(
+                HttpResponseStatus.valueOf(code.httpStatus()),
+                headers,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        return code.httpStatus();
+    }
+}
