The platform's header and status stay in the adapter: request id header, misdirected, refusals that promise

Cause: OutboundConnection named X-Request-Id, Exchange and Attempt the statuses 421 and 408, 421, 429, 503, and RehearsalCommand two headers, though each is the platform's. EndpointLinks says incarnation. PlatformBoundaryTest holds two more names.

--- a/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
@@ -63,8 +63,7 @@
     private int call(HttpClient client, String path, String model, int round) throws IOException, InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
                 .timeout(CALL_TIMEOUT)
-                .header("X-Request-Id", "rehearsal-" + round)
-                .header("X-Model", model)
+                .headers(StandinPlatform.requestHeaders("rehearsal-" + round, model))
                 .POST(HttpRequest.BodyPublishers.ofString("{}"))
                 .build();
         HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
--- a/app/src/test/java/org/hawthornglade/app/architecture/PlatformBoundaryTest.java
+++ b/app/src/test/java/org/hawthornglade/app/architecture/PlatformBoundaryTest.java
@@ -47,6 +47,8 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
+                "X-Model",
+                "X-Request-Priority",
                 "X-Expect-Instance",
                 "X-Server-Stamp",
                 "X-Not-Run",
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -5,12 +5,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
-import java.util.Set;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.gateway.http.AnswerId;
 import org.hawthornglade.gateway.http.OutboundConnection;
 import org.hawthornglade.gateway.http.OutboundFailure;
 import org.hawthornglade.gateway.http.OutboundRequest;
@@ -31,8 +31,6 @@
     private static final long MIN_SILENCE_MS = 150;
     /** How many times the allowed pause between events an endpoint may be silent within a stream. */
     private static final int GAP_FACTOR = 2;
-    /** What callers take as a promise that the call has not run; an endpoint's own word for that is separate. */
-    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
 
     private final ExchangeContext context;
     private final Exchange exchange;
@@ -99,7 +97,9 @@
                 exchange.call().head().uri(),
                 headers,
                 body,
-                Optional.of(exchange.request().id().value()));
+                Optional.of(new AnswerId(
+                        context.protocol().requestIdHeader(),
+                        exchange.request().id().value())));
         watchSilence(firstSilenceMs());
         ready.send(request, this);
     }
@@ -270,7 +270,7 @@
             exchange.runAgain(endpoint, answerHead.status());
             return;
         }
-        if (PROMISES_NOT_RUN.contains(answerHead.status())) {
+        if (answerHead.promisesNotRun()) {
             held.release();
             exchange.answeredUnclearly(answerHead.status());
             return;
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointLinks.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointLinks.java
@@ -19,11 +19,11 @@
     private static final int CONNECT_TIMEOUT_MS = 400;
 
     /** One start of an instance at its address. */
-    private record Lifetime(InstanceId instance, long bornMs, InstanceAddress address) {}
+    private record Incarnation(InstanceId instance, long bornMs, InstanceAddress address) {}
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Map<Lifetime, ConnectionPool> pools = new HashMap<>();
+    private final Map<Incarnation, ConnectionPool> pools = new HashMap<>();
 
     /** Creates a set without connections. */
     public EndpointLinks(EventLoop loop, Clock clock) {
@@ -34,21 +34,21 @@
     /** Returns the connections to an instance. */
     public ConnectionPool pool(InstanceRecord record) {
         return pools.computeIfAbsent(
-                lifetime(record), key -> new ConnectionPool(loop, clock, key.address(), CONNECT_TIMEOUT_MS));
+                incarnation(record), key -> new ConnectionPool(loop, clock, key.address(), CONNECT_TIMEOUT_MS));
     }
 
     /** Ends the idle connections to instances that are no longer there. */
     public void retain(Iterable<Endpoint> endpoints) {
-        Set<Lifetime> present = new HashSet<>();
-        endpoints.forEach(endpoint -> present.add(lifetime(endpoint.listed())));
-        for (Lifetime key : List.copyOf(pools.keySet())) {
+        Set<Incarnation> present = new HashSet<>();
+        endpoints.forEach(endpoint -> present.add(incarnation(endpoint.listed())));
+        for (Incarnation key : List.copyOf(pools.keySet())) {
             if (!present.contains(key)) {
                 pools.remove(key).closeIdle();
             }
         }
     }
 
-    private static Lifetime lifetime(InstanceRecord record) {
-        return new Lifetime(record.id(), record.bornMs(), record.address());
+    private static Incarnation incarnation(InstanceRecord record) {
+        return new Incarnation(record.id(), record.bornMs(), record.address());
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -156,8 +156,7 @@
             context.fleet().onMisdirected(endpoint.id());
         } else if (view.demand().isPresent()) {
             ModelName model = view.demand().get().model();
-            boolean missing = head.status() == 421;
-            endpoint.refuseModel(model, nowMs + (missing ? MISSING_MODEL_PAUSE_MS : REJECTED_PAUSE_MS));
+            endpoint.refuseModel(model, nowMs + (head.misdirected() ? MISSING_MODEL_PAUSE_MS : REJECTED_PAUSE_MS));
         } else {
             view.tried().add(endpoint.id());
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -28,13 +28,11 @@
  * one. Bytes that arrive while no request is open end the connection.
  */
 public final class OutboundConnection extends ChannelInboundHandlerAdapter {
-    private static final String REQUEST_ID_HEADER = "X-Request-Id";
-
     private final ConnectionPool pool;
     private final ResponseDecoder decoder;
     private Channel channel;
     private ResponseListener listener;
-    private Optional<String> answerId = Optional.empty();
+    private Optional<AnswerId> answerId = Optional.empty();
     private boolean written;
     private boolean headSeen;
     private boolean skipping;
@@ -140,14 +138,14 @@
 
     private void readHead(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean otherAnswer = answerId.isPresent()
-                && head.headers().contains(REQUEST_ID_HEADER)
-                && !answerId.get().equals(head.headers().get(REQUEST_ID_HEADER));
+        Optional<String> answered = answerId.map(expected -> head.headers().get(expected.header()));
+        boolean otherAnswer =
+                answered.isPresent() && !answered.get().equals(answerId.get().id());
         skipping = interim || otherAnswer;
         if (skipping) {
             return;
         }
-        if (answerId.isPresent() && !head.headers().contains(REQUEST_ID_HEADER)) {
+        if (answerId.isPresent() && answered.isEmpty()) {
             fail(OutboundFailure.MALFORMED);
             return;
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundRequest.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundRequest.java
@@ -15,4 +15,4 @@
  * @param answerId the id that the response must repeat, if responses carry one
  */
 public record OutboundRequest(
-        HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, Optional<String> answerId) {}
+        HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, Optional<AnswerId> answerId) {}
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/AnswerHead.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/AnswerHead.java
@@ -8,6 +8,8 @@
  *
  * @param status the HTTP status
  * @param notRun whether the endpoint states that it did not run the request
+ * @param promisesNotRun whether callers would take the status as a promise that the request has not run
+ * @param misdirected whether the endpoint is another instance, or does not have the model
  * @param proven whether the endpoint's signature is there, without which a success counts for nothing
  * @param eventStream whether the body is a series of events
  * @param instance who answered, where it is said
@@ -16,6 +18,8 @@
 public record AnswerHead(
         int status,
         boolean notRun,
+        boolean promisesNotRun,
+        boolean misdirected,
         boolean proven,
         boolean eventStream,
         Optional<InstanceId> instance,
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/CallProtocol.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/CallProtocol.java
@@ -30,6 +30,9 @@
      */
     HttpHeaders ownAnswerHeaders(RequestId id, ResultCode code, long retryAfterMs);
 
+    /** Returns the header by which requests and their answers are matched. */
+    String requestIdHeader();
+
     /** Returns the path on which the balancer asks whether this entry takes connections. */
     String readinessPath();
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.Failure;
@@ -46,6 +47,8 @@
         return new AnswerHead(
                 head.status().code(),
                 headers.contains("X-Not-Run"),
+                Set.of(408, 421, 429, 503).contains(head.status().code()),
+                head.status().code() == 421,
                 headers.contains("X-Signature"),
                 "text/event-stream".equals(headers.get("Content-Type")),
                 Optional.ofNullable(headers.get("X-Instance")).map(InstanceId::of),
@@ -68,6 +71,11 @@
         return headers;
     }
 
+    @Override
+    public String requestIdHeader() {
+        return ID;
+    }
+
     @Override
     public String readinessPath() {
         return "/ready";
