--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -1,14 +1,10 @@
 package org.hawthornglade.core.replica;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.InstanceVersion;
-import org.hawthornglade.core.fleet.ReplicaState;
 import org.hawthornglade.core.fleet.ReplicaStatus;
 import org.hawthornglade.core.id.AdapterName;
 import org.hawthornglade.core.id.InstanceId;
@@ -34,9 +30,8 @@
     /** How old a report is at the most; one asked for earlier after an order does not show the order's effect. */
     private static final long REPORT_LAG_MS = 300;
 
-    private final Map<ModelName, Resident> models = new HashMap<>();
-    private final Set<ModelName> inMemory = new HashSet<>();
-    private final Set<ModelName> onDisk = new HashSet<>();
+    private final ResidentModels models = new ResidentModels();
+    private final WeightCopies copies = new WeightCopies();
     private InstanceRecord listed;
     private InstanceVersion version;
     private Optional<ReplicaOrder> open = Optional.empty();
@@ -51,9 +46,8 @@
     public EngineBook(InstanceRecord listed) {
         this.listed = listed;
         this.version = new InstanceVersion(listed.bornMs(), 0);
-        takeModels(listed.models(), 0);
-        inMemory.addAll(listed.inMemory());
-        onDisk.addAll(listed.onDisk());
+        models.add(listed.models(), 0);
+        copies.take(listed.inMemory(), listed.onDisk());
     }
 
     public InstanceId id() {
@@ -71,36 +65,21 @@
             restart(record, nowMs);
             return;
         }
-        takeCopies(record.inMemory(), record.onDisk());
-        boolean agrees = true;
-        for (ModelName model : record.models().keySet()) {
-            Resident resident = models.get(model);
-            agrees &= resident != null;
-            if (resident != null && resident.status() == ReplicaStatus.LOADING) {
-                resident.becomes(ReplicaStatus.READY, nowMs);
-            }
-        }
-        models.entrySet()
-                .removeIf(entry -> entry.getValue().status() == ReplicaStatus.UNLOADING
-                        && !record.models().containsKey(entry.getKey()));
-        for (Map.Entry<ModelName, Resident> entry : models.entrySet()) {
-            agrees &= !entry.getValue().ready() || record.models().containsKey(entry.getKey());
-        }
-        known &= agrees;
+        copies.take(record.inMemory(), record.onDisk());
+        known &= models.reconcile(record.models().keySet(), nowMs);
     }
 
     private void restart(InstanceRecord record, long nowMs) {
         models.clear();
-        inMemory.clear();
-        onDisk.clear();
+        copies.clear();
         open = Optional.empty();
         goal = Optional.empty();
         known = false;
         busyElsewhere = false;
         unreachable = false;
         version = new InstanceVersion(record.bornMs(), 0);
-        takeModels(record.models(), nowMs);
-        takeCopies(record.inMemory(), record.onDisk());
+        models.add(record.models(), nowMs);
+        copies.take(record.inMemory(), record.onDisk());
     }
 
     /** Takes note that the engine did not answer a report. */
@@ -124,11 +103,11 @@
 
     /** Returns whether a model is here, or is coming within the time that was expected. */
     boolean offers(ModelName model, long nowMs) {
-        Resident resident = models.get(model);
-        if (resident == null || !trusted() || resident.status() == ReplicaStatus.UNLOADING) {
+        Optional<Resident> resident = models.get(model);
+        if (resident.isEmpty() || !trusted() || resident.get().status() == ReplicaStatus.UNLOADING) {
             return false;
         }
-        return resident.ready() || nowMs <= resident.readyAtMs() + LOST_LOAD_MS;
+        return resident.get().ready() || nowMs <= resident.get().readyAtMs() + LOST_LOAD_MS;
     }
 
     /** Takes the engine's own report. */
@@ -143,37 +122,12 @@
         version = new InstanceVersion(version.bornMs(), report.version().orderSequence());
         busyElsewhere = report.busy();
         known = !report.busy();
-        if (!report.busy()) {
-            models.values().removeIf(resident -> resident.status() == ReplicaStatus.UNLOADING);
-        }
-        takeModels(report.models(), nowMs);
-        if (!report.busy()) {
-            models.keySet().retainAll(report.models().keySet());
-        }
-        takeCopies(report.inMemory(), report.onDisk());
-    }
-
-    private void takeModels(Map<ModelName, Set<AdapterName>> held, long nowMs) {
-        held.forEach((model, adapters) -> {
-            Resident resident = models.computeIfAbsent(model, name -> new Resident(ReplicaStatus.READY, 0));
-            if (resident.status() == ReplicaStatus.LOADING) {
-                resident.becomes(ReplicaStatus.READY, nowMs);
-            }
-            for (AdapterName adapter : adapters) {
-                if (!resident.adapters().containsKey(adapter)) {
-                    resident.putAdapter(adapter, 0);
-                }
-            }
-        });
-    }
-
-    private void takeCopies(Set<ModelName> memory, Set<ModelName> disk) {
-        if (!memory.isEmpty() || !disk.isEmpty()) {
-            inMemory.clear();
-            inMemory.addAll(memory);
-            onDisk.clear();
-            onDisk.addAll(disk);
+        if (report.busy()) {
+            models.add(report.models(), nowMs);
+        } else {
+            models.replace(report.models(), nowMs);
         }
+        copies.take(report.inMemory(), report.onDisk());
     }
 
     /** Takes note that an order is sent. */
@@ -181,9 +135,9 @@
         open = Optional.of(order);
         boolean removal =
                 order.action() == OrderAction.UNLOAD && order.adapter().isEmpty();
-        if (removal && models.containsKey(order.model())) {
+        if (removal) {
             // Entries must send nothing there any more, whatever becomes of the order.
-            models.get(order.model()).becomes(ReplicaStatus.UNLOADING, nowMs);
+            models.get(order.model()).ifPresent(resident -> resident.becomes(ReplicaStatus.UNLOADING, nowMs));
         }
     }
 
@@ -195,8 +149,7 @@
         open = Optional.empty();
         switch (outcome) {
             case ACCEPTED -> accepted(order, expectedMs, nowMs);
-            case ALREADY_DONE, CONFLICT, REFUSED, UNKNOWN -> unsure(nowMs);
-            case FENCED_OFF, WRONG_INSTANCE -> unsure(nowMs);
+            case ALREADY_DONE, CONFLICT, REFUSED, UNKNOWN, FENCED_OFF, WRONG_INSTANCE -> unsure(nowMs);
         }
     }
 
@@ -215,9 +168,8 @@
         }
         if (order.action() == OrderAction.LOAD) {
             remoteUntilMs = atHand(order.model()) ? remoteUntilMs : nowMs + expectedMs;
-            models.put(order.model(), new Resident(ReplicaStatus.LOADING, nowMs + expectedMs));
-            inMemory.add(order.model());
-            onDisk.add(order.model());
+            models.all().put(order.model(), new Resident(ReplicaStatus.LOADING, nowMs + expectedMs));
+            copies.loaded(order.model());
             if (goal.equals(Optional.of(order.model()))) {
                 goal = Optional.empty();
             }
@@ -226,14 +178,12 @@
     }
 
     private void adapterChanged(ReplicaOrder order, long nowMs) {
-        Resident base = models.get(order.model());
-        if (base == null) {
-            return;
-        }
+        Optional<Resident> base = models.get(order.model());
+        AdapterName adapter = order.adapter().orElseThrow();
         if (order.action() == OrderAction.LOAD) {
-            base.putAdapter(order.adapter().orElseThrow(), nowMs + ADAPTER_LOAD_MS);
+            base.ifPresent(resident -> resident.putAdapter(adapter, nowMs + ADAPTER_LOAD_MS));
         } else {
-            base.removeAdapter(order.adapter().orElseThrow());
+            base.ifPresent(resident -> resident.removeAdapter(adapter));
         }
     }
 
@@ -249,12 +199,7 @@
 
     /** Returns whether a model is being loaded or unloaded. */
     public boolean changing() {
-        for (Resident resident : models.values()) {
-            if (!resident.ready()) {
-                return true;
-            }
-        }
-        return busyElsewhere;
+        return busyElsewhere || models.changing();
     }
 
     /** Returns whether a model order may be sent. */
@@ -281,21 +226,20 @@
     }
 
     Map<ModelName, Resident> models() {
-        return models;
+        return models.all();
     }
 
     boolean holds(ModelName model) {
-        return models.containsKey(model);
+        return models.get(model).isPresent();
     }
 
     boolean serves(ModelName model) {
-        Resident resident = models.get(model);
-        return resident != null && resident.ready() && trusted();
+        return trusted() && models.get(model).filter(Resident::ready).isPresent();
     }
 
     /** Returns whether the engine has a copy of the weights at hand, so that no load from the store is needed. */
     boolean atHand(ModelName model) {
-        return inMemory.contains(model) || onDisk.contains(model);
+        return copies.has(model);
     }
 
     /** Returns in how many milliseconds a model order can be sent, as far as can be foreseen; 0 if now. */
@@ -303,13 +247,7 @@
         if (takesModelOrder()) {
             return 0;
         }
-        long freeInMs = ANSWER_MS;
-        for (Resident resident : models.values()) {
-            if (resident.status() == ReplicaStatus.LOADING) {
-                freeInMs = Math.max(freeInMs, resident.readyAtMs() - nowMs);
-            }
-        }
-        return freeInMs;
+        return Math.max(ANSWER_MS, models.loadsEndAtMs() - nowMs);
     }
 
     /** Returns whether a load from the weight store runs here. */
@@ -319,38 +257,19 @@
 
     /** Returns how long a load of a model takes here, by where its weights lie. */
     public long loadMs(ModelDefinition model) {
-        if (inMemory.contains(model.name())) {
-            return model.memoryLoadMs();
-        }
-        return onDisk.contains(model.name()) ? model.diskLoadMs() : model.remoteLoadMs();
+        return copies.loadMs(model);
     }
 
     double usedMb(EngineDefinition engine) {
-        double used = 0;
-        for (Map.Entry<ModelName, Resident> entry : models.entrySet()) {
-            ModelDefinition model = engine.models().get(entry.getKey());
-            if (model == null) {
-                // A model that the configuration no longer names has an unknown size: nothing more fits beside it.
-                return engine.modelMemoryMb();
-            }
-            used += model.sizeMb()
-                    + model.adapterMb() * entry.getValue().adapters().size();
-        }
-        return used;
+        return models.usedMb(engine);
     }
 
     int adapterCount() {
-        int count = 0;
-        for (Resident resident : models.values()) {
-            count += resident.adapters().size();
-        }
-        return count;
+        return models.adapterCount();
     }
 
     /** Returns what entries are told of this engine. */
     public InstancePlacement placement(long nowMs) {
-        Map<ModelName, ReplicaState> states = new HashMap<>();
-        models.forEach((model, resident) -> states.put(model, resident.state(nowMs)));
-        return new InstancePlacement(listed.id(), version.bornMs(), states);
+        return new InstancePlacement(listed.id(), version.bornMs(), models.states(nowMs));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/ResidentModels.java
@@ -0,0 +1,123 @@
+package org.hawthornglade.core.replica;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hawthornglade.core.fleet.ReplicaState;
+import org.hawthornglade.core.fleet.ReplicaStatus;
+import org.hawthornglade.core.id.AdapterName;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.serving.EngineDefinition;
+import org.hawthornglade.core.serving.ModelDefinition;
+
+/** The models in an engine's accelerator memory, or on their way there or out. */
+final class ResidentModels {
+    private final Map<ModelName, Resident> models = new HashMap<>();
+
+    Map<ModelName, Resident> all() {
+        return models;
+    }
+
+    Optional<Resident> get(ModelName model) {
+        return Optional.ofNullable(models.get(model));
+    }
+
+    void clear() {
+        models.clear();
+    }
+
+    /** Adds what the engine holds; a load that it shows has ended. */
+    void add(Map<ModelName, Set<AdapterName>> held, long nowMs) {
+        held.forEach((model, adapters) -> {
+            Resident resident = models.computeIfAbsent(model, name -> new Resident(ReplicaStatus.READY, 0));
+            endLoad(resident, nowMs);
+            for (AdapterName adapter : adapters) {
+                if (!resident.adapters().containsKey(adapter)) {
+                    resident.putAdapter(adapter, 0);
+                }
+            }
+        });
+    }
+
+    /** Takes exactly what an engine that changes nothing holds. */
+    void replace(Map<ModelName, Set<AdapterName>> held, long nowMs) {
+        models.values().removeIf(resident -> resident.status() == ReplicaStatus.UNLOADING);
+        add(held, nowMs);
+        models.keySet().retainAll(held.keySet());
+    }
+
+    /**
+     * Compares with a record, which may be older than the last order: ends the changes that it shows.
+     *
+     * @return whether the record contradicts nothing
+     */
+    boolean reconcile(Set<ModelName> recorded, long nowMs) {
+        boolean agrees = models.keySet().containsAll(recorded);
+        for (ModelName model : recorded) {
+            get(model).ifPresent(resident -> endLoad(resident, nowMs));
+        }
+        models.entrySet()
+                .removeIf(entry ->
+                        entry.getValue().status() == ReplicaStatus.UNLOADING && !recorded.contains(entry.getKey()));
+        for (Map.Entry<ModelName, Resident> entry : models.entrySet()) {
+            agrees &= !entry.getValue().ready() || recorded.contains(entry.getKey());
+        }
+        return agrees;
+    }
+
+    private static void endLoad(Resident resident, long nowMs) {
+        if (resident.status() == ReplicaStatus.LOADING) {
+            resident.becomes(ReplicaStatus.READY, nowMs);
+        }
+    }
+
+    /** Returns whether a model is being loaded or unloaded. */
+    boolean changing() {
+        for (Resident resident : models.values()) {
+            if (!resident.ready()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns when the last of the loads is expected to end; 0 if none runs. */
+    long loadsEndAtMs() {
+        long endAtMs = 0;
+        for (Resident resident : models.values()) {
+            if (resident.status() == ReplicaStatus.LOADING) {
+                endAtMs = Math.max(endAtMs, resident.readyAtMs());
+            }
+        }
+        return endAtMs;
+    }
+
+    double usedMb(EngineDefinition engine) {
+        double usedMb = 0;
+        for (Map.Entry<ModelName, Resident> entry : models.entrySet()) {
+            ModelDefinition model = engine.models().get(entry.getKey());
+            if (model == null) {
+                // A model that the configuration no longer names has an unknown size: nothing more fits beside it.
+                return engine.modelMemoryMb();
+            }
+            usedMb += model.sizeMb()
+                    + model.adapterMb() * entry.getValue().adapters().size();
+        }
+        return usedMb;
+    }
+
+    int adapterCount() {
+        int count = 0;
+        for (Resident resident : models.values()) {
+            count += resident.adapters().size();
+        }
+        return count;
+    }
+
+    Map<ModelName, ReplicaState> states(long nowMs) {
+        Map<ModelName, ReplicaState> states = new HashMap<>();
+        models.forEach((model, resident) -> states.put(model, resident.state(nowMs)));
+        return states;
+    }
+}
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -5,13 +5,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -31,10 +27,10 @@
 
     private final CallerServer server;
     private final Deque<IncomingCall> waiting = new ArrayDeque<>();
+    private Optional<IncomingCall> open = Optional.empty();
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteBuf body;
-    private PendingResponse current;
     private boolean refusing;
     private boolean closing;
     private long lastActiveMs;
@@ -111,10 +107,9 @@
     }
 
     private void finishRequest() {
-        PendingResponse response = new PendingResponse(!HttpUtil.isKeepAlive(head));
+        PendingResponse response = new PendingResponse(this, context.channel(), !HttpUtil.isKeepAlive(head));
         IncomingCall call =
                 new IncomingCall(head, body, response, server.clock().nowMs());
-        response.call = call;
         head = null;
         body = null;
         requestStartedMs = 0;
@@ -127,19 +122,19 @@
     }
 
     private void startNext() {
-        if (current != null || waiting.isEmpty() || closing) {
+        if (open.isPresent() || waiting.isEmpty() || closing) {
             return;
         }
         IncomingCall call = waiting.poll();
         context.channel().config().setAutoRead(true);
-        current = (PendingResponse) call.response();
+        open = Optional.of(call);
         server.handler().onCall(call);
     }
 
     /** Refuses what cannot be read as a request; the connection cannot be used any further. */
     private void refuse(HttpResponseStatus status) {
         refusing = true;
-        if (current != null || !waiting.isEmpty()) {
+        if (open.isPresent() || !waiting.isEmpty()) {
             Channels.close(context.channel());
             return;
         }
@@ -163,12 +158,12 @@
         RequestLimits limits = server.limits();
         boolean slowHead = head == null
                 && requestStartedMs != 0
-                && current == null
+                && open.isEmpty()
                 && nowMs - requestStartedMs > limits.headerTimeoutMs();
         boolean slowBody = head != null && nowMs - requestStartedMs > limits.idleTimeoutMs();
         boolean idle = head == null
                 && requestStartedMs == 0
-                && current == null
+                && open.isEmpty()
                 && nowMs - lastActiveMs > limits.idleTimeoutMs();
         if (slowHead || slowBody) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -180,7 +175,7 @@
 
     /** Ends the connection if no request is open on it. */
     void closeIfIdle() {
-        if (current == null && waiting.isEmpty() && head == null && requestStartedMs == 0) {
+        if (open.isEmpty() && waiting.isEmpty() && head == null && requestStartedMs == 0) {
             Channels.close(context.channel());
         }
     }
@@ -195,9 +190,25 @@
         }
         waiting.forEach(this::discard);
         waiting.clear();
-        if (current != null) {
-            current.gone();
-        }
+        open.ifPresent(call -> {
+            open = Optional.empty();
+            call.response().callerGone();
+            discard(call);
+        });
+    }
+
+    /** Returns whether callers are asked to leave with their next answer. */
+    boolean stopping() {
+        return server.isStopping();
+    }
+
+    /** Takes note that the answer to the open request is written; goes on with the next one unless it was the last. */
+    void answered(boolean last) {
+        open.ifPresent(this::discard);
+        open = Optional.empty();
+        lastActiveMs = server.clock().nowMs();
+        closing |= last;
+        startNext();
     }
 
     private void discard(IncomingCall call) {
@@ -207,112 +218,11 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
-        if (current != null) {
-            current.writabilityChanged.run();
-        }
+        open.ifPresent(call -> call.response().writabilityChanged());
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
         Channels.close(failed.channel());
     }
-
-    /** The answer to the request that is open on this connection. */
-    private final class PendingResponse implements CallerResponse {
-        private final boolean closeWanted;
-        private IncomingCall call;
-        private Runnable whenGone = () -> {};
-        private Runnable writabilityChanged = () -> {};
-        private boolean ended;
-
-        PendingResponse(boolean closeWanted) {
-            this.closeWanted = closeWanted;
-        }
-
-        @Override
-        public void sendWhole(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-            if (ended) {
-                content.release();
-                return;
-            }
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, status, content, headers, new DefaultHttpHeaders());
-            if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-                headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-            }
-            markClose(headers);
-            complete(answer);
-        }
-
-        @Override
-        public void start(HttpResponseStatus status, HttpHeaders headers) {
-            headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            markClose(headers);
-            Channels.write(context.channel(), new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
-        }
-
-        @Override
-        public void write(ByteBuf piece) {
-            Channels.write(context.channel(), new DefaultHttpContent(piece));
-        }
-
-        @Override
-        public void finish() {
-            if (!ended) {
-                complete(LastHttpContent.EMPTY_LAST_CONTENT);
-            }
-        }
-
-        @Override
-        public void abort() {
-            Channels.close(context.channel());
-        }
-
-        @Override
-        public boolean writable() {
-            return context.channel().isWritable();
-        }
-
-        @Override
-        public void onGone(Runnable action) {
-            whenGone = action;
-        }
-
-        @Override
-        public void onWritable(Runnable action) {
-            writabilityChanged = action;
-        }
-
-        private void markClose(HttpHeaders headers) {
-            if (closeWanted || server.isStopping()) {
-                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
-
-        private void complete(HttpObject last) {
-            boolean close = closeWanted || server.isStopping();
-            ended = true;
-            discard(call);
-            current = null;
-            lastActiveMs = server.clock().nowMs();
-            if (close) {
-                closing = true;
-                Channels.writeAndClose(context.channel(), last);
-                return;
-            }
-            Channels.write(context.channel(), last);
-            startNext();
-        }
-
-        private void gone() {
-            if (ended) {
-                return;
-            }
-            ended = true;
-            current = null;
-            whenGone.run();
-            discard(call);
-        }
-    }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerResponse.java
@@ -29,4 +29,10 @@
 
     /** Sets what happens when {@link #writable()} changes. */
     void onWritable(Runnable action);
+
+    /** Takes note that the caller has left; called by its connection. */
+    void callerGone();
+
+    /** Takes note that {@link #writable()} has changed; called by its connection. */
+    void writabilityChanged();
 }
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -0,0 +1,123 @@
+package org.hawthornglade.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** The answer to one request on a caller's connection. */
+final class PendingResponse implements CallerResponse {
+    private final CallerConnection connection;
+    private final Channel channel;
+    private final boolean closeWanted;
+    private Runnable whenGone = () -> {};
+    private Runnable whenWritable = () -> {};
+    private boolean ended;
+
+    /**
+     * Creates an answer of which nothing is written.
+     *
+     * @param closeWanted whether the caller asked for the connection to end with this answer
+     */
+    PendingResponse(CallerConnection connection, Channel channel, boolean closeWanted) {
+        this.connection = connection;
+        this.channel = channel;
+        this.closeWanted = closeWanted;
+    }
+
+    @Override
+    public void sendWhole(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+        if (ended) {
+            content.release();
+            return;
+        }
+        if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+        }
+        markClose(headers);
+        complete(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content, headers, new DefaultHttpHeaders()));
+    }
+
+    @Override
+    public void start(HttpResponseStatus status, HttpHeaders headers) {
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        markClose(headers);
+        Channels.write(channel, new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+    }
+
+    @Override
+    public void write(ByteBuf piece) {
+        Channels.write(channel, new DefaultHttpContent(piece));
+    }
+
+    @Override
+    public void finish() {
+        if (!ended) {
+            complete(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+
+    @Override
+    public void abort() {
+        Channels.close(channel);
+    }
+
+    @Override
+    public boolean writable() {
+        return channel.isWritable();
+    }
+
+    @Override
+    public void onGone(Runnable action) {
+        whenGone = action;
+    }
+
+    @Override
+    public void onWritable(Runnable action) {
+        whenWritable = action;
+    }
+
+    @Override
+    public void callerGone() {
+        if (!ended) {
+            ended = true;
+            whenGone.run();
+        }
+    }
+
+    @Override
+    public void writabilityChanged() {
+        whenWritable.run();
+    }
+
+    private boolean last() {
+        return closeWanted || connection.stopping();
+    }
+
+    private void markClose(HttpHeaders headers) {
+        if (last()) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void complete(HttpObject end) {
+        ended = true;
+        boolean last = last();
+        if (last) {
+            Channels.writeAndClose(channel, end);
+        } else {
+            Channels.write(channel, end);
+        }
+        connection.answered(last);
+    }
+}
