--- a/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
@@ -10,6 +10,7 @@
 import org.hawthornglade.gateway.GatewaySettings;
 import org.hawthornglade.gateway.exchange.EndpointLinks;
 import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.platform.Platform;
 
@@ -31,17 +32,8 @@
         timers = new Timers(loop, log);
         EndpointLinks links = new EndpointLinks(loop, clock);
         platform = Platform.create(loop, timers, clock, log, settings.storeAddress(), links);
-        gateway = new Gateway(
-                settings,
-                loop,
-                timers,
-                clock,
-                log,
-                platform.protocol(),
-                links,
-                platform.lease(),
-                platform.engines(),
-                System::currentTimeMillis);
+        LoopContext context = new LoopContext(loop, timers, clock, System::currentTimeMillis, log);
+        gateway = new Gateway(settings, context, platform.protocol(), links, platform.lease(), platform.engines());
     }
 
     void start() {
--- a/app/src/test/java/org/hawthornglade/app/process/Ports.java
+++ b/app/src/test/java/org/hawthornglade/app/process/Ports.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Picks ports below the range that the system gives out by itself, so that nobody takes one before its process. */
-final class Ports {
+public final class Ports {
     private static final int FIRST = 20_000;
     private static final int COUNT = 10_000;
     private static final int STEP_PER_PROCESS = 40;
@@ -25,6 +25,26 @@
         throw new AssertionError("no port is free");
     }
 
+    /** Returns the first of so many free ports in a row. */
+    public static int freeRun(int count) {
+        for (int i = 0; i < COUNT; i += count) {
+            int first = FIRST + NEXT.getAndAdd(count) % COUNT;
+            if (allFree(first, count)) {
+                return first;
+            }
+        }
+        throw new AssertionError("no " + count + " ports in a row are free");
+    }
+
+    private static boolean allFree(int first, int count) {
+        for (int port = first; port < first + count; port++) {
+            if (!isFree(port)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean isFree(int port) {
         try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
             return socket.isBound();
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +31,7 @@
 import org.hawthornglade.gateway.leader.DemandCollector;
 import org.hawthornglade.gateway.leader.PlacementStar;
 import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.port.CallProtocol;
@@ -44,18 +44,12 @@
 public final class Gateway implements StoreListener {
     /** How often calls that wait are looked at when nothing has changed. */
     private static final long WAITING_CHECK_MS = 50;
-    /** How long after a stop was asked for new connections may still come from the balancer. */
-    private static final long BALANCER_REACTION_MS = 2_500;
-    /** Time kept for closing after the last call of a stop. */
-    private static final long EXIT_RESERVE_MS = 700;
-    /** How long after a stop was asked for calls are still taken, and may wait for an instance. */
-    private static final long WAITING_AT_STOP_MS = 2_500;
     /** Where the readiness address serves metrics. */
     private static final String METRICS_PATH = "/metrics";
     /** Counting begins this long after the start. */
     private static final long METRICS_AFTER_MS = 3_000;
-    /** How often a stop looks whether it is done. */
-    private static final long STOP_CHECK_MS = 20;
+    /** How long the log has to write its last lines. */
+    private static final long LAST_LINES_MS = 20;
     /** This entry's part of the retry budget: one of so many entries. */
     private static final int BUDGET_PARTS = 8;
 
@@ -78,26 +72,21 @@
     /** Puts an entry together; nothing listens yet. */
     public Gateway(
             GatewaySettings settings,
-            EventLoop loop,
-            Timers timers,
-            Clock clock,
-            EventLog log,
+            LoopContext context,
             CallProtocol protocol,
             EndpointLinks links,
             LeaseStore leaseStore,
-            EngineControl control,
-            Clock wallClock) {
-        this.timers = timers;
+            EngineControl control) {
+        this.timers = context.timers();
+        this.clock = context.clock();
+        this.log = context.log();
         this.settings = settings;
-        this.clock = clock;
-        this.log = log;
         this.protocol = protocol;
         this.links = links;
         DemandCollector collector = new DemandCollector(settings.node(), fleet, waiting);
-        this.star = new PlacementStar(
-                settings, loop, timers, clock, wallClock, log, fleet, waiting, collector, leaseStore, control);
+        this.star = new PlacementStar(settings, context, fleet, waiting, collector, leaseStore, control);
         waiting.onNewCall(star::demandChanged);
-        ExchangeContext context = new ExchangeContext(
+        ExchangeContext exchanges = new ExchangeContext(
                 timers,
                 clock,
                 fleet,
@@ -108,9 +97,10 @@
                 protocol,
                 log,
                 metrics);
-        this.entrance = new CallEntrance(context, () -> configuration, collector::onCall, new Random());
-        this.callers = new CallerServer(loop, timers, clock, this::limits, entrance);
-        this.readiness = new CallerServer(loop, timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
+        this.entrance = new CallEntrance(exchanges, () -> configuration, collector::onCall, new Random());
+        this.callers = new CallerServer(context.loop(), timers, clock, this::limits, entrance);
+        this.readiness =
+                new CallerServer(context.loop(), timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
     }
 
     private Dispatcher dispatcher(GatewaySettings from) {
@@ -135,43 +125,11 @@
                 .write();
     }
 
-    /**
-     * Stops without cutting an open call: leaves the balancer's rotation, answers what comes until that has taken
-     * effect, waits for the open calls and returns. Must not be called on the event loop.
-     */
+    /** Stops without cutting an open call and returns; must not be called on the event loop. */
     public void stop() {
-        long startMs = clock.nowMs();
-        timers.run(this::beginStop);
-        long latestMs = startMs + settings.graceMs() - EXIT_RESERVE_MS;
-        boolean refusing = false;
-        while (clock.nowMs() < latestMs && !mayExit(startMs)) {
-            if (!refusing && clock.nowMs() - startMs >= WAITING_AT_STOP_MS) {
-                refusing = true;
-                timers.run(this::refuseLate);
-            }
-            pause(STOP_CHECK_MS);
-        }
-        timers.run(callers::close);
-        pause(STOP_CHECK_MS);
-        log.event("stop").with("took_ms", clock.nowMs() - startMs).write();
-        pause(STOP_CHECK_MS);
-    }
-
-    /** The balancer sends nothing any more: what comes on kept connections could be cut by the end of the process. */
-    private void refuseLate() {
-        waiting.refuseAll();
-        callers.closeIdle();
-    }
-
-    private void beginStop() {
-        stopping = true;
-        callers.stopping();
-        star.resign();
-        log.event("stopping").with("open", callers.openCalls()).write();
-    }
-
-    private boolean mayExit(long startMs) {
-        return clock.nowMs() - startMs >= BALANCER_REACTION_MS && callers.openCalls() == 0;
+        long tookMs = new GracefulStop(clock, Gateway::pause, settings.graceMs(), new StopSteps()).run();
+        log.event("stop").with("took_ms", tookMs).write();
+        pause(LAST_LINES_MS);
     }
 
     private static void pause(long ms) {
@@ -272,4 +230,35 @@
         star.fleetChanged();
         waiting.reconsider();
     }
+
+    /** What a stop does to this entry, on its event loop. */
+    private final class StopSteps implements GracefulStop.Steps {
+        @Override
+        public void begin() {
+            timers.run(() -> {
+                stopping = true;
+                callers.stopping();
+                star.resign();
+                log.event("stopping").with("open", callers.openCalls()).write();
+            });
+        }
+
+        @Override
+        public void refuseLate() {
+            timers.run(() -> {
+                waiting.refuseAll();
+                callers.closeIdle();
+            });
+        }
+
+        @Override
+        public void close() {
+            timers.run(callers::close);
+        }
+
+        @Override
+        public int openCalls() {
+            return callers.openCalls();
+        }
+    }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
@@ -1,6 +1,5 @@
 package org.hawthornglade.gateway.leader;
 
-import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.hawthornglade.core.fleet.Endpoint;
@@ -13,7 +12,7 @@
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.GatewaySettings;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
-import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.peer.DemandNews;
 import org.hawthornglade.gateway.peer.FollowerServer;
@@ -51,11 +50,7 @@
     /** Puts the star's end at this entry together. */
     public PlacementStar(
             GatewaySettings settings,
-            EventLoop loop,
-            Timers timers,
-            Clock clock,
-            Clock wallClock,
-            EventLog log,
+            LoopContext context,
             Fleet fleet,
             WaitingCalls waiting,
             DemandCollector collector,
@@ -65,19 +60,20 @@
         this.fleet = fleet;
         this.waiting = waiting;
         this.collector = collector;
-        this.timers = timers;
-        this.clock = clock;
-        String nonce = settings.node() + "-" + wallClock.nowMs();
+        this.timers = context.timers();
+        this.clock = context.clock();
+        String nonce = settings.node() + "-" + context.wallClock().nowMs();
         this.leadership = new Leadership(
                 settings.node(),
                 settings.peerAddress().toString(),
                 nonce,
                 settings.leaseMs(),
                 settings.enginesCheckTokens());
-        this.lease = new LeaseKeeper(leadership, leaseStore, clock, wallClock, log);
-        this.leader = new PlacementLeader(settings.node(), fleet, leadership, lease, control, this, timers, clock, log);
-        this.link = new LeaderLink(loop, clock, log, this);
-        this.followers = new FollowerServer(loop, clock, this);
+        this.lease = new LeaseKeeper(leadership, leaseStore, clock, context.wallClock(), context.log());
+        this.leader = new PlacementLeader(
+                settings.node(), fleet, leadership, lease, control, this, timers, clock, context.log());
+        this.link = new LeaderLink(context.loop(), clock, context.log(), this);
+        this.followers = new FollowerServer(context.loop(), clock, this);
     }
 
     /** Starts; must not be called on the event loop. */
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
@@ -0,0 +1,54 @@
+package org.hawthornglade.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class GracefulStopTest {
+
+    private long nowMs;
+
+    /** An entry whose last open call ends at a set time. */
+    private final class Entry implements GracefulStop.Steps {
+        private final long lastCallEndsMs;
+        private final List<String> steps = new ArrayList<>();
+
+        Entry(long lastCallEndsMs) {
+            this.lastCallEndsMs = lastCallEndsMs;
+        }
+
+        @Override
+        public void begin() {
+            steps.add("begin");
+        }
+
+        @Override
+        public void refuseLate() {
+            steps.add("refuse at " + nowMs / 100 * 100);
+        }
+
+        @Override
+        public void close() {
+            steps.add("close at " + nowMs / 100 * 100);
+        }
+
+        @Override
+        public int openCalls() {
+            return nowMs < lastCallEndsMs ? 1 : 0;
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 8000, 2500", "4000, 8000, 4000", "60000, 8000, 7300", "60000, 2000, 1300"})
+    void refusesAfterTheBalancerHasReactedAndEndsWithItsLastCall(long lastCallEndsMs, long graceMs, long closedMs) {
+        Entry entry = new Entry(lastCallEndsMs);
+        new GracefulStop(() -> nowMs, ms -> nowMs += ms, graceMs, entry).run();
+        long refusedMs = Math.min(2_500, graceMs - 700);
+        assertThat(entry.steps)
+                .containsExactly("begin", "refuse at " + refusedMs, "close at " + closedMs)
+                .inOrder();
+    }
+}
