--- a/app/src/main/java/org/hawthornglade/app/gateway/GatewayCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayCommand.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import org.hawthornglade.app.Command;
 import org.hawthornglade.app.ExitCode;
-import org.hawthornglade.gateway.GatewaySettings;
 import org.hawthornglade.platform.SettingsFile;
 
 /** Runs an entry on the users' platform until the process is stopped. */
@@ -26,9 +25,10 @@
         if (path == null) {
             throw new IOException(SettingsFile.PATH_VARIABLE + " is not set");
         }
-        GatewaySettings settings = SettingsFile.read(Path.of(path));
-        GatewayProcess process = new GatewayProcess(settings, out);
+        Path file = Path.of(path);
+        GatewayProcess process = new GatewayProcess(SettingsFile.read(file), out);
         process.start();
+        HangupSignal.onHangup(() -> process.reload(() -> SettingsFile.read(file)));
         Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "stop"));
         return ExitCode.RUNNING;
     }
--- a/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
 import java.io.PrintStream;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.Gateway;
@@ -23,12 +24,13 @@
 
     private final EventLoop loop = new NioEventLoopGroup(1).next();
     private final Clock clock = Clock.system();
+    private final EventLog log;
     private final Timers timers;
     private final Gateway gateway;
     private final Platform platform;
 
     GatewayProcess(GatewaySettings settings, PrintStream out) {
-        EventLog log = new EventLog(clock, out);
+        log = new EventLog(clock, out);
         timers = new Timers(loop, log);
         EndpointLinks links = new EndpointLinks(loop, clock);
         platform = Platform.create(loop, timers, clock, log, settings.storeAddress(), links);
@@ -40,10 +42,25 @@
         gateway.start(platform.feeds());
     }
 
+    /** Takes over changed settings; ones that cannot be read leave the present ones in force. */
+    void reload(SettingsSource source) {
+        try {
+            gateway.reload(source.read());
+        } catch (IOException e) {
+            log.event("reload-failed").with("why", e.getMessage()).write();
+        }
+    }
+
     void stop() {
         gateway.stop();
     }
 
+    /** Reads the settings of the process. */
+    interface SettingsSource {
+        /** Returns checked settings; fails with all faults. */
+        GatewaySettings read() throws IOException;
+    }
+
     EventLoop loop() {
         return loop;
     }
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/gateway/HangupSignal.java
@@ -0,0 +1,33 @@
+package org.hawthornglade.app.gateway;
+
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
+
+/**
+ * Runs an action when the process gets SIGHUP, which would end it otherwise.
+ *
+ * <p>The JDK's signal classes are its own and the compiler refuses their direct use, hence the reflection.
+ */
+final class HangupSignal {
+    private static final String NAME = "HUP";
+
+    private HangupSignal() {}
+
+    /**
+     * Installs the action; it is run on a thread of the JDK, one signal at a time.
+     *
+     * @throws ReflectiveOperationException if this JDK has no signal classes
+     */
+    static void onHangup(Runnable action) throws ReflectiveOperationException {
+        Class<?> signalType = Class.forName("sun.misc.Signal");
+        Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
+        InvocationHandler invocation = (proxy, method, arguments) -> {
+            action.run();
+            return null;
+        };
+        Object handler =
+                Proxy.newProxyInstance(HangupSignal.class.getClassLoader(), new Class<?>[] {handlerType}, invocation);
+        Object signal = signalType.getConstructor(String.class).newInstance(NAME);
+        signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, handler);
+    }
+}
--- a/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
@@ -37,6 +37,7 @@
         GatewayProcess process = new GatewayProcess(settings(), out);
         new StandinPlatform(process.loop(), process.timers(), process.clock(), port + GATEWAY_PORTS).start();
         process.start();
+        HangupSignal.onHangup(() -> process.reload(this::settings));
         int failed = 0;
         HttpClient client = HttpClient.newHttpClient();
         for (int round = 0; round < ROUNDS; round++) {
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/GatewayDeployment.java
@@ -0,0 +1,115 @@
+package org.hawthornglade.app.process;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.platform.SettingsFile;
+import org.hawthornglade.platform.standin.StandinPlatform;
+
+/** Two gateway processes before a stand-in platform that runs in the test. */
+final class GatewayDeployment implements AutoCloseable {
+    private static final int ENTRIES = 2;
+    private static final int PORTS_PER_ENTRY = 10;
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
+    private static final long LIMIT_MS = 60_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final StandinPlatform standin;
+    private final List<NodeProcess> entries = new ArrayList<>();
+    private final List<Path> logs = new ArrayList<>();
+    private final List<Path> settings = new ArrayList<>();
+    private final int firstPort = Ports.freeRun(ENTRIES * PORTS_PER_ENTRY + 3);
+    private final int storePort = firstPort + ENTRIES * PORTS_PER_ENTRY;
+
+    GatewayDeployment(Path directory) throws IOException, InterruptedException {
+        EventLoop loop = group.next();
+        Clock clock = Clock.system();
+        standin = new StandinPlatform(loop, new Timers(loop, new EventLog(clock, System.out)), clock, storePort);
+        standin.start();
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            settings.add(directory.resolve("settings-" + entry + ".json"));
+            logs.add(directory.resolve("entry-" + entry + ".log"));
+            Files.writeString(settings.get(entry), StandinPlatform.settings(port(entry), storePort));
+            entries.add(new NodeProcess(
+                    List.of("gateway"),
+                    Map.of(SettingsFile.PATH_VARIABLE, settings.get(entry).toString()),
+                    logs.get(entry).toFile()));
+        }
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            awaitReady(entry);
+        }
+    }
+
+    private int port(int entry) {
+        return firstPort + entry * PORTS_PER_ENTRY;
+    }
+
+    NodeProcess entry(int entry) {
+        return entries.get(entry);
+    }
+
+    Path settings(int entry) {
+        return settings.get(entry);
+    }
+
+    StandinPlatform standin() {
+        return standin;
+    }
+
+    String log(int entry) throws IOException {
+        return Files.readString(logs.get(entry));
+    }
+
+    void awaitLog(int entry, String text) throws InterruptedException {
+        Waiting.until(text + " at entry " + entry, LIMIT_MS, () -> log(entry).contains(text));
+    }
+
+    void awaitReady(int entry) throws InterruptedException {
+        Waiting.until("entry " + entry + " is ready", LIMIT_MS, () -> ready(entry));
+    }
+
+    private boolean ready(int entry) throws InterruptedException {
+        try {
+            return get(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + (port(entry) + 1) + "/v1/ready")))
+                    == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Makes a call on a connection of its own and returns the status. */
+    int call(int entry, String path, String id, String model) throws IOException, InterruptedException {
+        return get(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port(entry) + path))
+                .headers(StandinPlatform.requestHeaders(id, model))
+                .POST(HttpRequest.BodyPublishers.ofString("{}")));
+    }
+
+    private static int get(HttpRequest.Builder request) throws IOException, InterruptedException {
+        return HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .build()
+                .send(request.timeout(CALL_TIMEOUT).build(), HttpResponse.BodyHandlers.ofString())
+                .statusCode();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        for (NodeProcess entry : entries) {
+            entry.close();
+        }
+        group.shutdownGracefully().awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/app/src/test/java/org/hawthornglade/app/process/GatewayProcessTest.java
@@ -0,0 +1,132 @@
+package org.hawthornglade.app.process;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Real gateway processes under signals, seen by callers, by the model server and in the logs. */
+@Tag("process")
+final class GatewayProcessTest {
+    private static final int CALLS = 60;
+    /** The status of the platform for a call that this process refuses and has not run. */
+    private static final int REFUSED = 503;
+
+    @TempDir
+    Path directory;
+
+    private GatewayDeployment deployment;
+
+    @BeforeEach
+    void deploy() throws Exception {
+        deployment = new GatewayDeployment(directory);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        deployment.close();
+    }
+
+    @Test
+    void hangUpsWhileCallsRunCutNoneOfThem() throws Exception {
+        CompletableFuture<List<Integer>> statuses = callInBackground(0);
+        for (int i = 0; i < 3; i++) {
+            deployment.entry(0).hangUp();
+            deployment.awaitLog(0, "event=reload ");
+        }
+        assertThat(statuses.get().stream().distinct()).containsExactly(200);
+        assertThat(deployment.entry(0).alive()).isTrue();
+        assertThat(deployment.log(0)).contains("event=reload restart_needed=false");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"node\": ", "{\"node\": \"x\"}"})
+    void settingsThatCannotBeUsedLeaveThePresentOnesInForce(String spoilt) throws Exception {
+        Files.writeString(deployment.settings(0), spoilt);
+        deployment.entry(0).hangUp();
+        deployment.awaitLog(0, "event=reload-failed ");
+        assertThat(deployment.call(0, "/read/x", "after", "none")).isEqualTo(200);
+    }
+
+    @Test
+    void aStopEndsEveryCallThatWasRead() throws Exception {
+        CompletableFuture<List<Integer>> statuses = callInBackground(0);
+        deployment.entry(0).terminate();
+        for (int status : statuses.get()) {
+            assertThat(status).isAnyOf(200, REFUSED);
+        }
+        deployment.entry(0).awaitExit();
+        assertThat(deployment.call(1, "/post/x", "other", "none")).isEqualTo(200);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anotherEntryLeadsWhenTheLeaderIsGoneAndNoOlderOrderFollowsANewerOne(boolean killed) throws Exception {
+        int leader = leader();
+        int other = 1 - leader;
+        assertThat(deployment.call(other, "/chat/x", "first", "m1")).isEqualTo(200);
+        if (killed) {
+            deployment.entry(leader).kill();
+        } else {
+            deployment.entry(leader).freeze();
+        }
+        deployment.awaitLog(other, "event=leader-won token=2");
+        awaitServed(other, "m3/a1");
+        if (killed) {
+            deployment.entry(leader).start();
+        } else {
+            deployment.entry(leader).resume();
+        }
+        deployment.awaitReady(leader);
+        awaitServed(leader, "m2/a2");
+        assertThat(deployment.standin().acceptedTokens()).isInOrder();
+        assertThat(deployment.standin().acceptedTokens()).contains(2L);
+    }
+
+    private int leader() throws IOException, InterruptedException {
+        Waiting.until(
+                "an entry leads",
+                10_000,
+                () -> (deployment.log(0) + deployment.log(1)).contains("event=leader-won token=1"));
+        return deployment.log(0).contains("event=leader-won token=1") ? 0 : 1;
+    }
+
+    /** A call may be told to come back while a model is loaded. */
+    private void awaitServed(int entry, String model) throws InterruptedException {
+        Waiting.until(model + " is served", 30_000, () -> {
+            int status = deployment.call(entry, "/chat/x", "wait-" + model, model);
+            assertWithMessage(model).that(status).isAnyOf(200, REFUSED);
+            return status == 200;
+        });
+    }
+
+    /** Makes calls one after another until the entry takes none any more; a broken one fails the future. */
+    private CompletableFuture<List<Integer>> callInBackground(int entry) {
+        return CompletableFuture.supplyAsync(() -> {
+            List<Integer> statuses = new ArrayList<>();
+            try {
+                for (int i = 0; i < CALLS; i++) {
+                    statuses.add(deployment.call(entry, i % 2 == 0 ? "/post/x" : "/read/x", "call-" + i, "none"));
+                }
+            } catch (ConnectException e) {
+                return statuses;
+            } catch (IOException | InterruptedException e) {
+                throw new AssertionError("call " + statuses.size() + " was cut", e);
+            }
+            return statuses;
+        });
+    }
+}
--- a/app/src/test/java/org/hawthornglade/app/process/NodeProcess.java
+++ b/app/src/test/java/org/hawthornglade/app/process/NodeProcess.java
@@ -25,11 +25,23 @@
      * @param log takes its output
      */
     NodeProcess(String role, Path settings, Map<String, String> environment, File log) throws IOException {
+        this(List.of(role, settings.toString()), environment, log);
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param arguments the command and its arguments
+     * @param environment what the settings take from the environment
+     * @param log takes its output
+     */
+    NodeProcess(List<String> arguments, Map<String, String> environment, File log) throws IOException {
         String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         List<String> command = new java.util.ArrayList<>(List.of(java));
         command.addAll(FLAGS);
-        command.addAll(List.of("-cp", classPath, "org.hawthornglade.app.Main", role, settings.toString()));
+        command.addAll(List.of("-cp", classPath, "org.hawthornglade.app.Main"));
+        command.addAll(arguments);
         builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
@@ -71,6 +83,11 @@
         signal("-CONT");
     }
 
+    /** Tells the process to read its settings again. */
+    void hangUp() throws IOException, InterruptedException {
+        signal("-HUP");
+    }
+
     private void signal(String name) throws IOException, InterruptedException {
         int status = new ProcessBuilder("kill", name, Long.toString(process.pid()))
                 .start()
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -53,7 +53,6 @@
     /** This entry's part of the retry budget: one of so many entries. */
     private static final int BUDGET_PARTS = 8;
 
-    private final GatewaySettings settings;
     private final Timers timers;
     private final Clock clock;
     private final EventLog log;
@@ -66,6 +65,8 @@
     private final CallEntrance entrance;
     private final CallerServer callers;
     private final CallerServer readiness;
+    private final RetryBudgets budgets;
+    private volatile GatewaySettings settings;
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private volatile boolean stopping;
 
@@ -86,17 +87,9 @@
         DemandCollector collector = new DemandCollector(settings.node(), fleet, waiting);
         this.star = new PlacementStar(settings, context, fleet, waiting, collector, leaseStore, control);
         waiting.onNewCall(star::demandChanged);
+        this.budgets = new RetryBudgets(retryShare(settings), retryBurst(settings));
         ExchangeContext exchanges = new ExchangeContext(
-                timers,
-                clock,
-                fleet,
-                dispatcher(settings),
-                links,
-                waiting,
-                new RetryBudgets(settings.retryShare() / 2, Math.max(2, settings.retryBurst() / BUDGET_PARTS)),
-                protocol,
-                log,
-                metrics);
+                timers, clock, fleet, dispatcher(settings), links, waiting, budgets, protocol, log, metrics);
         this.entrance = new CallEntrance(exchanges, () -> configuration, collector::onCall, new Random());
         this.callers = new CallerServer(context.loop(), timers, clock, this::limits, entrance);
         this.readiness =
@@ -110,6 +103,14 @@
                 new FirstTokenSelector(from.failureDomain(), this::engine));
     }
 
+    private static double retryShare(GatewaySettings from) {
+        return from.retryShare() / 2;
+    }
+
+    private static double retryBurst(GatewaySettings from) {
+        return Math.max(2, from.retryBurst() / BUDGET_PARTS);
+    }
+
     /** Starts to listen and to follow the store; must not be called on the event loop. */
     public void start(StoreFeeds feeds) {
         callers.listen(settings.callerAddress());
@@ -125,6 +126,14 @@
                 .write();
     }
 
+    /** Takes over the limits of changed settings; the rest waits for the next start. */
+    public void reload(GatewaySettings changed) {
+        GatewaySettings taken = settings.withLimitsOf(changed);
+        settings = taken;
+        timers.run(() -> budgets.change(retryShare(taken), retryBurst(taken)));
+        log.event("reload").with("restart_needed", !taken.equals(changed)).write();
+    }
+
     /** Stops without cutting an open call and returns; must not be called on the event loop. */
     public void stop() {
         long tookMs = new GracefulStop(clock, Gateway::pause, settings.graceMs(), new StopSteps()).run();
--- a/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
@@ -37,4 +37,21 @@
     public GatewaySettings {
         seeds = List.copyOf(seeds);
     }
+
+    /** Returns these settings with the limits of others: the part that a running entry can take over. */
+    public GatewaySettings withLimitsOf(GatewaySettings other) {
+        return new GatewaySettings(
+                node,
+                failureDomain,
+                callerAddress,
+                readinessAddress,
+                peerAddress,
+                storeAddress,
+                seeds,
+                leaseMs,
+                enginesCheckTokens,
+                other.graceMs,
+                other.retryShare,
+                other.retryBurst);
+    }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/RetryBudgets.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/RetryBudgets.java
@@ -7,8 +7,8 @@
 
 /** The budget of repeated attempts for each service, this entry's part of what all entries share. */
 public final class RetryBudgets {
-    private final double share;
-    private final double burst;
+    private double share;
+    private double burst;
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
 
     /**
@@ -22,6 +22,16 @@
         this.burst = burst;
     }
 
+    /** Changes the limits; budgets begin anew only if these differ. */
+    public void change(double newShare, double newBurst) {
+        if (newShare == share && newBurst == burst) {
+            return;
+        }
+        share = newShare;
+        burst = newBurst;
+        budgets.clear();
+    }
+
     /** Returns the budget of a service. */
     public RetryBudget of(ServiceName service) {
         return budgets.computeIfAbsent(service, name -> new RetryBudget(share, burst));
