A call waits only for a load that ends while its caller is still there; others are told at once when to come back

The leader now foretells when each awaited model will be ready and where (LoadForecast), entries compare that with the caller's patience, and calls that were sent away count as demand until they come back. Loads that can still be in time go before what is late anyway. Ruled out: shorter waits alone (the model would not be loaded for those who come back).

--- a/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
@@ -15,6 +15,7 @@
     private final long arrivedAtMs;
     private final long deadlineAtMs;
     private final Set<InstanceId> tried = new HashSet<>();
+    private long heardAtMs;
 
     /**
      * Describes a call.
@@ -31,6 +32,7 @@
         this.demand = demand;
         this.arrivedAtMs = arrivedAtMs;
         this.deadlineAtMs = deadlineAtMs;
+        this.heardAtMs = arrivedAtMs;
     }
 
     public ServiceName service() {
@@ -53,6 +55,21 @@
         return deadlineAtMs;
     }
 
+    /** Returns when the caller leaves if nothing more of the answer has come by then. */
+    public long leavesAtMs() {
+        return Math.min(deadlineAtMs, heardAtMs + route.abandonMs());
+    }
+
+    /** Returns when the caller last got a part of its answer; the arrival if it has got nothing yet. */
+    public long heardAtMs() {
+        return heardAtMs;
+    }
+
+    /** Takes note that the caller has got a part of its answer. */
+    public void heard(long nowMs) {
+        heardAtMs = nowMs;
+    }
+
     /** Returns the instances that this call was sent to. */
     public Set<InstanceId> tried() {
         return tried;
--- a/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
@@ -48,7 +48,8 @@
             }
         }
         if (holders.isEmpty()) {
-            return new Decision.Wait("replica");
+            double readMs = demand.promptTokens() / PREFILL_TOKENS_PER_MS;
+            return ReplicaWait.decide(call, demand, engines.apply(call.service()), usable, readMs, nowMs);
         }
         Endpoint best = soonest(call, demand, holders, nowMs);
         if (best == null) {
--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -5,6 +5,7 @@
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.InstanceVersion;
+import org.hawthornglade.core.fleet.ReplicaState;
 import org.hawthornglade.core.fleet.ReplicaStatus;
 import org.hawthornglade.core.id.AdapterName;
 import org.hawthornglade.core.id.InstanceId;
@@ -255,6 +256,11 @@
         return remoteUntilMs > nowMs;
     }
 
+    /** Returns when the last load from the weight store here is expected to end. */
+    long remoteUntilMs() {
+        return remoteUntilMs;
+    }
+
     /** Returns how long a load of a model takes here, by where its weights lie. */
     public long loadMs(ModelDefinition model) {
         return copies.loadMs(model);
@@ -268,8 +274,15 @@
         return models.adapterCount();
     }
 
-    /** Returns what entries are told of this engine. */
-    public InstancePlacement placement(long nowMs) {
-        return new InstancePlacement(listed.id(), version.bornMs(), models.states(nowMs));
+    /**
+     * Returns what entries are told of this engine.
+     *
+     * @param foretold the models that will be loaded here later, and when they will be ready
+     */
+    public InstancePlacement placement(Map<ModelName, Long> foretold, long nowMs) {
+        Map<ModelName, ReplicaState> states = models.states(nowMs);
+        foretold.forEach((model, readyAtMs) ->
+                states.putIfAbsent(model, new ReplicaState(ReplicaStatus.LOADING, readyAtMs, Map.of())));
+        return new InstancePlacement(listed.id(), version.bornMs(), states);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/replica/LoadPacer.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/LoadPacer.java
@@ -13,7 +13,7 @@
     /** The window over which the store's rate is kept. */
     static final long WINDOW_MS = 5_000;
     /** How many loads run at once; the store shares its bandwidth beyond a few. */
-    private static final int MAX_AT_ONCE = 4;
+    static final int MAX_AT_ONCE = 4;
 
     private final Deque<Long> begunAtMs = new ArrayDeque<>();
 
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/RemoteLanes.java
@@ -0,0 +1,30 @@
+package org.hawthornglade.core.replica;
+
+import java.util.Collection;
+import java.util.PriorityQueue;
+
+/** When the next loads from the weight store can begin, as far as the number that run at once decides it. */
+final class RemoteLanes {
+    private final PriorityQueue<Long> freeAtMs = new PriorityQueue<>();
+
+    RemoteLanes(Collection<EngineBook> books, long nowMs) {
+        for (EngineBook book : books) {
+            if (book.loadingRemotely(nowMs)) {
+                freeAtMs.add(book.remoteUntilMs());
+            }
+        }
+        while (freeAtMs.size() < LoadPacer.MAX_AT_ONCE) {
+            freeAtMs.add(nowMs);
+        }
+    }
+
+    long nextFreeMs() {
+        return freeAtMs.element();
+    }
+
+    /** Takes note of a load that begins when the next lane is free. */
+    void take(long untilMs) {
+        freeAtMs.remove();
+        freeAtMs.add(untilMs);
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.ModelDefinition;
@@ -13,7 +16,8 @@
 /**
  * Decides the next orders to the engines of one service.
  *
- * <p>First come the adapters and models that calls wait for, the most urgent first. What capacity is left brings a
+ * <p>First come the adapters and models that calls wait for: those that can be ready in time, then the others, the most
+ * urgent first. What capacity is left brings a
  * copy of each model that is nowhere yet to some engine's disk, so that the first call for it waits for a short load
  * only.
  */
@@ -47,7 +51,7 @@
         begunNow = 0;
         List<ReplicaOrder> orders = new ArrayList<>();
         Set<EngineBook> taken = new HashSet<>();
-        List<VariantDemand> waiting = demand.waiting(nowMs);
+        List<VariantDemand> waiting = byOrder(books, nowMs);
         continueGoals(books, taken, orders, nowMs);
         for (VariantDemand each : waiting) {
             if (each.variant().adapter().isPresent()) {
@@ -65,6 +69,37 @@
         return orders;
     }
 
+    /** Returns when the models that calls wait for will be ready, by instance; those that are loading now left out. */
+    public Map<InstanceId, Map<ModelName, Long>> forecast(Collection<EngineBook> books, long nowMs) {
+        List<ModelName> missing = new ArrayList<>();
+        for (VariantDemand each : byOrder(books, nowMs)) {
+            ModelName model = each.variant().model();
+            if (wanted(model, books, nowMs) && !missing.contains(model)) {
+                missing.add(model);
+            }
+        }
+        return new LoadForecast(engine, books, nowMs).of(missing);
+    }
+
+    /** Returns the waiting demand; what a load can still serve on time comes before what is late in any case. */
+    private List<VariantDemand> byOrder(Collection<EngineBook> books, long nowMs) {
+        List<VariantDemand> waiting = demand.waiting(nowMs);
+        // The sort is stable: within both groups the most urgent stay first.
+        waiting.sort(Comparator.comparing(each -> !canBeOnTime(each, books)));
+        return waiting;
+    }
+
+    private boolean canBeOnTime(VariantDemand waiting, Collection<EngineBook> books) {
+        ModelDefinition model = engine.models().get(waiting.variant().model());
+        long quickestMs = Long.MAX_VALUE;
+        for (EngineBook book : books) {
+            if (model != null && book.trusted()) {
+                quickestMs = Math.min(quickestMs, book.loadMs(model));
+            }
+        }
+        return waiting.slackMs() >= quickestMs;
+    }
+
     private static void add(
             ReplicaOrder order, Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders) {
         orders.add(order);
--- a/core/src/main/java/org/hawthornglade/core/serving/Route.java
+++ b/core/src/main/java/org/hawthornglade/core/serving/Route.java
@@ -12,6 +12,7 @@
  * @param timeoutMs the longest time that a caller is kept waiting for the end of the answer
  * @param targetMs the latency target: to the end of the answer, of a stream to its first event
  * @param gapTargetMs the longest pause between two events of a stream that is still on time; 0 where not a stream
+ * @param abandonMs after how long without an event the callers of a stream leave; the timeout where not a stream
  * @param maxAttempts to how many instances one call may be sent
  * @param priority the rank; 0 goes first
  * @param resumable whether a stream may be continued at another instance
@@ -25,6 +26,7 @@
         long timeoutMs,
         long targetMs,
         long gapTargetMs,
+        long abandonMs,
         int maxAttempts,
         int priority,
         boolean resumable,
--- a/core/src/test/java/org/hawthornglade/core/replica/EngineBookTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/EngineBookTest.java
@@ -86,7 +86,7 @@
         book.onReport(report(4, false, M0), 0);
         book.onSent(order(OrderAction.UNLOAD, M0), 10);
         assertThat(book.serves(M0)).isFalse();
-        assertThat(book.placement(10).models().get(M0).status()).isEqualTo(ReplicaStatus.UNLOADING);
+        assertThat(book.placement(Map.of(), 10).models().get(M0).status()).isEqualTo(ReplicaStatus.UNLOADING);
     }
 
     @Test
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/replica/LoadForecastTest.java
@@ -0,0 +1,73 @@
+package org.hawthornglade.core.replica;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.hawthornglade.core.id.ModelName;
+import org.junit.jupiter.api.Test;
+
+/** When the models that calls wait for will be there, as entries are told. */
+class LoadForecastTest {
+    private static Map<String, Long> forecast(ReplicaWorld world) {
+        Map<String, Long> readyInMs = new TreeMap<>();
+        world.planner
+                .forecast(world.books, world.nowMs)
+                .forEach((instance, models) ->
+                        models.forEach((model, atMs) -> readyInMs.put(instance + " " + model, atMs - world.nowMs)));
+        return readyInMs;
+    }
+
+    @Test
+    void modelsOnOneDiskQueueAtItsEngine() {
+        ReplicaWorld world = new ReplicaWorld(5, 0)
+                .engine("a", List.of("m0"), List.of("m0", "m1", "m2"))
+                .engine("b", List.of("m3"), List.of("m3"));
+        world.waiting(2_000, "m1", "m2");
+        assertThat(forecast(world)).containsExactly("a m1", ReplicaWorld.DISK_MS, "a m2", 2 * ReplicaWorld.DISK_MS);
+    }
+
+    @Test
+    void aLoadUnderWayIsWaitedForWhereThatIsSooner() {
+        ReplicaWorld world = new ReplicaWorld(4, 2).engine("a", List.of("m0"), List.of("m0", "m1", "m2"));
+        world.waiting(2_000, "m1");
+        assertThat(world.plan()).containsExactly("a LOAD m1");
+        world.answer(OrderOutcome.ACCEPTED);
+        world.nowMs += 300;
+        world.waiting(2_000, "m1", "m2");
+        assertThat(forecast(world)).containsExactly("a m2", 500 + ReplicaWorld.DISK_MS);
+    }
+
+    @Test
+    void fourLoadsFromTheStoreRunAtOnceAndTheFifthFollows() {
+        ReplicaWorld world = new ReplicaWorld(5, 2);
+        for (String id : List.of("a", "b", "c", "d", "e")) {
+            world.engine(id, List.of(), List.of());
+        }
+        world.waiting(2_000, "m0", "m1", "m2", "m3", "m4");
+        assertThat(forecast(world).values())
+                .containsExactly(
+                        ReplicaWorld.REMOTE_MS,
+                        ReplicaWorld.REMOTE_MS,
+                        ReplicaWorld.REMOTE_MS,
+                        ReplicaWorld.REMOTE_MS,
+                        2 * ReplicaWorld.REMOTE_MS);
+    }
+
+    @Test
+    void whatIsReadyOrUnknownIsNotForetold() {
+        ReplicaWorld world = new ReplicaWorld(2, 2).engine("a", List.of("m0"), List.of("m0"));
+        world.waiting(2_000, "m0", "m9");
+        assertThat(forecast(world)).isEmpty();
+    }
+
+    @Test
+    void entriesAreToldWhereAModelWillBe() {
+        ReplicaWorld world = new ReplicaWorld(2, 2).engine("a", List.of("m0"), List.of("m0", "m1"));
+        Map<ModelName, Long> foretold = Map.of(ModelName.of("m0"), 5L, ModelName.of("m1"), 900L);
+        assertThat(world.books.get(0).placement(foretold, 10).models().values().stream()
+                        .map(state -> state.status() + " " + state.readyAtMs()))
+                .containsExactly("READY 0", "LOADING 900");
+    }
+}
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
@@ -34,6 +34,15 @@
         assertThat(world.plan()).isEmpty();
     }
 
+    /** More models are asked for than loads can serve in time: what is late in any case does not delay the rest. */
+    @Test
+    void aLoadThatEndsInTimeGoesBeforeOneThatIsLateAnyway() {
+        ReplicaWorld world = new ReplicaWorld(4, 0).engine("a", List.of("m0"), List.of("m0", "m1", "m2"));
+        world.waiting("early", -500, "m1");
+        world.waiting("late", 1_500, "m2");
+        assertThat(world.plan()).containsExactly("a LOAD m2");
+    }
+
     @Test
     void anEngineWhoseModelsHaveToStayForAMomentIsWaitedForToo() {
         ReplicaWorld world = new ReplicaWorld(5, 2)
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaWorld.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaWorld.java
@@ -55,11 +55,16 @@
 
     /** Lets calls of one entry wait. */
     void waiting(long slackMs, String... variants) {
+        waiting("waiting", slackMs, variants);
+    }
+
+    /** Lets calls of a named entry wait. */
+    void waiting(String entry, long slackMs, String... variants) {
         List<VariantDemand> waiting = new ArrayList<>();
         for (String variant : variants) {
             waiting.add(new VariantDemand(variant(variant), 1, slackMs));
         }
-        demand.onDemand("waiting", new EntryDemand(waiting, Map.of(), Map.of(), Set.of()), nowMs);
+        demand.onDemand(entry, new EntryDemand(waiting, Map.of(), Map.of(), Set.of()), nowMs);
     }
 
     /** Lets calls for a model have arrived, with their latency target. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -184,6 +184,9 @@
         attempt = null;
         runs++;
         view.tried().add(endpoint.id());
+        if (answer.started()) {
+            view.heard(context.clock().nowMs());
+        }
         record.note(failure + ":" + endpoint.id());
         if (mayRunAgain()) {
             decide();
@@ -244,6 +247,9 @@
             end(ResultCode.ANSWER_INCOMPLETE, 0);
             return;
         }
+        if (code == ResultCode.DEADLINE_NOT_REACHABLE || code == ResultCode.MODEL_NOT_LOADED) {
+            context.waiting().returning().add(view, context.clock().nowMs() + retryAfterMs);
+        }
         ResultCode honest = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
         end(honest, answer.sendOwn(honest, honest.comeBack() ? retryAfterMs : 0));
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
@@ -14,6 +14,7 @@
             .thenComparingLong(Exchange::number);
 
     private final TreeSet<Exchange> calls = new TreeSet<>(URGENT_FIRST);
+    private final ReturningCalls returning = new ReturningCalls();
     private boolean refusing;
     private Runnable newCall = () -> {};
 
@@ -52,6 +53,11 @@
         return refusing;
     }
 
+    /** Returns the calls that were told when to come back. */
+    public ReturningCalls returning() {
+        return returning;
+    }
+
     /** Returns the calls that wait, in their order. */
     public Collection<Exchange> all() {
         return Collections.unmodifiableSortedSet(calls);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -17,7 +17,6 @@
 import org.hawthornglade.core.replica.EntryDemand;
 import org.hawthornglade.core.replica.ModelArrivals;
 import org.hawthornglade.core.replica.VariantDemand;
-import org.hawthornglade.gateway.exchange.Exchange;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
 import org.hawthornglade.gateway.peer.DemandNews;
 
@@ -70,8 +69,9 @@
 
     private List<VariantDemand> waiting(ServiceName service, long nowMs) {
         Map<Variant, VariantDemand> sums = new HashMap<>();
-        for (Exchange exchange : waiting.all()) {
-            CallView call = exchange.view();
+        List<CallView> calls = waiting.returning().expected(nowMs);
+        waiting.all().forEach(exchange -> calls.add(exchange.view()));
+        for (CallView call : calls) {
             if (call.demand().isPresent() && call.service().equals(service)) {
                 VariantDemand one = demandOf(call, call.demand().get(), nowMs);
                 sums.merge(one.variant(), one, VariantDemand::plus);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -8,6 +8,7 @@
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.lease.Leadership;
 import org.hawthornglade.core.replica.EngineBook;
@@ -234,8 +235,9 @@
         List<InstancePlacement> placements = new ArrayList<>();
         Map<InstanceId, Integer> running = new HashMap<>();
         for (EnginePark park : parks.values()) {
+            Map<InstanceId, Map<ModelName, Long>> foretold = park.planner().forecast(park.books(), nowMs);
             for (EngineBook book : park.books()) {
-                placements.add(book.placement(nowMs));
+                placements.add(book.placement(foretold.getOrDefault(book.id(), Map.of()), nowMs));
                 running.put(book.id(), park.demand().running(book.id(), nowMs));
             }
         }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -126,6 +126,7 @@
                 4_000,
                 1_000,
                 500,
+                4_000,
                 attempts,
                 0,
                 resumable,
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/DemandCollectorTest.java
@@ -0,0 +1,48 @@
+package org.hawthornglade.gateway.leader;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.replica.EntryDemand;
+import org.hawthornglade.core.replica.VariantDemand;
+import org.hawthornglade.core.serving.CallKind;
+import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.gateway.exchange.WaitingCalls;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What an entry tells of the calls that it has sent away for a while. */
+class DemandCollectorTest {
+    private static final ServiceName SERVICE = ServiceName.of("drafts");
+    private static final ModelName MODEL = ModelName.of("m0");
+    private static final long ARRIVED_AT_MS = 1_000;
+
+    @ParameterizedTest
+    @CsvSource({"1500, 1", "4000, 1", "4001, 0"})
+    void aCallThatWasToldWhenToComeBackCountsUntilThen(long nowMs, int calls) {
+        WaitingCalls waiting = new WaitingCalls();
+        DemandCollector collector = new DemandCollector("entry-a", new Fleet(), waiting);
+        CallView call = call();
+        collector.onCall(call);
+        waiting.returning().add(call, 4_000);
+        EntryDemand demand = collector.collect(nowMs).services().get(SERVICE);
+        List<VariantDemand> expected = calls == 0
+                ? List.of()
+                : List.of(new VariantDemand(new Variant(MODEL, Optional.empty()), 1, ARRIVED_AT_MS + 800 - nowMs));
+        assertThat(demand.waiting()).isEqualTo(expected);
+    }
+
+    private static CallView call() {
+        Route route =
+                new Route("r", "h.example", "/r/", CallKind.STREAM, 15_000, 800, 500, 4_000, 1, 0, true, List.of());
+        ModelDemand demand = new ModelDemand(MODEL, Optional.empty(), 3_000, 50, List.of());
+        return new CallView(SERVICE, route, Optional.of(demand), ARRIVED_AT_MS, ARRIVED_AT_MS + 5_000);
+    }
+}
