Late loads begin with the busiest model, and a model is ordered once

Cause: among loads that are late in any case the one that had waited longest went first, and models that leave with their servers were brought elsewhere in the order of the configuration.

--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -213,6 +213,14 @@
         return known && open.isEmpty() && trusted();
     }
 
+    /** Returns the model that was ordered but not yet accepted, or else the one for which room is being made. */
+    Optional<ModelName> coming() {
+        Optional<ModelName> ordered = open.filter(order ->
+                        order.action() == OrderAction.LOAD && order.adapter().isEmpty())
+                .map(ReplicaOrder::model);
+        return ordered.isPresent() ? ordered : goal;
+    }
+
     /** Returns the model for which room is being made. */
     public Optional<ModelName> goal() {
         return goal;
--- a/core/src/main/java/org/hawthornglade/core/replica/LoadForecast.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/LoadForecast.java
@@ -39,7 +39,7 @@
         for (EngineBook book : books) {
             if (book.trusted()) {
                 freeAtMs.put(book, nowMs + book.freeInMs(nowMs));
-                book.goal().ifPresent(model -> place(book, model));
+                book.coming().ifPresent(model -> place(book, model));
             }
         }
         for (ModelName model : awaited) {
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -16,8 +16,8 @@
 /**
  * Decides the next orders to the engines of one service.
  *
- * <p>First come the adapters and models that calls wait for: those that can be ready in time, then the others, the most
- * urgent first. What capacity is left brings a
+ * <p>First come the adapters and models that calls wait for: those that can be ready in time, the most urgent
+ * first, then the others, the busiest first. What capacity is left brings a
  * copy of each model that is nowhere yet to some engine's disk, so that the first call for it waits for a short load
  * only.
  */
@@ -31,7 +31,8 @@
     private final AdapterPlanner adapters;
     private final VictimChooser victims;
     private final HostChooser hosts;
-    private int begunNow;
+    private final Set<ModelName> begunNow = new HashSet<>();
+    private int begunRemotely;
 
     /** Creates a planner for one version of a service's engines. */
     public ReplicaPlanner(EngineDefinition engine, DemandBook demand, LoadPacer pacer) {
@@ -48,7 +49,6 @@
      * before it asks again.
      */
     public List<ReplicaOrder> plan(Collection<EngineBook> books, long nowMs) {
-        begunNow = 0;
         List<ReplicaOrder> orders = new ArrayList<>();
         Set<EngineBook> taken = new HashSet<>();
         List<VariantDemand> waiting = byOrder(books, nowMs);
@@ -66,6 +66,8 @@
         }
         addCopies(books, taken, orders, nowMs);
         spread(books, taken, orders, nowMs);
+        begunNow.clear();
+        begunRemotely = 0;
         return orders;
     }
 
@@ -81,14 +83,19 @@
         return new LoadForecast(engine, books, nowMs).of(missing);
     }
 
-    /** Returns the waiting demand; what a load can still serve on time comes before what is late in any case. */
+    /** Returns the waiting demand: first what a load can still serve on time, then what is late, busy models first. */
     private List<VariantDemand> byOrder(Collection<EngineBook> books, long nowMs) {
         List<VariantDemand> waiting = demand.waiting(nowMs);
-        // The sort is stable: within both groups the most urgent stay first.
-        waiting.sort(Comparator.comparing(each -> !canBeOnTime(each, books)));
+        // The sort is stable: the most urgent stay first among what can be on time, and among equally busy models.
+        waiting.sort(Comparator.comparingDouble(
+                each -> canBeOnTime(each, books) ? Double.NEGATIVE_INFINITY : -callsPerSecond(each, nowMs)));
         return waiting;
     }
 
+    private double callsPerSecond(VariantDemand each, long nowMs) {
+        return demand.callsPerSecond(each.variant().model(), nowMs);
+    }
+
     private boolean canBeOnTime(VariantDemand waiting, Collection<EngineBook> books) {
         ModelDefinition model = engine.models().get(waiting.variant().model());
         long quickestMs = Long.MAX_VALUE;
@@ -122,11 +129,11 @@
 
     /** Returns whether a model that calls wait for is on no engine and on no way to one. */
     private boolean wanted(ModelName model, Collection<EngineBook> books, long nowMs) {
-        if (!engine.models().containsKey(model)) {
+        if (!engine.models().containsKey(model) || begunNow.contains(model)) {
             return false;
         }
         for (EngineBook book : books) {
-            boolean coming = book.trusted() && book.goal().equals(Optional.of(model));
+            boolean coming = book.trusted() && book.coming().equals(Optional.of(model));
             if (coming || book.offers(model, nowMs)) {
                 return false;
             }
@@ -187,14 +194,15 @@
                 return;
             }
             pacer.onBegin(nowMs);
-            begunNow++;
+            begunRemotely++;
         }
+        begunNow.add(definition.name());
         taken.add(book);
         orders.add(new ReplicaOrder(book.id(), OrderAction.LOAD, definition.name(), Optional.empty(), book.version()));
     }
 
     private boolean mayLoadRemotely(Collection<EngineBook> books, long nowMs) {
-        int running = begunNow;
+        int running = begunRemotely;
         for (EngineBook book : books) {
             running += book.loadingRemotely(nowMs) ? 1 : 0;
         }
@@ -204,7 +212,8 @@
     /** Gives each model with steady calls that cannot wait for a load a second copy. */
     private void addCopies(Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders, long nowMs) {
         for (ModelDefinition model : engine.models().values()) {
-            if (!deservesCopy(model, nowMs) || copies(model.name(), books) != 1) {
+            boolean single = copies(model.name(), books) == 1 && !begunNow.contains(model.name());
+            if (!single || !deservesCopy(model, nowMs)) {
                 continue;
             }
             EngineBook host = hosts.cheapestWithWeights(model, books, taken, nowMs);
@@ -221,7 +230,7 @@
     private static int copies(ModelName model, Collection<EngineBook> books) {
         int copies = 0;
         for (EngineBook book : books) {
-            boolean here = book.holds(model) || book.goal().equals(Optional.of(model));
+            boolean here = book.holds(model) || book.coming().equals(Optional.of(model));
             copies += here && book.trusted() ? 1 : 0;
         }
         return copies;
@@ -229,11 +238,11 @@
 
     /** Brings models that are nowhere to an engine that can spare the room. */
     private void spread(Collection<EngineBook> books, Set<EngineBook> taken, List<ReplicaOrder> orders, long nowMs) {
-        for (ModelName model : engine.models().keySet()) {
+        for (ModelName model : busiestFirst(nowMs)) {
             if (!mayLoadRemotely(books, nowMs)) {
                 return;
             }
-            if (somewhere(model, books)) {
+            if (begunNow.contains(model) || somewhere(model, books)) {
                 continue;
             }
             EngineBook host = hosts.cheapest(engine.models().get(model), books, taken, nowMs);
@@ -244,10 +253,16 @@
         }
     }
 
+    private List<ModelName> busiestFirst(long nowMs) {
+        List<ModelName> models = new ArrayList<>(engine.models().keySet());
+        models.sort(Comparator.comparingDouble(model -> -demand.callsPerSecond(model, nowMs)));
+        return models;
+    }
+
     private static boolean somewhere(ModelName model, Collection<EngineBook> books) {
         for (EngineBook book : books) {
             boolean here =
-                    book.holds(model) || book.atHand(model) || book.goal().equals(Optional.of(model));
+                    book.holds(model) || book.atHand(model) || book.coming().equals(Optional.of(model));
             if (here && !book.listed().leaving()) {
                 return true;
             }
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
@@ -43,6 +43,39 @@
         assertThat(world.plan()).containsExactly("a LOAD m2");
     }
 
+    @Test
+    void aModelThatIsOnNoEngineIsLoadedOnlyOnceWhenSeveralAreEmpty() {
+        ReplicaWorld world =
+                new ReplicaWorld(1, 2).engine("a", List.of(), List.of()).engine("b", List.of(), List.of());
+        world.waiting(600, "m0", "m0/a1");
+        assertThat(world.plan()).hasSize(1);
+        assertThat(world.plan()).isEmpty();
+        world.answer(OrderOutcome.ACCEPTED);
+        assertThat(world.plan()).isEmpty();
+    }
+
+    /** All servers are replaced by empty ones: every load is late, and the busiest models come first. */
+    @Test
+    void amongLateLoadsTheBusiestModelGoesFirst() {
+        ReplicaWorld world = new ReplicaWorld(4, 0).engine("a", List.of("m0"), List.of("m0", "m1", "m2"));
+        world.arrived("m1", 1, 600);
+        world.arrived("m2", 20, 600);
+        world.waiting("early", -900, "m1");
+        world.waiting("late", -100, "m2");
+        assertThat(world.plan()).containsExactly("a LOAD m2");
+    }
+
+    /** Servers that leave take models along: the busiest of these are brought elsewhere first. */
+    @Test
+    void modelsOfLeavingEnginesAreSpreadTheBusiestFirst() {
+        ReplicaWorld world = new ReplicaWorld(4, 1)
+                .engine("a", List.of("m0", "m1"), List.of("m0", "m1", "m2"))
+                .engine("b", List.of(), List.of("m3"));
+        world.arrived("m1", 20, 600);
+        world.leaves("a");
+        assertThat(world.plan()).containsExactly("b LOAD m1");
+    }
+
     @Test
     void anEngineWhoseModelsHaveToStayForAMomentIsWaitedForToo() {
         ReplicaWorld world = new ReplicaWorld(5, 2)
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaWorld.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaWorld.java
@@ -53,6 +53,15 @@
                 book.listed().onDisk());
     }
 
+    /** Lets an engine announce that it leaves. */
+    void leaves(String id) {
+        for (EngineBook book : books) {
+            if (book.id().value().equals(id)) {
+                book.onListed(Records.leaving(id, List.of()), nowMs);
+            }
+        }
+    }
+
     /** Lets calls of one entry wait. */
     void waiting(long slackMs, String... variants) {
         waiting("waiting", slackMs, variants);
