--- a/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.core.replica;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +14,8 @@
 final class AdapterPlanner {
     /** An adapter that was loaded this short ago is not removed, since its calls are on their way. */
     private static final long SETTLE_MS = 500;
+    /** With fewer adapters of a model waiting, the next place that becomes free is soon enough. */
+    private static final int CROWD = 3;
 
     private final EngineDefinition engine;
     private final DemandBook demand;
@@ -41,6 +44,29 @@
         return best == null ? Optional.empty() : orderAt(best, wanted, nowMs);
     }
 
+    /** Returns whether calls wait for adapters of a model while the places for adapters are full wherever it is. */
+    boolean crowded(ModelName model, List<VariantDemand> waiting, Collection<EngineBook> books) {
+        int serving = 0;
+        for (EngineBook book : books) {
+            if (!book.serves(model)) {
+                continue;
+            }
+            serving++;
+            if (book.adapterCount() < engine.adapterSlots()) {
+                return false;
+            }
+        }
+        return serving > 0 && waitingAdapters(model, waiting) >= CROWD;
+    }
+
+    private static long waitingAdapters(ModelName model, List<VariantDemand> waiting) {
+        return waiting.stream()
+                .map(VariantDemand::variant)
+                .filter(variant ->
+                        variant.model().equals(model) && variant.adapter().isPresent())
+                .count();
+    }
+
     private boolean lessUsed(EngineBook one, EngineBook other, long nowMs) {
         int byRunning = Integer.compare(demand.running(one.id(), nowMs), demand.running(other.id(), nowMs));
         return byRunning != 0 ? byRunning < 0 : one.adapterCount() < other.adapterCount();
--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -215,10 +215,13 @@
 
     /** Returns the model that was ordered but not yet accepted, or else the one for which room is being made. */
     Optional<ModelName> coming() {
-        Optional<ModelName> ordered = open.filter(order ->
+        return ordered().isPresent() ? ordered() : goal;
+    }
+
+    private Optional<ModelName> ordered() {
+        return open.filter(order ->
                         order.action() == OrderAction.LOAD && order.adapter().isEmpty())
                 .map(ReplicaOrder::model);
-        return ordered.isPresent() ? ordered : goal;
     }
 
     /** Returns the model for which room is being made. */
@@ -242,6 +245,12 @@
         return models.get(model).isPresent();
     }
 
+    boolean loads(ModelName model) {
+        return models.get(model)
+                .filter(resident -> resident.status() == ReplicaStatus.LOADING)
+                .isPresent();
+    }
+
     boolean serves(ModelName model) {
         return trusted() && models.get(model).filter(Resident::ready).isPresent();
     }
@@ -259,9 +268,10 @@
         return Math.max(ANSWER_MS, models.loadsEndAtMs() - nowMs);
     }
 
-    /** Returns whether a load from the weight store runs here. */
+    /** Returns whether a load from the weight store runs here, or has been ordered. */
     boolean loadingRemotely(long nowMs) {
-        return remoteUntilMs > nowMs;
+        return remoteUntilMs > nowMs
+                || ordered().filter(model -> !atHand(model)).isPresent();
     }
 
     /** Returns when the last load from the weight store here is expected to end. */
--- a/core/src/main/java/org/hawthornglade/core/replica/RemoteLanes.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/RemoteLanes.java
@@ -10,7 +10,7 @@
     RemoteLanes(Collection<EngineBook> books, long nowMs) {
         for (EngineBook book : books) {
             if (book.loadingRemotely(nowMs)) {
-                freeAtMs.add(book.remoteUntilMs());
+                freeAtMs.add(Math.max(nowMs, book.remoteUntilMs()));
             }
         }
         while (freeAtMs.size() < LoadPacer.MAX_AT_ONCE) {
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -65,6 +65,7 @@
             }
         }
         addCopies(books, taken, orders, nowMs);
+        addPlacesForAdapters(waiting, books, taken, orders, nowMs);
         spread(books, taken, orders, nowMs);
         begunNow.clear();
         begunRemotely = 0;
@@ -223,6 +224,38 @@
         }
     }
 
+    /** Gives models whose adapters find no place a further copy, since each engine has places for a few only. */
+    private void addPlacesForAdapters(
+            List<VariantDemand> waiting,
+            Collection<EngineBook> books,
+            Set<EngineBook> taken,
+            List<ReplicaOrder> orders,
+            long nowMs) {
+        for (ModelName model : busiestFirst(nowMs)) {
+            if (onItsWay(model, books) || !adapters.crowded(model, waiting, books)) {
+                continue;
+            }
+            ModelDefinition definition = engine.models().get(model);
+            EngineBook host = hosts.cheapestWithWeights(definition, books, taken, nowMs);
+            if (host == null && mayLoadRemotely(books, nowMs)) {
+                host = hosts.cheapest(definition, books, taken, nowMs);
+            }
+            if (host != null) {
+                step(host, model, books, taken, orders, nowMs);
+            }
+        }
+    }
+
+    private boolean onItsWay(ModelName model, Collection<EngineBook> books) {
+        for (EngineBook book : books) {
+            boolean coming = book.coming().equals(Optional.of(model));
+            if (book.trusted() && (coming || book.loads(model))) {
+                return true;
+            }
+        }
+        return begunNow.contains(model);
+    }
+
     private boolean deservesCopy(ModelDefinition model, long nowMs) {
         return demand.callsPerSecond(model.name(), nowMs) >= COPY_CALLS_PER_S && !victims.callersCanWait(model);
     }
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaPlannerTest.java
@@ -3,9 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Rare models asked for at once, demand that moves, adapters, and the limits that orders keep. */
@@ -54,6 +57,32 @@
         assertThat(world.plan()).isEmpty();
     }
 
+    @ParameterizedTest
+    @CsvSource({"2, 0", "3, 1"})
+    void aModelWhoseAdaptersFindNoPlaceGetsAFurtherCopy(int waitingAdapters, int loads) {
+        ReplicaWorld world = new ReplicaWorld(1, 2).engine("a", List.of("m0"), List.of("m0"));
+        world.waiting(600, "m0/a1", "m0/a2", "m0/a3", "m0/a4");
+        for (int i = 0; i < 4; i++) {
+            assertThat(world.plan()).hasSize(1);
+            world.answer(OrderOutcome.ACCEPTED);
+        }
+        world.engine("b", List.of(), List.of());
+        String[] more = {"m0/a5", "m0/a6", "m0/a7"};
+        world.waiting(600, Arrays.copyOf(more, waitingAdapters));
+        assertThat(world.plan()).containsExactlyElementsIn(Collections.nCopies(loads, "b LOAD m0"));
+    }
+
+    @Test
+    void loadsThatAreOrderedButNotAnsweredCountForTheStoresLimit() {
+        ReplicaWorld world = new ReplicaWorld(6, 2);
+        for (String id : List.of("a", "b", "c", "d", "e", "f")) {
+            world.engine(id, List.of(), List.of());
+        }
+        world.waiting(600, "m0", "m1", "m2", "m3", "m4", "m5");
+        assertThat(world.plan()).hasSize(4);
+        assertThat(world.plan()).isEmpty();
+    }
+
     /** All servers are replaced by empty ones: every load is late, and the busiest models come first. */
     @Test
     void amongLateLoadsTheBusiestModelGoesFirst() {
