--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/RequestFuzzTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/RequestFuzzTest.java
@@ -18,7 +18,7 @@
 /**
  * Requests whose framing is stated in odd and contradicting ways, with a second request hidden in the body.
  *
- * <p>Whatever the entry makes of the head: what reaches an endpoint is the outer request with its whole body, or nothing.
+ * <p>Whatever the entry makes of the head, an endpoint gets the outer request with its whole body, or nothing.
  */
 class RequestFuzzTest {
     private static final int CASES = 60;
