Copies follow the work of calls; a busy model is never unloaded while a rare one beside it has to stay

VictimChooser now takes the cheapest of all and waits when that one has to stay; a costlier one goes only within that moment.

--- a/core/src/main/java/org/hawthornglade/core/dispatch/ModelDemand.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/ModelDemand.java
@@ -31,6 +31,15 @@
         return adapter.map(name -> model + "/" + name).orElse(model.value());
     }
 
+    /** Returns the tokens of the prompt that are not shared with other requests. */
+    public int ownTokens() {
+        int sharedTokens = 0;
+        for (int i = 0; i < prefix.size() - 1; i++) {
+            sharedTokens += prefix.get(i).tokens();
+        }
+        return Math.max(0, promptTokens - sharedTokens);
+    }
+
     /** Returns the memory that the request may need in the KV cache, in tokens. */
     public long kvTokens() {
         return (long) promptTokens + maxOutputTokens;
--- a/core/src/main/java/org/hawthornglade/core/replica/ArrivalCounter.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ArrivalCounter.java
@@ -11,25 +11,33 @@
     private static final double MS_PER_S = 1_000;
 
     private double perMs;
+    private double tokensPerMs;
     private long rateAtMs;
     private long calls;
     private long tightestTargetMs = Long.MAX_VALUE;
 
-    /** Takes note of a call with its latency target. */
-    public void onCall(long targetMs, long nowMs) {
+    /**
+     * Takes note of a call.
+     *
+     * @param targetMs its latency target
+     * @param ownTokens the part of its prompt that it does not share with others
+     */
+    public void onCall(long targetMs, int ownTokens, long nowMs) {
         boolean forget = calls % CALLS_REMEMBERED == 0;
         tightestTargetMs = forget ? targetMs : Math.min(tightestTargetMs, targetMs);
-        perMs = perMs(nowMs) + DECAY_PER_MS;
+        tokensPerMs = decayed(tokensPerMs, nowMs) + ownTokens * DECAY_PER_MS;
+        perMs = decayed(perMs, nowMs) + DECAY_PER_MS;
         rateAtMs = nowMs;
         calls++;
     }
 
     /** Returns the recent arrivals. */
     public ModelArrivals arrivals(long nowMs) {
-        return new ModelArrivals(perMs(nowMs) * MS_PER_S, tightestTargetMs);
+        return new ModelArrivals(
+                decayed(perMs, nowMs) * MS_PER_S, tightestTargetMs, decayed(tokensPerMs, nowMs) * MS_PER_S);
     }
 
-    private double perMs(long nowMs) {
-        return perMs * Math.exp(-(nowMs - rateAtMs) * DECAY_PER_MS);
+    private double decayed(double rate, long nowMs) {
+        return rate * Math.exp(-(nowMs - rateAtMs) * DECAY_PER_MS);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/replica/CopyPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/CopyPlanner.java
@@ -12,24 +12,47 @@
 final class CopyPlanner {
     /** A model with this many calls a second gets a second copy, if its callers cannot wait for a load. */
     private static final double COPY_CALLS_PER_S = 0.5;
+    /** A spare copy must be worth this many times what goes for it. */
+    private static final double CLEAR_GAIN = 1.5;
 
     private final EngineDefinition engine;
     private final DemandBook demand;
     private final AdapterPlanner adapters;
     private final VictimChooser victims;
     private final HostChooser hosts;
+    private final CopyNeed need;
 
     CopyPlanner(
             EngineDefinition engine,
             DemandBook demand,
             AdapterPlanner adapters,
             VictimChooser victims,
-            HostChooser hosts) {
+            HostChooser hosts,
+            CopyNeed need) {
         this.engine = engine;
         this.demand = demand;
         this.adapters = adapters;
         this.victims = victims;
         this.hosts = hosts;
+        this.need = need;
+    }
+
+    /** Gives busy models the copies that their calls need, the one that lacks most first. */
+    void addNeededCopies(PlanRound round) {
+        List<ModelName> lacking = new ArrayList<>();
+        for (ModelName model : engine.models().keySet()) {
+            if (lack(model, round) > 0) {
+                lacking.add(model);
+            }
+        }
+        lacking.sort(Comparator.comparingInt((ModelName model) -> -lack(model, round)));
+        lacking.forEach(model -> addCopy(engine.models().get(model), round));
+    }
+
+    private int lack(ModelName model, PlanRound round) {
+        int there = copies(model, round);
+        boolean first = there == 0;
+        return first || onItsWay(model, round) ? 0 : need.wanted(model, round.nowMs()) - there;
     }
 
     /** Gives each model with steady calls that cannot wait for a load a second copy, where its weights lie. */
@@ -40,12 +63,18 @@
                 continue;
             }
             EngineBook host = hosts.cheapestWithWeights(model, round.books(), round.taken(), round.nowMs());
-            if (host != null) {
+            if (host != null && worthIt(model, host, round)) {
                 round.bring(host, model.name());
             }
         }
     }
 
+    /** A spare copy saves what its removal would cost; what goes for it must be worth clearly less. */
+    private boolean worthIt(ModelDefinition model, EngineBook host, PlanRound round) {
+        double goneMs = victims.costMs(host, model, round.books(), round.nowMs());
+        return victims.spareCopyMs(model, round.nowMs()) > CLEAR_GAIN * goneMs;
+    }
+
     private boolean deservesCopy(ModelDefinition model, long nowMs) {
         return demand.callsPerSecond(model.name(), nowMs) >= COPY_CALLS_PER_S && !victims.callersCanWait(model, nowMs);
     }
--- a/core/src/main/java/org/hawthornglade/core/replica/DemandBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/DemandBook.java
@@ -1,7 +1,6 @@
 package org.hawthornglade.core.replica;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,96 +16,80 @@
     private record Told(EntryDemand demand, long atMs) {}
 
     private final Map<String, Told> byEntry = new HashMap<>();
+    private DemandTotals totals;
+    private long totalsAtMs;
 
     /** Takes what an entry tells; its earlier word no longer counts. */
     public void onDemand(String entry, EntryDemand demand, long nowMs) {
         byEntry.put(entry, new Told(demand, nowMs));
+        totals = null;
+    }
+
+    /** Takes what an entry tells apart from its arrivals, for which its earlier word goes on to count. */
+    public void onDemandButArrivals(String entry, EntryDemand demand, long nowMs) {
+        Told before = byEntry.get(entry);
+        Map<ModelName, ModelArrivals> arrivals =
+                before == null ? Map.of() : before.demand().arrivals();
+        onDemand(entry, demand.withArrivals(arrivals), nowMs);
+    }
+
+    /** Forgets an entry whose connection has ended. */
+    public void onEntryGone(String entry) {
+        byEntry.remove(entry);
+        totals = null;
     }
 
     /** Returns the latency target of the calls for a model; the longest time if none is known. */
     public long targetMs(ModelName model, long nowMs) {
-        long targetMs = Long.MAX_VALUE;
-        for (EntryDemand demand : current(nowMs)) {
-            ModelArrivals arrivals = demand.arrivals().get(model);
-            targetMs = arrivals == null ? targetMs : Math.min(targetMs, arrivals.tightestTargetMs());
-        }
-        return targetMs;
+        return totals(nowMs).arrivals(model).tightestTargetMs();
     }
 
     /** Returns whether calls wait for a model or an adapter on it. */
     public boolean awaited(ModelName model, long nowMs) {
-        for (EntryDemand demand : current(nowMs)) {
-            for (VariantDemand each : demand.waiting()) {
-                if (each.variant().model().equals(model)) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
-    /** Forgets an entry whose connection has ended. */
-    public void onEntryGone(String entry) {
-        byEntry.remove(entry);
+        return totals(nowMs).awaited(model);
     }
 
     /** Returns the waiting demand by variant, the most urgent first. */
     public List<VariantDemand> waiting(long nowMs) {
-        Map<Variant, VariantDemand> sums = new HashMap<>();
-        for (EntryDemand demand : current(nowMs)) {
-            demand.waiting().forEach(each -> sums.merge(each.variant(), each, VariantDemand::plus));
-        }
-        List<VariantDemand> sorted = new ArrayList<>(sums.values());
-        sorted.sort(Comparator.comparingLong(VariantDemand::slackMs)
-                .thenComparing(demand -> demand.variant().model()));
-        return sorted;
+        return totals(nowMs).waitingMostUrgentFirst();
     }
 
     /** Returns how many calls run at an instance for a model, its adapters included. */
     public int running(InstanceId instance, ModelName model, long nowMs) {
-        int running = 0;
-        for (EntryDemand demand : current(nowMs)) {
-            for (Map.Entry<Variant, Integer> use :
-                    demand.running().getOrDefault(instance, Map.of()).entrySet()) {
-                running += use.getKey().model().equals(model) ? use.getValue() : 0;
-            }
-        }
-        return running;
+        return totals(nowMs).running(instance, model);
     }
 
     /** Returns how many calls run at an instance for exactly this variant. */
     public int running(InstanceId instance, Variant variant, long nowMs) {
-        int running = 0;
-        for (EntryDemand demand : current(nowMs)) {
-            running += demand.running().getOrDefault(instance, Map.of()).getOrDefault(variant, 0);
-        }
-        return running;
+        return totals(nowMs).running(instance, variant);
     }
 
     /** Returns how many calls run at an instance. */
     public int running(InstanceId instance, long nowMs) {
-        int running = 0;
-        for (EntryDemand demand : current(nowMs)) {
-            for (int use : demand.running().getOrDefault(instance, Map.of()).values()) {
-                running += use;
-            }
-        }
-        return running;
+        return totals(nowMs).running(instance);
     }
 
     /** Returns the recent calls a second for a model. */
     public double callsPerSecond(ModelName model, long nowMs) {
-        double callsPerSecond = 0;
-        for (EntryDemand demand : current(nowMs)) {
-            ModelArrivals arrivals = demand.arrivals().get(model);
-            callsPerSecond += arrivals == null ? 0 : arrivals.callsPerSecond();
-        }
-        return callsPerSecond;
+        return totals(nowMs).arrivals(model).callsPerSecond();
+    }
+
+    /** Returns the prompt tokens a second that engines have to read for a model, shared parts left out. */
+    public double promptTokensPerSecond(ModelName model, long nowMs) {
+        return totals(nowMs).arrivals(model).promptTokensPerSecond();
     }
 
     /** Returns how many entries have told their demand lately. */
     public int entries(long nowMs) {
-        return current(nowMs).size();
+        return totals(nowMs).entries();
+    }
+
+    private DemandTotals totals(long nowMs) {
+        if (totals == null || nowMs != totalsAtMs) {
+            totals = new DemandTotals(current(nowMs));
+            totalsAtMs = nowMs;
+        }
+        return totals;
     }
 
     private List<EntryDemand> current(long nowMs) {
--- a/core/src/main/java/org/hawthornglade/core/replica/EntryDemand.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EntryDemand.java
@@ -28,4 +28,9 @@
         running = ImmutableMap.copyOf(running);
         unreachable = Set.copyOf(unreachable);
     }
+
+    /** Returns the same demand with other arrivals. */
+    EntryDemand withArrivals(Map<ModelName, ModelArrivals> other) {
+        return new EntryDemand(waiting, other, running, unreachable);
+    }
 }
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -14,8 +14,8 @@
 /**
  * Decides the next orders to the engines of one service.
  *
- * <p>First come the adapters and models that calls wait for: those that can be ready in time, the most urgent first,
- * then the others, the busiest first. What capacity is left goes to further copies, and to models that are nowhere yet,
+ * <p>First come the adapters that calls wait for, then copies of models whose engines are too busy, then the models that
+ * calls wait for: those that can be ready in time, the most urgent first, then the others, the busiest first. What capacity is left goes to further copies, and to models that are nowhere yet,
  * so that the first call for one of these waits for a short load only.
  */
 public final class ReplicaPlanner {
@@ -33,9 +33,10 @@
         this.demand = demand;
         this.pacer = pacer;
         this.adapters = new AdapterPlanner(engine, demand);
-        this.victims = new VictimChooser(engine, demand);
+        CopyNeed need = new CopyNeed(demand);
+        this.victims = new VictimChooser(engine, demand, need);
         this.hosts = new HostChooser(demand, victims);
-        this.copies = new CopyPlanner(engine, demand, adapters, victims, hosts);
+        this.copies = new CopyPlanner(engine, demand, adapters, victims, hosts, need);
     }
 
     /**
@@ -51,6 +52,7 @@
                 adapters.order(each.variant(), books, round.taken(), nowMs).ifPresent(round::add);
             }
         }
+        copies.addNeededCopies(round);
         for (VariantDemand each : waiting) {
             ModelName model = each.variant().model();
             if (!round.begun(model) && wanted(model, books, nowMs)) {
--- a/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
@@ -32,16 +32,30 @@
 
     private final EngineDefinition engine;
     private final DemandBook demand;
+    private final CopyNeed need;
 
-    VictimChooser(EngineDefinition engine, DemandBook demand) {
+    VictimChooser(EngineDefinition engine, DemandBook demand, CopyNeed need) {
         this.engine = engine;
         this.demand = demand;
+        this.need = need;
     }
 
-    /** Returns the model whose going costs least; nothing if none may go. */
+    /**
+     * Returns the model whose going costs least; nothing if that one has to stay for the moment.
+     *
+     * <p>A model that is costlier by more than that moment never goes in its place.
+     */
     Optional<ModelName> next(EngineBook book, Collection<EngineBook> books, long nowMs) {
-        List<ModelName> sorted = cheapestFirst(book, books, nowMs);
-        return sorted.isEmpty() ? Optional.empty() : Optional.of(sorted.get(0));
+        return book.models().keySet().stream()
+                .min(Comparator.comparingDouble((ModelName model) -> goneMs(book, model, books, nowMs))
+                        .thenComparing(model -> model))
+                .filter(model -> mayGo(model, book.models().get(model), nowMs));
+    }
+
+    /** Returns what the going of a model costs, with the time until it may go. */
+    private double goneMs(EngineBook book, ModelName model, Collection<EngineBook> books, long nowMs) {
+        boolean mayGo = mayGo(model, book.models().get(model), nowMs);
+        return removalMs(book, model, books, nowMs) + (mayGo ? 0 : STAY_MS);
     }
 
     /**
@@ -52,28 +66,21 @@
     double costMs(EngineBook book, ModelDefinition wanted, Collection<EngineBook> books, long nowMs) {
         double missingMb = book.usedMb(engine) + wanted.sizeMb() - engine.modelMemoryMb();
         double costMs = 0;
-        for (ModelName victim : allCheapestFirst(book, books, nowMs)) {
+        for (ModelName victim : cheapestFirst(book, books, nowMs)) {
             if (missingMb <= 0) {
                 return costMs;
             }
             missingMb -= engine.models().containsKey(victim)
                     ? engine.models().get(victim).sizeMb()
                     : 0;
-            boolean mayGo = mayGo(victim, book.models().get(victim), nowMs);
-            costMs += removalMs(book, victim, books, nowMs) + (mayGo ? 0 : STAY_MS);
+            costMs += goneMs(book, victim, books, nowMs);
         }
         return missingMb <= 0 ? costMs : Double.POSITIVE_INFINITY;
     }
 
     private List<ModelName> cheapestFirst(EngineBook book, Collection<EngineBook> books, long nowMs) {
-        List<ModelName> models = allCheapestFirst(book, books, nowMs);
-        models.removeIf(model -> !mayGo(model, book.models().get(model), nowMs));
-        return models;
-    }
-
-    private List<ModelName> allCheapestFirst(EngineBook book, Collection<EngineBook> books, long nowMs) {
         List<ModelName> models = new ArrayList<>(book.models().keySet());
-        models.sort(Comparator.comparingDouble((ModelName model) -> removalMs(book, model, books, nowMs))
+        models.sort(Comparator.comparingDouble((ModelName model) -> goneMs(book, model, books, nowMs))
                 .thenComparing(model -> model));
         return models;
     }
@@ -95,18 +102,28 @@
         if (definition == null) {
             return waitMs;
         }
-        double calls = Math.max(UNKNOWN_CALLS_PER_S, demand.callsPerSecond(model, nowMs)) * HORIZON_S;
-        double share = elsewhere(book, model, books) ? SPARE_COPY_SHARE : 1;
-        double patience = callersCanWait(definition, nowMs) ? PATIENT_SHARE : 1;
-        return waitMs + calls * share * patience * definition.diskLoadMs();
+        double share = spare(book, model, books, nowMs) ? SPARE_COPY_SHARE : 1;
+        return waitMs + share * missingMs(definition, nowMs);
+    }
+
+    /** Returns what a spare copy of a model saves, in milliseconds of waiting. */
+    double spareCopyMs(ModelDefinition model, long nowMs) {
+        return SPARE_COPY_SHARE * missingMs(model, nowMs);
     }
 
-    private static boolean elsewhere(EngineBook here, ModelName model, Collection<EngineBook> books) {
+    /** Returns how long the calls for a model would wait together if it had to be loaded for them. */
+    private double missingMs(ModelDefinition model, long nowMs) {
+        double calls = Math.max(UNKNOWN_CALLS_PER_S, demand.callsPerSecond(model.name(), nowMs)) * HORIZON_S;
+        double patience = callersCanWait(model, nowMs) ? PATIENT_SHARE : 1;
+        return calls * patience * model.diskLoadMs();
+    }
+
+    /** Returns whether the other copies of a model are enough for its calls. */
+    private boolean spare(EngineBook here, ModelName model, Collection<EngineBook> books, long nowMs) {
+        int others = 0;
         for (EngineBook book : books) {
-            if (!book.id().equals(here.id()) && book.serves(model)) {
-                return true;
-            }
+            others += !book.id().equals(here.id()) && book.serves(model) ? 1 : 0;
         }
-        return false;
+        return others >= need.kept(model, nowMs);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -30,6 +30,7 @@
     private final Fleet fleet;
     private final WaitingCalls waiting;
     private final Map<ServiceName, Map<ModelName, ArrivalCounter>> counters = new HashMap<>();
+    private boolean changed;
 
     /**
      * Creates a collector.
@@ -44,23 +45,34 @@
 
     /** Counts a call that asks for a model. */
     public void onCall(CallView call) {
+        changed |= call.demand().isPresent();
         call.demand()
                 .ifPresent(demand -> counters.computeIfAbsent(call.service(), service -> new HashMap<>())
                         .computeIfAbsent(demand.model(), model -> new ArrivalCounter())
-                        .onCall(call.route().targetMs(), call.arrivedAtMs()));
+                        .onCall(call.route().targetMs(), demand.ownTokens(), call.arrivedAtMs()));
     }
 
-    /** Returns the demand as it is now. */
-    public DemandNews collect(long nowMs) {
+    /**
+     * Returns the demand as it is now.
+     *
+     * @param withArrivals whether the arrivals are told too, which are the larger part
+     */
+    public DemandNews collect(boolean withArrivals, long nowMs) {
+        changed = false;
         Map<ServiceName, EntryDemand> services = new HashMap<>();
         counters.forEach((service, models) -> services.put(
                 service,
                 new EntryDemand(
                         waiting(service, nowMs),
-                        arrivals(models, nowMs),
+                        withArrivals ? arrivals(models, nowMs) : Map.of(),
                         running(service),
                         unreachable(service, nowMs))));
-        return new DemandNews(entry, services);
+        return new DemandNews(entry, services, !withArrivals);
+    }
+
+    /** Returns whether calls have come since the demand was last collected. */
+    boolean changed() {
+        return changed;
     }
 
     private static Map<ModelName, ModelArrivals> arrivals(Map<ModelName, ArrivalCounter> models, long nowMs) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -11,7 +11,9 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.lease.Leadership;
+import org.hawthornglade.core.replica.DemandBook;
 import org.hawthornglade.core.replica.EngineBook;
+import org.hawthornglade.core.replica.EntryDemand;
 import org.hawthornglade.core.replica.OrderAction;
 import org.hawthornglade.core.replica.OrderOutcome;
 import org.hawthornglade.core.replica.ReplicaOrder;
@@ -32,6 +34,10 @@
     private static final long UNLOAD_MS = 20;
     /** News go out at least this often, so that followers know that the leader lives. */
     private static final long NEWS_EVERY_MS = 300;
+    /** Planning goes on at most this often, however many entries tell something. */
+    private static final long LOOK_EVERY_MS = 10;
+    /** A new leader orders nothing for this time, in which the entries tell it their demand. */
+    private static final long LISTEN_FIRST_MS = 500;
 
     /** Takes what the leader tells. */
     public interface Audience {
@@ -52,6 +58,8 @@
     private boolean led;
     private boolean wakePending;
     private long newsAtMs;
+    private long lookedAtMs;
+    private long ledSinceMs;
 
     PlacementLeader(
             String node,
@@ -92,7 +100,7 @@
         news.services().forEach((service, demand) -> {
             EnginePark park = parks.get(service);
             if (park != null) {
-                park.demand().onDemand(news.entry(), demand, clock.nowMs());
+                note(news, park.demand(), demand);
                 for (InstanceId id : demand.unreachable()) {
                     park.book(id).ifPresent(book -> book.doubt(clock.nowMs()));
                 }
@@ -101,6 +109,14 @@
         wake();
     }
 
+    private void note(DemandNews news, DemandBook book, EntryDemand demand) {
+        if (news.withoutArrivals()) {
+            book.onDemandButArrivals(news.entry(), demand, clock.nowMs());
+        } else {
+            book.onDemand(news.entry(), demand, clock.nowMs());
+        }
+    }
+
     /** Forgets an entry's demand. */
     public void onEntryGone(String entry) {
         parks.values().forEach(park -> park.demand().onEntryGone(entry));
@@ -110,7 +126,7 @@
     public void wake() {
         if (!wakePending) {
             wakePending = true;
-            timers.run(this::work);
+            timers.after(Math.max(0, lookedAtMs + LOOK_EVERY_MS - clock.nowMs()), this::work);
         }
     }
 
@@ -120,6 +136,7 @@
 
     private void work() {
         wakePending = false;
+        lookedAtMs = clock.nowMs();
         noteLeadership();
         if (!lease.mayOrder()) {
             return;
@@ -128,7 +145,7 @@
         for (EnginePark park : parks.values()) {
             park.follow(fleet, clock.nowMs());
             askReports(park);
-            changed |= sendOrders(park);
+            changed |= lookedAtMs - ledSinceMs >= LISTEN_FIRST_MS && sendOrders(park);
         }
         if (changed || clock.nowMs() - newsAtMs >= NEWS_EVERY_MS) {
             tell();
@@ -144,6 +161,7 @@
                 .with("token", leadership.token())
                 .write();
         if (led) {
+            ledSinceMs = clock.nowMs();
             parks.values().forEach(EnginePark::forget);
         }
     }
@@ -190,6 +208,7 @@
                 .with("seq", order.expected().orderSequence())
                 .with("token", leadership.token())
                 .with("expected_ms", expectedMs)
+                .with("running", park.demand().running(order.instance(), order.model(), clock.nowMs()))
                 .write();
         control.order(
                 book.listed(), order, node, leadership.token(), outcome -> answered(book, order, outcome, expectedMs));
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
@@ -28,7 +28,7 @@
  */
 public final class PlacementStar implements LeaderLink.Listener, FollowerServer.Listener, PlacementLeader.Audience {
     private static final long CHECK_MS = 50;
-    /** Demand is told at least this often while a leader is connected. */
+    /** All demand is told at least this often while a leader is connected; new calls are told at the next check. */
     private static final long DEMAND_EVERY_MS = 250;
 
     private final GatewaySettings settings;
@@ -106,7 +106,9 @@
         link.target(leading ? Optional.empty() : leaderAddress());
         link.check();
         if (clock.nowMs() - demandAtMs >= DEMAND_EVERY_MS) {
-            tellDemand();
+            tellDemand(true);
+        } else if (collector.changed()) {
+            tellDemand(false);
         }
         leader.wake();
     }
@@ -124,14 +126,15 @@
     public void demandChanged() {
         if (!demandPending) {
             demandPending = true;
-            timers.run(this::tellDemand);
+            timers.run(() -> tellDemand(false));
         }
     }
 
-    private void tellDemand() {
+    private void tellDemand(boolean withArrivals) {
+        long nowMs = clock.nowMs();
         demandPending = false;
-        demandAtMs = clock.nowMs();
-        DemandNews news = collector.collect(demandAtMs);
+        demandAtMs = withArrivals ? nowMs : demandAtMs;
+        DemandNews news = collector.collect(withArrivals, nowMs);
         if (leadership.leading()) {
             leader.onDemand(news);
         } else {
@@ -169,7 +172,7 @@
 
     @Override
     public void onLeaderFound() {
-        tellDemand();
+        tellDemand(true);
     }
 
     @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/DemandNews.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/DemandNews.java
@@ -9,8 +9,9 @@
  *
  * @param entry its name
  * @param services the demand for each service with engines
+ * @param withoutArrivals whether the arrivals are left out, so that those told before go on to count
  */
-public record DemandNews(String entry, Map<ServiceName, EntryDemand> services) {
+public record DemandNews(String entry, Map<ServiceName, EntryDemand> services, boolean withoutArrivals) {
     /** Copies the map. */
     public DemandNews {
         services = Map.copyOf(services);
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -38,7 +38,7 @@
     private PeerCodec() {}
 
     static byte[] encode(DemandNews news) {
-        DemandReport report = new DemandReport(news.entry(), new ArrayList<>());
+        DemandReport report = new DemandReport(news.entry(), new ArrayList<>(), news.withoutArrivals());
         news.services().forEach((service, demand) -> report.addToServices(serviceDemand(service, demand)));
         PeerMessage message = new PeerMessage();
         message.setDemand(report);
@@ -91,7 +91,8 @@
         }
         demand.arrivals()
                 .forEach((model, count) -> coded.putToArrivals(
-                        model.value(), new Arrivals(count.tightestTargetMs(), count.callsPerSecond())));
+                        model.value(),
+                        new Arrivals(count.tightestTargetMs(), count.callsPerSecond(), count.promptTokensPerSecond())));
         demand.running().forEach((instance, use) -> coded.addToInstances(instanceUse(instance, use)));
         return coded;
     }
@@ -111,7 +112,7 @@
         for (ServiceDemand coded : report.getServices()) {
             services.put(ServiceName.of(coded.getServiceName()), entryDemand(coded));
         }
-        return new DemandNews(report.getEntry(), services);
+        return new DemandNews(report.getEntry(), services, report.isWithoutArrivals());
     }
 
     private static EntryDemand entryDemand(ServiceDemand coded) {
@@ -124,7 +125,10 @@
         coded.getArrivals()
                 .forEach((model, count) -> arrivals.put(
                         ModelName.of(model),
-                        new ModelArrivals(count.getCallsPerSecond(), count.getTightestTargetMs())));
+                        new ModelArrivals(
+                                count.getCallsPerSecond(),
+                                count.getTightestTargetMs(),
+                                count.getPromptTokensPerSecond())));
         Map<InstanceId, Map<Variant, Integer>> running = new HashMap<>();
         for (InstanceUse use : coded.getInstances()) {
             Map<Variant, Integer> counts = new HashMap<>();
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Arrivals.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Arrivals.java
@@ -15,12 +15,14 @@
 
   private static final org.apache.thrift.protocol.TField TIGHTEST_TARGET_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("tightestTargetMs", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField CALLS_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("callsPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)3);
+  private static final org.apache.thrift.protocol.TField PROMPT_TOKENS_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("promptTokensPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ArrivalsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ArrivalsTupleSchemeFactory();
 
   private long tightestTargetMs; // required
   private double callsPerSecond; // required
+  private double promptTokensPerSecond; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -28,7 +30,11 @@
     /**
      * Their rate; an old call counts less than a new one.
      */
-    CALLS_PER_SECOND((short)3, "callsPerSecond");
+    CALLS_PER_SECOND((short)3, "callsPerSecond"),
+    /**
+     * The tokens that engines have to read for them, parts shared with others left out.
+     */
+    PROMPT_TOKENS_PER_SECOND((short)4, "promptTokensPerSecond");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -48,6 +54,8 @@
           return TIGHTEST_TARGET_MS;
         case 3: // CALLS_PER_SECOND
           return CALLS_PER_SECOND;
+        case 4: // PROMPT_TOKENS_PER_SECOND
+          return PROMPT_TOKENS_PER_SECOND;
         default:
           return null;
       }
@@ -93,6 +101,7 @@
   // isset id assignments
   private static final int __TIGHTESTTARGETMS_ISSET_ID = 0;
   private static final int __CALLSPERSECOND_ISSET_ID = 1;
+  private static final int __PROMPTTOKENSPERSECOND_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -101,6 +110,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CALLS_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("callsPerSecond", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+    tmpMap.put(_Fields.PROMPT_TOKENS_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("promptTokensPerSecond", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Arrivals.class, metaDataMap);
   }
@@ -110,13 +121,16 @@
 
   public Arrivals(
     long tightestTargetMs,
-    double callsPerSecond)
+    double callsPerSecond,
+    double promptTokensPerSecond)
   {
     this();
     this.tightestTargetMs = tightestTargetMs;
     setTightestTargetMsIsSet(true);
     this.callsPerSecond = callsPerSecond;
     setCallsPerSecondIsSet(true);
+    this.promptTokensPerSecond = promptTokensPerSecond;
+    setPromptTokensPerSecondIsSet(true);
   }
 
   /**
@@ -126,6 +140,7 @@
     __isset_bitfield = other.__isset_bitfield;
     this.tightestTargetMs = other.tightestTargetMs;
     this.callsPerSecond = other.callsPerSecond;
+    this.promptTokensPerSecond = other.promptTokensPerSecond;
   }
 
   @Override
@@ -139,6 +154,8 @@
     this.tightestTargetMs = 0;
     setCallsPerSecondIsSet(false);
     this.callsPerSecond = 0.0;
+    setPromptTokensPerSecondIsSet(false);
+    this.promptTokensPerSecond = 0.0;
   }
 
   public long getTightestTargetMs() {
@@ -193,6 +210,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CALLSPERSECOND_ISSET_ID, value);
   }
 
+  /**
+   * The tokens that engines have to read for them, parts shared with others left out.
+   */
+  public double getPromptTokensPerSecond() {
+    return this.promptTokensPerSecond;
+  }
+
+  /**
+   * The tokens that engines have to read for them, parts shared with others left out.
+   */
+  public Arrivals setPromptTokensPerSecond(double promptTokensPerSecond) {
+    this.promptTokensPerSecond = promptTokensPerSecond;
+    setPromptTokensPerSecondIsSet(true);
+    return this;
+  }
+
+  public void unsetPromptTokensPerSecond() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PROMPTTOKENSPERSECOND_ISSET_ID);
+  }
+
+  /** Returns true if field promptTokensPerSecond is set (has been assigned a value) and false otherwise */
+  public boolean isSetPromptTokensPerSecond() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PROMPTTOKENSPERSECOND_ISSET_ID);
+  }
+
+  public void setPromptTokensPerSecondIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PROMPTTOKENSPERSECOND_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -212,6 +258,14 @@
       }
       break;
 
+    case PROMPT_TOKENS_PER_SECOND:
+      if (value == null) {
+        unsetPromptTokensPerSecond();
+      } else {
+        setPromptTokensPerSecond((java.lang.Double)value);
+      }
+      break;
+
     }
   }
 
@@ -225,6 +279,9 @@
     case CALLS_PER_SECOND:
       return getCallsPerSecond();
 
+    case PROMPT_TOKENS_PER_SECOND:
+      return getPromptTokensPerSecond();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -241,6 +298,8 @@
       return isSetTightestTargetMs();
     case CALLS_PER_SECOND:
       return isSetCallsPerSecond();
+    case PROMPT_TOKENS_PER_SECOND:
+      return isSetPromptTokensPerSecond();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -276,6 +335,15 @@
         return false;
     }
 
+    boolean this_present_promptTokensPerSecond = true;
+    boolean that_present_promptTokensPerSecond = true;
+    if (this_present_promptTokensPerSecond || that_present_promptTokensPerSecond) {
+      if (!(this_present_promptTokensPerSecond && that_present_promptTokensPerSecond))
+        return false;
+      if (this.promptTokensPerSecond != that.promptTokensPerSecond)
+        return false;
+    }
+
     return true;
   }
 
@@ -287,6 +355,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(callsPerSecond);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(promptTokensPerSecond);
+
     return hashCode;
   }
 
@@ -318,6 +388,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPromptTokensPerSecond(), other.isSetPromptTokensPerSecond());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPromptTokensPerSecond()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.promptTokensPerSecond, other.promptTokensPerSecond);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -349,6 +429,10 @@
     sb.append("callsPerSecond:");
     sb.append(this.callsPerSecond);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("promptTokensPerSecond:");
+    sb.append(this.promptTokensPerSecond);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -412,6 +496,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // PROMPT_TOKENS_PER_SECOND
+            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+              struct.promptTokensPerSecond = iprot.readDouble();
+              struct.setPromptTokensPerSecondIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -434,6 +526,9 @@
       oprot.writeFieldBegin(CALLS_PER_SECOND_FIELD_DESC);
       oprot.writeDouble(struct.callsPerSecond);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PROMPT_TOKENS_PER_SECOND_FIELD_DESC);
+      oprot.writeDouble(struct.promptTokensPerSecond);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -459,19 +554,25 @@
       if (struct.isSetCallsPerSecond()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetPromptTokensPerSecond()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetTightestTargetMs()) {
         oprot.writeI64(struct.tightestTargetMs);
       }
       if (struct.isSetCallsPerSecond()) {
         oprot.writeDouble(struct.callsPerSecond);
       }
+      if (struct.isSetPromptTokensPerSecond()) {
+        oprot.writeDouble(struct.promptTokensPerSecond);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Arrivals struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.tightestTargetMs = iprot.readI64();
         struct.setTightestTargetMsIsSet(true);
@@ -480,6 +581,10 @@
         struct.callsPerSecond = iprot.readDouble();
         struct.setCallsPerSecondIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.promptTokensPerSecond = iprot.readDouble();
+        struct.setPromptTokensPerSecondIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/DemandReport.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/DemandReport.java
@@ -15,17 +15,23 @@
 
   private static final org.apache.thrift.protocol.TField ENTRY_FIELD_DESC = new org.apache.thrift.protocol.TField("entry", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField SERVICES_FIELD_DESC = new org.apache.thrift.protocol.TField("services", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField WITHOUT_ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("withoutArrivals", org.apache.thrift.protocol.TType.BOOL, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DemandReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DemandReportTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String entry; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ServiceDemand> services; // required
+  private boolean withoutArrivals; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ENTRY((short)1, "entry"),
-    SERVICES((short)2, "services");
+    SERVICES((short)2, "services"),
+    /**
+     * The arrivals are left out: those told before go on to count.
+     */
+    WITHOUT_ARRIVALS((short)3, "withoutArrivals");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +51,8 @@
           return ENTRY;
         case 2: // SERVICES
           return SERVICES;
+        case 3: // WITHOUT_ARRIVALS
+          return WITHOUT_ARRIVALS;
         default:
           return null;
       }
@@ -88,6 +96,8 @@
   }
 
   // isset id assignments
+  private static final int __WITHOUTARRIVALS_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -96,6 +106,8 @@
     tmpMap.put(_Fields.SERVICES, new org.apache.thrift.meta_data.FieldMetaData("services", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ServiceDemand.class))));
+    tmpMap.put(_Fields.WITHOUT_ARRIVALS, new org.apache.thrift.meta_data.FieldMetaData("withoutArrivals", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DemandReport.class, metaDataMap);
   }
@@ -105,17 +117,21 @@
 
   public DemandReport(
     java.lang.String entry,
-    java.util.List<ServiceDemand> services)
+    java.util.List<ServiceDemand> services,
+    boolean withoutArrivals)
   {
     this();
     this.entry = entry;
     this.services = services;
+    this.withoutArrivals = withoutArrivals;
+    setWithoutArrivalsIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public DemandReport(DemandReport other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetEntry()) {
       this.entry = other.entry;
     }
@@ -126,6 +142,7 @@
       }
       this.services = __this__services;
     }
+    this.withoutArrivals = other.withoutArrivals;
   }
 
   @Override
@@ -137,6 +154,8 @@
   public void clear() {
     this.entry = null;
     this.services = null;
+    setWithoutArrivalsIsSet(false);
+    this.withoutArrivals = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -205,6 +224,35 @@
     }
   }
 
+  /**
+   * The arrivals are left out: those told before go on to count.
+   */
+  public boolean isWithoutArrivals() {
+    return this.withoutArrivals;
+  }
+
+  /**
+   * The arrivals are left out: those told before go on to count.
+   */
+  public DemandReport setWithoutArrivals(boolean withoutArrivals) {
+    this.withoutArrivals = withoutArrivals;
+    setWithoutArrivalsIsSet(true);
+    return this;
+  }
+
+  public void unsetWithoutArrivals() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WITHOUTARRIVALS_ISSET_ID);
+  }
+
+  /** Returns true if field withoutArrivals is set (has been assigned a value) and false otherwise */
+  public boolean isSetWithoutArrivals() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WITHOUTARRIVALS_ISSET_ID);
+  }
+
+  public void setWithoutArrivalsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WITHOUTARRIVALS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -224,6 +272,14 @@
       }
       break;
 
+    case WITHOUT_ARRIVALS:
+      if (value == null) {
+        unsetWithoutArrivals();
+      } else {
+        setWithoutArrivals((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -237,6 +293,9 @@
     case SERVICES:
       return getServices();
 
+    case WITHOUT_ARRIVALS:
+      return isWithoutArrivals();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -253,6 +312,8 @@
       return isSetEntry();
     case SERVICES:
       return isSetServices();
+    case WITHOUT_ARRIVALS:
+      return isSetWithoutArrivals();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -288,6 +349,15 @@
         return false;
     }
 
+    boolean this_present_withoutArrivals = true;
+    boolean that_present_withoutArrivals = true;
+    if (this_present_withoutArrivals || that_present_withoutArrivals) {
+      if (!(this_present_withoutArrivals && that_present_withoutArrivals))
+        return false;
+      if (this.withoutArrivals != that.withoutArrivals)
+        return false;
+    }
+
     return true;
   }
 
@@ -303,6 +373,8 @@
     if (isSetServices())
       hashCode = hashCode * 8191 + services.hashCode();
 
+    hashCode = hashCode * 8191 + ((withoutArrivals) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -334,6 +406,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWithoutArrivals(), other.isSetWithoutArrivals());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWithoutArrivals()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.withoutArrivals, other.withoutArrivals);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -373,6 +455,10 @@
       sb.append(this.services);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("withoutArrivals:");
+    sb.append(this.withoutArrivals);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -392,6 +478,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -445,6 +533,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // WITHOUT_ARRIVALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.withoutArrivals = iprot.readBool();
+              struct.setWithoutArrivalsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -478,6 +574,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(WITHOUT_ARRIVALS_FIELD_DESC);
+      oprot.writeBool(struct.withoutArrivals);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -503,7 +602,10 @@
       if (struct.isSetServices()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetWithoutArrivals()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetEntry()) {
         oprot.writeString(struct.entry);
       }
@@ -516,12 +618,15 @@
           }
         }
       }
+      if (struct.isSetWithoutArrivals()) {
+        oprot.writeBool(struct.withoutArrivals);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, DemandReport struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.entry = iprot.readString();
         struct.setEntryIsSet(true);
@@ -540,6 +645,10 @@
         }
         struct.setServicesIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.withoutArrivals = iprot.readBool();
+        struct.setWithoutArrivalsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -30,6 +30,8 @@
   2: i64 tightestTargetMs
   /** Their rate; an old call counts less than a new one. */
   3: double callsPerSecond
+  /** The tokens that engines have to read for them, parts shared with others left out. */
+  4: double promptTokensPerSecond
 }
 
 /** The demand for one service at one entry. */
@@ -47,6 +49,8 @@
 struct DemandReport {
   1: string entry
   2: list<ServiceDemand> services
+  /** The arrivals are left out: those told before go on to count. */
+  3: bool withoutArrivals
 }
 
 /** How far a model or adapter is on an instance. */
