Loads at once are learned; room is made only for loads that may begin; adapters that find no place get copies first

Before the first call 4.4 s before traffic, all free engines unloaded the copies of the popular models at once for loads of which one could begin: unloads that make room did not count as loads. Calls for adapters of a popular model waited for a place 16 s long while rare models took the loads.

Changes: LoadPacer learns from the time that loads take (starts at 8, up by 2, down to what the store serves at full speed); making room counts; loads in advance leave half of the places once calls come; before the first call all copies of what is on many engines stay; copies for crowded adapters before rare models; an engine ordered in this round is not free. Tests: LoadPacerTest (rows of stores), two cases in ReplicaPlannerTest that fail on the code before. Changed tests: two named the constant four and now name the pacer's; loadsFromTheStoreKeepItsRateInEveryWindow counted unloads as loads ("UNLOAD" contains "LOAD"), now counts loads only; the test world's engines list what they loaded as on disk.

--- a/core/src/main/java/org/hawthornglade/core/replica/CopyNeed.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/CopyNeed.java
@@ -24,8 +24,11 @@
         return Math.max(1, (int) Math.ceil(engines(model, nowMs) / BUSY_SHARE));
     }
 
-    /** Returns how many copies stay when there are more than are wanted. */
+    /** Returns how many copies stay when there are more than are wanted; before the first call, all of them. */
     int kept(ModelName model, long nowMs) {
+        if (!demand.anyArrivals(nowMs)) {
+            return Integer.MAX_VALUE;
+        }
         return Math.max(1, (int) Math.ceil(engines(model, nowMs) / RELAXED_SHARE));
     }
 
--- a/core/src/main/java/org/hawthornglade/core/replica/CopyPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/CopyPlanner.java
@@ -120,7 +120,9 @@
     /** Brings models that are nowhere to an engine that can spare the room, the busiest first. */
     void spread(PlanRound round) {
         for (ModelName model : busiestFirst(round.nowMs())) {
-            if (!round.mayLoadRemotely()) {
+            boolean room =
+                    demand.anyArrivals(round.nowMs()) ? round.mayLoadRemotelyInAdvance() : round.mayLoadRemotely();
+            if (!room) {
                 return;
             }
             if (round.begun(model) || somewhere(model, round)) {
--- a/core/src/main/java/org/hawthornglade/core/replica/DemandBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/DemandBook.java
@@ -79,6 +79,11 @@
         return totals(nowMs).arrivals(model).promptTokensPerSecond();
     }
 
+    /** Returns whether any call has come lately. */
+    boolean anyArrivals(long nowMs) {
+        return totals(nowMs).anyArrivals();
+    }
+
     /** Returns how many entries have told their demand lately. */
     public int entries(long nowMs) {
         return totals(nowMs).entries();
--- a/core/src/main/java/org/hawthornglade/core/replica/DemandTotals.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/DemandTotals.java
@@ -52,6 +52,10 @@
         return arrivals.getOrDefault(model, NO_ARRIVALS);
     }
 
+    boolean anyArrivals() {
+        return !arrivals.isEmpty();
+    }
+
     boolean awaited(ModelName model) {
         return awaited.contains(model);
     }
--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.InstanceVersion;
@@ -43,6 +44,7 @@
     private boolean unreachable;
     private long reportNotBeforeMs;
     private long remoteUntilMs;
+    private Optional<RemoteLoad> remoteLoad = Optional.empty();
 
     /** Starts with the engine's record on the list. */
     public EngineBook(InstanceRecord listed) {
@@ -74,6 +76,7 @@
     private void restart(InstanceRecord record, long nowMs) {
         models.clear();
         copies.clear();
+        remoteLoad = Optional.empty();
         open = Optional.empty();
         goal = Optional.empty();
         known = false;
@@ -193,7 +196,10 @@
             return;
         }
         if (order.action() == OrderAction.LOAD) {
-            remoteUntilMs = atHand(order.model()) ? remoteUntilMs : nowMs + expectedMs;
+            if (!atHand(order.model())) {
+                remoteUntilMs = nowMs + expectedMs;
+                remoteLoad = Optional.of(new RemoteLoad(order.model(), nowMs, expectedMs));
+            }
             models.all().put(order.model(), new Resident(ReplicaStatus.LOADING, nowMs + expectedMs));
             copies.loaded(order.model());
             if (goal.equals(Optional.of(order.model()))) {
@@ -293,9 +299,22 @@
         return Math.max(ANSWER_MS, models.loadsEndAtMs() - nowMs);
     }
 
+    /** Returns how many times its nominal time the load from the weight store took that has ended here since asked. */
+    OptionalDouble endedRemoteLoad(long nowMs) {
+        if (remoteLoad.isEmpty() || loads(remoteLoad.get().model())) {
+            return OptionalDouble.empty();
+        }
+        RemoteLoad ended = remoteLoad.get();
+        remoteLoad = Optional.empty();
+        return serves(ended.model()) ? OptionalDouble.of(ended.slowdown(nowMs)) : OptionalDouble.empty();
+    }
+
     /** Returns whether a load from the weight store runs here, or has been ordered. */
     boolean loadingRemotely(long nowMs) {
+        boolean late =
+                remoteLoad.isPresent() && loads(remoteLoad.get().model()) && nowMs <= remoteUntilMs + LOST_LOAD_MS;
         return remoteUntilMs > nowMs
+                || late
                 || ordered().filter(model -> !atHand(model)).isPresent();
     }
 
--- a/core/src/main/java/org/hawthornglade/core/replica/HostChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/HostChooser.java
@@ -22,7 +22,10 @@
     }
 
     /** Returns the engine that will have the model soonest and at the least cost to others, busy ones included. */
-    EngineBook soonest(ModelDefinition model, Collection<EngineBook> books, boolean mayLoadRemotely, long nowMs) {
+    EngineBook soonest(ModelDefinition model, PlanRound round) {
+        Collection<EngineBook> books = round.books();
+        long nowMs = round.nowMs();
+        boolean mayLoadRemotely = round.mayLoadRemotely();
         EngineBook best = null;
         double bestMs = Double.POSITIVE_INFINITY;
         for (EngineBook book : books) {
@@ -30,7 +33,8 @@
             if (!possible || !book.trusted() || book.goal().isPresent()) {
                 continue;
             }
-            double costMs = book.freeInMs(nowMs) + costMs(book, model, books, nowMs);
+            long orderedMs = round.taken().contains(book) ? book.loadMs(model) : 0;
+            double costMs = book.freeInMs(nowMs) + orderedMs + costMs(book, model, books, nowMs);
             if (costMs < bestMs) {
                 best = book;
                 bestMs = costMs;
--- a/core/src/main/java/org/hawthornglade/core/replica/LoadForecast.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/LoadForecast.java
@@ -23,11 +23,11 @@
     private final Map<EngineBook, Long> freeAtMs = new HashMap<>();
     private final Map<InstanceId, Map<ModelName, Long>> readyAtMs = new HashMap<>();
 
-    LoadForecast(EngineDefinition engine, Collection<EngineBook> books, long nowMs) {
+    LoadForecast(EngineDefinition engine, Collection<EngineBook> books, int remoteLanes, long nowMs) {
         this.engine = engine;
         this.books = books;
         this.nowMs = nowMs;
-        this.lanes = new RemoteLanes(books, nowMs);
+        this.lanes = new RemoteLanes(books, remoteLanes, nowMs);
     }
 
     /**
--- a/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
@@ -87,7 +87,8 @@
 
     private void load(EngineBook book, ModelDefinition definition) {
         if (!book.atHand(definition.name())) {
-            if (!mayLoadRemotely()) {
+            int itself = book.goal().equals(Optional.of(definition.name())) ? 1 : 0;
+            if (!pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely() - itself, nowMs)) {
                 return;
             }
             pacer.onBegin(nowMs);
@@ -100,10 +101,26 @@
 
     /** Returns whether one more load from the weight store may begin now. */
     boolean mayLoadRemotely() {
+        return pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely(), nowMs);
+    }
+
+    /** Returns whether one more load may begin that no call waits for, so that there is room for others. */
+    boolean mayLoadRemotelyInAdvance() {
+        return pacer.mayBeginInAdvance(engine.remoteLoadsPerSecond(), runningRemotely(), nowMs);
+    }
+
+    /** A load for which room is being made counts: it begins as soon as there is room. */
+    private int runningRemotely() {
         int running = begunRemotely;
         for (EngineBook book : books) {
-            running += book.loadingRemotely(nowMs) ? 1 : 0;
+            boolean makesRoom =
+                    book.goal().isPresent() && !book.atHand(book.goal().get()) && !begunAt(book);
+            running += book.loadingRemotely(nowMs) || makesRoom ? 1 : 0;
         }
-        return pacer.mayBegin(engine.remoteLoadsPerSecond(), running, nowMs);
+        return running;
+    }
+
+    private boolean begunAt(EngineBook book) {
+        return taken.contains(book) && begun.contains(book.goal().orElseThrow());
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/replica/RemoteLanes.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/RemoteLanes.java
@@ -7,13 +7,13 @@
 final class RemoteLanes {
     private final PriorityQueue<Long> freeAtMs = new PriorityQueue<>();
 
-    RemoteLanes(Collection<EngineBook> books, long nowMs) {
+    RemoteLanes(Collection<EngineBook> books, int lanes, long nowMs) {
         for (EngineBook book : books) {
             if (book.loadingRemotely(nowMs)) {
                 freeAtMs.add(Math.max(nowMs, book.remoteUntilMs()));
             }
         }
-        while (freeAtMs.size() < LoadPacer.MAX_AT_ONCE) {
+        while (freeAtMs.size() < lanes) {
             freeAtMs.add(nowMs);
         }
     }
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -44,6 +44,7 @@
      * before it asks again.
      */
     public List<ReplicaOrder> plan(Collection<EngineBook> books, long nowMs) {
+        learnFromEndedLoads(books, nowMs);
         PlanRound round = new PlanRound(engine, pacer, victims, books, nowMs);
         List<VariantDemand> waiting = inOrder(books, nowMs);
         continueGoals(round);
@@ -53,6 +54,7 @@
             }
         }
         copies.addNeededCopies(round);
+        copies.addPlacesForAdapters(waiting, round);
         for (VariantDemand each : waiting) {
             ModelName model = each.variant().model();
             if (!round.begun(model) && wanted(model, books, nowMs)) {
@@ -60,11 +62,22 @@
             }
         }
         copies.addSecondCopies(round);
-        copies.addPlacesForAdapters(waiting, round);
         copies.spread(round);
         return round.orders();
     }
 
+    private void learnFromEndedLoads(Collection<EngineBook> books, long nowMs) {
+        int running = 0;
+        List<Double> slowdowns = new ArrayList<>();
+        for (EngineBook book : books) {
+            running += book.loadingRemotely(nowMs) ? 1 : 0;
+            book.endedRemoteLoad(nowMs).ifPresent(slowdowns::add);
+        }
+        for (double slowdown : slowdowns) {
+            pacer.onEnd(slowdown, running + slowdowns.size(), nowMs);
+        }
+    }
+
     /** Returns when the models that calls wait for will be ready, by instance; those that are loading now left out. */
     public Map<InstanceId, Map<ModelName, Long>> forecast(Collection<EngineBook> books, long nowMs) {
         List<ModelName> missing = new ArrayList<>();
@@ -74,7 +87,7 @@
                 missing.add(model);
             }
         }
-        return new LoadForecast(engine, books, nowMs).of(missing);
+        return new LoadForecast(engine, books, pacer.atOnce(), nowMs).of(missing);
     }
 
     /** Returns the waiting demand: first what a load can still serve on time, then what is late, busy models first. */
@@ -126,7 +139,7 @@
 
     private void bring(ModelName model, PlanRound round) {
         ModelDefinition definition = engine.models().get(model);
-        EngineBook best = hosts.soonest(definition, round.books(), round.mayLoadRemotely(), round.nowMs());
+        EngineBook best = hosts.soonest(definition, round);
         // A busy engine that will have the model sooner than any free one is waited for.
         if (best != null && !round.taken().contains(best) && best.takesModelOrder()) {
             round.bring(best, model);
--- a/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/VictimChooser.java
@@ -103,7 +103,9 @@
             return waitMs;
         }
         double share = spare(book, model, books, nowMs) ? SPARE_COPY_SHARE : 1;
-        return waitMs + share * missingMs(definition, nowMs);
+        // Before the first call, what was placed on many engines is expected to be asked for more.
+        double weight = demand.anyArrivals(nowMs) ? 1 : copies(model, books);
+        return waitMs + share * weight * missingMs(definition, nowMs);
     }
 
     /** Returns what a spare copy of a model saves, in milliseconds of waiting. */
@@ -120,10 +122,15 @@
 
     /** Returns whether the other copies of a model are enough for its calls. */
     private boolean spare(EngineBook here, ModelName model, Collection<EngineBook> books, long nowMs) {
-        int others = 0;
+        int others = copies(model, books) - (here.serves(model) ? 1 : 0);
+        return others >= need.kept(model, nowMs);
+    }
+
+    private static int copies(ModelName model, Collection<EngineBook> books) {
+        int copies = 0;
         for (EngineBook book : books) {
-            others += !book.id().equals(here.id()) && book.serves(model) ? 1 : 0;
+            copies += book.serves(model) ? 1 : 0;
         }
-        return others >= need.kept(model, nowMs);
+        return copies;
     }
 }
