Most engines stay free for short loads; the first loads at once follow the store's rate

With eight and more of them at once most engines took no short load from their disk: the most popular model was on no engine from 0 to 11.4 s though ten engines had its weights, and 423 of its 619 calls were refused. At most 0.4 of the engines that have weights at hand now load from the store at once; three copies of what is on many engines stay until calls come. The loads at once begin with a quarter of what the store's rate and load time allow, 4 to 32.

--- a/core/src/main/java/org/hawthornglade/core/replica/CopyNeed.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/CopyNeed.java
@@ -13,6 +13,9 @@
     /** A copy that is there is given up only when the others would be busy for less than this share. */
     private static final double RELAXED_SHARE = 0.35;
 
+    /** While no call has come yet, this many copies of what was placed on many engines stay. */
+    private static final int COPIES_BEFORE_CALLS = 3;
+
     private final DemandBook demand;
 
     CopyNeed(DemandBook demand) {
@@ -24,10 +27,10 @@
         return Math.max(1, (int) Math.ceil(engines(model, nowMs) / BUSY_SHARE));
     }
 
-    /** Returns how many copies stay when there are more than are wanted; before the first call, all of them. */
+    /** Returns how many copies stay when there are more than are wanted. */
     int kept(ModelName model, long nowMs) {
         if (!demand.anyArrivals(nowMs)) {
-            return Integer.MAX_VALUE;
+            return COPIES_BEFORE_CALLS;
         }
         return Math.max(1, (int) Math.ceil(engines(model, nowMs) / RELAXED_SHARE));
     }
--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -286,6 +286,11 @@
         return trusted() && models.get(model).filter(Resident::ready).isPresent();
     }
 
+    /** Returns whether every load here would come from the weight store. */
+    boolean hasNothingAtHand() {
+        return copies.isEmpty();
+    }
+
     /** Returns whether the engine has a copy of the weights at hand, so that no load from the store is needed. */
     boolean atHand(ModelName model) {
         return copies.has(model);
--- a/core/src/main/java/org/hawthornglade/core/replica/LoadPacer.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/LoadPacer.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.hawthornglade.core.serving.EngineDefinition;
+import org.hawthornglade.core.serving.ModelDefinition;
 
 /**
  * Paces loads from the weight store over all instances.
@@ -13,8 +15,12 @@
 public final class LoadPacer {
     /** The window over which the store's rate is kept. */
     static final long WINDOW_MS = 5_000;
-    /** How many loads run at once before any has ended. */
-    static final int FIRST_AT_ONCE = 8;
+    /** The least and the most that run at once before any has ended. */
+    private static final int LEAST_AT_FIRST = 4;
+
+    private static final int MOST_AT_FIRST = 32;
+    /** By the store's rate and the time of a load so many would run at once; this share of them does at first. */
+    private static final double SHARE_AT_FIRST = 0.25;
     /** How many more may run after one that took its nominal time. */
     private static final int STEP = 2;
     /** The most that may run at once. */
@@ -27,10 +33,21 @@
     private static final long REMEMBERED_MS = 60_000;
 
     private final Deque<Long> begunAtMs = new ArrayDeque<>();
-    private int atOnce = FIRST_AT_ONCE;
+    private int atOnce;
     private int mostAtOnce = MAX_AT_ONCE;
     private long mostUntilMs;
 
+    /** Creates a pacer for a store of which nothing is known but what its configuration says. */
+    public LoadPacer(EngineDefinition engine) {
+        long longestMs = 0;
+        for (ModelDefinition model : engine.models().values()) {
+            longestMs = Math.max(longestMs, model.remoteLoadMs());
+        }
+        double atFullRate = engine.remoteLoadsPerSecond() * longestMs / 1_000;
+        int first = (int) Math.round(SHARE_AT_FIRST * atFullRate);
+        atOnce = Math.max(LEAST_AT_FIRST, Math.min(MOST_AT_FIRST, first));
+    }
+
     /** Returns whether one more load may begin. */
     public boolean mayBegin(double loadsPerSecond, int running, long nowMs) {
         while (!begunAtMs.isEmpty() && nowMs - begunAtMs.peekFirst() > WINDOW_MS) {
--- a/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
@@ -12,6 +12,12 @@
 
 /** The orders of one round of planning, at most one for each engine, and what they already take up. */
 final class PlanRound {
+    /**
+     * The share of the engines that may load from the weight store at once. Such an engine takes no other order for
+     * many seconds, not even a short load from its own disk.
+     */
+    private static final double LONG_LOAD_SHARE = 0.4;
+
     private final EngineDefinition engine;
     private final LoadPacer pacer;
     private final VictimChooser victims;
@@ -20,7 +26,7 @@
     private final List<ReplicaOrder> orders = new ArrayList<>();
     private final Set<EngineBook> taken = new HashSet<>();
     private final Set<ModelName> begun = new HashSet<>();
-    private int begunRemotely;
+    private final Set<EngineBook> begunRemotelyAt = new HashSet<>();
 
     PlanRound(
             EngineDefinition engine, LoadPacer pacer, VictimChooser victims, Collection<EngineBook> books, long nowMs) {
@@ -74,6 +80,10 @@
             load(book, definition);
             return;
         }
+        boolean begins = !book.goal().equals(Optional.of(model));
+        if (begins && !book.atHand(model) && !leavesEnoughEngines(book)) {
+            return;
+        }
         Optional<ModelName> victim = victims.next(book, books, nowMs);
         if (victim.isEmpty()) {
             book.goal(Optional.empty());
@@ -85,14 +95,37 @@
         orders.add(new ReplicaOrder(book.id(), OrderAction.UNLOAD, victim.get(), Optional.empty(), book.version()));
     }
 
+    /** Returns whether enough engines stay free for short loads when this one begins a long one. */
+    private boolean leavesEnoughEngines(EngineBook candidate) {
+        if (candidate.hasNothingAtHand()) {
+            return true;
+        }
+        int able = 0;
+        int busy = 0;
+        for (EngineBook book : books) {
+            if (book.hasNothingAtHand()) {
+                continue;
+            }
+            able++;
+            busy += book != candidate && loadsRemotely(book) ? 1 : 0;
+        }
+        return busy < Math.max(1, LONG_LOAD_SHARE * able);
+    }
+
+    private boolean loadsRemotely(EngineBook book) {
+        boolean makesRoom = book.goal().isPresent() && !book.atHand(book.goal().get());
+        return makesRoom || book.loadingRemotely(nowMs) || begunRemotelyAt.contains(book);
+    }
+
     private void load(EngineBook book, ModelDefinition definition) {
         if (!book.atHand(definition.name())) {
             int itself = book.goal().equals(Optional.of(definition.name())) ? 1 : 0;
-            if (!pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely() - itself, nowMs)) {
+            if (!pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely() - itself, nowMs)
+                    || !leavesEnoughEngines(book)) {
                 return;
             }
             pacer.onBegin(nowMs);
-            begunRemotely++;
+            begunRemotelyAt.add(book);
         }
         begun.add(definition.name());
         taken.add(book);
@@ -111,16 +144,10 @@
 
     /** A load for which room is being made counts: it begins as soon as there is room. */
     private int runningRemotely() {
-        int running = begunRemotely;
+        int running = 0;
         for (EngineBook book : books) {
-            boolean makesRoom =
-                    book.goal().isPresent() && !book.atHand(book.goal().get()) && !begunAt(book);
-            running += book.loadingRemotely(nowMs) || makesRoom ? 1 : 0;
+            running += loadsRemotely(book) ? 1 : 0;
         }
         return running;
     }
-
-    private boolean begunAt(EngineBook book) {
-        return taken.contains(book) && begun.contains(book.goal().orElseThrow());
-    }
 }
--- a/core/src/main/java/org/hawthornglade/core/replica/WeightCopies.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/WeightCopies.java
@@ -31,6 +31,10 @@
         onDisk.clear();
     }
 
+    boolean isEmpty() {
+        return inMemory.isEmpty() && onDisk.isEmpty();
+    }
+
     /** Returns whether no load from the weight store is needed. */
     boolean has(ModelName model) {
         return inMemory.contains(model) || onDisk.contains(model);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePark.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePark.java
@@ -21,7 +21,7 @@
 final class EnginePark {
     private final ServiceName service;
     private final DemandBook demand = new DemandBook();
-    private final LoadPacer pacer = new LoadPacer();
+    private final LoadPacer pacer;
     private final Map<InstanceId, EngineBook> books = new HashMap<>();
     private EngineDefinition engine;
     private ReplicaPlanner planner;
@@ -29,6 +29,7 @@
     EnginePark(ServiceName service, EngineDefinition engine) {
         this.service = service;
         this.engine = engine;
+        this.pacer = new LoadPacer(engine);
         this.planner = new ReplicaPlanner(engine, demand, pacer);
     }
 
