--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -14,10 +14,10 @@
 /**
  * Decides the next orders to the engines of one service.
  *
- * <p>First come the adapters that calls wait for, then copies of models whose engines are too busy or whose adapters
- * find no place, then the models that calls wait for: those that can be ready in time, the most urgent first, then the
- * others, the busiest first. What capacity is left goes to spare copies, and to models that are nowhere yet, so that the
- * first call for one of these waits for a short load only.
+ * <p>First come the adapters that calls wait for, then copies of models whose engines are too busy or whose
+ * adapters find no place, then the models that calls wait for: those that can be ready in time, the most urgent first,
+ * then the others, the busiest first. What capacity is left goes to spare copies, and to models that are nowhere yet,
+ * so that the first call for one of these waits for a short load only.
  */
 public final class ReplicaPlanner {
     private final EngineDefinition engine;
