A call's line says what it was promised, when to come back, and whether the promise was kept

Now: promised_ms, come_back_ms, promise=broken, counter promises_broken. No decision changes.

Test: CallRecordTest (new class of facts, nothing to fail before).

--- a/core/src/main/java/org/hawthornglade/core/dispatch/Decision.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/Decision.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.core.dispatch;
 
+import java.util.OptionalLong;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.result.ResultCode;
 
@@ -18,8 +19,14 @@
      * It waits at this entry.
      *
      * @param reason what for, for the log
+     * @param expectedAtMs when that is expected on the steady clock; nothing if that is not known
      */
-    record Wait(String reason) implements Decision {}
+    record Wait(String reason, OptionalLong expectedAtMs) implements Decision {
+        /** Creates a wait whose end is not known. */
+        public Wait(String reason) {
+            this(reason, OptionalLong.empty());
+        }
+    }
 
     /**
      * It is refused and has not run.
--- a/core/src/main/java/org/hawthornglade/core/dispatch/ReplicaWait.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/ReplicaWait.java
@@ -38,7 +38,7 @@
         if (readyAtMs.isPresent()) {
             boolean inTime = readyAtMs.getAsLong() + readMs <= call.leavesAtMs();
             return inTime
-                    ? new Decision.Wait("replica-coming")
+                    ? new Decision.Wait("replica-coming", readyAtMs)
                     : new Decision.Refuse(ResultCode.DEADLINE_NOT_REACHABLE, readyAtMs.getAsLong() - nowMs);
         }
         long patienceMs = call.leavesAtMs() - call.heardAtMs();
--- a/core/src/test/java/org/hawthornglade/core/dispatch/ReplicaWaitTest.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/ReplicaWaitTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.fleet.Records;
@@ -36,7 +37,7 @@
         fleet.onSnapshot(List.of(Records.ready("a", List.of(), List.of())), 0);
         told(ReplicaStatus.LOADING, NOW_MS + readyInMs);
         Decision expected = waits
-                ? new Decision.Wait("replica-coming")
+                ? new Decision.Wait("replica-coming", OptionalLong.of(NOW_MS + readyInMs))
                 : new Decision.Refuse(ResultCode.DEADLINE_NOT_REACHABLE, readyInMs);
         assertThat(decide(call(MODEL, NOW_MS), NOW_MS)).isEqualTo(expected);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -21,6 +21,8 @@
     private int sends;
     private long sentAtMs;
     private long firstByteAtMs;
+    private long promisedAtMs;
+    private long comeBackMs;
 
     CallRecord(RequestId id, CallView view, long configurationVersion) {
         this.id = id;
@@ -28,8 +30,20 @@
         this.configurationVersion = configurationVersion;
     }
 
-    void waits(String reason) {
-        waitedFor = reason;
+    void waits(Decision.Wait decision) {
+        waitedFor = decision.reason();
+        if (promisedAtMs == 0) {
+            promisedAtMs = decision.expectedAtMs().orElse(0);
+        }
+    }
+
+    void comesBack(long afterMs) {
+        comeBackMs = afterMs;
+    }
+
+    /** Returns whether the call waited for a load that was foretold and was never sent. */
+    private boolean promiseBroken(ResultCode code) {
+        return promisedAtMs > 0 && sends == 0 && code != ResultCode.CANCELLED_BEFORE_START;
     }
 
     void sent(Decision.Send decision, long nowMs) {
@@ -67,6 +81,16 @@
         if (!waitedFor.isEmpty()) {
             line.with("waited_for", waitedFor);
         }
+        if (promisedAtMs > 0) {
+            line.with("promised_ms", promisedAtMs - view.arrivedAtMs());
+        }
+        if (comeBackMs > 0) {
+            line.with("come_back_ms", comeBackMs);
+        }
+        if (promiseBroken(code)) {
+            line.with("promise", "broken");
+            metrics.count("promises_broken");
+        }
         if (firstByteAtMs > 0) {
             line.with("first_ms", firstByteAtMs - view.arrivedAtMs());
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -108,7 +108,7 @@
         if (decision instanceof Decision.Send sending) {
             send(sending);
         } else if (decision instanceof Decision.Wait waits) {
-            record.waits(waits.reason());
+            record.waits(waits);
             waitOn();
         } else if (decision instanceof Decision.Refuse refusal) {
             refuse(refusal.code(), refusal.retryAfterMs());
@@ -269,6 +269,7 @@
         if (code == ResultCode.DEADLINE_NOT_REACHABLE || code == ResultCode.MODEL_NOT_LOADED) {
             context.waiting().returning().add(view, context.clock().nowMs() + retryAfterMs);
         }
+        record.comesBack(retryAfterMs);
         ResultCode honest = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
         end(honest, answer.sendOwn(honest, honest.comeBack() ? retryAfterMs : 0));
     }
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
@@ -0,0 +1,54 @@
+package org.hawthornglade.gateway.exchange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.Decision;
+import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.serving.CallKind;
+import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Calls that waited for a load which was foretold to them. */
+class CallRecordTest {
+    private static final long ARRIVED_AT_MS = 1_000;
+
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final EventLog log = new EventLog(
+            () -> ARRIVED_AT_MS, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+
+    /** A load that did not come could not be told from a refusal for any other reason. */
+    @ParameterizedTest
+    @CsvSource({
+        "true, DEADLINE_NOT_REACHABLE, true",
+        "true, DEADLINE_PASSED_WAITING, true",
+        "true, CANCELLED_BEFORE_START, false",
+        "false, DEADLINE_PASSED_WAITING, false",
+    })
+    void aCallThatWaitedInVainForAForetoldLoadCountsAsABrokenPromise(boolean told, ResultCode code, boolean broken) {
+        metrics.begin();
+        CallRecord record = new CallRecord(RequestId.of("r-1"), call(), 1);
+        OptionalLong expectedAtMs = told ? OptionalLong.of(ARRIVED_AT_MS + 800) : OptionalLong.empty();
+        record.waits(new Decision.Wait("replica-coming", expectedAtMs));
+        record.write(log, metrics, code, 503, ARRIVED_AT_MS + 900);
+        assertThat(metrics.text().contains("hawthornglade_promises_broken_total 1.0"))
+                .isEqualTo(broken);
+    }
+
+    private static CallView call() {
+        Route route =
+                new Route("r", "h.example", "/r/", CallKind.STREAM, 15_000, 800, 500, 4_000, 1, 0, true, List.of());
+        return new CallView(ServiceName.of("drafts"), route, Optional.empty(), ARRIVED_AT_MS, ARRIVED_AT_MS + 5_000);
+    }
+}
