--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.InstanceVersion;
@@ -43,7 +42,6 @@
     private boolean busyElsewhere;
     private boolean unreachable;
     private long reportNotBeforeMs;
-    private long remoteUntilMs;
     private Optional<RemoteLoad> remoteLoad = Optional.empty();
 
     /** Starts with the engine's record on the list. */
@@ -167,17 +165,23 @@
 
     private void assumeLoad(ModelName model, long readyAtMs) {
         models.all().put(model, new Resident(ReplicaStatus.LOADING, readyAtMs));
-        remoteUntilMs = atHand(model) ? remoteUntilMs : readyAtMs;
+        if (!atHand(model)) {
+            remoteLoad = Optional.of(RemoteLoad.inherited(model, readyAtMs));
+        }
     }
 
-    /** Takes the answer to the open order. */
-    public void onAnswer(ReplicaOrder order, OrderOutcome outcome, long expectedMs, long nowMs) {
+    /**
+     * Takes the answer to the open order.
+     *
+     * @param time how long it takes if it is carried out
+     */
+    public void onAnswer(ReplicaOrder order, OrderOutcome outcome, OrderTime time, long nowMs) {
         if (open.isEmpty() || !open.get().equals(order)) {
             return;
         }
         open = Optional.empty();
         switch (outcome) {
-            case ACCEPTED -> accepted(order, expectedMs, nowMs);
+            case ACCEPTED -> accepted(order, time, nowMs);
             case ALREADY_DONE, CONFLICT, REFUSED, UNKNOWN, FENCED_OFF, WRONG_INSTANCE -> unsure(nowMs);
         }
     }
@@ -187,7 +191,7 @@
         reportNotBeforeMs = nowMs + REPORT_LAG_MS;
     }
 
-    private void accepted(ReplicaOrder order, long expectedMs, long nowMs) {
+    private void accepted(ReplicaOrder order, OrderTime time, long nowMs) {
         if (order.expected().equals(version)) {
             version = new InstanceVersion(version.bornMs(), version.orderSequence() + 1);
         }
@@ -197,16 +201,15 @@
         }
         if (order.action() == OrderAction.LOAD) {
             if (!atHand(order.model())) {
-                remoteUntilMs = nowMs + expectedMs;
-                remoteLoad = Optional.of(new RemoteLoad(order.model(), nowMs, expectedMs));
+                remoteLoad = Optional.of(RemoteLoad.begun(order.model(), time, nowMs));
             }
-            models.all().put(order.model(), new Resident(ReplicaStatus.LOADING, nowMs + expectedMs));
+            models.all().put(order.model(), new Resident(ReplicaStatus.LOADING, nowMs + time.expectedMs()));
             copies.loaded(order.model());
             if (goal.equals(Optional.of(order.model()))) {
                 goal = Optional.empty();
             }
         }
-        reportNotBeforeMs = nowMs + expectedMs + OVERDUE_MS;
+        reportNotBeforeMs = nowMs + time.nominalMs() + OVERDUE_MS;
     }
 
     private void adapterChanged(ReplicaOrder order, long nowMs) {
@@ -304,28 +307,47 @@
         return Math.max(ANSWER_MS, models.loadsEndAtMs() - nowMs);
     }
 
-    /** Returns how many times its nominal time the load from the weight store took that has ended here since asked. */
-    OptionalDouble endedRemoteLoad(long nowMs) {
-        if (remoteLoad.isEmpty() || loads(remoteLoad.get().model())) {
-            return OptionalDouble.empty();
+    /** Returns the load from the weight store that has ended here since asked, whether with success or not. */
+    Optional<RemoteLoad> takeEndedRemoteLoad() {
+        Optional<RemoteLoad> ended = remoteLoad.filter(load -> !loads(load.model()));
+        if (ended.isPresent()) {
+            remoteLoad = Optional.empty();
         }
-        RemoteLoad ended = remoteLoad.get();
-        remoteLoad = Optional.empty();
-        return serves(ended.model()) ? OptionalDouble.of(ended.slowdown(nowMs)) : OptionalDouble.empty();
+        return ended;
+    }
+
+    /**
+     * Follows the load from the weight store that runs here; nothing if there is none.
+     *
+     * @param running how many such loads run at all engines
+     */
+    Optional<RemoteLoad> watchRemoteLoad(int running, long nowMs) {
+        if (remoteLoad.isEmpty() || !trusted()) {
+            return Optional.empty();
+        }
+        RemoteLoad load = remoteLoad.get();
+        load.watch(running, nowMs);
+        models.get(load.model()).ifPresent(resident -> resident.readyAtMs(load.expectedAtMs()));
+        return remoteLoad;
     }
 
     /** Returns whether a load from the weight store runs here, or has been ordered. */
     boolean loadingRemotely(long nowMs) {
-        boolean late =
-                remoteLoad.isPresent() && loads(remoteLoad.get().model()) && nowMs <= remoteUntilMs + LOST_LOAD_MS;
-        return remoteUntilMs > nowMs
-                || late
-                || ordered().filter(model -> !atHand(model)).isPresent();
+        boolean runs = remoteLoad
+                .filter(load -> loads(load.model()) && (trusted() || nowMs <= load.expectedAtMs()))
+                .isPresent();
+        return runs || ordered().filter(model -> !atHand(model)).isPresent();
+    }
+
+    /** Returns whether a model comes here from the weight store. */
+    boolean loadsRemotely(ModelName model) {
+        return loads(model)
+                && remoteLoad.filter(load -> load.model().equals(model)).isPresent();
     }
 
-    /** Returns when the last load from the weight store here is expected to end. */
+    /** Returns when the load from the weight store here is expected to end; 0 if none runs. */
     long remoteUntilMs() {
-        return remoteUntilMs;
+        return remoteLoad.map(RemoteLoad::expectedAtMs).orElse(0L);
     }
 
     /** Returns how long a load of a model takes here, by where its weights lie. */
--- a/core/src/main/java/org/hawthornglade/core/replica/LoadPacer.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/LoadPacer.java
@@ -2,63 +2,51 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.hawthornglade.core.serving.EngineDefinition;
-import org.hawthornglade.core.serving.ModelDefinition;
 
 /**
  * Paces loads from the weight store over all instances.
  *
  * <p>Two limits hold: how many begin within a sliding window, and how many run at once. A load that got no answer
- * counts as begun, since it may be. How many may run at once is learned: while loads end in their nominal time more of
- * them may run, and when they take longer only as many as the store can serve at full speed.
+ * counts as begun, since it may be. How many may run at once is learned: somewhat more than have kept their nominal
+ * time together, and no more than the store served at full speed once one is late, whether that one has ended or not.
  */
 public final class LoadPacer {
     /** The window over which the store's rate is kept. */
     static final long WINDOW_MS = 5_000;
-    /** The least and the most that run at once before any has ended. */
-    private static final int LEAST_AT_FIRST = 4;
-
-    private static final int MOST_AT_FIRST = 32;
-    /** By the store's rate and the time of a load so many would run at once; this share of them does at first. */
-    private static final double SHARE_AT_FIRST = 0.25;
-    /** How many more may run after one that took its nominal time. */
-    private static final int STEP = 2;
+    /** A load that takes this many times its nominal time is late. */
+    static final double LATE = 1.2;
     /** The most that may run at once. */
     private static final int MAX_AT_ONCE = 64;
-    /** A load that takes this many times its nominal time shows no shortage. */
-    private static final double FULL_SPEED = 1.2;
-    /** A load that takes this many times its nominal time shows that too many run. */
-    private static final double TOO_SLOW = 1.5;
+    /** The share of the engines that more loads than are proven may hold up; one in any case. */
+    private static final double UNPROVEN_SHARE = 0.25;
     /** For how long a number that was too high is not tried again. */
     private static final long REMEMBERED_MS = 60_000;
+    /** By this share more loads are tried after that time; one more in any case. */
+    private static final double STEP_SHARE = 0.25;
 
     private final Deque<Long> begunAtMs = new ArrayDeque<>();
-    private int atOnce;
-    private int mostAtOnce = MAX_AT_ONCE;
+    private int proven = 1;
+    private int most = MAX_AT_ONCE;
     private long mostUntilMs;
+    private int inTime;
+    private int inTimeAtOnce = MAX_AT_ONCE;
 
-    /** Creates a pacer for a store of which nothing is known but what its configuration says. */
-    public LoadPacer(EngineDefinition engine) {
-        long longestMs = 0;
-        for (ModelDefinition model : engine.models().values()) {
-            longestMs = Math.max(longestMs, model.remoteLoadMs());
-        }
-        double atFullRate = engine.remoteLoadsPerSecond() * longestMs / 1_000;
-        int first = (int) Math.round(SHARE_AT_FIRST * atFullRate);
-        atOnce = Math.max(LEAST_AT_FIRST, Math.min(MOST_AT_FIRST, first));
-    }
-
-    /** Returns whether one more load may begin. */
-    public boolean mayBegin(double loadsPerSecond, int running, long nowMs) {
+    /**
+     * Returns whether one more load may begin.
+     *
+     * @param running how many run now
+     * @param engines how many engines could be held up by loads
+     */
+    public boolean mayBegin(double loadsPerSecond, int running, int engines, long nowMs) {
         while (!begunAtMs.isEmpty() && nowMs - begunAtMs.peekFirst() > WINDOW_MS) {
             begunAtMs.removeFirst();
         }
-        return running < atOnce && begunAtMs.size() < (int) (loadsPerSecond * WINDOW_MS / 1_000);
+        return running < atOnce(engines, nowMs) && begunAtMs.size() < (int) (loadsPerSecond * WINDOW_MS / 1_000);
     }
 
     /** The same for a load that nothing waits for; it leaves half of the places to those that something waits for. */
-    public boolean mayBeginInAdvance(double loadsPerSecond, int running, long nowMs) {
-        return 2 * running < atOnce && mayBegin(loadsPerSecond, running, nowMs);
+    public boolean mayBeginInAdvance(double loadsPerSecond, int running, int engines, long nowMs) {
+        return 2 * running < atOnce(engines, nowMs) && mayBegin(loadsPerSecond, running, engines, nowMs);
     }
 
     /** Takes note that a load begins, or may begin. */
@@ -66,27 +54,78 @@
         begunAtMs.addLast(nowMs);
     }
 
-    /**
-     * Takes note that a load has ended.
-     *
-     * @param slowdown how many times its nominal time it took
-     * @param running how many loads ran at once with it, itself included
-     */
-    public void onEnd(double slowdown, int running, long nowMs) {
-        if (nowMs >= mostUntilMs) {
-            mostAtOnce = MAX_AT_ONCE;
+    /** Takes note that a load has ended. */
+    void onEnd(LoadSample load, long nowMs) {
+        if (load.slowdown() > LATE) {
+            onLate(load, nowMs);
+            return;
+        }
+        if (load.leastAtOnce() <= proven) {
+            return;
+        }
+        // One that ends in time may have been first in a queue: all that ran together have to be in time.
+        inTime++;
+        inTimeAtOnce = Math.min(inTimeAtOnce, load.leastAtOnce());
+        if (inTime >= inTimeAtOnce) {
+            proven = Math.min(inTimeAtOnce, most(nowMs));
+            most = Math.max(most, proven);
+            forgetInTime();
         }
-        if (slowdown > TOO_SLOW) {
-            atOnce = Math.max(1, Math.min(atOnce, (int) (running / slowdown)));
-            mostAtOnce = atOnce;
+    }
+
+    /** Takes note that a load is late, ended or not. */
+    void onLate(LoadSample load, long nowMs) {
+        forgetInTime();
+        int possible = Math.max(1, (int) (load.mostAtOnce() / load.slowdown()));
+        if (possible < load.mostAtOnce()) {
+            most = Math.min(most(nowMs), possible);
             mostUntilMs = nowMs + REMEMBERED_MS;
-        } else if (slowdown < FULL_SPEED && 2 * running > atOnce) {
-            atOnce = Math.min(mostAtOnce, atOnce + STEP);
+            proven = Math.min(proven, most);
         }
     }
 
+    private void forgetInTime() {
+        inTime = 0;
+        inTimeAtOnce = MAX_AT_ONCE;
+    }
+
+    private int most(long nowMs) {
+        int step = nowMs < mostUntilMs ? 0 : Math.max(1, (int) (STEP_SHARE * most));
+        return Math.min(MAX_AT_ONCE, most + step);
+    }
+
     /** Returns how many loads may run at once. */
-    int atOnce() {
-        return atOnce;
+    int atOnce(int engines, long nowMs) {
+        int unproven = Math.max(1, (int) (UNPROVEN_SHARE * engines));
+        return Math.min(most(nowMs), proven + Math.min(proven, unproven));
+    }
+
+    /** Returns how many loads have kept their nominal time together. */
+    int proven() {
+        return proven;
+    }
+
+    /**
+     * Returns how long a load takes that begins now, as far as is proven: the store may make those beyond wait, or
+     * serve all of them more slowly.
+     *
+     * @param running how many loads run then, itself included
+     */
+    long expectedMs(long nominalMs, int running, int engines, long nowMs) {
+        int rounds = (running + proven - 1) / proven;
+        double share = (double) atOnce(engines, nowMs) / proven;
+        return (long) (nominalMs * Math.max(rounds, share));
+    }
+
+    /** Returns what has been learned, for the next leader. */
+    public LoadLimits limits(long nowMs) {
+        return new LoadLimits(proven, most(nowMs));
+    }
+
+    /** Takes what another leader has learned. */
+    public void adopt(LoadLimits learned, long nowMs) {
+        proven = Math.min(learned.proven(), MAX_AT_ONCE);
+        most = Math.min(learned.most(), MAX_AT_ONCE);
+        mostUntilMs = nowMs + REMEMBERED_MS;
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/replica/OrderTime.java
@@ -0,0 +1,14 @@
+package org.hawthornglade.core.replica;
+
+/**
+ * How long an order takes to be carried out.
+ *
+ * @param nominalMs at full speed, in milliseconds
+ * @param expectedMs as far as is known of what else runs, in milliseconds
+ */
+public record OrderTime(long nominalMs, long expectedMs) {
+    /** Creates the time of an order that nothing else slows down. */
+    public static OrderTime of(long nominalMs) {
+        return new OrderTime(nominalMs, nominalMs);
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
@@ -120,8 +120,9 @@
     private void load(EngineBook book, ModelDefinition definition) {
         if (!book.atHand(definition.name())) {
             int itself = book.goal().equals(Optional.of(definition.name())) ? 1 : 0;
-            if (!pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely() - itself, nowMs)
+            if (!pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely() - itself, books.size(), nowMs)
                     || !leavesEnoughEngines(book)) {
+                book.goal(Optional.empty());
                 return;
             }
             pacer.onBegin(nowMs);
@@ -134,12 +135,12 @@
 
     /** Returns whether one more load from the weight store may begin now. */
     boolean mayLoadRemotely() {
-        return pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely(), nowMs);
+        return pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely(), books.size(), nowMs);
     }
 
     /** Returns whether one more load may begin that no call waits for, so that there is room for others. */
     boolean mayLoadRemotelyInAdvance() {
-        return pacer.mayBeginInAdvance(engine.remoteLoadsPerSecond(), runningRemotely(), nowMs);
+        return pacer.mayBeginInAdvance(engine.remoteLoadsPerSecond(), runningRemotely(), books.size(), nowMs);
     }
 
     /** A load for which room is being made counts: it begins as soon as there is room. */
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -20,6 +20,9 @@
  * so that the first call for one of these waits for a short load only.
  */
 public final class ReplicaPlanner {
+    /** An unload of a model that nobody uses takes about this long. */
+    private static final long UNLOAD_MS = 20;
+
     private final EngineDefinition engine;
     private final DemandBook demand;
     private final LoadPacer pacer;
@@ -27,9 +30,10 @@
     private final VictimChooser victims;
     private final HostChooser hosts;
     private final CopyPlanner copies;
+    private final RemoteLoadWatch remoteLoads;
 
     /** Creates a planner for one version of a service's engines. */
-    public ReplicaPlanner(EngineDefinition engine, DemandBook demand, LoadPacer pacer) {
+    public ReplicaPlanner(EngineDefinition engine, DemandBook demand, LoadPacer pacer, RemoteLoadListener listener) {
         this.engine = engine;
         this.demand = demand;
         this.pacer = pacer;
@@ -38,6 +42,7 @@
         this.victims = new VictimChooser(engine, demand, need);
         this.hosts = new HostChooser(demand, victims);
         this.copies = new CopyPlanner(engine, demand, adapters, victims, hosts, need);
+        this.remoteLoads = new RemoteLoadWatch(pacer, listener);
     }
 
     /**
@@ -45,7 +50,7 @@
      * before it asks again.
      */
     public List<ReplicaOrder> plan(Collection<EngineBook> books, long nowMs) {
-        learnFromEndedLoads(books, nowMs);
+        remoteLoads.watch(books, nowMs);
         PlanRound round = new PlanRound(engine, pacer, victims, books, nowMs);
         List<VariantDemand> waiting = inOrder(books, nowMs);
         continueGoals(round);
@@ -67,16 +72,21 @@
         return round.orders();
     }
 
-    private void learnFromEndedLoads(Collection<EngineBook> books, long nowMs) {
-        int running = 0;
-        List<Double> slowdowns = new ArrayList<>();
-        for (EngineBook book : books) {
-            running += book.loadingRemotely(nowMs) ? 1 : 0;
-            book.endedRemoteLoad(nowMs).ifPresent(slowdowns::add);
+    /** Returns how long an order takes that is about to be sent. */
+    public OrderTime time(EngineBook book, ReplicaOrder order, Collection<EngineBook> books, long nowMs) {
+        ModelDefinition model = engine.models().get(order.model());
+        if (order.adapter().isPresent()) {
+            return OrderTime.of(0);
+        }
+        if (order.action() == OrderAction.UNLOAD || model == null) {
+            return OrderTime.of(UNLOAD_MS);
         }
-        for (double slowdown : slowdowns) {
-            pacer.onEnd(slowdown, running + slowdowns.size(), nowMs);
+        long nominalMs = book.loadMs(model);
+        if (book.atHand(order.model())) {
+            return OrderTime.of(nominalMs);
         }
+        int running = RemoteLoadWatch.running(books, nowMs) + 1;
+        return new OrderTime(nominalMs, pacer.expectedMs(nominalMs, running, books.size(), nowMs));
     }
 
     /** Returns when the models that calls wait for will be ready, by instance; those that are loading now left out. */
@@ -88,7 +98,7 @@
                 missing.add(model);
             }
         }
-        return new LoadForecast(engine, books, pacer.atOnce(), nowMs).of(missing);
+        return new LoadForecast(engine, books, pacer.proven(), nowMs).of(missing);
     }
 
     /** Returns the waiting demand: first what a load can still serve on time, then what is late, busy models first. */
--- a/core/src/main/java/org/hawthornglade/core/replica/Resident.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/Resident.java
@@ -27,6 +27,10 @@
         return readyAtMs;
     }
 
+    void readyAtMs(long atMs) {
+        readyAtMs = atMs;
+    }
+
     boolean ready() {
         return status == ReplicaStatus.READY;
     }
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/replica/RemoteLoadPaceTest.java
@@ -0,0 +1,150 @@
+package org.hawthornglade.core.replica;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hawthornglade.core.fleet.Records;
+import org.hawthornglade.core.fleet.ReplicaStatus;
+import org.hawthornglade.core.id.ModelName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Calls for more models than the engines hold, before weight stores that slow down in different ways. */
+class RemoteLoadPaceTest {
+    private static final int ENGINES = 40;
+    private static final int MISSING_MODELS = 40;
+    private static final double LOADS_PER_S = 12;
+    private static final long STEP_MS = 50;
+    private static final long RUN_MS = 60_000;
+    private static final long RUNS_AT_ONCE_KNOWN_MS = 30_000;
+
+    private final ReplicaWorld world = new ReplicaWorld(2 * ENGINES + MISSING_MODELS, LOADS_PER_S);
+    private final Map<String, Long> toldAtMs = new HashMap<>();
+    private final Map<String, Long> diskEndsAtMs = new HashMap<>();
+    private final List<Integer> heldUp = new ArrayList<>();
+    private int ended;
+    private int brokenPromises;
+
+    private static String key(EngineBook book, ModelName model) {
+        return book.id() + " " + model;
+    }
+
+    private void run(SimulatedStore store) {
+        List<String> missing = new ArrayList<>();
+        for (int i = 0; i < ENGINES; i++) {
+            List<String> held = List.of("m" + 2 * i, "m" + (2 * i + 1));
+            world.engine("e" + i, held, held);
+        }
+        for (int i = 2 * ENGINES; i < 2 * ENGINES + MISSING_MODELS; i++) {
+            missing.add("m" + i);
+        }
+        long endMs = world.nowMs + RUN_MS;
+        while (world.nowMs < endMs) {
+            world.waiting(2_000, missing.toArray(String[]::new));
+            world.plan();
+            world.answer(OrderOutcome.ACCEPTED);
+            for (EngineBook book : world.books) {
+                begin(store, book);
+            }
+            world.nowMs += STEP_MS;
+            List<String> loaded = store.pass(STEP_MS);
+            world.books.forEach(book -> tell(book, loaded));
+            heldUp.add((int)
+                    world.books.stream().filter(book -> !book.takesModelOrder()).count());
+        }
+    }
+
+    private void begin(SimulatedStore store, EngineBook book) {
+        book.models().forEach((model, resident) -> {
+            String key = key(book, model);
+            if (resident.status() != ReplicaStatus.LOADING || toldAtMs.containsKey(key)) {
+                return;
+            }
+            toldAtMs.put(key, resident.readyAtMs());
+            if (book.listed().onDisk().contains(model)) {
+                diskEndsAtMs.put(key, world.nowMs + ReplicaWorld.DISK_MS);
+            } else {
+                store.begin(key, ReplicaWorld.REMOTE_MS);
+            }
+        });
+    }
+
+    /** Lets an engine list what it holds now. */
+    private void tell(EngineBook book, List<String> loaded) {
+        List<String> held = new ArrayList<>();
+        List<String> onDisk = new ArrayList<>();
+        book.listed().onDisk().forEach(model -> onDisk.add(model.value()));
+        book.models().forEach((model, resident) -> {
+            String key = key(book, model);
+            boolean fromStore = loaded.contains(key);
+            boolean fromDisk = diskEndsAtMs.getOrDefault(key, Long.MAX_VALUE) <= world.nowMs;
+            if (fromStore) {
+                ended++;
+                brokenPromises += world.nowMs > toldAtMs.get(key) + 2 * STEP_MS ? 1 : 0;
+                onDisk.add(model.value());
+            }
+            if (fromStore || fromDisk) {
+                toldAtMs.remove(key);
+                diskEndsAtMs.remove(key);
+            }
+            if (resident.ready() || fromStore || fromDisk) {
+                held.add(model.value());
+            }
+        });
+        book.onListed(Records.record(book.id().value(), false, 1, world.nowMs, held, onDisk), world.nowMs);
+    }
+
+    /** A leader that only learns from loads that end orders far more than the store serves, and locks the engines. */
+    @ParameterizedTest
+    @CsvSource({
+        "QUEUE, 1, 11, 2, 8",
+        "QUEUE, 4, 14, 5, 30",
+        "QUEUE, 16, 26, 17, 40",
+        "SHARED_RATE, 1, 11, 2, 8",
+        "SHARED_RATE, 4, 14, 5, 30",
+        "SLOWER_FROM_BEGIN, 1, 11, 2, 8",
+        "SLOWER_FROM_BEGIN, 4, 14, 5, 30",
+    })
+    void fewEnginesAreHeldUpByLoadsAndTheStoreIsUsed(
+            SimulatedStore.Overload overload, int atFullSpeed, int mostHeldUp, int mostOnceKnown, int leastEnded) {
+        run(new SimulatedStore(overload, atFullSpeed));
+        int known = (int) (RUNS_AT_ONCE_KNOWN_MS / STEP_MS);
+        assertThat(heldUp.stream().max(Integer::compare).orElseThrow()).isAtMost(mostHeldUp);
+        assertThat(heldUp.subList(known, heldUp.size()).stream()
+                        .max(Integer::compare)
+                        .orElseThrow())
+                .isAtMost(mostOnceKnown);
+        assertThat(ended).isAtLeast(leastEnded);
+    }
+
+    /** Entries tell their callers when a model will be there, and keep them waiting for it. */
+    @ParameterizedTest
+    @CsvSource({"QUEUE, 1", "QUEUE, 4", "SHARED_RATE, 1", "SLOWER_FROM_BEGIN, 1", "SLOWER_FROM_BEGIN, 4"})
+    void noLoadEndsLaterThanWasTold(SimulatedStore.Overload overload, int atFullSpeed) {
+        run(new SimulatedStore(overload, atFullSpeed));
+        assertWithMessage("of %s", ended).that(brokenPromises).isEqualTo(0);
+    }
+
+    /** A load that is late for longer than a lost one is still under way as long as its engine is. */
+    @Test
+    void aLateLoadGoesOnCountingAndIsForetoldAnew() {
+        ReplicaWorld one = new ReplicaWorld(3, 2).engine("a", List.of(), List.of());
+        one.waiting(2_000, "m0");
+        one.plan();
+        one.answer(OrderOutcome.ACCEPTED);
+        one.nowMs += 3 * ReplicaWorld.REMOTE_MS;
+        one.plan();
+        EngineBook book = one.books.get(0);
+        assertThat(book.loadingRemotely(one.nowMs)).isTrue();
+        assertThat(book.placement(Map.of(), one.nowMs)
+                        .models()
+                        .get(ModelName.of("m0"))
+                        .readyAtMs())
+                .isGreaterThan(one.nowMs);
+    }
+}
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -87,7 +87,7 @@
         this.protocol = protocol;
         this.links = links;
         DemandCollector collector = new DemandCollector(settings.node(), fleet, waiting);
-        this.star = new PlacementStar(settings, context, fleet, waiting, collector, leaseStore, control);
+        this.star = new PlacementStar(settings, context, fleet, waiting, collector, leaseStore, control, metrics);
         waiting.onNewCall(star::demandChanged);
         star.onEntries(this::shareBudget);
         this.budgets = new RetryBudgets(retryShare(settings), retryBurst(settings));
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePark.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePark.java
@@ -14,6 +14,7 @@
 import org.hawthornglade.core.replica.DemandBook;
 import org.hawthornglade.core.replica.EngineBook;
 import org.hawthornglade.core.replica.LoadPacer;
+import org.hawthornglade.core.replica.RemoteLoadListener;
 import org.hawthornglade.core.replica.ReplicaPlanner;
 import org.hawthornglade.core.serving.EngineDefinition;
 
@@ -21,28 +22,33 @@
 final class EnginePark {
     private final ServiceName service;
     private final DemandBook demand = new DemandBook();
-    private final LoadPacer pacer;
+    private final LoadPacer pacer = new LoadPacer();
+    private final RemoteLoadListener listener;
     private final Map<InstanceId, EngineBook> books = new HashMap<>();
     private EngineDefinition engine;
     private ReplicaPlanner planner;
 
-    EnginePark(ServiceName service, EngineDefinition engine) {
+    EnginePark(ServiceName service, EngineDefinition engine, RemoteLoadListener listener) {
         this.service = service;
         this.engine = engine;
-        this.pacer = new LoadPacer(engine);
-        this.planner = new ReplicaPlanner(engine, demand, pacer);
+        this.listener = listener;
+        this.planner = new ReplicaPlanner(engine, demand, pacer, listener);
     }
 
     /** Takes the definition of the newest configuration. */
     void engine(EngineDefinition newest) {
         if (!newest.equals(engine)) {
             engine = newest;
-            planner = new ReplicaPlanner(newest, demand, pacer);
+            planner = new ReplicaPlanner(newest, demand, pacer, listener);
         }
     }
 
-    EngineDefinition engine() {
-        return engine;
+    ServiceName service() {
+        return service;
+    }
+
+    LoadPacer pacer() {
+        return pacer;
     }
 
     DemandBook demand() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -14,24 +14,23 @@
 import org.hawthornglade.core.replica.DemandBook;
 import org.hawthornglade.core.replica.EngineBook;
 import org.hawthornglade.core.replica.EntryDemand;
-import org.hawthornglade.core.replica.OrderAction;
+import org.hawthornglade.core.replica.LoadLimits;
 import org.hawthornglade.core.replica.OrderOutcome;
+import org.hawthornglade.core.replica.OrderTime;
 import org.hawthornglade.core.replica.ReplicaOrder;
 import org.hawthornglade.core.result.Failure;
-import org.hawthornglade.core.serving.ModelDefinition;
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.peer.DemandNews;
 import org.hawthornglade.gateway.peer.PlacementNews;
 import org.hawthornglade.gateway.port.EngineControl;
 
 /** Orders loads and unloads while this entry holds the lease, and tells all entries what is placed where. */
 public final class PlacementLeader {
-    /** An unload of a model that nobody uses takes about this long. */
-    private static final long UNLOAD_MS = 20;
     /** News go out at least this often, so that followers know that the leader lives. */
     private static final long NEWS_EVERY_MS = 300;
     /** Planning goes on at most this often, however many entries tell something. */
@@ -56,6 +55,7 @@
     private final Timers timers;
     private final Clock clock;
     private final EventLog log;
+    private final GatewayMetrics metrics;
     private final Map<ServiceName, EnginePark> parks = new HashMap<>();
     private boolean led;
     private boolean wakePending;
@@ -72,7 +72,8 @@
             Audience audience,
             Timers timers,
             Clock clock,
-            EventLog log) {
+            EventLog log,
+            GatewayMetrics metrics) {
         this.node = node;
         this.fleet = fleet;
         this.leadership = leadership;
@@ -82,6 +83,7 @@
         this.timers = timers;
         this.clock = clock;
         this.log = log;
+        this.metrics = metrics;
     }
 
     /** Takes the newest configuration. */
@@ -90,7 +92,7 @@
             if (service.engine().isPresent()) {
                 parks.computeIfAbsent(
                                 service.name(),
-                                name -> new EnginePark(name, service.engine().get()))
+                                name -> new EnginePark(name, service.engine().get(), new RemoteLoadLog(log, metrics)))
                         .engine(service.engine().get());
             }
         }
@@ -206,7 +208,7 @@
     }
 
     private void send(EnginePark park, EngineBook book, ReplicaOrder order) {
-        long expectedMs = expectedMs(park, book, order);
+        OrderTime time = park.planner().time(book, order, park.books(), clock.nowMs());
         book.onSent(order, clock.nowMs());
         log.event("order")
                 .with("instance", order.instance())
@@ -215,23 +217,14 @@
                 .with("adapter", order.adapter().map(Object::toString).orElse("-"))
                 .with("seq", order.expected().orderSequence())
                 .with("token", leadership.token())
-                .with("expected_ms", expectedMs)
+                .with("expected_ms", time.expectedMs())
                 .with("running", park.demand().running(order.instance(), order.model(), clock.nowMs()))
                 .write();
-        control.order(
-                book.listed(), order, node, leadership.token(), outcome -> answered(book, order, outcome, expectedMs));
+        control.order(book.listed(), order, node, leadership.token(), outcome -> answered(book, order, outcome, time));
     }
 
-    private static long expectedMs(EnginePark park, EngineBook book, ReplicaOrder order) {
-        if (order.adapter().isPresent()) {
-            return 0;
-        }
-        ModelDefinition model = park.engine().models().get(order.model());
-        return order.action() == OrderAction.UNLOAD || model == null ? UNLOAD_MS : book.loadMs(model);
-    }
-
-    private void answered(EngineBook book, ReplicaOrder order, OrderOutcome outcome, long expectedMs) {
-        book.onAnswer(order, outcome, expectedMs, clock.nowMs());
+    private void answered(EngineBook book, ReplicaOrder order, OrderOutcome outcome, OrderTime time) {
+        book.onAnswer(order, outcome, time, clock.nowMs());
         if (outcome != OrderOutcome.ACCEPTED) {
             log.event("order-answer")
                     .with("instance", order.instance())
@@ -261,15 +254,30 @@
         newsAtMs = nowMs;
         List<InstancePlacement> placements = new ArrayList<>();
         Map<InstanceId, Integer> running = new HashMap<>();
+        Map<ServiceName, LoadLimits> loadLimits = new HashMap<>();
+        int enginesChanging = 0;
         for (EnginePark park : parks.values()) {
+            loadLimits.put(park.service(), park.pacer().limits(nowMs));
             Map<InstanceId, Map<ModelName, Long>> foretold = park.planner().forecast(park.books(), nowMs);
             for (EngineBook book : park.books()) {
                 placements.add(book.placement(foretold.getOrDefault(book.id(), Map.of()), nowMs));
                 running.put(book.id(), park.demand().running(book.id(), nowMs));
+                enginesChanging += book.changing() ? 1 : 0;
             }
         }
+        metrics.set("engines_changing", enginesChanging);
         audience.onNews(new PlacementNews(
-                leadership.token(), leadership.seen().revision(), placements, running, entries(nowMs)));
+                leadership.token(), leadership.seen().revision(), placements, running, entries(nowMs), loadLimits));
+    }
+
+    /** Takes what the entry that leads has learned of the weight stores. */
+    void onLoadLimits(Map<ServiceName, LoadLimits> limits) {
+        limits.forEach((service, learned) -> {
+            EnginePark park = parks.get(service);
+            if (park != null) {
+                park.pacer().adopt(learned, clock.nowMs());
+            }
+        });
     }
 
     private int entries(long nowMs) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementStar.java
@@ -15,6 +15,7 @@
 import org.hawthornglade.gateway.exchange.WaitingCalls;
 import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.peer.DemandNews;
 import org.hawthornglade.gateway.peer.FollowerServer;
 import org.hawthornglade.gateway.peer.LeaderLink;
@@ -57,7 +58,8 @@
             WaitingCalls waiting,
             DemandCollector collector,
             LeaseStore leaseStore,
-            EngineControl control) {
+            EngineControl control,
+            GatewayMetrics metrics) {
         this.settings = settings;
         this.fleet = fleet;
         this.waiting = waiting;
@@ -73,7 +75,7 @@
                 settings.enginesCheckTokens());
         this.lease = new LeaseKeeper(leadership, leaseStore, clock, context.wallClock(), context.log());
         this.leader = new PlacementLeader(
-                settings.node(), fleet, leadership, lease, control, this, timers, clock, context.log());
+                settings.node(), fleet, leadership, lease, control, this, timers, clock, context.log(), metrics);
         this.link = new LeaderLink(context.loop(), clock, context.log(), this);
         this.followers = new FollowerServer(context.loop(), clock, this);
     }
@@ -174,6 +176,7 @@
             followers.send(news);
         } else {
             leadership.onLeaderHeard(news.leaseRevision(), nowMs);
+            leader.onLoadLimits(news.loadLimits());
         }
         waiting.reconsider();
     }
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/RemoteLoadLog.java
@@ -0,0 +1,53 @@
+package org.hawthornglade.gateway.leader;
+
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.replica.LoadLimits;
+import org.hawthornglade.core.replica.RemoteLoadListener;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
+
+/** Writes how loads from the weight store fare, and counts them. */
+final class RemoteLoadLog implements RemoteLoadListener {
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+
+    RemoteLoadLog(EventLog log, GatewayMetrics metrics) {
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void onEnded(InstanceId instance, ModelName model, long tookMs, long nominalMs, int atOnce) {
+        metrics.count("store_loads");
+        log.event("store-load-ended")
+                .with("instance", instance)
+                .with("model", model)
+                .with("took_ms", tookMs)
+                .with("nominal_ms", nominalMs)
+                .with("at_once", atOnce)
+                .write();
+    }
+
+    @Override
+    public void onLate(InstanceId instance, ModelName model, long sinceMs, long nominalMs, int atOnce) {
+        metrics.count("store_loads_late");
+        log.event("store-load-late")
+                .with("instance", instance)
+                .with("model", model)
+                .with("since_ms", sinceMs)
+                .with("nominal_ms", nominalMs)
+                .with("at_once", atOnce)
+                .write();
+    }
+
+    @Override
+    public void onLimits(LoadLimits limits, String cause) {
+        metrics.set("store_loads_proven", limits.proven());
+        log.event("store-load-limits")
+                .with("proven", limits.proven())
+                .with("most", limits.most())
+                .with("cause", cause)
+                .write();
+    }
+}
--- a/gateway/src/main/java/org/hawthornglade/gateway/metrics/GatewayMetrics.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/metrics/GatewayMetrics.java
@@ -4,7 +4,10 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.result.ResultCode;
 
@@ -26,6 +29,7 @@
         Duration.ofMillis(10_000)
     };
 
+    private final Map<String, AtomicInteger> gauges = new HashMap<>();
     private Optional<PrometheusMeterRegistry> registry = Optional.empty();
 
     /** Begins to count. */
@@ -63,6 +67,13 @@
         registry.ifPresent(to -> to.counter("hawthornglade_" + name).increment());
     }
 
+    /** Sets a gauge, such as how many engines load a model. */
+    public void set(String name, int value) {
+        registry.ifPresent(to -> gauges.computeIfAbsent(
+                        name, key -> to.gauge("hawthornglade_" + key, new AtomicInteger()))
+                .set(value));
+    }
+
     /** Returns all counters and histograms as text; empty before counting has begun. */
     public String text() {
         return registry.map(PrometheusMeterRegistry::scrape).orElse("");
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -20,6 +20,7 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.replica.EntryDemand;
+import org.hawthornglade.core.replica.LoadLimits;
 import org.hawthornglade.core.replica.ModelArrivals;
 import org.hawthornglade.core.replica.VariantDemand;
 import org.hawthornglade.protocol.gen.peer.Arrivals;
@@ -31,6 +32,7 @@
 import org.hawthornglade.protocol.gen.peer.PlacedStatus;
 import org.hawthornglade.protocol.gen.peer.Running;
 import org.hawthornglade.protocol.gen.peer.ServiceDemand;
+import org.hawthornglade.protocol.gen.peer.StoreLimits;
 import org.hawthornglade.protocol.gen.peer.Waiting;
 
 /** Turns what entries tell each other into bytes and back. */
@@ -51,9 +53,14 @@
             int running = news.running().getOrDefault(placement.instance(), 0);
             instances.add(placedInstance(placement, running, nowMs));
         }
+        List<StoreLimits> limits = new ArrayList<>();
+        news.loadLimits()
+                .forEach((service, learned) ->
+                        limits.add(new StoreLimits(service.value(), learned.proven(), learned.most())));
         PeerMessage message = new PeerMessage();
         message.setPlacement(new org.hawthornglade.protocol.gen.peer.PlacementNews(
-                news.token(), instances, news.leaseRevision(), news.entries()));
+                        news.token(), instances, news.leaseRevision(), news.entries())
+                .setStoreLimits(limits));
         return bytes(message);
     }
 
@@ -171,7 +178,25 @@
             running.put(id, instance.getRunning());
         }
         return new PlacementNews(
-                coded.getFencingToken(), coded.getLeaseRevision(), placements, running, coded.getEntries());
+                coded.getFencingToken(),
+                coded.getLeaseRevision(),
+                placements,
+                running,
+                coded.getEntries(),
+                loadLimits(coded));
+    }
+
+    private static Map<ServiceName, LoadLimits> loadLimits(org.hawthornglade.protocol.gen.peer.PlacementNews coded) {
+        Map<ServiceName, LoadLimits> limits = new HashMap<>();
+        // An entry of the version before tells none.
+        if (coded.isSetStoreLimits()) {
+            for (StoreLimits learned : coded.getStoreLimits()) {
+                limits.put(
+                        ServiceName.of(learned.getServiceName()),
+                        new LoadLimits(learned.getProven(), learned.getMost()));
+            }
+        }
+        return limits;
     }
 
     private static Map<ModelName, ReplicaState> models(PlacedInstance instance, long nowMs) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementNews.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementNews.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.replica.LoadLimits;
 
 /**
  * What the leader tells entries.
@@ -13,16 +15,19 @@
  * @param placements the engines
  * @param running the calls under way at each of them from all entries
  * @param entries how many entries there are, the leader included
+ * @param loadLimits what the leader has learned of the weight store of each service
  */
 public record PlacementNews(
         long token,
         long leaseRevision,
         List<InstancePlacement> placements,
         Map<InstanceId, Integer> running,
-        int entries) {
+        int entries,
+        Map<ServiceName, LoadLimits> loadLimits) {
     /** Copies the collections. */
     public PlacementNews {
         placements = List.copyOf(placements);
         running = Map.copyOf(running);
+        loadLimits = Map.copyOf(loadLimits);
     }
 }
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField INSTANCES_FIELD_DESC = new org.apache.thrift.protocol.TField("instances", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField LEASE_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("leaseRevision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField STORE_LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("storeLimits", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PlacementNewsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PlacementNewsTupleSchemeFactory();
@@ -25,6 +26,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<PlacedInstance> instances; // required
   private long leaseRevision; // required
   private int entries; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<StoreLimits> storeLimits; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,8 @@
     /**
      * How many entries there are, the leader included.
      */
-    ENTRIES((short)4, "entries");
+    ENTRIES((short)4, "entries"),
+    STORE_LIMITS((short)5, "storeLimits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,6 +64,8 @@
           return LEASE_REVISION;
         case 4: // ENTRIES
           return ENTRIES;
+        case 5: // STORE_LIMITS
+          return STORE_LIMITS;
         default:
           return null;
       }
@@ -108,6 +113,7 @@
   private static final int __LEASEREVISION_ISSET_ID = 1;
   private static final int __ENTRIES_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.STORE_LIMITS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -120,6 +126,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.ENTRIES, new org.apache.thrift.meta_data.FieldMetaData("entries", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.STORE_LIMITS, new org.apache.thrift.meta_data.FieldMetaData("storeLimits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreLimits.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PlacementNews.class, metaDataMap);
   }
@@ -158,6 +167,13 @@
     }
     this.leaseRevision = other.leaseRevision;
     this.entries = other.entries;
+    if (other.isSetStoreLimits()) {
+      java.util.List<StoreLimits> __this__storeLimits = new java.util.ArrayList<StoreLimits>(other.storeLimits.size());
+      for (StoreLimits other_element : other.storeLimits) {
+        __this__storeLimits.add(new StoreLimits(other_element));
+      }
+      this.storeLimits = __this__storeLimits;
+    }
   }
 
   @Override
@@ -174,6 +190,7 @@
     this.leaseRevision = 0;
     setEntriesIsSet(false);
     this.entries = 0;
+    this.storeLimits = null;
   }
 
   public long getFencingToken() {
@@ -298,6 +315,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ENTRIES_ISSET_ID, value);
   }
 
+  public int getStoreLimitsSize() {
+    return (this.storeLimits == null) ? 0 : this.storeLimits.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<StoreLimits> getStoreLimitsIterator() {
+    return (this.storeLimits == null) ? null : this.storeLimits.iterator();
+  }
+
+  public void addToStoreLimits(StoreLimits elem) {
+    if (this.storeLimits == null) {
+      this.storeLimits = new java.util.ArrayList<StoreLimits>();
+    }
+    this.storeLimits.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<StoreLimits> getStoreLimits() {
+    return this.storeLimits;
+  }
+
+  public PlacementNews setStoreLimits(@org.apache.thrift.annotation.Nullable java.util.List<StoreLimits> storeLimits) {
+    this.storeLimits = storeLimits;
+    return this;
+  }
+
+  public void unsetStoreLimits() {
+    this.storeLimits = null;
+  }
+
+  /** Returns true if field storeLimits is set (has been assigned a value) and false otherwise */
+  public boolean isSetStoreLimits() {
+    return this.storeLimits != null;
+  }
+
+  public void setStoreLimitsIsSet(boolean value) {
+    if (!value) {
+      this.storeLimits = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -333,6 +391,14 @@
       }
       break;
 
+    case STORE_LIMITS:
+      if (value == null) {
+        unsetStoreLimits();
+      } else {
+        setStoreLimits((java.util.List<StoreLimits>)value);
+      }
+      break;
+
     }
   }
 
@@ -352,6 +418,9 @@
     case ENTRIES:
       return getEntries();
 
+    case STORE_LIMITS:
+      return getStoreLimits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -372,6 +441,8 @@
       return isSetLeaseRevision();
     case ENTRIES:
       return isSetEntries();
+    case STORE_LIMITS:
+      return isSetStoreLimits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -425,6 +496,15 @@
         return false;
     }
 
+    boolean this_present_storeLimits = true && this.isSetStoreLimits();
+    boolean that_present_storeLimits = true && that.isSetStoreLimits();
+    if (this_present_storeLimits || that_present_storeLimits) {
+      if (!(this_present_storeLimits && that_present_storeLimits))
+        return false;
+      if (!this.storeLimits.equals(that.storeLimits))
+        return false;
+    }
+
     return true;
   }
 
@@ -442,6 +522,10 @@
 
     hashCode = hashCode * 8191 + entries;
 
+    hashCode = hashCode * 8191 + ((isSetStoreLimits()) ? 131071 : 524287);
+    if (isSetStoreLimits())
+      hashCode = hashCode * 8191 + storeLimits.hashCode();
+
     return hashCode;
   }
 
@@ -493,6 +577,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStoreLimits(), other.isSetStoreLimits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStoreLimits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.storeLimits, other.storeLimits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -536,6 +630,16 @@
     sb.append("entries:");
     sb.append(this.entries);
     first = false;
+    if (isSetStoreLimits()) {
+      if (!first) sb.append(", ");
+      sb.append("storeLimits:");
+      if (this.storeLimits == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.storeLimits);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -626,6 +730,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // STORE_LIMITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list71 = iprot.readListBegin();
+                struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list71.size);
+                @org.apache.thrift.annotation.Nullable StoreLimits _elem72;
+                for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+                {
+                  _elem72 = new StoreLimits();
+                  _elem72.read(iprot);
+                  struct.storeLimits.add(_elem72);
+                }
+                iprot.readListEnd();
+              }
+              struct.setStoreLimitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -649,9 +772,9 @@
         oprot.writeFieldBegin(INSTANCES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.instances.size()));
-          for (PlacedInstance _iter71 : struct.instances)
+          for (PlacedInstance _iter74 : struct.instances)
           {
-            _iter71.write(oprot);
+            _iter74.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -663,6 +786,20 @@
       oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
       oprot.writeI32(struct.entries);
       oprot.writeFieldEnd();
+      if (struct.storeLimits != null) {
+        if (struct.isSetStoreLimits()) {
+          oprot.writeFieldBegin(STORE_LIMITS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.storeLimits.size()));
+            for (StoreLimits _iter75 : struct.storeLimits)
+            {
+              _iter75.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -694,16 +831,19 @@
       if (struct.isSetEntries()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetStoreLimits()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetFencingToken()) {
         oprot.writeI64(struct.fencingToken);
       }
       if (struct.isSetInstances()) {
         {
           oprot.writeI32(struct.instances.size());
-          for (PlacedInstance _iter72 : struct.instances)
+          for (PlacedInstance _iter76 : struct.instances)
           {
-            _iter72.write(oprot);
+            _iter76.write(oprot);
           }
         }
       }
@@ -713,26 +853,35 @@
       if (struct.isSetEntries()) {
         oprot.writeI32(struct.entries);
       }
+      if (struct.isSetStoreLimits()) {
+        {
+          oprot.writeI32(struct.storeLimits.size());
+          for (StoreLimits _iter77 : struct.storeLimits)
+          {
+            _iter77.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PlacementNews struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.fencingToken = iprot.readI64();
         struct.setFencingTokenIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list73 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.instances = new java.util.ArrayList<PlacedInstance>(_list73.size);
-          @org.apache.thrift.annotation.Nullable PlacedInstance _elem74;
-          for (int _i75 = 0; _i75 < _list73.size; ++_i75)
+          org.apache.thrift.protocol.TList _list78 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.instances = new java.util.ArrayList<PlacedInstance>(_list78.size);
+          @org.apache.thrift.annotation.Nullable PlacedInstance _elem79;
+          for (int _i80 = 0; _i80 < _list78.size; ++_i80)
           {
-            _elem74 = new PlacedInstance();
-            _elem74.read(iprot);
-            struct.instances.add(_elem74);
+            _elem79 = new PlacedInstance();
+            _elem79.read(iprot);
+            struct.instances.add(_elem79);
           }
         }
         struct.setInstancesIsSet(true);
@@ -745,6 +894,20 @@
         struct.entries = iprot.readI32();
         struct.setEntriesIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list81.size);
+          @org.apache.thrift.annotation.Nullable StoreLimits _elem82;
+          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
+          {
+            _elem82 = new StoreLimits();
+            _elem82.read(iprot);
+            struct.storeLimits.add(_elem82);
+          }
+        }
+        struct.setStoreLimitsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -78,6 +78,15 @@
   4: i32 running
 }
 
+/** What the leader has learned of the weight store of a service. */
+struct StoreLimits {
+  1: string serviceName
+  /** So many loads have kept their nominal time together. */
+  2: i32 proven
+  /** More loads at once than this are not tried for the time being. */
+  3: i32 most
+}
+
 /** What the leader tells entries. */
 struct PlacementNews {
   1: i64 fencingToken
@@ -86,6 +95,7 @@
   3: i64 leaseRevision
   /** How many entries there are, the leader included. */
   4: i32 entries
+  5: optional list<StoreLimits> storeLimits
 }
 
 /** One frame: exactly one field is set. */
