A model on its way from the weight store is loaded meanwhile from a disk that has it

Cause (second half of hypothesis 2 of SHORT): a model that was coming from the store counted as offered for its whole time, 13 s and more, so an engine that had its weights on disk and became free was not asked for the load of 0.8 s.

Test: RemoteLoadPaceTest.aLoadFromTheStoreDoesNotKeepTheModelOffADiskThatHasIt, fails on the code before.

--- a/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
@@ -59,6 +59,16 @@
         return begun.contains(model);
     }
 
+    /** Returns whether a model is being loaded from the weight store. */
+    boolean comesFromStore(ModelName model) {
+        for (EngineBook book : books) {
+            if (book.offers(model, nowMs) && book.loadsRemotely(model)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Adds an order that needs no further decision. */
     void add(ReplicaOrder order) {
         orders.add(order);
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -139,20 +139,29 @@
         if (!engine.models().containsKey(model)) {
             return false;
         }
+        boolean atHandSomewhere = false;
+        boolean comesFromStore = false;
         for (EngineBook book : books) {
             boolean coming = book.trusted() && book.coming().equals(Optional.of(model));
-            if (coming || book.offers(model, nowMs)) {
+            boolean offered = book.offers(model, nowMs);
+            if (coming || (offered && !book.loadsRemotely(model))) {
                 return false;
             }
+            comesFromStore |= offered;
+            atHandSomewhere |= book.takesModelOrder() && book.atHand(model);
         }
-        return true;
+        // A load from the store takes so long that a copy at hand elsewhere is loaded meanwhile.
+        return !comesFromStore || atHandSomewhere;
     }
 
     private void bring(ModelName model, PlanRound round) {
         ModelDefinition definition = engine.models().get(model);
         EngineBook best = hosts.soonest(definition, round);
         // A busy engine that will have the model sooner than any free one is waited for.
-        if (best != null && !round.taken().contains(best) && best.takesModelOrder()) {
+        if (best == null || round.taken().contains(best) || !best.takesModelOrder()) {
+            return;
+        }
+        if (best.atHand(model) || !round.comesFromStore(model)) {
             round.bring(best, model);
         }
     }
--- a/core/src/test/java/org/hawthornglade/core/replica/RemoteLoadPaceTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/RemoteLoadPaceTest.java
@@ -130,6 +130,23 @@
         assertWithMessage("of %s", ended).that(brokenPromises).isEqualTo(0);
     }
 
+    /** A model that comes from the store for many seconds is loaded meanwhile from a disk that has it. */
+    @Test
+    void aLoadFromTheStoreDoesNotKeepTheModelOffADiskThatHasIt() {
+        ReplicaWorld two = new ReplicaWorld(3, 2)
+                .engine("a", List.of("m0"), List.of("m0"))
+                .engine("b", List.of(), List.of("m1", "m2"));
+        two.waiting(2_000, "m2");
+        assertThat(two.plan()).containsExactly("b LOAD m2");
+        two.answer(OrderOutcome.ACCEPTED);
+        two.leaves("b");
+        two.waiting(2_000, "m1");
+        assertThat(two.plan()).containsExactly("a LOAD m1");
+        two.answer(OrderOutcome.ACCEPTED);
+        two.engine("c", List.of(), List.of("m1"));
+        assertThat(two.plan()).containsExactly("c LOAD m1");
+    }
+
     /** A load that is late for longer than a lost one is still under way as long as its engine is. */
     @Test
     void aLateLoadGoesOnCountingAndIsForetoldAnew() {
