An engine on which room was made keeps its goal while its load may not begin yet

Dropping the goal (two commits ago) let the room that a model had gone for be used for something else.

--- a/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/PlanRound.java
@@ -132,7 +132,6 @@
             int itself = book.goal().equals(Optional.of(definition.name())) ? 1 : 0;
             if (!pacer.mayBegin(engine.remoteLoadsPerSecond(), runningRemotely() - itself, books.size(), nowMs)
                     || !leavesEnoughEngines(book)) {
-                book.goal(Optional.empty());
                 return;
             }
             pacer.onBegin(nowMs);
