--- a/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
@@ -47,11 +47,16 @@
                 holders.add(endpoint);
             }
         }
-        if (holders.isEmpty()) {
+        List<Endpoint> open = ShutWait.open(holders, nowMs);
+        if (open.isEmpty() && !holders.isEmpty()) {
+            long loadedAtMs = ReplicaWait.expectedAtMs(demand, usable, nowMs).orElse(Long.MAX_VALUE);
+            return ShutWait.decide(call, Math.min(loadedAtMs, ShutWait.soonestAtMs(holders)), nowMs);
+        }
+        if (open.isEmpty()) {
             double readMs = demand.promptTokens() / PREFILL_TOKENS_PER_MS;
             return ReplicaWait.decide(call, demand, engines.apply(call.service()), usable, readMs, nowMs);
         }
-        Endpoint best = soonest(call, demand, holders, nowMs);
+        Endpoint best = soonest(call, demand, open, nowMs);
         if (best == null) {
             return new Decision.Wait("capacity");
         }
--- a/core/src/main/java/org/hawthornglade/core/dispatch/LeastLoadedSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/LeastLoadedSelector.java
@@ -24,9 +24,13 @@
 
     @Override
     public Decision select(CallView call, List<Endpoint> usable, long nowMs) {
+        List<Endpoint> open = ShutWait.open(usable, nowMs);
+        if (open.isEmpty()) {
+            return ShutWait.decide(call, ShutWait.soonestAtMs(usable), nowMs);
+        }
         Endpoint best = null;
         double bestCost = Double.MAX_VALUE;
-        for (Endpoint endpoint : Candidates.preferred(call, usable, nowMs)) {
+        for (Endpoint endpoint : Candidates.preferred(call, open, nowMs)) {
             int requests = endpoint.load().requests(nowMs);
             if (requests >= endpoint.listed().slots()) {
                 continue;
--- a/core/src/main/java/org/hawthornglade/core/dispatch/ReplicaWait.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/ReplicaWait.java
@@ -49,7 +49,7 @@
     }
 
     /** Returns when the first load of the model is expected to end; nothing if none is known of. */
-    private static OptionalLong expectedAtMs(ModelDemand demand, List<Endpoint> usable, long nowMs) {
+    static OptionalLong expectedAtMs(ModelDemand demand, List<Endpoint> usable, long nowMs) {
         OptionalLong soonest = OptionalLong.empty();
         for (Endpoint endpoint : usable) {
             Optional<ReplicaState> replica = endpoint.replica(demand.model());
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/ShutWait.java
@@ -0,0 +1,58 @@
+package org.hawthornglade.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.result.ResultCode;
+
+/** Decides on a call when every endpoint that could run it has said that it wants nothing for a time. */
+final class ShutWait {
+    /** Callers come back after at most this share of the time that they have left. */
+    private static final double CALLER_SHARE = 1.0 / 3;
+    /** Callers that come back are spread over this share of the time until then. */
+    private static final double SPREAD_SHARE = 0.25;
+    /** Spreads calls that arrive shortly after each other. */
+    private static final long SPREAD_STEP = 7_919;
+
+    private ShutWait() {}
+
+    /** Returns the endpoints that want calls now. */
+    static List<Endpoint> open(List<Endpoint> endpoints, long nowMs) {
+        List<Endpoint> open = new ArrayList<>();
+        for (Endpoint endpoint : endpoints) {
+            if (endpoint.health().takesCalls(nowMs)) {
+                open.add(endpoint);
+            }
+        }
+        return open;
+    }
+
+    /** Returns when the first of some endpoints wants calls again. */
+    static long soonestAtMs(List<Endpoint> endpoints) {
+        long soonestMs = Long.MAX_VALUE;
+        for (Endpoint endpoint : endpoints) {
+            soonestMs = Math.min(soonestMs, endpoint.health().shutUntilMs());
+        }
+        return soonestMs;
+    }
+
+    /**
+     * Decides for a call that can be sent at a time to come: a caller that can use the time is told it; one that would
+     * not come back so late waits here.
+     */
+    static Decision decide(CallView call, long soonestAtMs, long nowMs) {
+        long untilMs = Math.max(1, soonestAtMs - nowMs);
+        long leftMs = call.leavesAtMs() - nowMs;
+        if (untilMs >= leftMs) {
+            return new Decision.Refuse(ResultCode.ENDPOINTS_SHUT, untilMs);
+        }
+        long usableMs = (long) (CALLER_SHARE * leftMs);
+        if (untilMs > usableMs) {
+            return new Decision.Wait("endpoint-shut", OptionalLong.of(soonestAtMs));
+        }
+        long spreadMs = Math.min(usableMs - untilMs, (long) (SPREAD_SHARE * untilMs));
+        long laterMs = Math.floorMod(call.arrivedAtMs() * SPREAD_STEP, spreadMs + 1);
+        return new Decision.Refuse(ResultCode.ENDPOINTS_SHUT, untilMs + laterMs);
+    }
+}
--- a/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
@@ -33,6 +33,11 @@
         return health;
     }
 
+    /** Returns whether the instance leaves, by the list or by its own word. */
+    public boolean leaving() {
+        return listed.leaving() || health.leaving();
+    }
+
     public EndpointLoad load() {
         return load;
     }
@@ -46,6 +51,7 @@
             placement = null;
             lastTold = null;
             prefixCache.clear();
+            health.onRestart();
         }
         listed = newer;
     }
--- a/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,8 +23,12 @@
     /** The platform's bound for an instance whose record lapsed during an outage of the list to be back. */
     public static final long RETURN_MS = 2_000;
 
+    /** How many instances that are off the list are remembered with what they said of themselves. */
+    private static final int MAX_UNLISTED = 256;
+
     private final Map<InstanceId, Endpoint> endpoints = new HashMap<>();
     private final Map<InstanceId, Long> missingUntilMs = new HashMap<>();
+    private final Map<InstanceId, Endpoint> unlisted = new LinkedHashMap<>();
     private boolean listReachable;
     private long reachableSinceMs;
     private boolean loaded;
@@ -62,7 +67,7 @@
         missingUntilMs.remove(record.id());
         Endpoint known = endpoints.get(record.id());
         if (known == null) {
-            endpoints.put(record.id(), new Endpoint(record));
+            endpoints.put(record.id(), returned(record));
             return;
         }
         boolean sameStart = record.bornMs() == known.listed().bornMs();
@@ -78,6 +83,27 @@
         known.listed(record);
     }
 
+    /** Returns an instance that is new on the list; if it was there before, what it said of itself still counts. */
+    private Endpoint returned(InstanceRecord record) {
+        Endpoint before = unlisted.remove(record.id());
+        if (before == null || before.listed().bornMs() != record.bornMs()) {
+            return new Endpoint(record);
+        }
+        before.listed(record);
+        return before;
+    }
+
+    private void remove(InstanceId id) {
+        Endpoint removed = endpoints.remove(id);
+        if (removed == null || removed.health().saidNothing()) {
+            return;
+        }
+        unlisted.put(id, removed);
+        if (unlisted.size() > MAX_UNLISTED) {
+            unlisted.remove(unlisted.keySet().iterator().next());
+        }
+    }
+
     /** Takes note that a record is no longer on the list. */
     public void onRemoved(InstanceId id, long nowMs) {
         Endpoint known = endpoints.get(id);
@@ -89,7 +115,7 @@
             missingUntilMs.putIfAbsent(id, reachableSinceMs + RETURN_MS);
             return;
         }
-        endpoints.remove(id);
+        remove(id);
     }
 
     /** Removes what has not come back in time; call it now and then. */
@@ -100,7 +126,7 @@
         for (Map.Entry<InstanceId, Long> missing : List.copyOf(missingUntilMs.entrySet())) {
             if (missing.getValue() <= nowMs) {
                 missingUntilMs.remove(missing.getKey());
-                endpoints.remove(missing.getKey());
+                remove(missing.getKey());
             }
         }
     }
@@ -120,7 +146,7 @@
 
     /** Takes note that another instance, or none, answers at an instance's address. */
     public void onMisdirected(InstanceId id) {
-        endpoints.remove(id);
+        remove(id);
         missingUntilMs.remove(id);
     }
 
@@ -143,8 +169,7 @@
     public List<Endpoint> usable(ServiceName service) {
         List<Endpoint> usable = new ArrayList<>();
         for (Endpoint endpoint : endpoints.values()) {
-            if (endpoint.listed().service().equals(service)
-                    && !endpoint.listed().leaving()) {
+            if (endpoint.listed().service().equals(service) && !endpoint.leaving()) {
                 usable.add(endpoint);
             }
         }
--- a/core/src/main/java/org/hawthornglade/core/replica/CopyPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/CopyPlanner.java
@@ -146,7 +146,7 @@
         for (EngineBook book : round.books()) {
             boolean here =
                     book.holds(model) || book.atHand(model) || book.coming().equals(Optional.of(model));
-            if (here && !book.listed().leaving()) {
+            if (here && !book.leaving()) {
                 return true;
             }
         }
--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -41,6 +41,7 @@
     private boolean known;
     private boolean busyElsewhere;
     private boolean unreachable;
+    private boolean saidToLeave;
     private long reportNotBeforeMs;
     private Optional<RemoteLoad> remoteLoad = Optional.empty();
 
@@ -80,6 +81,7 @@
         known = false;
         busyElsewhere = false;
         unreachable = false;
+        saidToLeave = false;
         version = new InstanceVersion(record.bornMs(), 0);
         models.add(record.models(), nowMs);
         copies.take(record.inMemory(), record.onDisk());
@@ -99,9 +101,19 @@
         }
     }
 
+    /** Takes note that an engine has told an entry that it leaves; that holds for one start of it. */
+    public void onSaidToLeave(long bornMs) {
+        saidToLeave |= bornMs == version.bornMs();
+    }
+
     /** Returns whether the engine is expected to run what is sent to it. */
     boolean trusted() {
-        return !unreachable && !listed.leaving();
+        return !unreachable && !leaving();
+    }
+
+    /** Returns whether the engine leaves, by the list or by its own word. */
+    boolean leaving() {
+        return listed.leaving() || saidToLeave;
     }
 
     /** Returns whether a model is here, or is coming within the time that was expected. */
--- a/core/src/test/java/org/hawthornglade/core/dispatch/ReplicaWaitTest.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/ReplicaWaitTest.java
@@ -79,10 +79,13 @@
         fleet.onPlacement(new InstancePlacement(InstanceId.of("a"), 1, models));
     }
 
-    private Decision decide(CallView call, long nowMs) {
+    static EngineDefinition engine() {
         ModelDefinition model = new ModelDefinition(MODEL, 70_000, 6_000, 800, 800, 50);
-        EngineDefinition engine = new EngineDefinition(64, 200_000, 142_000, 4, 2, Map.of(MODEL, model));
-        FirstTokenSelector generations = new FirstTokenSelector(Records.HERE, service -> engine);
+        return new EngineDefinition(64, 200_000, 142_000, 4, 2, Map.of(MODEL, model));
+    }
+
+    private Decision decide(CallView call, long nowMs) {
+        FirstTokenSelector generations = new FirstTokenSelector(Records.HERE, service -> engine());
         return new Dispatcher(fleet, new LeastLoadedSelector(Records.HERE), generations).decide(call, nowMs);
     }
 
--- a/core/src/test/java/org/hawthornglade/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/FleetTest.java
@@ -104,4 +104,27 @@
         assertThat(endpoint.replica(org.hawthornglade.core.id.ModelName.of("m")).isPresent())
                 .isTrue();
     }
+
+    static Stream<Arguments> recordsAfterItsWord() {
+        return Stream.of(
+                Arguments.of("the list still says ready", 1L, false, true),
+                Arguments.of("it was off the list meanwhile", 1L, true, true),
+                Arguments.of("it has started again", 5L, false, false),
+                Arguments.of("it was off the list and has started again", 5L, true, false));
+    }
+
+    /** A server that says in an answer that it leaves was used on until the list said so too. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("recordsAfterItsWord")
+    void anInstanceThatSaysItLeavesTakesNothingNewInThatStart(
+            String name, long bornMs, boolean removed, boolean staysLeft) {
+        fleet.onSnapshot(List.of(Records.ready("i-1", List.of(), List.of())), 0);
+        fleet.endpoint(ID).orElseThrow().health().onLeaving();
+        assertThat(usable()).isEmpty();
+        if (removed) {
+            fleet.onRemoved(ID, CALM_MS);
+        }
+        fleet.onChanged(Records.record("i-1", false, bornMs, 9, List.of(), List.of()), CALM_MS);
+        assertThat(usable().isEmpty()).isEqualTo(staysLeft);
+    }
 }
--- a/core/src/test/java/org/hawthornglade/core/replica/EngineBookTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/EngineBookTest.java
@@ -135,6 +135,18 @@
         assertThat(book.offers(M1, 2_500)).isFalse();
     }
 
+    /** An engine that has told an entry that it leaves offers nothing, whatever the list says; its next start does. */
+    @ParameterizedTest
+    @CsvSource({"1, false", "2, true"})
+    void anEngineThatSaysItLeavesOffersNothingInThatStart(long bornMs, boolean offers) {
+        book.onReport(report(4, false, M0), 0);
+        book.onSaidToLeave(bornMs);
+        assertThat(book.offers(M0, 10)).isEqualTo(offers);
+        assertThat(book.takesModelOrder()).isEqualTo(offers);
+        book.onListed(Records.record("a", false, 9, 1, List.of("m0"), List.of()), 100);
+        assertThat(book.offers(M0, 100)).isTrue();
+    }
+
     @Test
     void aRestartUnderTheSameIdForgetsEverything() {
         book.onReport(report(4, false, M0), 0);
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaWorld.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaWorld.java
@@ -77,7 +77,7 @@
         for (String variant : variants) {
             waiting.add(new VariantDemand(variant(variant), 1, slackMs));
         }
-        demand.onDemand(entry, new EntryDemand(waiting, Map.of(), Map.of(), Set.of()), nowMs);
+        demand.onDemand(entry, new EntryDemand(waiting, Map.of(), Map.of(), Set.of(), Map.of()), nowMs);
     }
 
     /** Lets calls for a model have arrived, with their latency target. */
@@ -92,7 +92,7 @@
             counter.onCall(targetMs, promptTokens, nowMs);
         }
         Map<ModelName, ModelArrivals> arrivals = Map.of(ModelName.of(model), counter.arrivals(nowMs));
-        demand.onDemand("arrived-" + model, new EntryDemand(List.of(), arrivals, Map.of(), Set.of()), nowMs);
+        demand.onDemand("arrived-" + model, new EntryDemand(List.of(), arrivals, Map.of(), Set.of(), Map.of()), nowMs);
     }
 
     static Variant variant(String text) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -9,6 +9,7 @@
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.gateway.http.AnswerId;
@@ -86,6 +87,12 @@
             ready.cancel();
             return;
         }
+        if (!endpoint.health().takesCalls(context.clock().nowMs())) {
+            ready.cancel();
+            finish();
+            exchange.turnedAway(endpoint);
+            return;
+        }
         connection = ready;
         exchange.uses(ready);
         long timeLeftMs =
@@ -149,6 +156,7 @@
         head = received;
         answerHead = context.protocol().readAnswer(received);
         long nowMs = context.clock().nowMs();
+        noteWhatItSays(nowMs);
         answerHead
                 .load()
                 .ifPresent(load -> endpoint.load()
@@ -167,6 +175,15 @@
         }
     }
 
+    /** Takes note of what the endpoint says of itself; an answer that may be another instance's says nothing of it. */
+    private void noteWhatItSays(long nowMs) {
+        Optional<InstanceId> instance = answerHead.instance();
+        boolean ofEndpoint = instance.map(endpoint.id()::equals).orElse(!answerHead.misdirected());
+        if (ofEndpoint) {
+            context.notices().take(endpoint, answerHead, exchange.request().id(), nowMs);
+        }
+    }
+
     @Override
     public void onContent(ByteBuf content) {
         if (over) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -159,6 +159,13 @@
         retryNotRun();
     }
 
+    /** Takes note that an endpoint wants no calls any more; nothing was sent. */
+    void turnedAway(Endpoint endpoint) {
+        attempt = null;
+        record.note("shut:" + endpoint.id());
+        retryNotRun();
+    }
+
     /** Takes note that an endpoint stated that it did not run the call. */
     void rejected(Endpoint endpoint, AnswerHead head) {
         attempt = null;
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -34,4 +34,9 @@
         RetryBudgets budgets,
         CallProtocol protocol,
         EventLog log,
-        GatewayMetrics metrics) {}
+        GatewayMetrics metrics) {
+    /** Returns what takes note of what endpoints say of themselves. */
+    EndpointNotices notices() {
+        return new EndpointNotices(waiting, timers, log, metrics);
+    }
+}
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -66,7 +66,8 @@
                         waiting(service, nowMs),
                         withArrivals ? arrivals(models, nowMs) : Map.of(),
                         running(service),
-                        unreachable(service, nowMs))));
+                        unreachable(service, nowMs),
+                        saidToLeave(service))));
         return new DemandNews(entry, services, !withArrivals);
     }
 
@@ -114,6 +115,16 @@
         return unreachable;
     }
 
+    private Map<InstanceId, Long> saidToLeave(ServiceName service) {
+        Map<InstanceId, Long> leaving = new HashMap<>();
+        for (Endpoint endpoint : fleet.all()) {
+            if (endpoint.listed().service().equals(service) && endpoint.health().leaving()) {
+                leaving.put(endpoint.id(), endpoint.listed().bornMs());
+            }
+        }
+        return leaving;
+    }
+
     private Map<InstanceId, Map<Variant, Integer>> running(ServiceName service) {
         Map<InstanceId, Map<Variant, Integer>> running = new HashMap<>();
         for (Endpoint endpoint : fleet.all()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -105,6 +105,8 @@
             EnginePark park = parks.get(service);
             if (park != null) {
                 note(news, park.demand(), demand);
+                demand.saidToLeave()
+                        .forEach((id, bornMs) -> park.book(id).ifPresent(book -> book.onSaidToLeave(bornMs)));
                 for (InstanceId id : demand.unreachable()) {
                     park.book(id).ifPresent(book -> book.doubt(clock.nowMs()));
                 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -91,6 +91,7 @@
         ServiceDemand coded = new ServiceDemand(
                 service.value(), new ArrayList<>(), new HashMap<>(), new ArrayList<>(), new ArrayList<>());
         demand.unreachable().forEach(instance -> coded.addToUnreachable(instance.value()));
+        demand.saidToLeave().forEach((instance, bornMs) -> coded.putToSaidToLeave(instance.value(), bornMs));
         for (VariantDemand each : demand.waiting()) {
             Waiting waiting = new Waiting(each.variant().model().value(), each.calls(), each.slackMs());
             each.variant().adapter().ifPresent(adapter -> waiting.setAdapter(adapter.value()));
@@ -146,7 +147,15 @@
         }
         Set<InstanceId> unreachable = new HashSet<>();
         coded.getUnreachable().forEach(instance -> unreachable.add(InstanceId.of(instance)));
-        return new EntryDemand(waiting, arrivals, running, unreachable);
+        return new EntryDemand(waiting, arrivals, running, unreachable, saidToLeave(coded));
+    }
+
+    private static Map<InstanceId, Long> saidToLeave(ServiceDemand coded) {
+        Map<InstanceId, Long> leaving = new HashMap<>();
+        if (coded.isSetSaidToLeave()) {
+            coded.getSaidToLeave().forEach((instance, bornMs) -> leaving.put(InstanceId.of(instance), bornMs));
+        }
+        return leaving;
     }
 
     private static Variant variant(String model, String adapter) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/AnswerHead.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.gateway.port;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.hawthornglade.core.id.InstanceId;
 
 /**
@@ -14,6 +15,8 @@
  * @param eventStream whether the body is a series of events
  * @param instance who answered, where it is said
  * @param load the work at the endpoint, where it is said
+ * @param leaving whether the endpoint says that it leaves
+ * @param retryAfterMs for how long the endpoint wants nothing from this entry, where it says so
  */
 public record AnswerHead(
         int status,
@@ -23,7 +26,9 @@
         boolean proven,
         boolean eventStream,
         Optional<InstanceId> instance,
-        Optional<ReportedLoad> load) {
+        Optional<ReportedLoad> load,
+        boolean leaving,
+        OptionalLong retryAfterMs) {
     /**
      * Work at an endpoint.
      *
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EndpointNoticesTest.java
@@ -0,0 +1,92 @@
+package org.hawthornglade.gateway.exchange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.Socket;
+import java.util.stream.Stream;
+import org.hawthornglade.gateway.exchange.ScriptedEndpoint.Then;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Endpoints that say in an answer that they leave, or want nothing for a time. */
+class EndpointNoticesTest extends ExchangeTestBase {
+    private static final String LEAVES = "X-Leaves: 1\r\n";
+    private static final String SHUT = TestProtocol.SHUT_MS + ": 60000\r\n";
+    private static final String ID = "X-Request-Id: %ID%\r\n";
+    private static final String SUCCESS = "HTTP/1.1 200 OK\r\n" + ID + "X-Signature: s\r\n%NOTICE%";
+    private static final String WHOLE = SUCCESS + "Content-Length: 5\r\n\r\nfirst";
+    private static final String STREAM =
+            SUCCESS + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\nid: 2\ndata: y\n\n";
+    private static final String FAILURE =
+            "HTTP/1.1 500 No\r\n" + ID + "X-Signature: s\r\n%NOTICE%Content-Length: 0\r\n\r\n";
+    private static final String REJECTION =
+            "HTTP/1.1 503 Busy\r\n" + ID + "X-Unrun: 1\r\n%NOTICE%Content-Length: 0\r\n\r\n";
+    private static final String ANSWER = WHOLE.replace("%NOTICE%", "");
+    private static final String SECOND = ANSWER.replace(": 5", ": 6").replace("first", "second");
+
+    private static String saying(String answer, String notice) {
+        return answer.replace("%NOTICE%", notice);
+    }
+
+    static Stream<Arguments> answersThatSayIt() {
+        return Stream.of(
+                Arguments.of("success", "/unsafe/x", WHOLE, Then.KEEP),
+                Arguments.of("success, connection closed", "/unsafe/x", WHOLE, Then.CLOSE),
+                Arguments.of("failure", "/unsafe/x", FAILURE, Then.KEEP),
+                Arguments.of("failure of a call that repeats", "/safe/x", FAILURE, Then.KEEP),
+                Arguments.of("rejection", "/unsafe/x", REJECTION, Then.KEEP),
+                Arguments.of("stream", "/stream/x", STREAM, Then.CLOSE),
+                Arguments.of("stream that is resumed elsewhere", "/resumable/x", STREAM, Then.RESET));
+    }
+
+    /** A server that said it leaves got calls until the list said so, over the kept connection too. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("answersThatSayIt")
+    void anEndpointThatSaysItLeavesGetsNoFurtherCall(String name, String path, String answer, Then then)
+            throws Exception {
+        near.answer(saying(answer, LEAVES), then);
+        for (int i = 0; i < 4; i++) {
+            far.answer(SECOND, Then.KEEP);
+        }
+        entry.call(path);
+        assertThat(entry.call("/unsafe/x")).endsWith("second");
+        assertThat(entry.call("/safe/x")).endsWith("second");
+        assertThat(near.waitingRequests()).isEqualTo(1);
+    }
+
+    @Test
+    void anEndpointThatWantsNothingForATimeGetsNoCallMeanwhile() throws Exception {
+        near.answer(saying(REJECTION, SHUT), Then.KEEP);
+        far.answer(SECOND, Then.KEEP).answer(SECOND, Then.KEEP);
+        assertThat(entry.call("/unsafe/x")).endsWith("second");
+        assertThat(entry.call("/unsafe/x")).endsWith("second");
+        assertThat(near.waitingRequests()).isEqualTo(1);
+    }
+
+    /** Shut for longer than the caller stays: it is told so at once, not at its deadline. */
+    @Test
+    void whenAllWantNothingTheCallerIsToldWhenTheFirstWillAgain() throws Exception {
+        near.answer(saying(REJECTION, SHUT), Then.KEEP);
+        far.answer(saying(REJECTION, SHUT.replace("60000", "50000")), Then.KEEP);
+        String refusal = entry.call("/unsafe/x");
+        assertThat(refusal).startsWith("HTTP/1.1 503");
+        assertThat(refusal).containsMatch("Retry-After: (50000|49\\d\\d\\d)");
+        assertThat(entry.call("/unsafe/x")).startsWith("HTTP/1.1 503");
+        assertThat(near.waitingRequests() + far.waitingRequests()).isEqualTo(2);
+    }
+
+    /** The endpoint is shut for less time than the caller stays, but longer than it would come back after. */
+    @Test
+    void aCallWaitsForAnEndpointThatIsSoonOpenAgain() throws Exception {
+        near.answer(saying(REJECTION, SHUT.replace("60000", "700")), Then.KEEP).answer(ANSWER, Then.KEEP);
+        far.answer(saying(REJECTION, SHUT), Then.KEEP);
+        String request = TestEntry.post("/unsafe/x", "r-1", "hello")
+                .replaceFirst("\r\n\r\n", "\r\n" + TestProtocol.TIME_LEFT + ": 1900\r\n\r\n");
+        try (Socket socket = entry.connect()) {
+            TestEntry.send(socket, request);
+            assertThat(TestEntry.read(socket, "first")).startsWith("HTTP/1.1 200");
+        }
+    }
+}
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -23,6 +23,8 @@
     private static final String LAST_EVENT = "Last-Event-Id";
     /** How long the caller waits, in milliseconds. */
     static final String TIME_LEFT = "X-Time-Left";
+    /** For how long an endpoint wants nothing, in milliseconds. */
+    static final String SHUT_MS = "X-Shut-Ms";
 
     @Override
     public Either<Failure, CallRequest> readCall(HttpRequest head) {
@@ -56,7 +58,11 @@
                 headers.contains("X-Signature"),
                 "text/event-stream".equals(headers.get("Content-Type")),
                 Optional.ofNullable(headers.get("X-Instance")).map(InstanceId::of),
-                Optional.empty());
+                Optional.empty(),
+                headers.contains("X-Leaves"),
+                headers.contains(SHUT_MS)
+                        ? OptionalLong.of(Long.parseLong(headers.get(SHUT_MS)))
+                        : OptionalLong.empty());
     }
 
     @Override
--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/DemandCollectorTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/DemandCollectorTest.java
@@ -3,11 +3,18 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.InstanceAddress;
+import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.replica.EntryDemand;
@@ -15,6 +22,7 @@
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -23,6 +31,7 @@
     private static final ServiceName SERVICE = ServiceName.of("drafts");
     private static final ModelName MODEL = ModelName.of("m0");
     private static final long ARRIVED_AT_MS = 1_000;
+    private static final long BORN_MS = 77;
 
     @ParameterizedTest
     @CsvSource({"1500, 1", "4000, 1", "4001, 0"})
@@ -39,6 +48,34 @@
         assertThat(demand.waiting()).isEqualTo(expected);
     }
 
+    /** The leader replaces what is on an engine that leaves before the list says that it does. */
+    @Test
+    void anInstanceThatSaysItLeavesIsToldWithItsStart() {
+        Fleet fleet = new Fleet();
+        fleet.onSnapshot(List.of(record("i-1"), record("i-2")), 0);
+        fleet.endpoint(InstanceId.of("i-2")).orElseThrow().health().onLeaving();
+        DemandCollector collector = new DemandCollector("entry-a", fleet, new WaitingCalls());
+        collector.onCall(call());
+        EntryDemand demand = collector.collect(false, 2_000).services().get(SERVICE);
+        assertThat(demand.saidToLeave()).containsExactly(InstanceId.of("i-2"), BORN_MS);
+    }
+
+    private static InstanceRecord record(String id) {
+        return new InstanceRecord(
+                InstanceId.of(id),
+                SERVICE,
+                new InstanceAddress("10.0.0.1", 8_000),
+                FailureDomain.of("zone-a"),
+                64,
+                false,
+                OptionalLong.empty(),
+                BORN_MS,
+                1,
+                Map.of(),
+                Set.of(),
+                Set.of());
+    }
+
     private static CallView call() {
         Route route =
                 new Route("r", "h.example", "/r/", CallKind.STREAM, 15_000, 800, 500, 4_000, 1, 0, true, List.of());
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/DemandReport.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/DemandReport.java
@@ -517,14 +517,14 @@
           case 2: // SERVICES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list42 = iprot.readListBegin();
-                struct.services = new java.util.ArrayList<ServiceDemand>(_list42.size);
-                @org.apache.thrift.annotation.Nullable ServiceDemand _elem43;
-                for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+                org.apache.thrift.protocol.TList _list52 = iprot.readListBegin();
+                struct.services = new java.util.ArrayList<ServiceDemand>(_list52.size);
+                @org.apache.thrift.annotation.Nullable ServiceDemand _elem53;
+                for (int _i54 = 0; _i54 < _list52.size; ++_i54)
                 {
-                  _elem43 = new ServiceDemand();
-                  _elem43.read(iprot);
-                  struct.services.add(_elem43);
+                  _elem53 = new ServiceDemand();
+                  _elem53.read(iprot);
+                  struct.services.add(_elem53);
                 }
                 iprot.readListEnd();
               }
@@ -566,9 +566,9 @@
         oprot.writeFieldBegin(SERVICES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.services.size()));
-          for (ServiceDemand _iter45 : struct.services)
+          for (ServiceDemand _iter55 : struct.services)
           {
-            _iter45.write(oprot);
+            _iter55.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -612,9 +612,9 @@
       if (struct.isSetServices()) {
         {
           oprot.writeI32(struct.services.size());
-          for (ServiceDemand _iter46 : struct.services)
+          for (ServiceDemand _iter56 : struct.services)
           {
-            _iter46.write(oprot);
+            _iter56.write(oprot);
           }
         }
       }
@@ -633,14 +633,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list47 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.services = new java.util.ArrayList<ServiceDemand>(_list47.size);
-          @org.apache.thrift.annotation.Nullable ServiceDemand _elem48;
-          for (int _i49 = 0; _i49 < _list47.size; ++_i49)
+          org.apache.thrift.protocol.TList _list57 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.services = new java.util.ArrayList<ServiceDemand>(_list57.size);
+          @org.apache.thrift.annotation.Nullable ServiceDemand _elem58;
+          for (int _i59 = 0; _i59 < _list57.size; ++_i59)
           {
-            _elem48 = new ServiceDemand();
-            _elem48.read(iprot);
-            struct.services.add(_elem48);
+            _elem58 = new ServiceDemand();
+            _elem58.read(iprot);
+            struct.services.add(_elem58);
           }
         }
         struct.setServicesIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedInstance.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedInstance.java
@@ -600,14 +600,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list60 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<PlacedModel>(_list60.size);
-                @org.apache.thrift.annotation.Nullable PlacedModel _elem61;
-                for (int _i62 = 0; _i62 < _list60.size; ++_i62)
+                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<PlacedModel>(_list70.size);
+                @org.apache.thrift.annotation.Nullable PlacedModel _elem71;
+                for (int _i72 = 0; _i72 < _list70.size; ++_i72)
                 {
-                  _elem61 = new PlacedModel();
-                  _elem61.read(iprot);
-                  struct.models.add(_elem61);
+                  _elem71 = new PlacedModel();
+                  _elem71.read(iprot);
+                  struct.models.add(_elem71);
                 }
                 iprot.readListEnd();
               }
@@ -652,9 +652,9 @@
         oprot.writeFieldBegin(MODELS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-          for (PlacedModel _iter63 : struct.models)
+          for (PlacedModel _iter73 : struct.models)
           {
-            _iter63.write(oprot);
+            _iter73.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -704,9 +704,9 @@
       if (struct.isSetModels()) {
         {
           oprot.writeI32(struct.models.size());
-          for (PlacedModel _iter64 : struct.models)
+          for (PlacedModel _iter74 : struct.models)
           {
-            _iter64.write(oprot);
+            _iter74.write(oprot);
           }
         }
       }
@@ -729,14 +729,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.models = new java.util.ArrayList<PlacedModel>(_list65.size);
-          @org.apache.thrift.annotation.Nullable PlacedModel _elem66;
-          for (int _i67 = 0; _i67 < _list65.size; ++_i67)
+          org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<PlacedModel>(_list75.size);
+          @org.apache.thrift.annotation.Nullable PlacedModel _elem76;
+          for (int _i77 = 0; _i77 < _list75.size; ++_i77)
           {
-            _elem66 = new PlacedModel();
-            _elem66.read(iprot);
-            struct.models.add(_elem66);
+            _elem76 = new PlacedModel();
+            _elem76.read(iprot);
+            struct.models.add(_elem76);
           }
         }
         struct.setModelsIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedModel.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacedModel.java
@@ -631,15 +631,15 @@
           case 4: // ADAPTERS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map50 = iprot.readMapBegin();
-                struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map50.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key51;
-                @org.apache.thrift.annotation.Nullable PlacedStatus _val52;
-                for (int _i53 = 0; _i53 < _map50.size; ++_i53)
+                org.apache.thrift.protocol.TMap _map60 = iprot.readMapBegin();
+                struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map60.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key61;
+                @org.apache.thrift.annotation.Nullable PlacedStatus _val62;
+                for (int _i63 = 0; _i63 < _map60.size; ++_i63)
                 {
-                  _key51 = iprot.readString();
-                  _val52 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
-                  struct.adapters.put(_key51, _val52);
+                  _key61 = iprot.readString();
+                  _val62 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
+                  struct.adapters.put(_key61, _val62);
                 }
                 iprot.readMapEnd();
               }
@@ -681,10 +681,10 @@
         oprot.writeFieldBegin(ADAPTERS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32, struct.adapters.size()));
-          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter54 : struct.adapters.entrySet())
+          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter64 : struct.adapters.entrySet())
           {
-            oprot.writeString(_iter54.getKey());
-            oprot.writeI32(_iter54.getValue().getValue());
+            oprot.writeString(_iter64.getKey());
+            oprot.writeI32(_iter64.getValue().getValue());
           }
           oprot.writeMapEnd();
         }
@@ -734,10 +734,10 @@
       if (struct.isSetAdapters()) {
         {
           oprot.writeI32(struct.adapters.size());
-          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter55 : struct.adapters.entrySet())
+          for (java.util.Map.Entry<java.lang.String, PlacedStatus> _iter65 : struct.adapters.entrySet())
           {
-            oprot.writeString(_iter55.getKey());
-            oprot.writeI32(_iter55.getValue().getValue());
+            oprot.writeString(_iter65.getKey());
+            oprot.writeI32(_iter65.getValue().getValue());
           }
         }
       }
@@ -761,15 +761,15 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TMap _map56 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32); 
-          struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map56.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key57;
-          @org.apache.thrift.annotation.Nullable PlacedStatus _val58;
-          for (int _i59 = 0; _i59 < _map56.size; ++_i59)
+          org.apache.thrift.protocol.TMap _map66 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32); 
+          struct.adapters = new java.util.HashMap<java.lang.String,PlacedStatus>(2*_map66.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key67;
+          @org.apache.thrift.annotation.Nullable PlacedStatus _val68;
+          for (int _i69 = 0; _i69 < _map66.size; ++_i69)
           {
-            _key57 = iprot.readString();
-            _val58 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
-            struct.adapters.put(_key57, _val58);
+            _key67 = iprot.readString();
+            _val68 = org.hawthornglade.protocol.gen.peer.PlacedStatus.findByValue(iprot.readI32());
+            struct.adapters.put(_key67, _val68);
           }
         }
         struct.setAdaptersIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
@@ -698,14 +698,14 @@
           case 2: // INSTANCES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list68 = iprot.readListBegin();
-                struct.instances = new java.util.ArrayList<PlacedInstance>(_list68.size);
-                @org.apache.thrift.annotation.Nullable PlacedInstance _elem69;
-                for (int _i70 = 0; _i70 < _list68.size; ++_i70)
+                org.apache.thrift.protocol.TList _list78 = iprot.readListBegin();
+                struct.instances = new java.util.ArrayList<PlacedInstance>(_list78.size);
+                @org.apache.thrift.annotation.Nullable PlacedInstance _elem79;
+                for (int _i80 = 0; _i80 < _list78.size; ++_i80)
                 {
-                  _elem69 = new PlacedInstance();
-                  _elem69.read(iprot);
-                  struct.instances.add(_elem69);
+                  _elem79 = new PlacedInstance();
+                  _elem79.read(iprot);
+                  struct.instances.add(_elem79);
                 }
                 iprot.readListEnd();
               }
@@ -733,14 +733,14 @@
           case 5: // STORE_LIMITS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list71 = iprot.readListBegin();
-                struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list71.size);
-                @org.apache.thrift.annotation.Nullable StoreLimits _elem72;
-                for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+                org.apache.thrift.protocol.TList _list81 = iprot.readListBegin();
+                struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list81.size);
+                @org.apache.thrift.annotation.Nullable StoreLimits _elem82;
+                for (int _i83 = 0; _i83 < _list81.size; ++_i83)
                 {
-                  _elem72 = new StoreLimits();
-                  _elem72.read(iprot);
-                  struct.storeLimits.add(_elem72);
+                  _elem82 = new StoreLimits();
+                  _elem82.read(iprot);
+                  struct.storeLimits.add(_elem82);
                 }
                 iprot.readListEnd();
               }
@@ -772,9 +772,9 @@
         oprot.writeFieldBegin(INSTANCES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.instances.size()));
-          for (PlacedInstance _iter74 : struct.instances)
+          for (PlacedInstance _iter84 : struct.instances)
           {
-            _iter74.write(oprot);
+            _iter84.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -791,9 +791,9 @@
           oprot.writeFieldBegin(STORE_LIMITS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.storeLimits.size()));
-            for (StoreLimits _iter75 : struct.storeLimits)
+            for (StoreLimits _iter85 : struct.storeLimits)
             {
-              _iter75.write(oprot);
+              _iter85.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -841,9 +841,9 @@
       if (struct.isSetInstances()) {
         {
           oprot.writeI32(struct.instances.size());
-          for (PlacedInstance _iter76 : struct.instances)
+          for (PlacedInstance _iter86 : struct.instances)
           {
-            _iter76.write(oprot);
+            _iter86.write(oprot);
           }
         }
       }
@@ -856,9 +856,9 @@
       if (struct.isSetStoreLimits()) {
         {
           oprot.writeI32(struct.storeLimits.size());
-          for (StoreLimits _iter77 : struct.storeLimits)
+          for (StoreLimits _iter87 : struct.storeLimits)
           {
-            _iter77.write(oprot);
+            _iter87.write(oprot);
           }
         }
       }
@@ -874,14 +874,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list78 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.instances = new java.util.ArrayList<PlacedInstance>(_list78.size);
-          @org.apache.thrift.annotation.Nullable PlacedInstance _elem79;
-          for (int _i80 = 0; _i80 < _list78.size; ++_i80)
+          org.apache.thrift.protocol.TList _list88 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.instances = new java.util.ArrayList<PlacedInstance>(_list88.size);
+          @org.apache.thrift.annotation.Nullable PlacedInstance _elem89;
+          for (int _i90 = 0; _i90 < _list88.size; ++_i90)
           {
-            _elem79 = new PlacedInstance();
-            _elem79.read(iprot);
-            struct.instances.add(_elem79);
+            _elem89 = new PlacedInstance();
+            _elem89.read(iprot);
+            struct.instances.add(_elem89);
           }
         }
         struct.setInstancesIsSet(true);
@@ -896,14 +896,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list81.size);
-          @org.apache.thrift.annotation.Nullable StoreLimits _elem82;
-          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
+          org.apache.thrift.protocol.TList _list91 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list91.size);
+          @org.apache.thrift.annotation.Nullable StoreLimits _elem92;
+          for (int _i93 = 0; _i93 < _list91.size; ++_i93)
           {
-            _elem82 = new StoreLimits();
-            _elem82.read(iprot);
-            struct.storeLimits.add(_elem82);
+            _elem92 = new StoreLimits();
+            _elem92.read(iprot);
+            struct.storeLimits.add(_elem92);
           }
         }
         struct.setStoreLimitsIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/ServiceDemand.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/ServiceDemand.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("arrivals", org.apache.thrift.protocol.TType.MAP, (short)3);
   private static final org.apache.thrift.protocol.TField INSTANCES_FIELD_DESC = new org.apache.thrift.protocol.TField("instances", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField UNREACHABLE_FIELD_DESC = new org.apache.thrift.protocol.TField("unreachable", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField SAID_TO_LEAVE_FIELD_DESC = new org.apache.thrift.protocol.TField("saidToLeave", org.apache.thrift.protocol.TType.MAP, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ServiceDemandStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ServiceDemandTupleSchemeFactory();
@@ -27,6 +28,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,Arrivals> arrivals; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<InstanceUse> instances; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> unreachable; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> saidToLeave; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,11 @@
     /**
      * Instances that the entry lately failed to reach.
      */
-    UNREACHABLE((short)5, "unreachable");
+    UNREACHABLE((short)5, "unreachable"),
+    /**
+     * Instances that have told the entry that they leave, with their start in milliseconds since 1970.
+     */
+    SAID_TO_LEAVE((short)6, "saidToLeave");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -66,6 +72,8 @@
           return INSTANCES;
         case 5: // UNREACHABLE
           return UNREACHABLE;
+        case 6: // SAID_TO_LEAVE
+          return SAID_TO_LEAVE;
         default:
           return null;
       }
@@ -109,6 +117,7 @@
   }
 
   // isset id assignments
+  private static final _Fields optionals[] = {_Fields.SAID_TO_LEAVE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -127,6 +136,10 @@
     tmpMap.put(_Fields.UNREACHABLE, new org.apache.thrift.meta_data.FieldMetaData("unreachable", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.SAID_TO_LEAVE, new org.apache.thrift.meta_data.FieldMetaData("saidToLeave", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ServiceDemand.class, metaDataMap);
   }
@@ -189,6 +202,10 @@
       java.util.List<java.lang.String> __this__unreachable = new java.util.ArrayList<java.lang.String>(other.unreachable);
       this.unreachable = __this__unreachable;
     }
+    if (other.isSetSaidToLeave()) {
+      java.util.Map<java.lang.String,java.lang.Long> __this__saidToLeave = new java.util.HashMap<java.lang.String,java.lang.Long>(other.saidToLeave);
+      this.saidToLeave = __this__saidToLeave;
+    }
   }
 
   @Override
@@ -203,6 +220,7 @@
     this.arrivals = null;
     this.instances = null;
     this.unreachable = null;
+    this.saidToLeave = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -401,6 +419,48 @@
     }
   }
 
+  public int getSaidToLeaveSize() {
+    return (this.saidToLeave == null) ? 0 : this.saidToLeave.size();
+  }
+
+  public void putToSaidToLeave(java.lang.String key, long val) {
+    if (this.saidToLeave == null) {
+      this.saidToLeave = new java.util.HashMap<java.lang.String,java.lang.Long>();
+    }
+    this.saidToLeave.put(key, val);
+  }
+
+  /**
+   * Instances that have told the entry that they leave, with their start in milliseconds since 1970.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.String,java.lang.Long> getSaidToLeave() {
+    return this.saidToLeave;
+  }
+
+  /**
+   * Instances that have told the entry that they leave, with their start in milliseconds since 1970.
+   */
+  public ServiceDemand setSaidToLeave(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> saidToLeave) {
+    this.saidToLeave = saidToLeave;
+    return this;
+  }
+
+  public void unsetSaidToLeave() {
+    this.saidToLeave = null;
+  }
+
+  /** Returns true if field saidToLeave is set (has been assigned a value) and false otherwise */
+  public boolean isSetSaidToLeave() {
+    return this.saidToLeave != null;
+  }
+
+  public void setSaidToLeaveIsSet(boolean value) {
+    if (!value) {
+      this.saidToLeave = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -444,6 +504,14 @@
       }
       break;
 
+    case SAID_TO_LEAVE:
+      if (value == null) {
+        unsetSaidToLeave();
+      } else {
+        setSaidToLeave((java.util.Map<java.lang.String,java.lang.Long>)value);
+      }
+      break;
+
     }
   }
 
@@ -466,6 +534,9 @@
     case UNREACHABLE:
       return getUnreachable();
 
+    case SAID_TO_LEAVE:
+      return getSaidToLeave();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -488,6 +559,8 @@
       return isSetInstances();
     case UNREACHABLE:
       return isSetUnreachable();
+    case SAID_TO_LEAVE:
+      return isSetSaidToLeave();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -550,6 +623,15 @@
         return false;
     }
 
+    boolean this_present_saidToLeave = true && this.isSetSaidToLeave();
+    boolean that_present_saidToLeave = true && that.isSetSaidToLeave();
+    if (this_present_saidToLeave || that_present_saidToLeave) {
+      if (!(this_present_saidToLeave && that_present_saidToLeave))
+        return false;
+      if (!this.saidToLeave.equals(that.saidToLeave))
+        return false;
+    }
+
     return true;
   }
 
@@ -577,6 +659,10 @@
     if (isSetUnreachable())
       hashCode = hashCode * 8191 + unreachable.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSaidToLeave()) ? 131071 : 524287);
+    if (isSetSaidToLeave())
+      hashCode = hashCode * 8191 + saidToLeave.hashCode();
+
     return hashCode;
   }
 
@@ -638,6 +724,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSaidToLeave(), other.isSetSaidToLeave());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSaidToLeave()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.saidToLeave, other.saidToLeave);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -701,6 +797,16 @@
       sb.append(this.unreachable);
     }
     first = false;
+    if (isSetSaidToLeave()) {
+      if (!first) sb.append(", ");
+      sb.append("saidToLeave:");
+      if (this.saidToLeave == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.saidToLeave);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -831,6 +937,26 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // SAID_TO_LEAVE
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map21 = iprot.readMapBegin();
+                struct.saidToLeave = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map21.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key22;
+                long _val23;
+                for (int _i24 = 0; _i24 < _map21.size; ++_i24)
+                {
+                  _key22 = iprot.readString();
+                  _val23 = iprot.readI64();
+                  struct.saidToLeave.put(_key22, _val23);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setSaidToLeaveIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -856,9 +982,9 @@
         oprot.writeFieldBegin(WAITING_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.waiting.size()));
-          for (Waiting _iter21 : struct.waiting)
+          for (Waiting _iter25 : struct.waiting)
           {
-            _iter21.write(oprot);
+            _iter25.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -868,10 +994,10 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter22 : struct.arrivals.entrySet())
+          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter26 : struct.arrivals.entrySet())
           {
-            oprot.writeString(_iter22.getKey());
-            _iter22.getValue().write(oprot);
+            oprot.writeString(_iter26.getKey());
+            _iter26.getValue().write(oprot);
           }
           oprot.writeMapEnd();
         }
@@ -881,9 +1007,9 @@
         oprot.writeFieldBegin(INSTANCES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.instances.size()));
-          for (InstanceUse _iter23 : struct.instances)
+          for (InstanceUse _iter27 : struct.instances)
           {
-            _iter23.write(oprot);
+            _iter27.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -893,14 +1019,29 @@
         oprot.writeFieldBegin(UNREACHABLE_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.unreachable.size()));
-          for (java.lang.String _iter24 : struct.unreachable)
+          for (java.lang.String _iter28 : struct.unreachable)
           {
-            oprot.writeString(_iter24);
+            oprot.writeString(_iter28);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.saidToLeave != null) {
+        if (struct.isSetSaidToLeave()) {
+          oprot.writeFieldBegin(SAID_TO_LEAVE_FIELD_DESC);
+          {
+            oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.saidToLeave.size()));
+            for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter29 : struct.saidToLeave.entrySet())
+            {
+              oprot.writeString(_iter29.getKey());
+              oprot.writeI64(_iter29.getValue());
+            }
+            oprot.writeMapEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -935,44 +1076,57 @@
       if (struct.isSetUnreachable()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetSaidToLeave()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetServiceName()) {
         oprot.writeString(struct.serviceName);
       }
       if (struct.isSetWaiting()) {
         {
           oprot.writeI32(struct.waiting.size());
-          for (Waiting _iter25 : struct.waiting)
+          for (Waiting _iter30 : struct.waiting)
           {
-            _iter25.write(oprot);
+            _iter30.write(oprot);
           }
         }
       }
       if (struct.isSetArrivals()) {
         {
           oprot.writeI32(struct.arrivals.size());
-          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter26 : struct.arrivals.entrySet())
+          for (java.util.Map.Entry<java.lang.String, Arrivals> _iter31 : struct.arrivals.entrySet())
           {
-            oprot.writeString(_iter26.getKey());
-            _iter26.getValue().write(oprot);
+            oprot.writeString(_iter31.getKey());
+            _iter31.getValue().write(oprot);
           }
         }
       }
       if (struct.isSetInstances()) {
         {
           oprot.writeI32(struct.instances.size());
-          for (InstanceUse _iter27 : struct.instances)
+          for (InstanceUse _iter32 : struct.instances)
           {
-            _iter27.write(oprot);
+            _iter32.write(oprot);
           }
         }
       }
       if (struct.isSetUnreachable()) {
         {
           oprot.writeI32(struct.unreachable.size());
-          for (java.lang.String _iter28 : struct.unreachable)
+          for (java.lang.String _iter33 : struct.unreachable)
           {
-            oprot.writeString(_iter28);
+            oprot.writeString(_iter33);
+          }
+        }
+      }
+      if (struct.isSetSaidToLeave()) {
+        {
+          oprot.writeI32(struct.saidToLeave.size());
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter34 : struct.saidToLeave.entrySet())
+          {
+            oprot.writeString(_iter34.getKey());
+            oprot.writeI64(_iter34.getValue());
           }
         }
       }
@@ -981,68 +1135,83 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ServiceDemand struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.serviceName = iprot.readString();
         struct.setServiceNameIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.waiting = new java.util.ArrayList<Waiting>(_list29.size);
-          @org.apache.thrift.annotation.Nullable Waiting _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list35 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.waiting = new java.util.ArrayList<Waiting>(_list35.size);
+          @org.apache.thrift.annotation.Nullable Waiting _elem36;
+          for (int _i37 = 0; _i37 < _list35.size; ++_i37)
           {
-            _elem30 = new Waiting();
-            _elem30.read(iprot);
-            struct.waiting.add(_elem30);
+            _elem36 = new Waiting();
+            _elem36.read(iprot);
+            struct.waiting.add(_elem36);
           }
         }
         struct.setWaitingIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TMap _map32 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
-          struct.arrivals = new java.util.HashMap<java.lang.String,Arrivals>(2*_map32.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key33;
-          @org.apache.thrift.annotation.Nullable Arrivals _val34;
-          for (int _i35 = 0; _i35 < _map32.size; ++_i35)
+          org.apache.thrift.protocol.TMap _map38 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRUCT); 
+          struct.arrivals = new java.util.HashMap<java.lang.String,Arrivals>(2*_map38.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key39;
+          @org.apache.thrift.annotation.Nullable Arrivals _val40;
+          for (int _i41 = 0; _i41 < _map38.size; ++_i41)
           {
-            _key33 = iprot.readString();
-            _val34 = new Arrivals();
-            _val34.read(iprot);
-            struct.arrivals.put(_key33, _val34);
+            _key39 = iprot.readString();
+            _val40 = new Arrivals();
+            _val40.read(iprot);
+            struct.arrivals.put(_key39, _val40);
           }
         }
         struct.setArrivalsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list36 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.instances = new java.util.ArrayList<InstanceUse>(_list36.size);
-          @org.apache.thrift.annotation.Nullable InstanceUse _elem37;
-          for (int _i38 = 0; _i38 < _list36.size; ++_i38)
+          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.instances = new java.util.ArrayList<InstanceUse>(_list42.size);
+          @org.apache.thrift.annotation.Nullable InstanceUse _elem43;
+          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
           {
-            _elem37 = new InstanceUse();
-            _elem37.read(iprot);
-            struct.instances.add(_elem37);
+            _elem43 = new InstanceUse();
+            _elem43.read(iprot);
+            struct.instances.add(_elem43);
           }
         }
         struct.setInstancesIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list39 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.unreachable = new java.util.ArrayList<java.lang.String>(_list39.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem40;
-          for (int _i41 = 0; _i41 < _list39.size; ++_i41)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.unreachable = new java.util.ArrayList<java.lang.String>(_list45.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem40 = iprot.readString();
-            struct.unreachable.add(_elem40);
+            _elem46 = iprot.readString();
+            struct.unreachable.add(_elem46);
           }
         }
         struct.setUnreachableIsSet(true);
       }
+      if (incoming.get(5)) {
+        {
+          org.apache.thrift.protocol.TMap _map48 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.saidToLeave = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map48.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key49;
+          long _val50;
+          for (int _i51 = 0; _i51 < _map48.size; ++_i51)
+          {
+            _key49 = iprot.readString();
+            _val50 = iprot.readI64();
+            struct.saidToLeave.put(_key49, _val50);
+          }
+        }
+        struct.setSaidToLeaveIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -43,6 +43,8 @@
   4: list<InstanceUse> instances
   /** Instances that the entry lately failed to reach. */
   5: list<string> unreachable
+  /** Instances that have told the entry that they leave, with their start in milliseconds since 1970. */
+  6: optional map<string, i64> saidToLeave
 }
 
 /** What an entry tells the leader. */
