--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -29,20 +29,14 @@
     private static final long OVERDUE_MS = 150;
     /** A load that is late by more than this is taken to be lost. */
     private static final long LOST_LOAD_MS = 1_500;
-    /** How old a report is at the most; one asked for earlier after an order does not show the order's effect. */
-    private static final long REPORT_LAG_MS = 300;
 
     private final ResidentModels models = new ResidentModels();
     private final WeightCopies copies = new WeightCopies();
+    private final EngineContact contact = new EngineContact();
     private InstanceRecord listed;
     private InstanceVersion version;
     private Optional<ReplicaOrder> open = Optional.empty();
     private Optional<ModelName> goal = Optional.empty();
-    private boolean known;
-    private boolean busyElsewhere;
-    private boolean unreachable;
-    private boolean saidToLeave;
-    private long reportNotBeforeMs;
     private Optional<RemoteLoad> remoteLoad = Optional.empty();
 
     /** Starts with the engine's record on the list. */
@@ -69,7 +63,9 @@
             return;
         }
         copies.take(record.inMemory(), record.onDisk());
-        known &= models.reconcile(record.models().keySet(), nowMs);
+        if (!models.reconcile(record.models().keySet(), nowMs)) {
+            contact.contradicted();
+        }
     }
 
     private void restart(InstanceRecord record, long nowMs) {
@@ -78,10 +74,7 @@
         remoteLoad = Optional.empty();
         open = Optional.empty();
         goal = Optional.empty();
-        known = false;
-        busyElsewhere = false;
-        unreachable = false;
-        saidToLeave = false;
+        contact.restart();
         version = new InstanceVersion(record.bornMs(), 0);
         models.add(record.models(), nowMs);
         copies.take(record.inMemory(), record.onDisk());
@@ -89,31 +82,29 @@
 
     /** Takes note that the engine did not answer a report. */
     public void onReportFailed() {
-        known = false;
-        unreachable = true;
+        contact.failed();
     }
 
     /** Takes note that an entry cannot reach the engine; the engine itself is asked next. */
     public void doubt(long nowMs) {
-        if (known) {
-            known = false;
-            reportNotBeforeMs = nowMs;
-        }
+        contact.doubt(nowMs);
     }
 
     /** Takes note that an engine has told an entry that it leaves; that holds for one start of it. */
     public void onSaidToLeave(long bornMs) {
-        saidToLeave |= bornMs == version.bornMs();
+        if (bornMs == version.bornMs()) {
+            contact.saidToLeave();
+        }
     }
 
     /** Returns whether the engine is expected to run what is sent to it. */
     boolean trusted() {
-        return !unreachable && !leaving();
+        return contact.reachable() && !leaving();
     }
 
     /** Returns whether the engine leaves, by the list or by its own word. */
     boolean leaving() {
-        return listed.leaving() || saidToLeave;
+        return listed.leaving() || contact.leaves();
     }
 
     /** Returns whether a model is here, or is coming within the time that was expected. */
@@ -127,16 +118,14 @@
 
     /** Takes the engine's own report. */
     public void onReport(EngineReport report, long nowMs) {
-        unreachable = false;
-        reportNotBeforeMs = nowMs + REPORT_LAG_MS;
+        contact.answered(nowMs);
         boolean otherStart = report.version().bornMs() != 0 && report.version().bornMs() != version.bornMs();
         boolean older = report.version().orderSequence() < version.orderSequence();
         if (otherStart || older) {
             return;
         }
         version = new InstanceVersion(version.bornMs(), report.version().orderSequence());
-        busyElsewhere = report.busy();
-        known = !report.busy();
+        contact.reported(report.busy());
         if (report.busy()) {
             models.add(report.models(), nowMs);
         } else {
@@ -194,15 +183,10 @@
         open = Optional.empty();
         switch (outcome) {
             case ACCEPTED -> accepted(order, time, nowMs);
-            case ALREADY_DONE, CONFLICT, REFUSED, UNKNOWN, FENCED_OFF, WRONG_INSTANCE -> unsure(nowMs);
+            case ALREADY_DONE, CONFLICT, REFUSED, UNKNOWN, FENCED_OFF, WRONG_INSTANCE -> contact.unsure(nowMs);
         }
     }
 
-    private void unsure(long nowMs) {
-        known = false;
-        reportNotBeforeMs = nowMs + REPORT_LAG_MS;
-    }
-
     private void accepted(ReplicaOrder order, OrderTime time, long nowMs) {
         if (order.expected().equals(version)) {
             version = new InstanceVersion(version.bornMs(), version.orderSequence() + 1);
@@ -221,7 +205,7 @@
                 goal = Optional.empty();
             }
         }
-        reportNotBeforeMs = nowMs + time.nominalMs() + OVERDUE_MS;
+        contact.askNotBefore(nowMs + time.nominalMs() + OVERDUE_MS);
     }
 
     private void adapterChanged(ReplicaOrder order, long nowMs) {
@@ -236,17 +220,17 @@
 
     /** Returns whether the engine itself should be asked now. */
     public boolean needsReport(long nowMs) {
-        return open.isEmpty() && nowMs >= reportNotBeforeMs && (!known || changing());
+        return open.isEmpty() && contact.mayAsk(nowMs) && (!contact.known() || changing());
     }
 
     /** Takes note that a report was asked for or did not come. */
     public void onReportAsked(long nowMs) {
-        reportNotBeforeMs = nowMs + REPORT_LAG_MS;
+        contact.asked(nowMs);
     }
 
     /** Returns whether a model is being loaded or unloaded. */
     public boolean changing() {
-        return busyElsewhere || models.changing();
+        return contact.busy() || models.changing();
     }
 
     /** Returns whether a model order may be sent. */
@@ -256,7 +240,7 @@
 
     /** Returns whether an adapter order may be sent. */
     public boolean takesAdapterOrder() {
-        return known && open.isEmpty() && trusted();
+        return contact.known() && open.isEmpty() && trusted();
     }
 
     /** Returns the model that was ordered but not yet accepted, or else the one for which room is being made. */
