A load that an engine never ends holds up neither the store nor its model

Found by reading the change to loads in flight: one engine that says for ever that it loads would have counted as a load for ever, lowered the number to one, and kept its model from being ordered elsewhere. Now a load that takes 2.5 times its nominal time teaches nothing more (its engine is the cause: what is tried is at most twice what is proven), and one that takes three times what was expected no longer counts.

EndpointNoticesTest: a call that runs at a leaving endpoint ends in peace; only the entry that was told stays away.

--- a/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EngineBook.java
@@ -113,6 +113,9 @@
         if (resident.isEmpty() || !trusted() || resident.get().status() == ReplicaStatus.UNLOADING) {
             return false;
         }
+        if (loadsRemotely(model) && remoteLoad.get().lost(nowMs)) {
+            return false;
+        }
         return resident.get().ready() || nowMs <= resident.get().readyAtMs() + LOST_LOAD_MS;
     }
 
@@ -326,7 +329,8 @@
     /** Returns whether a load from the weight store runs here, or has been ordered. */
     boolean loadingRemotely(long nowMs) {
         boolean runs = remoteLoad
-                .filter(load -> loads(load.model()) && (trusted() || nowMs <= load.expectedAtMs()))
+                .filter(load -> loads(load.model()) && !load.lost(nowMs))
+                .filter(load -> trusted() || nowMs <= load.expectedAtMs())
                 .isPresent();
         return runs || ordered().filter(model -> !atHand(model)).isPresent();
     }
--- a/core/src/main/java/org/hawthornglade/core/replica/RemoteLoad.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/RemoteLoad.java
@@ -7,7 +7,12 @@
 final class RemoteLoad {
     /** A load that has not ended when it should is expected to take this share of its time so far longer. */
     private static final double LONGER_SHARE = 0.2;
-
+    /** A load that takes this many times its nominal time is held up by its engine, not by the store. */
+    private static final double STUCK = 2.5;
+    /** A load that takes this many times what was expected is taken to be lost. */
+    private static final double LOST = 3;
+    /** The same for one that another leader ordered, of which only the end was told: so long after that. */
+    private static final long INHERITED_LOST_MS = 10_000;
     /** The end of a load is noticed about this much later. */
     private static final long NOTICE_MS = 300;
     /** Of loads that begin within this time it is not known which the store took first. */
@@ -17,6 +22,7 @@
     private final long begunAtMs;
     private final long nominalMs;
     private final boolean timed;
+    private final long lostAtMs;
     private long expectedAtMs;
     private int atBegin;
     private int aheadAtBegin;
@@ -24,23 +30,26 @@
     private long watchedAtMs;
     private boolean toldLate;
 
-    private RemoteLoad(ModelName model, long begunAtMs, long nominalMs, long expectedAtMs, boolean timed) {
+    private RemoteLoad(
+            ModelName model, long begunAtMs, long nominalMs, long expectedAtMs, long lostAtMs, boolean timed) {
         this.model = model;
         this.begunAtMs = begunAtMs;
         this.nominalMs = Math.max(1, nominalMs);
         this.expectedAtMs = expectedAtMs;
+        this.lostAtMs = lostAtMs;
         this.timed = timed;
         this.watchedAtMs = begunAtMs;
     }
 
     /** Creates a load whose order has just been accepted. */
     static RemoteLoad begun(ModelName model, OrderTime time, long nowMs) {
-        return new RemoteLoad(model, nowMs, time.nominalMs(), nowMs + time.expectedMs(), true);
+        long lostAtMs = nowMs + (long) (LOST * time.expectedMs());
+        return new RemoteLoad(model, nowMs, time.nominalMs(), nowMs + time.expectedMs(), lostAtMs, true);
     }
 
     /** Creates a load that another leader ordered; nothing can be learned from its time. */
     static RemoteLoad inherited(ModelName model, long expectedAtMs) {
-        return new RemoteLoad(model, expectedAtMs, 1, expectedAtMs, false);
+        return new RemoteLoad(model, expectedAtMs, 1, expectedAtMs, expectedAtMs + INHERITED_LOST_MS, false);
     }
 
     ModelName model() {
@@ -87,7 +96,17 @@
 
     /** Returns whether it should have ended. */
     boolean overdue(long nowMs) {
-        return timed && nowMs - begunAtMs > nominalMs;
+        return timed && nowMs - begunAtMs > nominalMs && !stuck(nowMs);
+    }
+
+    /** Returns whether its engine holds it up, so that its time says nothing of the store. */
+    boolean stuck(long nowMs) {
+        return timed && slowdown(nowMs) > STUCK;
+    }
+
+    /** Returns whether it no longer counts as under way. */
+    boolean lost(long nowMs) {
+        return nowMs > lostAtMs;
     }
 
     /** Returns whether it is late, the first time that it is asked since. */
@@ -97,8 +116,9 @@
         return first;
     }
 
+    /** Returns whether it is late, but not by so much that its engine is the cause. */
     boolean late(long nowMs) {
-        return timed && slowdown(nowMs) > LoadPacer.LATE;
+        return timed && slowdown(nowMs) > LoadPacer.LATE && !stuck(nowMs);
     }
 
     private double slowdown(long nowMs) {
--- a/core/src/main/java/org/hawthornglade/core/replica/RemoteLoadWatch.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/RemoteLoadWatch.java
@@ -53,6 +53,9 @@
     private void ended(InstanceId instance, RemoteLoad load, long nowMs) {
         LoadSample sample = load.sample(nowMs);
         listener.onEnded(instance, load.model(), load.elapsedMs(nowMs), load.nominalMs(), sample.mostAtOnce());
+        if (load.stuck(nowMs)) {
+            return;
+        }
         LoadLimits before = pacer.limits(nowMs);
         pacer.onEnd(sample, nowMs);
         tellChange(before, "load-ended", nowMs);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EndpointNoticesTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EndpointNoticesTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.Socket;
+import java.util.List;
 import java.util.stream.Stream;
 import org.hawthornglade.gateway.exchange.ScriptedEndpoint.Then;
 import org.junit.jupiter.api.Test;
@@ -89,4 +90,33 @@
             assertThat(TestEntry.read(socket, "first")).startsWith("HTTP/1.1 200");
         }
     }
+
+    /** One call runs at each endpoint, so that the third goes to the nearer, which says that it leaves. */
+    @Test
+    void aCallThatRunsAtAnEndpointThatLeavesEndsInPeace() throws Exception {
+        near.answer(ANSWER, Then.KEEP_WHEN_RELEASED).answer(saying(WHOLE, LEAVES), Then.KEEP);
+        far.answer(SECOND, Then.KEEP_WHEN_RELEASED);
+        try (Socket running = entry.connect();
+                Socket other = entry.connect()) {
+            TestEntry.send(running, TestEntry.post("/unsafe/x", "r-1", "hello"));
+            near.takeRequest();
+            TestEntry.send(other, TestEntry.post("/unsafe/x", "r-2", "hello"));
+            far.takeRequest();
+            assertThat(entry.call("/unsafe/x")).endsWith("first");
+            near.release();
+            assertThat(TestEntry.read(running, "first")).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    /** What an endpoint says to one entry is no word to another. */
+    @Test
+    void onlyTheEntryThatWasToldStaysAway() throws Exception {
+        near.answer(saying(REJECTION, SHUT), Then.KEEP).answer(ANSWER, Then.KEEP);
+        far.answer(SECOND, Then.KEEP).answer(SECOND, Then.KEEP);
+        try (TestEntry other = new TestEntry(List.of(near, far))) {
+            assertThat(entry.call("/unsafe/x")).endsWith("second");
+            assertThat(other.call("/unsafe/x")).endsWith("first");
+            assertThat(entry.call("/unsafe/x")).endsWith("second");
+        }
+    }
 }
