--- a/core/src/test/java/org/hawthornglade/core/replica/RemoteLoadPaceTest.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/RemoteLoadPaceTest.java
@@ -148,7 +148,7 @@
         assertThat(two.plan()).containsExactly("c LOAD m1");
     }
 
-    /** An engine that says for ever that it loads would keep all others from the store, and its model from its callers. */
+    /** An engine that says for ever that it loads would keep others from the store, and its model from its callers. */
     @Test
     void aLoadThatNeverEndsHoldsUpNeitherTheStoreNorItsModel() {
         ReplicaWorld two =
