A limit that an endpoint names in its answers is read and logged; its words live in one place

No decision uses it yet.

What endpoints say of themselves (leaves, wants nothing for a time, limit) moves out of EndpointHealth into core.notice, one small class a word; an answer of an earlier start of an id is no word of the present one.

--- a/core/src/main/java/org/hawthornglade/core/dispatch/ShutWait.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/ShutWait.java
@@ -21,7 +21,7 @@
     static List<Endpoint> open(List<Endpoint> endpoints, long nowMs) {
         List<Endpoint> open = new ArrayList<>();
         for (Endpoint endpoint : endpoints) {
-            if (endpoint.health().takesCalls(nowMs)) {
+            if (endpoint.notices().takesCalls(nowMs)) {
                 open.add(endpoint);
             }
         }
@@ -32,7 +32,7 @@
     static long soonestAtMs(List<Endpoint> endpoints) {
         long soonestMs = Long.MAX_VALUE;
         for (Endpoint endpoint : endpoints) {
-            soonestMs = Math.min(soonestMs, endpoint.health().shutUntilMs());
+            soonestMs = Math.min(soonestMs, endpoint.notices().shut().untilMs());
         }
         return soonestMs;
     }
--- a/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
@@ -6,10 +6,12 @@
 import org.hawthornglade.core.id.AdapterName;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.notice.EndpointNotices;
 
 /** One instance as an entry sees it: its record, the models on it, and the work that is under way there. */
 public final class Endpoint {
     private final EndpointHealth health = new EndpointHealth();
+    private EndpointNotices notices = new EndpointNotices();
     private final EndpointLoad load = new EndpointLoad();
     private final PrefixCache prefixCache = new PrefixCache();
     private final Map<ModelName, Long> refusedUntilMs = new HashMap<>();
@@ -33,9 +35,14 @@
         return health;
     }
 
+    /** Returns what this start of the instance has said of itself. */
+    public EndpointNotices notices() {
+        return notices;
+    }
+
     /** Returns whether the instance leaves, by the list or by its own word. */
     public boolean leaving() {
-        return listed.leaving() || health.leaving();
+        return listed.leaving() || notices.leaving().given();
     }
 
     public EndpointLoad load() {
@@ -51,7 +58,7 @@
             placement = null;
             lastTold = null;
             prefixCache.clear();
-            health.onRestart();
+            notices = new EndpointNotices();
         }
         listed = newer;
     }
--- a/core/src/main/java/org/hawthornglade/core/fleet/EndpointHealth.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/EndpointHealth.java
@@ -23,8 +23,6 @@
     private long pauseMs;
     private long pausedUntilMs;
     private long unreachableUntilMs;
-    private boolean leaving;
-    private long shutUntilMs;
 
     /** Takes note of a good answer. */
     public void onSuccess(long nowMs) {
@@ -59,42 +57,6 @@
         return nowMs < unreachableUntilMs;
     }
 
-    /** Takes note that the endpoint has said that it leaves; that holds for this start of it. */
-    public void onLeaving() {
-        leaving = true;
-    }
-
-    /** Takes note that the endpoint wants nothing for a time; a longer time extends an earlier one. */
-    public void onShut(long forMs, long nowMs) {
-        shutUntilMs = Math.max(shutUntilMs, nowMs + forMs);
-    }
-
-    /** Takes note that the endpoint has started anew; what it said before no longer counts. */
-    void onRestart() {
-        leaving = false;
-        shutUntilMs = 0;
-    }
-
-    /** Returns whether the endpoint has said that it leaves. */
-    public boolean leaving() {
-        return leaving;
-    }
-
-    /** Returns until when the endpoint wants nothing, on the steady clock; a time that has passed if it takes calls. */
-    public long shutUntilMs() {
-        return shutUntilMs;
-    }
-
-    /** Returns whether the endpoint has said neither that it leaves nor that it wants nothing for a time. */
-    boolean saidNothing() {
-        return !leaving && shutUntilMs == 0;
-    }
-
-    /** Returns whether calls may be sent there, as far as the endpoint itself has said. */
-    public boolean takesCalls(long nowMs) {
-        return !leaving && nowMs >= shutUntilMs;
-    }
-
     /** Returns whether requests should go elsewhere if they can. */
     public boolean paused(long nowMs) {
         return nowMs < pausedUntilMs;
--- a/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -95,7 +95,7 @@
 
     private void remove(InstanceId id) {
         Endpoint removed = endpoints.remove(id);
-        if (removed == null || removed.health().saidNothing()) {
+        if (removed == null || removed.notices().none()) {
             return;
         }
         unlisted.put(id, removed);
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/notice/LeavingNotice.java
@@ -0,0 +1,16 @@
+package org.hawthornglade.core.notice;
+
+/** The word of an endpoint that it leaves; it is not taken back within one start. */
+public final class LeavingNotice {
+    private boolean given;
+
+    /** Takes note that the endpoint has said it. */
+    public void give() {
+        given = true;
+    }
+
+    /** Returns whether the endpoint has said it. */
+    public boolean given() {
+        return given;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/notice/ShutNotice.java
@@ -0,0 +1,25 @@
+package org.hawthornglade.core.notice;
+
+/** The word of an endpoint that it wants nothing for a time. */
+public final class ShutNotice {
+    private long untilMs;
+
+    /** Takes the word; a longer time extends an earlier one, a shorter one does not cut it. */
+    public void give(long forMs, long nowMs) {
+        untilMs = Math.max(untilMs, nowMs + forMs);
+    }
+
+    /** Returns until when nothing is wanted, on the steady clock; a time that has passed if calls are taken. */
+    public long untilMs() {
+        return untilMs;
+    }
+
+    /** Returns whether nothing is wanted now. */
+    public boolean holds(long nowMs) {
+        return nowMs < untilMs;
+    }
+
+    boolean given() {
+        return untilMs != 0;
+    }
+}
--- a/core/src/test/java/org/hawthornglade/core/dispatch/ShutWaitTest.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/ShutWaitTest.java
@@ -54,7 +54,7 @@
     @ValueSource(booleans = {true, false})
     void aShutEndpointIsLeftOutOfTheChoice(boolean generation) {
         listed(List.of("m0"));
-        endpoint("a").health().onShut(5_000, NOW_MS);
+        endpoint("a").notices().shut().give(5_000, NOW_MS);
         Decision decision = decide(call(generation));
         assertThat(((Decision.Send) decision).endpoint().id().value()).isEqualTo("b");
     }
@@ -67,8 +67,8 @@
     })
     void whenAllAreShutTheSoonestEndIsToldOrWaitedFor(boolean generation, long untilMs, boolean waits) {
         listed(List.of("m0"));
-        endpoint("a").health().onShut(untilMs, NOW_MS);
-        endpoint("b").health().onShut(2 * untilMs, NOW_MS);
+        endpoint("a").notices().shut().give(untilMs, NOW_MS);
+        endpoint("b").notices().shut().give(2 * untilMs, NOW_MS);
         Decision decision = decide(call(generation));
         if (waits) {
             assertThat(decision).isEqualTo(new Decision.Wait("endpoint-shut", OptionalLong.of(NOW_MS + untilMs)));
--- a/core/src/test/java/org/hawthornglade/core/fleet/EndpointHealthTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/EndpointHealthTest.java
@@ -59,34 +59,4 @@
         double before = health.failureRate(0);
         assertThat(health.failureRate(4_000)).isWithin(1e-9).of(before / 2);
     }
-
-    /** A server that turned a request away with a time to stay away was asked again at once. */
-    @ParameterizedTest
-    @CsvSource({"0, false", "500, false", "1999, false", "2000, true"})
-    void anEndpointThatWantsNothingForATimeGetsNothingUntilThen(long afterMs, boolean takesCalls) {
-        EndpointHealth shut = new EndpointHealth();
-        shut.onShut(2_000, 10_000);
-        assertThat(shut.takesCalls(10_000 + afterMs)).isEqualTo(takesCalls);
-    }
-
-    @ParameterizedTest
-    @CsvSource({"2000, 300, 2000", "300, 2000, 2100", "2000, 2000, 2100"})
-    void aLongerTimeExtendsAndAShorterOneCutsNothing(long firstMs, long secondMs, long untilMs) {
-        EndpointHealth shut = new EndpointHealth();
-        shut.onShut(firstMs, 0);
-        shut.onShut(secondMs, 100);
-        assertThat(shut.shutUntilMs()).isEqualTo(untilMs);
-    }
-
-    @Test
-    void goodAnswersDoNotTakeBackThatAnEndpointLeavesOrIsShut() {
-        EndpointHealth health = new EndpointHealth();
-        health.onLeaving();
-        health.onShut(5_000, 0);
-        health.onSuccess(100);
-        assertThat(health.leaving()).isTrue();
-        assertThat(health.takesCalls(6_000)).isFalse();
-        health.onRestart();
-        assertThat(health.takesCalls(100)).isTrue();
-    }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -10,6 +10,7 @@
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.notice.EndpointNotices;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.gateway.http.AnswerId;
@@ -39,6 +40,8 @@
     private final int prefillTokens;
     private OutboundConnection connection;
     private HttpResponse head;
+    private long sentAtMs;
+    private EndpointNotices notices;
     private AnswerHead answerHead;
     private ByteBuf held = Unpooled.buffer(USUAL_ANSWER_BYTES);
     private EventSplitter events;
@@ -87,7 +90,7 @@
             ready.cancel();
             return;
         }
-        if (!endpoint.health().takesCalls(context.clock().nowMs())) {
+        if (!endpoint.notices().takesCalls(context.clock().nowMs())) {
             ready.cancel();
             finish();
             exchange.turnedAway(endpoint);
@@ -111,6 +114,8 @@
                         context.protocol().requestIdHeader(),
                         exchange.request().id().value())));
         watchSilence(firstSilenceMs());
+        sentAtMs = context.clock().nowMs();
+        notices = endpoint.notices();
         ready.send(request, this);
     }
 
@@ -175,12 +180,13 @@
         }
     }
 
-    /** Takes note of what the endpoint says of itself; an answer that may be another instance's says nothing of it. */
+    /** Takes note of what the endpoint says; what may be the word of another instance or start of it is left aside. */
     private void noteWhatItSays(long nowMs) {
         Optional<InstanceId> instance = answerHead.instance();
-        boolean ofEndpoint = instance.map(endpoint.id()::equals).orElse(!answerHead.misdirected());
-        if (ofEndpoint) {
-            context.notices().take(endpoint, answerHead, exchange.request().id(), nowMs);
+        boolean ofInstance = instance.map(endpoint.id()::equals).orElse(!answerHead.misdirected());
+        boolean ofStart = notices == endpoint.notices();
+        if (ofInstance && ofStart) {
+            context.notices().take(endpoint, answerHead, exchange.request().id(), sentAtMs, nowMs);
         }
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -36,7 +36,7 @@
         EventLog log,
         GatewayMetrics metrics) {
     /** Returns what takes note of what endpoints say of themselves. */
-    EndpointNotices notices() {
-        return new EndpointNotices(waiting, timers, log, metrics);
+    NoticeReader notices() {
+        return new NoticeReader(waiting, timers, log, metrics);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointNotices.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/NoticeReader.java
@@ -1,38 +1,46 @@
 package org.hawthornglade.gateway.exchange;
 
+import java.util.OptionalDouble;
 import org.hawthornglade.core.fleet.Endpoint;
-import org.hawthornglade.core.fleet.EndpointHealth;
 import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.notice.LimitWord;
+import org.hawthornglade.core.notice.ShutNotice;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.port.AnswerHead;
 
-/** Takes what endpoints say of themselves in their answers: that they leave, or want nothing for a time. */
-final class EndpointNotices {
+/** Takes what endpoints say of themselves in their answers, and has the waiting calls decided anew. */
+final class NoticeReader {
     private final WaitingCalls waiting;
     private final Timers timers;
     private final EventLog log;
     private final GatewayMetrics metrics;
 
-    EndpointNotices(WaitingCalls waiting, Timers timers, EventLog log, GatewayMetrics metrics) {
+    NoticeReader(WaitingCalls waiting, Timers timers, EventLog log, GatewayMetrics metrics) {
         this.waiting = waiting;
         this.timers = timers;
         this.log = log;
         this.metrics = metrics;
     }
 
-    void take(Endpoint endpoint, AnswerHead head, RequestId request, long nowMs) {
-        if (head.leaving() && !endpoint.health().leaving()) {
+    /**
+     * Takes what a head says.
+     *
+     * @param sentAtMs when the request was sent that it answers
+     */
+    void take(Endpoint endpoint, AnswerHead head, RequestId request, long sentAtMs, long nowMs) {
+        if (head.leaving() && !endpoint.notices().leaving().given()) {
             leaves(endpoint, request);
         }
         if (head.retryAfterMs().orElse(0) > 0) {
             shut(endpoint, head.retryAfterMs().getAsLong(), request, nowMs);
         }
+        limit(endpoint, new LimitWord(head.limitPerSecond(), sentAtMs, nowMs), request);
     }
 
     private void leaves(Endpoint endpoint, RequestId request) {
-        endpoint.health().onLeaving();
+        endpoint.notices().leaving().give();
         metrics.count("endpoints_leaving");
         log.event("endpoint-leaving")
                 .with("instance", endpoint.id())
@@ -43,10 +51,10 @@
     }
 
     private void shut(Endpoint endpoint, long forMs, RequestId request, long nowMs) {
-        EndpointHealth health = endpoint.health();
-        long beforeMs = health.shutUntilMs();
-        health.onShut(forMs, nowMs);
-        if (health.shutUntilMs() == beforeMs) {
+        ShutNotice shut = endpoint.notices().shut();
+        long beforeMs = shut.untilMs();
+        shut.give(forMs, nowMs);
+        if (shut.untilMs() == beforeMs) {
             return;
         }
         metrics.count("endpoints_shut");
@@ -58,4 +66,23 @@
         timers.run(waiting::reconsider);
         timers.after(forMs, waiting::reconsider);
     }
+
+    private void limit(Endpoint endpoint, LimitWord word, RequestId request) {
+        OptionalDouble before = endpoint.notices().limit().perSecond();
+        if (!endpoint.notices().limit().take(word)) {
+            return;
+        }
+        metrics.count("endpoint_limits_changed");
+        log.event("endpoint-limit")
+                .with("instance", endpoint.id())
+                .with("per_s", text(word.perSecond()))
+                .with("before", text(before))
+                .with("request", request)
+                .write();
+        timers.run(waiting::reconsider);
+    }
+
+    private static String text(OptionalDouble limit) {
+        return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "none";
+    }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -118,7 +118,8 @@
     private Map<InstanceId, Long> saidToLeave(ServiceName service) {
         Map<InstanceId, Long> leaving = new HashMap<>();
         for (Endpoint endpoint : fleet.all()) {
-            if (endpoint.listed().service().equals(service) && endpoint.health().leaving()) {
+            if (endpoint.listed().service().equals(service)
+                    && endpoint.notices().leaving().given()) {
                 leaving.put(endpoint.id(), endpoint.listed().bornMs());
             }
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/AnswerHead.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.gateway.port;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.hawthornglade.core.id.InstanceId;
 
@@ -17,6 +18,7 @@
  * @param load the work at the endpoint, where it is said
  * @param leaving whether the endpoint says that it leaves
  * @param retryAfterMs for how long the endpoint wants nothing from this entry, where it says so
+ * @param limitPerSecond the requests a second that the endpoint takes from all entries together, where it says so
  */
 public record AnswerHead(
         int status,
@@ -28,7 +30,8 @@
         Optional<InstanceId> instance,
         Optional<ReportedLoad> load,
         boolean leaving,
-        OptionalLong retryAfterMs) {
+        OptionalLong retryAfterMs,
+        OptionalDouble limitPerSecond) {
     /**
      * Work at an endpoint.
      *
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.hawthornglade.core.id.InstanceId;
@@ -25,6 +26,8 @@
     static final String TIME_LEFT = "X-Time-Left";
     /** For how long an endpoint wants nothing, in milliseconds. */
     static final String SHUT_MS = "X-Shut-Ms";
+    /** The requests a second that an endpoint takes from all entries together. */
+    static final String LIMIT = "X-Limit";
 
     @Override
     public Either<Failure, CallRequest> readCall(HttpRequest head) {
@@ -62,7 +65,10 @@
                 headers.contains("X-Leaves"),
                 headers.contains(SHUT_MS)
                         ? OptionalLong.of(Long.parseLong(headers.get(SHUT_MS)))
-                        : OptionalLong.empty());
+                        : OptionalLong.empty(),
+                headers.contains(LIMIT)
+                        ? OptionalDouble.of(Double.parseDouble(headers.get(LIMIT)))
+                        : OptionalDouble.empty());
     }
 
     @Override
