--- /dev/null
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatedEndpoint.java
@@ -0,0 +1,68 @@
+package org.hawthornglade.bench.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import org.hawthornglade.core.fleet.InstanceRecord;
+import org.hawthornglade.core.id.InstanceId;
+
+/** An endpoint whose faults are set before the run: limits, times of wanting nothing, and a leaving. */
+final class EmulatedEndpoint {
+    private static final long LEAST_WORK_MS = 40;
+    private static final int WORK_SPREAD_MS = 200;
+    private static final long NEVER_MS = Long.MAX_VALUE;
+
+    private final InstanceRecord record;
+    private final Random random;
+    private final List<NamedLimit> limits = new ArrayList<>();
+    private final List<Span> shut = new ArrayList<>();
+    private long leavesAtMs = NEVER_MS;
+
+    EmulatedEndpoint(InstanceRecord record, Random random) {
+        this.record = record;
+        this.random = random;
+    }
+
+    InstanceRecord record() {
+        return record;
+    }
+
+    InstanceId id() {
+        return record.id();
+    }
+
+    void limit(NamedLimit limit) {
+        limits.add(limit);
+    }
+
+    List<NamedLimit> limits() {
+        return limits;
+    }
+
+    void shut(Span span) {
+        shut.add(span);
+    }
+
+    void leaves(long atMs) {
+        leavesAtMs = atMs;
+    }
+
+    Answer answer(long nowMs) {
+        boolean leaving = nowMs >= leavesAtMs;
+        OptionalDouble limit = limitAt(nowMs);
+        Optional<Span> closed = shut.stream().filter(span -> span.has(nowMs)).findFirst();
+        return closed.map(span -> new Answer(false, leaving, span.toMs() - nowMs, limit, 0))
+                .orElseGet(() -> new Answer(true, leaving, 0, limit, LEAST_WORK_MS + random.nextInt(WORK_SPREAD_MS)));
+    }
+
+    OptionalDouble limitAt(long nowMs) {
+        for (NamedLimit limit : limits) {
+            if (limit.span().has(nowMs)) {
+                return OptionalDouble.of(limit.perSecond());
+            }
+        }
+        return OptionalDouble.empty();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatedEntry.java
@@ -0,0 +1,168 @@
+package org.hawthornglade.bench.emulator;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.hawthornglade.bench.time.VirtualTime;
+import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.Decision;
+import org.hawthornglade.core.dispatch.Dispatcher;
+import org.hawthornglade.core.dispatch.FirstTokenSelector;
+import org.hawthornglade.core.dispatch.LeastLoadedSelector;
+import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.notice.EndpointNotices;
+import org.hawthornglade.core.notice.LimitWord;
+
+/** One start of an entry: the real decisions, and as little around them as carries a call to its answer. */
+final class EmulatedEntry {
+    /** How long a new connection takes beyond the way. */
+    private static final long CONNECT_MS = 1;
+
+    private static final Comparator<EmulatedCall> URGENT_FIRST = Comparator.comparingInt(
+                    (EmulatedCall call) -> call.view().route().priority())
+            .thenComparingLong(call -> call.view().arrivedAtMs());
+
+    private final int number;
+    private final VirtualTime time;
+    private final EmulatedNetwork network;
+    private final CallCounts counts;
+    private final Fleet fleet = new Fleet();
+    private final Dispatcher dispatcher;
+    private final List<EmulatedCall> waiting = new ArrayList<>();
+    private long pausedUntilMs;
+    private boolean gone;
+
+    EmulatedEntry(int number, VirtualTime time, EmulatedNetwork network, CallCounts counts, EmulatedSite site) {
+        this.number = number;
+        this.time = time;
+        this.network = network;
+        this.counts = counts;
+        fleet.onSnapshot(site.records(), time.nowMs());
+        this.dispatcher = new Dispatcher(
+                fleet,
+                new LeastLoadedSelector(EmulatedSite.HERE),
+                new FirstTokenSelector(EmulatedSite.HERE, service -> site.engine()));
+    }
+
+    int number() {
+        return number;
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    /** Runs an action when this start of the entry gets to it; never if it has ended by then. */
+    void run(Runnable action) {
+        if (gone) {
+            return;
+        }
+        if (time.nowMs() < pausedUntilMs) {
+            time.at(pausedUntilMs, () -> run(action));
+            return;
+        }
+        action.run();
+    }
+
+    void pause(long forMs) {
+        pausedUntilMs = Math.max(pausedUntilMs, time.nowMs() + forMs);
+    }
+
+    /** Ends this start; the calls that it has end with it. */
+    void kill() {
+        gone = true;
+    }
+
+    boolean gone() {
+        return gone;
+    }
+
+    void onCall(CallView view) {
+        counts.called();
+        run(() -> decide(new EmulatedCall(view)));
+    }
+
+    /** Decides anew for the calls that wait, the most urgent first. */
+    void reconsider() {
+        List<EmulatedCall> calls = new ArrayList<>(waiting);
+        calls.sort(URGENT_FIRST);
+        waiting.clear();
+        calls.forEach(this::decide);
+    }
+
+    private void decide(EmulatedCall call) {
+        Decision decision = dispatcher.decide(call.view(), time.nowMs());
+        if (decision instanceof Decision.Send sending) {
+            send(call, sending.endpoint());
+        } else if (decision instanceof Decision.Wait) {
+            waiting.add(call);
+        } else {
+            call.end();
+            counts.refused();
+        }
+    }
+
+    private void send(EmulatedCall call, Endpoint endpoint) {
+        CallView view = call.view();
+        Optional<Variant> variant = view.demand().map(demand -> new Variant(demand.model(), demand.adapter()));
+        long tokens = view.demand().map(ModelDemand::kvTokens).orElse(0L);
+        endpoint.load().begin(variant, tokens, 0);
+        Runnable ended = () -> endpoint.load().end(variant, tokens);
+        time.after(CONNECT_MS, () -> run(() -> connected(call, endpoint, ended)));
+    }
+
+    private void connected(EmulatedCall call, Endpoint endpoint, Runnable ended) {
+        if (!endpoint.notices().takesCalls(time.nowMs())) {
+            ended.run();
+            decide(call);
+            return;
+        }
+        long sentAtMs = time.nowMs();
+        EndpointNotices notices = endpoint.notices();
+        network.send(
+                endpoint.id(),
+                number,
+                call.view().arrivedAtMs(),
+                answer -> run(() -> onHead(call, endpoint, notices, answer, sentAtMs, ended)));
+    }
+
+    private void onHead(
+            EmulatedCall call,
+            Endpoint endpoint,
+            EndpointNotices notices,
+            Answer answer,
+            long sentAtMs,
+            Runnable ended) {
+        long nowMs = time.nowMs();
+        network.passedOn(endpoint.id(), number, answer, nowMs);
+        take(notices, answer, sentAtMs, nowMs);
+        if (!answer.ran()) {
+            ended.run();
+            call.view().tried().add(endpoint.id());
+            decide(call);
+            return;
+        }
+        time.after(
+                answer.workMs(),
+                () -> run(() -> {
+                    ended.run();
+                    call.end();
+                    counts.served(call, time.nowMs());
+                    reconsider();
+                }));
+    }
+
+    private static void take(EndpointNotices notices, Answer answer, long sentAtMs, long nowMs) {
+        if (answer.leaving()) {
+            notices.leaving().give();
+        }
+        if (answer.shutMs() > 0) {
+            notices.shut().give(answer.shutMs(), nowMs);
+        }
+        notices.limit().take(new LimitWord(answer.limitPerSecond(), sentAtMs, nowMs));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/Emulator.java
@@ -0,0 +1,113 @@
+package org.hawthornglade.bench.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.hawthornglade.bench.time.VirtualTime;
+import org.hawthornglade.core.dispatch.CallView;
+
+/** Plays one run: calls come, endpoints have their faults, entries restart and pause. */
+public final class Emulator {
+    private static final long CHECK_MS = 50;
+    private static final long DRAIN_OUT_MS = 10_000;
+    private static final int ENTRY_FAULTS = 3;
+    private static final int FIRST_ENTRY_FAULT_MS = 6_000;
+    private static final long LEAST_DOWN_MS = 1_000;
+    private static final int DOWN_SPREAD_MS = 4_000;
+    /** After a pause an entry first works off what has come meanwhile. */
+    private static final long AFTER_PAUSE_MS = 300;
+
+    private final EmulatorOptions options;
+    private final Random random;
+    private final VirtualTime time = new VirtualTime();
+    private final Referee referee = new Referee();
+    private final CallCounts counts = new CallCounts();
+    private final EmulatedSite site;
+    private final EmulatedNetwork network;
+    private final List<EmulatedEntry> entries = new ArrayList<>();
+
+    private Emulator(EmulatorOptions options) {
+        this.options = options;
+        this.random = new Random(options.seed());
+        this.site = new EmulatedSite(options, random);
+        this.network = new EmulatedNetwork(time, random, referee);
+        site.endpoints().forEach(network::add);
+    }
+
+    /** Plays a run to its end. */
+    public static EmulatorResult run(EmulatorOptions options) {
+        return new Emulator(options).play();
+    }
+
+    private EmulatorResult play() {
+        for (int i = 0; i < options.entries(); i++) {
+            entries.add(started(i));
+        }
+        check();
+        nextCall();
+        if (options.faults()) {
+            for (int i = 0; i < ENTRY_FAULTS; i++) {
+                long spreadMs = options.seconds() * 1_000L - FIRST_ENTRY_FAULT_MS;
+                time.at(FIRST_ENTRY_FAULT_MS + (long) (random.nextDouble() * spreadMs), this::entryFault);
+            }
+        }
+        time.runUntil(options.seconds() * 1_000L + DRAIN_OUT_MS);
+        return new EmulatorResult(
+                referee.limitBreaks(),
+                referee.drainBreaks(),
+                referee.budgetBreaks(),
+                referee.limitUse(),
+                counts.calls(),
+                counts.served(),
+                counts.late(),
+                counts.refusals(),
+                0);
+    }
+
+    private EmulatedEntry started(int number) {
+        return new EmulatedEntry(number, time, network, counts, site);
+    }
+
+    private void check() {
+        entries.forEach(entry -> entry.run(entry::reconsider));
+        time.after(CHECK_MS, this::check);
+    }
+
+    private void nextCall() {
+        if (time.nowMs() >= options.seconds() * 1_000L) {
+            return;
+        }
+        CallView call = site.call(time.nowMs());
+        site.couldServe(call).forEach(endpoint -> referee.couldUse(endpoint, time.nowMs()));
+        EmulatedEntry entry = entries.get(drawnEntry());
+        if (!entry.gone()) {
+            entry.onCall(call);
+        }
+        double meanMs = 1_000 / options.callsPerSecond();
+        time.after(Math.max(1, Math.round(-Math.log(1 - random.nextDouble()) * meanMs)), this::nextCall);
+    }
+
+    /** Callers are spread unevenly: some entries get several times the calls of others. */
+    private int drawnEntry() {
+        return (int) (entries.size() * Math.pow(random.nextDouble(), 1.5));
+    }
+
+    /** An entry is restarted, or paused; the first one, which leads at the start, as often as any other. */
+    private void entryFault() {
+        int number = random.nextInt(3) == 0 ? 0 : random.nextInt(entries.size());
+        long forMs = LEAST_DOWN_MS + random.nextInt(DOWN_SPREAD_MS);
+        EmulatedEntry entry = entries.get(number);
+        if (entry.gone()) {
+            return;
+        }
+        long untilMs = time.nowMs() + forMs;
+        if (random.nextBoolean()) {
+            referee.excuse(number, new Span(time.nowMs(), untilMs + AFTER_PAUSE_MS));
+            entry.pause(forMs);
+            return;
+        }
+        referee.excuse(number, new Span(time.nowMs(), untilMs));
+        entry.kill();
+        time.at(untilMs, () -> entries.set(number, started(number)));
+    }
+}
--- a/bench/src/main/java/org/hawthornglade/bench/experiment/VirtualRun.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/VirtualRun.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import org.hawthornglade.bench.time.VirtualTime;
 import org.hawthornglade.core.admission.AdmissionWeights;
 import org.hawthornglade.core.admission.WaitingRequest;
 import org.hawthornglade.core.config.Configuration;
--- a/bench/src/main/java/org/hawthornglade/bench/experiment/WeightStoreModel.java
+++ b/bench/src/main/java/org/hawthornglade/bench/experiment/WeightStoreModel.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.hawthornglade.bench.time.VirtualTime;
 
 /** The weight store as a table of limits: loads a second, and a speed that loads beyond a few at once share. */
 final class WeightStoreModel {
--- a/bench/src/main/java/org/hawthornglade/bench/experiment/VirtualTime.java
+++ b/bench/src/main/java/org/hawthornglade/bench/time/VirtualTime.java
@@ -1,10 +1,10 @@
-package org.hawthornglade.bench.experiment;
+package org.hawthornglade.bench.time;
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
 /** Runs actions in order of their time; equal times in order of scheduling. */
-final class VirtualTime {
+public final class VirtualTime {
     private static final Comparator<Timed> ORDER =
             Comparator.comparingLong(Timed::atMs).thenComparingLong(Timed::sequence);
 
@@ -12,19 +12,23 @@
     private long nowMs;
     private long sequence;
 
-    long nowMs() {
+    /** Returns the time that actions see, in milliseconds. */
+    public long nowMs() {
         return nowMs;
     }
 
-    void at(long atMs, Runnable action) {
+    /** Runs an action at a time; at once if that has passed. */
+    public void at(long atMs, Runnable action) {
         actions.add(new Timed(Math.max(nowMs, atMs), sequence++, action));
     }
 
-    void after(long delayMs, Runnable action) {
+    /** Runs an action after a delay. */
+    public void after(long delayMs, Runnable action) {
         at(nowMs + delayMs, action);
     }
 
-    void runUntil(long endMs) {
+    /** Runs all actions up to a time. */
+    public void runUntil(long endMs) {
         while (!actions.isEmpty() && actions.peek().atMs() <= endMs) {
             Timed next = actions.poll();
             nowMs = next.atMs();
--- a/bench/src/test/java/org/hawthornglade/bench/experiment/VirtualRunTest.java
+++ b/bench/src/test/java/org/hawthornglade/bench/experiment/VirtualRunTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
+import org.hawthornglade.bench.time.VirtualTime;
 import org.hawthornglade.core.admission.WaitingRequest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
