--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/LimitWaitTest.java
@@ -0,0 +1,105 @@
+package org.hawthornglade.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.fleet.Records;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.notice.LimitWord;
+import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.serving.CallKind;
+import org.hawthornglade.core.serving.Route;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Calls for endpoints that take a limited number of requests from all entries together. */
+class LimitWaitTest {
+    private static final long NOW_MS = 10_000;
+    private static final long PATIENCE_MS = 3_000;
+
+    private final Fleet fleet = new Fleet();
+
+    LimitWaitTest() {
+        fleet.onSnapshot(
+                List.of(Records.ready("a", List.of("m0"), List.of()), Records.ready("b", List.of("m0"), List.of())), 0);
+    }
+
+    private Endpoint endpoint(String id) {
+        return fleet.endpoint(InstanceId.of(id)).orElseThrow();
+    }
+
+    private void limit(String id, double perSecond, int permits, int othersWaiting) {
+        endpoint(id).notices().limit().take(new LimitWord(OptionalDouble.of(perSecond), 0, 10));
+        endpoint(id).permits().onNews(permits, NOW_MS, othersWaiting, NOW_MS);
+    }
+
+    private Decision decide(boolean generation, long nowMs) {
+        Route route = new Route(
+                "r", "h.example", "/r/", CallKind.STREAM, 15_000, 800, 500, PATIENCE_MS, 1, 0, true, List.of());
+        Optional<ModelDemand> demand = generation
+                ? Optional.of(new ModelDemand(ModelName.of("m0"), Optional.empty(), 300, 50, List.of()))
+                : Optional.empty();
+        CallView call = new CallView(Records.SERVICE, route, demand, nowMs, nowMs + PATIENCE_MS);
+        EndpointSelector selector = generation
+                ? new FirstTokenSelector(Records.HERE, service -> ReplicaWaitTest.engine())
+                : new LeastLoadedSelector(Records.HERE);
+        return selector.select(call, fleet.usable(Records.SERVICE), nowMs);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anEndpointWithAPermitIsChosenLikeAnyOther(boolean generation) {
+        limit("a", 1, 1, 0);
+        limit("b", 1, 0, 0);
+        Decision decision = decide(generation, NOW_MS);
+        assertThat(((Decision.Send) decision).endpoint()).isEqualTo(endpoint("a"));
+    }
+
+    /** No unlimited endpoint must be passed over for long: the call asks for a permit only while it costs nothing. */
+    @ParameterizedTest
+    @CsvSource({"true, 2600", "false, 2600"})
+    void aCallGoesElsewhereWhileNobodyDeals(boolean generation, long silentMs) {
+        limit("a", 1, 0, 0);
+        Decision decision = decide(generation, NOW_MS + silentMs);
+        assertThat(((Decision.Send) decision).endpoint()).isEqualTo(endpoint("b"));
+    }
+
+    /** The turn of a call behind those that wait: in time it waits, later it is told at once when to come back. */
+    @ParameterizedTest
+    @CsvSource({"true, 1, 1, true", "true, 1, 5, false", "false, 1, 1, true", "false, 0.5, 2, false"})
+    void whenAllAreLimitedACallWaitsForItsTurnOrIsToldAtOnce(
+            boolean generation, double perSecond, int others, boolean waits) {
+        limit("a", perSecond, 0, others);
+        limit("b", perSecond, 0, others + 3);
+        endpoint("a").permits().joinBriefly(NOW_MS);
+        endpoint("a").permits().onNews(0, NOW_MS, others, NOW_MS);
+        Decision decision = decide(generation, NOW_MS);
+        long turnMs = Math.round((others + 1) * 1_000 / perSecond);
+        if (waits) {
+            Decision.Ask ask = (Decision.Ask) decision;
+            assertThat(ask.endpoint()).isEqualTo(endpoint("a"));
+            assertThat(ask.briefly()).isFalse();
+            assertThat(ask.expectedAtMs().getAsLong()).isEqualTo(NOW_MS + turnMs);
+            return;
+        }
+        Decision.Refuse refusal = (Decision.Refuse) decision;
+        assertThat(refusal.code()).isEqualTo(ResultCode.ENDPOINTS_LIMITED);
+        assertThat(refusal.retryAfterMs()).isAtLeast(turnMs);
+        assertThat(refusal.retryAfterMs()).isAtMost(turnMs + turnMs / 4);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whenAllAreLimitedAndNobodyDealsACallIsToldAtOnce(boolean generation) {
+        limit("a", 1, 0, 0);
+        limit("b", 1, 0, 0);
+        Decision decision = decide(generation, NOW_MS + 2_600);
+        assertThat(((Decision.Refuse) decision).code()).isEqualTo(ResultCode.ENDPOINTS_LIMITED);
+    }
+}
