The parts of the retry budget do not grow while an entry is only unheard; limits on the wire and at the socket tested

A smaller number counts after a minute now (EntryCount, shared with nothing else yet).

A call that asked briefly for a permit depended on the entry's tick to go on when no leader answers; the exchange sees to it itself.

--- a/core/src/main/java/org/hawthornglade/core/fleet/Permits.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Permits.java
@@ -16,8 +16,8 @@
     public static final long VALID_MS = 600;
     /** After this time without news no leader deals permits. */
     private static final long NEWS_VALID_MS = 2_500;
-    /** A call that can go elsewhere waits for an answer for this time. */
-    private static final long BRIEF_MS = 60;
+    /** A call that can go elsewhere waits for an answer for this time, in milliseconds. */
+    public static final long BRIEF_MS = 60;
     /** The shortest and the longest time until calls that can go elsewhere ask again after a refusal. */
     private static final long MIN_ASK_AGAIN_MS = 50;
 
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/limit/EntryCountTest.java
@@ -0,0 +1,18 @@
+package org.hawthornglade.core.limit;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The parts of the other entries grew as soon as one was silent for 3 s, though it may go on to send. */
+class EntryCountTest {
+    @ParameterizedTest
+    @CsvSource({"4, 8, 100, 8", "8, 4, 3000, 8", "8, 4, 60000, 8", "8, 4, 60001, 4", "8, 0, 60001, 1"})
+    void aSmallerNumberCountsOnlyAfterAWhile(int first, int then, long laterMs, int entries) {
+        EntryCount count = new EntryCount();
+        count.onTold(first, 1_000);
+        count.onTold(then, 1_000 + laterMs);
+        assertThat(count.entries()).isEqualTo(entries);
+    }
+}
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.limit.EntryCount;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.serving.ServingConfiguration;
@@ -70,7 +71,7 @@
     private volatile GatewaySettings settings;
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private volatile boolean stopping;
-    private int entries = 1;
+    private final EntryCount entries = new EntryCount();
 
     /** Puts an entry together; nothing listens yet. */
     public Gateway(
@@ -121,12 +122,13 @@
     }
 
     private double retryBurst(GatewaySettings from) {
-        return Math.max(1, from.retryBurst() / Math.max(LEAST_BUDGET_PARTS, entries));
+        return Math.max(1, from.retryBurst() / Math.max(LEAST_BUDGET_PARTS, entries.entries()));
     }
 
     private void shareBudget(int told) {
-        if (told != entries) {
-            entries = told;
+        int before = entries.entries();
+        entries.onTold(told, clock.nowMs());
+        if (entries.entries() != before) {
             budgets.change(retryShare(settings), retryBurst(settings));
         }
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -7,6 +7,7 @@
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.PermitQueue;
 import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.Permits;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.IncomingCall;
@@ -125,6 +126,9 @@
         if (permitQueue.join(asking, view, context.clock().nowMs())) {
             context.waiting().demandChanged();
         }
+        if (asking.briefly()) {
+            context.timers().after(Permits.BRIEF_MS + 1, this::reconsider);
+        }
         waitOn();
     }
 
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EndpointNoticesTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EndpointNoticesTest.java
@@ -15,6 +15,7 @@
 class EndpointNoticesTest extends ExchangeTestBase {
     private static final String LEAVES = "X-Leaves: 1\r\n";
     private static final String SHUT = TestProtocol.SHUT_MS + ": 60000\r\n";
+    private static final String LIMIT = TestProtocol.LIMIT + ": 1\r\n";
     private static final String ID = "X-Request-Id: %ID%\r\n";
     private static final String SUCCESS = "HTTP/1.1 200 OK\r\n" + ID + "X-Signature: s\r\n%NOTICE%";
     private static final String WHOLE = SUCCESS + "Content-Length: 5\r\n\r\nfirst";
@@ -57,6 +58,32 @@
         assertThat(near.waitingRequests()).isEqualTo(1);
     }
 
+    /** LIMIT: an endpoint that had named a limit got calls as before; here no leader deals permits. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("answersThatSayIt")
+    void anEndpointThatNamesALimitGetsNoCallWithoutAPermit(String name, String path, String answer, Then then)
+            throws Exception {
+        near.answer(saying(answer, LIMIT), then);
+        for (int i = 0; i < 4; i++) {
+            far.answer(SECOND, Then.KEEP);
+        }
+        entry.call(path);
+        assertThat(entry.call("/unsafe/x")).endsWith("second");
+        assertThat(entry.call("/safe/x")).endsWith("second");
+        assertThat(near.waitingRequests()).isEqualTo(1);
+    }
+
+    /** All endpoints are limited and nobody deals permits: the caller is told so before its deadline. */
+    @Test
+    void whenAllNameALimitAndNobodyDealsTheCallerIsToldWhenToComeBack() throws Exception {
+        near.answer(saying(REJECTION, LIMIT), Then.KEEP);
+        far.answer(saying(REJECTION, LIMIT), Then.KEEP);
+        String refusal = entry.call("/unsafe/x");
+        assertThat(refusal).startsWith("HTTP/1.1 503");
+        assertThat(refusal).contains("Retry-After");
+        assertThat(near.waitingRequests() + far.waitingRequests()).isEqualTo(2);
+    }
+
     @Test
     void anEndpointThatWantsNothingForATimeGetsNoCallMeanwhile() throws Exception {
         near.answer(saying(REJECTION, SHUT), Then.KEEP);
--- a/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
@@ -4,10 +4,20 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.limit.EntryAsks;
+import org.hawthornglade.core.limit.LimitNews;
+import org.hawthornglade.core.limit.LimitStatus;
+import org.hawthornglade.core.limit.PermitAsk;
+import org.hawthornglade.core.notice.LimitWord;
 import org.hawthornglade.core.replica.LoadLimits;
+import org.hawthornglade.protocol.gen.peer.DemandReport;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What the leader tells entries, as bytes and back. */
 class PeerCodecTest {
@@ -36,6 +46,34 @@
         assertThat(news.running()).isEqualTo(Map.<InstanceId, Integer>of());
     }
 
+    /** What entries ask for and are dealt must arrive as it was meant, with and without a limit. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.25, 1e6, Double.NaN})
+    void limitsAndPermitsArriveAsTheyWereTold(double limit) {
+        OptionalDouble perSecond = Double.isNaN(limit) ? OptionalDouble.empty() : OptionalDouble.of(limit);
+        LimitWord word = new LimitWord(perSecond, 70, 90);
+        InstanceId id = InstanceId.of("i-1");
+        EntryAsks asks = new EntryAsks(
+                100,
+                7,
+                List.of(
+                        new PermitAsk(id, 5, Optional.of(word), 3, 1, 2),
+                        new PermitAsk(id, 5, Optional.empty(), 0, 0, 9)));
+        DemandNews demand = new DemandNews("e-1", Map.of(), true, asks);
+        assertThat(PeerCodec.demand(PeerCodec.decode(PeerCodec.encode(demand)).getDemand()))
+                .isEqualTo(demand);
+        LimitNews news = new LimitNews(8, 110, 100, List.of(new LimitStatus(id, 5, word, 2, 4)));
+        assertThat(LimitCodec.news(PeerCodec.decode(PeerCodec.encode(news)).getLimits()))
+                .isEqualTo(news);
+    }
+
+    /** An entry of the version before asks for nothing. */
+    @Test
+    void aReportWithoutAsksIsTaken() {
+        DemandReport report = new DemandReport("e-1", List.of(), false);
+        assertThat(PeerCodec.demand(report).asks()).isEqualTo(EntryAsks.NONE);
+    }
+
     private static PlacementNews decoded(byte[] frame) {
         return PeerCodec.placement(PeerCodec.decode(frame).getPlacement(), NOW_MS);
     }
