--- a/app/src/main/java/org/hawthornglade/app/Commands.java
+++ b/app/src/main/java/org/hawthornglade/app/Commands.java
@@ -40,6 +40,7 @@
         commands.add(new TraceCommand());
         commands.add(new CheckCommand());
         commands.add(new ExperimentCommand());
+        commands.add(new EmulateCommand());
         return commands;
     }
 }
--- /dev/null
+++ b/app/src/main/java/org/hawthornglade/app/EmulateCommand.java
@@ -0,0 +1,50 @@
+package org.hawthornglade.app;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.PrintStream;
+import org.hawthornglade.bench.emulator.Emulator;
+import org.hawthornglade.bench.emulator.EmulatorOptions;
+import org.hawthornglade.bench.emulator.EmulatorSummary;
+
+/** Plays endpoints that limit, shut or leave against the entries' decisions, and judges what they received. */
+@Parameters(commandDescription = "Plays endpoints that limit, shut or leave, in virtual time, and judges the entries")
+final class EmulateCommand implements Command {
+    private static final int MAX_ENTRIES = 1_000;
+
+    @Parameter(names = "--first-seed", description = "First seed")
+    private long firstSeed = 1;
+
+    @Parameter(names = "--seeds", description = "Number of seeds")
+    private int seeds = 20;
+
+    @Parameter(names = "--entries", description = "Number of entries, 1 to 1000")
+    private int entries = 4;
+
+    @Parameter(names = "--seconds", description = "How long calls come in each run, 10 to 600")
+    private int seconds = 30;
+
+    @Parameter(names = "--calm", description = "No entry is restarted or paused")
+    private boolean calm = false;
+
+    @Override
+    public String name() {
+        return "emulate";
+    }
+
+    @Override
+    public ExitCode run(PrintStream out) {
+        if (seeds < 1 || entries < 1 || entries > MAX_ENTRIES || seconds < 10 || seconds > 600) {
+            out.println("--seeds is at least 1, --entries from 1 to 1000, --seconds from 10 to 600");
+            return ExitCode.USAGE;
+        }
+        EmulatorSummary summary = new EmulatorSummary();
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            EmulatorOptions options = new EmulatorOptions(seed, entries, seconds, !calm);
+            summary.add(Emulator.run(options));
+            summary.lastIfBroken().ifPresent(broken -> out.println(options + " " + broken));
+        }
+        out.println(summary);
+        return summary.clean() ? ExitCode.OK : ExitCode.FAILED;
+    }
+}
