A stop lets connections that were just opened carry their request and refuses it; none is cut unanswered

Seen once: GatewayProcessTest.aStopEndsEveryCallThatWasRead, "call 51 was cut" (connection reset before an answer), on a loaded machine. Traced: a stop ends idle connections 2.5 s after it began and when the last call has ended, and a connection that had been accepted but whose request was not read yet counted as idle; its bytes unread, the caller got a reset. After listening ended the process went on for 20 ms only.

A connection that was opened less than 250 ms ago and has carried nothing is not idle, and the process stays for 250 ms after it has stopped to listen, within the grace. What is still in the kernel's queue at that moment can be cut; nothing reads it. ExchangeTest.aConnectionThatWasJustOpenedGetsAnAnswerInAStop, GracefulStopTest.whatWasAcceptedLastHasTimeToBeAnswered.

--- a/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
@@ -14,6 +14,8 @@
     private static final long BALANCER_REACTION_MS = 2_500;
     /** Time kept for closing after the last call. */
     private static final long EXIT_RESERVE_MS = 700;
+    /** How long what was accepted last has to be read and refused, after listening has ended. */
+    private static final long LAST_ACCEPTED_MS = 250;
     /** How often it is looked whether the stop is done. */
     private static final long CHECK_MS = 20;
 
@@ -57,12 +59,17 @@
         waitUntil(startMs + Math.min(BALANCER_REACTION_MS, graceMs - EXIT_RESERVE_MS));
         steps.refuseLate();
         long latestMs = startMs + graceMs - EXIT_RESERVE_MS;
+        waitForCalls(latestMs);
+        steps.close();
+        waitUntil(clock.nowMs() + LAST_ACCEPTED_MS);
+        waitForCalls(latestMs + LAST_ACCEPTED_MS);
+        return clock.nowMs() - startMs;
+    }
+
+    private void waitForCalls(long latestMs) {
         while (clock.nowMs() < latestMs && steps.openCalls() > 0) {
             pauseMs.accept(CHECK_MS);
         }
-        steps.close();
-        pauseMs.accept(CHECK_MS);
-        return clock.nowMs() - startMs;
     }
 
     private void waitUntil(long untilMs) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -24,6 +24,8 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** How many requests a caller may send ahead of their answers before reading stops. */
     private static final int MAX_PIPELINED = 8;
+    /** A connection that has just been opened is about to carry a request, in milliseconds. */
+    private static final long FIRST_REQUEST_MS = 250;
 
     private final CallerServer server;
     private final Deque<IncomingCall> waiting = new ArrayDeque<>();
@@ -36,6 +38,7 @@
     private boolean closing;
     private long lastActiveMs;
     private long requestStartedMs;
+    private boolean used;
 
     CallerConnection(CallerServer server) {
         this.server = server;
@@ -62,6 +65,7 @@
 
     /** Takes note of the first bytes of a request, before they make a whole head. */
     void onBytes() {
+        used = true;
         if (requestStartedMs == 0) {
             requestStartedMs = server.clock().nowMs();
         }
@@ -185,7 +189,8 @@
 
     /** Ends the connection if no request is open on it. */
     void closeIfIdle() {
-        if (open.isEmpty() && waiting.isEmpty() && head == null && requestStartedMs == 0) {
+        boolean justOpened = !used && server.clock().nowMs() - lastActiveMs < FIRST_REQUEST_MS;
+        if (!justOpened && open.isEmpty() && waiting.isEmpty() && head == null && requestStartedMs == 0) {
             Channels.close(context.channel());
         }
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -79,7 +79,7 @@
         this.stopping = true;
     }
 
-    /** Stops listening and ends the connections without an open request. */
+    /** Stops listening and ends the connections without an open request, but not those that were just opened. */
     public void close() {
         if (listener != null) {
             Channels.close(listener);
@@ -87,7 +87,7 @@
         closeIdle();
     }
 
-    /** Ends the connections without an open request. */
+    /** Ends the connections without an open request, but not those that were just opened. */
     public void closeIdle() {
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
--- a/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
@@ -41,6 +41,17 @@
         }
     }
 
+    /** A caller whose connection was accepted last was cut off without an answer. */
+    @ParameterizedTest
+    @CsvSource({"0, 8000, 250", "60000, 8000, 0"})
+    void whatWasAcceptedLastHasTimeToBeAnswered(long lastCallEndsMs, long graceMs, long leastMs) {
+        Entry entry = new Entry(lastCallEndsMs);
+        long tookMs = new GracefulStop(() -> nowMs, ms -> nowMs += ms, graceMs, entry).run();
+        long closedMs = Math.max(2_500, Math.min(lastCallEndsMs, graceMs - 700));
+        assertThat(tookMs).isAtLeast(closedMs + leastMs);
+        assertThat(tookMs).isAtMost(graceMs);
+    }
+
     @ParameterizedTest
     @CsvSource({"0, 8000, 2500", "4000, 8000, 4000", "60000, 8000, 7300", "60000, 2000, 1300"})
     void refusesAfterTheBalancerHasReactedAndEndsWithItsLastCall(long lastCallEndsMs, long graceMs, long closedMs) {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ExchangeTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ExchangeTest.java
@@ -175,6 +175,19 @@
         assertThat(near.waitingRequests() + far.waitingRequests()).isEqualTo(0);
     }
 
+    /** Around a stop, a request that was on its way over a connection just opened was cut off without an answer. */
+    @Test
+    void aConnectionThatWasJustOpenedGetsAnAnswerInAStop() throws Exception {
+        entry.refuseFromNowOn();
+        try (Socket socket = entry.connect()) {
+            for (int i = 0; i < 3; i++) {
+                entry.closeIdle();
+            }
+            TestEntry.send(socket, TestEntry.post("/unsafe/x", "r-1", "hello"));
+            assertThat(TestEntry.read(socket, "\r\n\r\n")).startsWith("HTTP/1.1 503");
+        }
+    }
+
     @Test
     void requestsSentAheadAreAnsweredInOrder() throws Exception {
         near.answer(WHOLE, Then.KEEP).answer(SECOND, Then.KEEP);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -49,6 +49,7 @@
     private final HeldBytes held = new HeldBytes();
     private final WaitingCalls waiting = new WaitingCalls();
     private final Timers timers;
+    private final CallerServer server;
     private final int port;
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
@@ -81,7 +82,7 @@
                 new GatewayMetrics());
         CallEntrance entrance =
                 new CallEntrance(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
-        CallerServer server = new CallerServer(loop, timers, clock, () -> limits, entrance);
+        server = new CallerServer(loop, timers, clock, () -> limits, entrance);
         port = freePort();
         server.listen(new InstanceAddress("127.0.0.1", port));
     }
@@ -149,6 +150,16 @@
         done.await(5, TimeUnit.SECONDS);
     }
 
+    /** Ends the connections without an open request, as in a stop. */
+    void closeIdle() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        timers.run(() -> {
+            server.closeIdle();
+            done.countDown();
+        });
+        done.await(5, TimeUnit.SECONDS);
+    }
+
     /** Returns the memory that is reserved for answers; read on the event loop. */
     long heldBytes() throws Exception {
         return group.submit(held::totalBytes).get(5, TimeUnit.SECONDS);
