--- a/app/src/test/java/org/hawthornglade/app/process/GatewayProcessTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/GatewayProcessTest.java
@@ -24,6 +24,14 @@
     private static final int CALLS = 60;
     /** The status of the platform for a call that this process refuses and has not run. */
     private static final int REFUSED = 503;
+    /** The requests a second that the server takes. */
+    private static final double LIMIT_PER_S = 4;
+    /** The limit counts from this time after it was first named. */
+    private static final long STABLE_MS = 3_000;
+    /** The window in which its requests are counted. */
+    private static final long WINDOW_MS = 4_000;
+    /** How long calls come while the server names its limit. */
+    private static final long LIMITED_MS = 14_000;
 
     @TempDir
     Path directory;
@@ -96,6 +104,87 @@
         assertThat(deployment.standin().acceptedTokens()).contains(2L);
     }
 
+    /**
+     * LIMIT: a server that named a limit got more from both entries together, also when the leader is killed or frozen.
+     * The rule's window and allowance, and none of its excuses.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"calm", "killed", "frozen"})
+    void aServerThatNamesALimitGetsNoMoreFromBothEntriesTogether(String fault) throws Exception {
+        int leader = leader();
+        deployment.standin().limitDesk(LIMIT_PER_S);
+        List<CompletableFuture<Integer>> callers = List.of(callUntilLimited(0), callUntilLimited(1));
+        if (!fault.equals("calm")) {
+            awaitLimitedFor(4_000);
+            end(leader, fault);
+            deployment.awaitLog(1 - leader, "event=leader-won token=2");
+            begin(leader, fault);
+        }
+        for (CompletableFuture<Integer> served : callers) {
+            assertThat(served.get()).isAtLeast(1);
+        }
+        List<Long> arrivalsMs = deployment.standin().limitedArrivalsMs();
+        long judgedFromMs = arrivalsMs.get(0) + STABLE_MS;
+        for (long fromMs : arrivalsMs) {
+            long within = arrivalsMs.stream()
+                    .filter(atMs -> atMs >= fromMs && atMs < fromMs + WINDOW_MS)
+                    .count();
+            if (fromMs >= judgedFromMs) {
+                assertThat((double) within).isAtMost(1.5 * LIMIT_PER_S * WINDOW_MS / 1_000 + 5);
+            }
+        }
+    }
+
+    private void end(int entry, String fault) throws Exception {
+        if (fault.equals("killed")) {
+            deployment.entry(entry).kill();
+        } else {
+            deployment.entry(entry).freeze();
+        }
+    }
+
+    private void begin(int entry, String fault) throws Exception {
+        if (fault.equals("killed")) {
+            deployment.entry(entry).start();
+        } else {
+            deployment.entry(entry).resume();
+        }
+        deployment.awaitReady(entry);
+    }
+
+    private boolean limitedFor(long ms) {
+        List<Long> arrivalsMs = deployment.standin().limitedArrivalsMs();
+        return !arrivalsMs.isEmpty() && arrivalsMs.get(arrivalsMs.size() - 1) - arrivalsMs.get(0) >= ms;
+    }
+
+    private void awaitLimitedFor(long ms) throws InterruptedException {
+        Waiting.until("the limit has held for " + ms + " ms", 60_000, () -> limitedFor(ms));
+    }
+
+    /** Makes calls one after another for as long as the limit is judged; returns how many were served. */
+    private CompletableFuture<Integer> callUntilLimited(int entry) {
+        return CompletableFuture.supplyAsync(() -> {
+            int served = 0;
+            for (int i = 0; !limitedFor(LIMITED_MS); i++) {
+                served += servedOnce(entry, "limited-" + entry + "-" + i) ? 1 : 0;
+            }
+            return served;
+        });
+    }
+
+    private boolean servedOnce(int entry, String id) {
+        try {
+            int status = deployment.call(entry, "/post/x", id, "none");
+            assertThat(status).isAnyOf(200, REFUSED);
+            return status == 200;
+        } catch (IOException e) {
+            // The entry was killed, or is not up again yet.
+            return false;
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private int leader() throws IOException, InterruptedException {
         Waiting.until(
                 "an entry leads",
