--- a/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatedStar.java
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatedStar.java
@@ -7,7 +7,7 @@
 import org.hawthornglade.core.limit.EntryAsks;
 import org.hawthornglade.core.limit.LimitNews;
 
-/** What entries and their leader tell each other of limits; a leader that is gone or paused is replaced after a while. */
+/** What entries and their leader tell each other of limits; a leader that is gone or paused is replaced. */
 final class EmulatedStar {
     private static final long CHECK_MS = 50;
     private static final long ASK_EVERY_MS = 250;
--- a/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatorSummary.java
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatorSummary.java
@@ -35,8 +35,8 @@
         double calls = Math.max(1, sum(EmulatorResult::calls));
         return String.format(
                 Locale.ROOT,
-                "runs %d  over limit %.0f  to leaving %.0f  to shut %.0f  share of limits used %.2f  calls %.0f  in time"
-                        + " %.3f  late %.3f  refused %.3f  messages a second %.0f",
+                "runs %d  over limit %.0f  to leaving %.0f  to shut %.0f  share of limits used %.2f  calls %.0f"
+                        + "  in time %.3f  late %.3f  refused %.3f  messages a second %.0f",
                 results.size(),
                 sum(EmulatorResult::limitBreaks),
                 sum(EmulatorResult::drainBreaks),
--- a/bench/src/main/java/org/hawthornglade/bench/emulator/Referee.java
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/Referee.java
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Leaves an entry out for the time of a restart or pause of it. What endpoints had told it of leaving, or of wanting
-     * nothing, no longer binds it afterwards; limits do.
+     * Leaves an entry out for the time of a restart or pause of it. What endpoints had told it of leaving, or of
+     * wanting nothing, no longer binds it afterwards; limits do.
      */
     void excuse(int entry, Span span) {
         toldLeavingMs.keySet().removeIf(told -> told.entry() == entry);
--- a/core/src/main/java/org/hawthornglade/core/dispatch/LimitWait.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/LimitWait.java
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Decides for a call that can be sent nowhere without a permit: it waits for its turn if that comes in time; else it
-     * is told when to come back.
+     * Decides for a call that can be sent nowhere without a permit: it waits for its turn if that comes in time; else
+     * it is told when to come back.
      */
     static Decision decide(CallView call, List<Endpoint> limited, long nowMs) {
         Endpoint best = soonest(limited, nowMs);
--- a/core/src/main/java/org/hawthornglade/core/fleet/Permits.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Permits.java
@@ -8,8 +8,8 @@
 /**
  * This entry's permits to send requests to one endpoint that takes a limited number, and the calls that wait for one.
  *
- * <p>A permit ends a fixed time after the entry asked for it, on the entry's own steady clock: what arrives late, or lies
- * unused while the process is stopped, has ended.
+ * <p>A permit ends a fixed time after the entry asked for it, on the entry's own steady clock: what arrives late, or
+ * lies unused while the process is stopped, has ended.
  */
 public final class Permits {
     /** How long after the ask a permit may be used, in milliseconds. */
--- a/core/src/main/java/org/hawthornglade/core/limit/PermitAsk.java
+++ b/core/src/main/java/org/hawthornglade/core/limit/PermitAsk.java
@@ -9,7 +9,7 @@
  *
  * @param instance the endpoint
  * @param bornMs the start of it that is meant
- * @param word what the endpoint has told this entry itself, on this entry's steady clock; nothing if another entry was told
+ * @param word what the endpoint has told this entry itself, on this entry's steady clock; else nothing
  * @param calls the calls that wait for a permit
  * @param briefCalls the calls that go elsewhere if there is no permit at once
  * @param priority the rank of the most urgent of the calls that wait; 0 goes first
--- a/core/src/test/java/org/hawthornglade/core/limit/LimitSharesTest.java
+++ b/core/src/test/java/org/hawthornglade/core/limit/LimitSharesTest.java
@@ -89,7 +89,7 @@
                 .orElse(0);
     }
 
-    /** The window of the rule, and the time for which a permit may lie: never more than is allowed, and near the limit. */
+    /** In the rule's window and the time for which a permit may lie: never more than is allowed, and near the limit. */
     @ParameterizedTest(name = "{0} a second, {1} entries")
     @CsvSource({"1, 4", "1, 31", "1, 300", "0.25, 31", "0.5, 4", "4, 31", "40, 31", "400, 31"})
     void whatIsDealtIsNearTheLimitAndNeverOverIt(double perSecond, int entries) {
@@ -109,7 +109,7 @@
         assertThat(total()).isIn(List.of(4, 5, 6));
     }
 
-    /** Another entry may have taken over when the store can't be reached: the sum of both has to stay within the limit. */
+    /** Another entry may have taken over when the store can't be reached: both together stay within the limit. */
     @Test
     void aLeaderThatMayHaveBeenReplacedDealsAnEighth() {
         names(8);
@@ -195,8 +195,8 @@
     }
 
     /**
-     * Entries' clocks differ, and a message may be held up: an answer without a limit that is told late must not lift one
-     * that was named since.
+     * Entries' clocks differ, and a message may be held up: an answer without a limit that is told late must not lift
+     * one that was named since.
      */
     @ParameterizedTest(name = "told {0} ms late")
     @CsvSource({"0, true", "2000, false"})
