--- a/core/src/main/java/org/hawthornglade/core/dispatch/LimitWait.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/LimitWait.java
@@ -54,7 +54,7 @@
      */
     static Decision decide(CallView call, List<Endpoint> limited, long loadedAtMs, long nowMs) {
         Endpoint best = soonest(limited, nowMs);
-        boolean dealt = best.permits().dealt(nowMs);
+        boolean dealt = best.permits().leaderDeals(nowMs);
         long expectedAtMs = dealt ? expectedAtMs(best, nowMs) : nowMs + NO_LEADER_RETRY_MS;
         if (loadedAtMs < expectedAtMs && loadedAtMs <= call.leavesAtMs()) {
             return new Decision.Wait("replica-coming", OptionalLong.of(loadedAtMs));
@@ -78,9 +78,9 @@
     private static Endpoint soonest(List<Endpoint> limited, long nowMs) {
         Endpoint best = limited.get(0);
         for (Endpoint endpoint : limited) {
-            boolean dealt = endpoint.permits().dealt(nowMs);
+            boolean dealt = endpoint.permits().leaderDeals(nowMs);
             boolean sooner = expectedAtMs(endpoint, nowMs) < expectedAtMs(best, nowMs);
-            if (dealt && (sooner || !best.permits().dealt(nowMs))) {
+            if (dealt && (sooner || !best.permits().leaderDeals(nowMs))) {
                 best = endpoint;
             }
         }
--- a/core/src/main/java/org/hawthornglade/core/fleet/Permits.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Permits.java
@@ -80,13 +80,13 @@
     }
 
     /** Returns whether a leader deals permits for this endpoint, as far as is known. */
-    public boolean dealt(long nowMs) {
+    public boolean leaderDeals(long nowMs) {
         return nowMs - newsAtMs <= NEWS_VALID_MS;
     }
 
     /** Returns whether a call that cannot wait for its turn may ask for a permit now. */
     public boolean mayAskBriefly(long nowMs) {
-        return dealt(nowMs) && (nowMs < briefUntilMs || nowMs >= askAgainAtMs);
+        return leaderDeals(nowMs) && (nowMs < briefUntilMs || nowMs >= askAgainAtMs);
     }
 
     /** Returns when a further call would get its permit, behind those that wait here and elsewhere. */
--- a/core/src/test/java/org/hawthornglade/core/fleet/PermitsTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/PermitsTest.java
@@ -70,8 +70,8 @@
     void withoutNewsNobodyIsAsked() {
         assertThat(permits.mayAskBriefly(1_000)).isFalse();
         permits.onNews(0, 900, 0, 1_000);
-        assertThat(permits.dealt(3_500)).isTrue();
-        assertThat(permits.dealt(3_501)).isFalse();
+        assertThat(permits.leaderDeals(3_500)).isTrue();
+        assertThat(permits.leaderDeals(3_501)).isFalse();
     }
 
     @ParameterizedTest
