A stream's line in the log names its framing and the bytes of an event that its end left over

BodyFraming states in one place what marks the end of a body; OutboundConnection uses it as before. Run: CallRecordTest (3 new rows).

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -14,6 +14,7 @@
 import org.hawthornglade.core.notice.EndpointNotices;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.gateway.http.BodyFraming;
 import org.hawthornglade.gateway.http.ExpectedResponseId;
 import org.hawthornglade.gateway.http.OutboundConnection;
 import org.hawthornglade.gateway.http.OutboundFailure;
@@ -179,6 +180,7 @@
         }
         if (responseHead.isSuccess() && responseHead.eventStream()) {
             events = new EventSplitter(exchange.resumeFrom());
+            exchange.record().onStream(BodyFraming.of(received));
             exchange.response().onWritable(this::applyBackpressure);
         }
     }
@@ -349,6 +351,9 @@
 
     private void finish() {
         ended = true;
+        if (events != null) {
+            exchange.record().onStreamEnd(events.bufferedBytes());
+        }
         if (silenceTimeout != null) {
             silenceTimeout.cancel();
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -1,9 +1,11 @@
 package org.hawthornglade.gateway.exchange;
 
+import java.util.Optional;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.gateway.http.BodyFraming;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.log.LogLine;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
@@ -23,6 +25,8 @@
     private long firstByteAtMs;
     private long promisedAtMs;
     private long retryAfterMs;
+    private Optional<BodyFraming> streamFraming = Optional.empty();
+    private int partialEventBytes;
 
     CallRecord(RequestId id, CallView view, long configurationVersion) {
         this.id = id;
@@ -58,6 +62,16 @@
         }
     }
 
+    /** Records how the end of an event stream is marked. */
+    void onStream(BodyFraming framing) {
+        streamFraming = Optional.of(framing);
+    }
+
+    /** Records the number of bytes after the last complete event of an ended stream. */
+    void onStreamEnd(int bytes) {
+        partialEventBytes = bytes;
+    }
+
     void addNote(String text) {
         if (notes.length() < MAX_NOTES_LENGTH) {
             notes.append(notes.length() == 0 ? "" : ",").append(text);
@@ -94,6 +108,10 @@
         if (firstByteAtMs > 0) {
             line.with("first_ms", firstByteAtMs - view.arrivedAtMs());
         }
+        streamFraming.ifPresent(framing -> line.with("framing", framing));
+        if (partialEventBytes > 0) {
+            line.with("partial_event_bytes", partialEventBytes);
+        }
         if (notes.length() > 0) {
             line.with("notes", notes);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -50,7 +49,7 @@
     private long undecodedBytes;
     private boolean connectionReset;
     private boolean reusable;
-    private boolean endsWithConnection;
+    private BodyFraming framing = BodyFraming.NONE;
     private long idleSinceMs;
     private long idleLimitMs;
 
@@ -180,8 +179,8 @@
             return;
         }
         headReceived = true;
-        endsWithConnection = endsWithConnection(head);
-        reusable = HttpUtil.isKeepAlive(head) && !endsWithConnection;
+        framing = BodyFraming.of(head);
+        reusable = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CONNECTION;
         KeepAliveHeader.timeoutSeconds(head.headers()).ifPresent(seconds -> idleLimitMs = seconds * 1_000L);
         listener.onHead(head);
     }
@@ -192,14 +191,6 @@
         }
     }
 
-    private static boolean endsWithConnection(HttpResponse head) {
-        boolean noBody = head.status().equals(HttpResponseStatus.NO_CONTENT)
-                || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
-        return !noBody
-                && !HttpUtil.isTransferEncodingChunked(head)
-                && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    }
-
     private void readContent(HttpContent content) {
         if (skipping) {
             skippedBytes += content.content().readableBytes();
@@ -217,7 +208,7 @@
             skipping = false;
             return;
         }
-        if (endsWithConnection && connectionReset) {
+        if (framing == BodyFraming.CONNECTION && connectionReset) {
             fail(OutboundFailure.BROKEN_OFF);
             return;
         }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
@@ -2,12 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.id.RequestId;
@@ -15,6 +18,7 @@
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.gateway.http.BodyFraming;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,8 +29,9 @@
     private static final long ARRIVED_AT_MS = 1_000;
 
     private final GatewayMetrics metrics = new GatewayMetrics();
-    private final EventLog log = new EventLog(
-            () -> ARRIVED_AT_MS, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+    private final EventLog log =
+            new EventLog(() -> ARRIVED_AT_MS, new PrintStream(new LineSink(lines), true, StandardCharsets.UTF_8));
 
     /** A refusal because the expected load did not complete must be distinguishable from refusals for other reasons. */
     @ParameterizedTest
@@ -47,9 +52,44 @@
                 .isEqualTo(broken);
     }
 
+    /** From the line of a call it must be visible how its stream was to end, and whether it ended inside an event. */
+    @ParameterizedTest
+    @CsvSource({
+        "CONNECTION, 17, framing=CONNECTION partial_event_bytes=17",
+        "CONNECTION, 0, framing=CONNECTION",
+        "CHUNKED, 3, framing=CHUNKED partial_event_bytes=3",
+    })
+    void lineOfAStreamNamesItsFramingAndItsPartialEvent(BodyFraming framing, int partialEventBytes, String expected)
+            throws InterruptedException {
+        CallRecord record = new CallRecord(RequestId.of("r-1"), call(), 1);
+        record.onStream(framing);
+        record.onStreamEnd(partialEventBytes);
+        record.write(log, metrics, ResultCode.OK, 200, ARRIVED_AT_MS + 900);
+        assertThat(lines.poll(5, TimeUnit.SECONDS)).endsWith(expected + "\n");
+    }
+
     private static CallView call() {
         Route route =
                 new Route("r", "h.example", "/r/", CallKind.STREAM, 15_000, 800, 500, 4_000, 1, 0, true, List.of());
         return new CallView(ServiceName.of("drafts"), route, Optional.empty(), ARRIVED_AT_MS, ARRIVED_AT_MS + 5_000);
     }
+
+    /** Passes on what is written, a piece for each write. */
+    private static final class LineSink extends OutputStream {
+        private final BlockingQueue<String> lines;
+
+        LineSink(BlockingQueue<String> lines) {
+            this.lines = lines;
+        }
+
+        @Override
+        public void write(int value) {
+            write(new byte[] {(byte) value}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
+            lines.add(new String(bytes, offset, length, StandardCharsets.UTF_8));
+        }
+    }
 }
