The agent passes on a stream that ended inside an event as failed, not as complete

Looked at besides: PlatformHttpClient and JsonClient read JSON, of which a cut part does not parse; OpenResponse asks for the end frame; the gateway's responses to leader and followers have lengths. Run: tests of agent.

--- a/agent/src/main/java/org/hawthornglade/agent/attempt/EndpointClient.java
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/EndpointClient.java
@@ -129,10 +129,12 @@
         if (response.getEntity() == null) {
             return;
         }
+        StreamEndCheck endCheck = new StreamEndCheck(response.getEntity());
         InputStream body = response.getEntity().getContent();
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             for (int read = body.read(buffer); read >= 0; read = body.read(buffer)) {
+                endCheck.add(buffer, read);
                 answer.data(buffer, read);
             }
         } catch (FrameSinkException e) {
@@ -140,6 +142,9 @@
             response.close();
             throw e;
         }
+        if (endCheck.brokenOff()) {
+            throw new IOException("the stream ended inside an event");
+        }
     }
 
     /** Closes the HTTP client and all its connections immediately. */
--- /dev/null
+++ b/agent/src/test/java/org/hawthornglade/agent/attempt/EndpointClientTest.java
@@ -0,0 +1,114 @@
+package org.hawthornglade.agent.attempt;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Stream;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.hawthornglade.core.id.AttemptId;
+import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.protocol.frame.FrameReader;
+import org.hawthornglade.protocol.gen.Frame;
+import org.hawthornglade.protocol.gen.FrameKind;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What an agent makes of the end of its endpoint's answer, over a socket. */
+class EndpointClientTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    private static final String JSON = HEAD.replace("text/event-stream", "application/json");
+    private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String EVENT = "id: 1\ndata: x\n\n";
+    private static final AttemptId ATTEMPT = AttemptId.of("a-1");
+
+    private ServerSocket listener;
+    private ScheduledExecutorService timer;
+    private EndpointClient client;
+
+    @BeforeEach
+    void start() throws IOException {
+        listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        timer = Executors.newScheduledThreadPool(1);
+        client = new EndpointClient(
+                HttpClients.custom().disableAutomaticRetries().build(),
+                URI.create("http://127.0.0.1:" + listener.getLocalPort()),
+                new AnswerTimeouts(1_000, 5_000),
+                Clock.system(),
+                timer);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        client.close();
+        listener.close();
+        timer.shutdownNow();
+    }
+
+    private void respond(String response) {
+        Thread server = new Thread(() -> {
+            try (Socket socket = listener.accept()) {
+                InputStream in = socket.getInputStream();
+                StringBuilder request = new StringBuilder();
+                while (request.indexOf("\r\n\r\n") < 0) {
+                    request.append((char) in.read());
+                }
+                socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        server.setDaemon(true);
+        server.start();
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private FrameKind lastFrame() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        EndpointCall call = new EndpointCall("GET", "/stream", null, List.of(), new byte[0]);
+        client.run(client.prepare(ATTEMPT, call, 5_000), ATTEMPT, out);
+        FrameReader reader = new FrameReader(ATTEMPT, new ByteArrayInputStream(out.toByteArray()));
+        Frame frame = reader.next();
+        while (frame.getKind() != FrameKind.COMPLETE && frame.getKind() != FrameKind.FAILED) {
+            frame = reader.next();
+        }
+        return frame.getKind();
+    }
+
+    static Stream<Arguments> answers() {
+        return Stream.of(
+                Arguments.of("chunked, event end", CHUNKED + chunk(EVENT) + "0\r\n\r\n", FrameKind.COMPLETE),
+                Arguments.of("chunked, no event", CHUNKED + "0\r\n\r\n", FrameKind.COMPLETE),
+                Arguments.of("chunked, inside event", CHUNKED + chunk(EVENT + "id: 2") + "0\r\n\r\n", FrameKind.FAILED),
+                Arguments.of("chunked, cut", CHUNKED + chunk(EVENT), FrameKind.FAILED),
+                Arguments.of("sized, inside event", HEAD + "Content-Length: 3\r\n\r\nid:", FrameKind.FAILED),
+                Arguments.of("until close, event end", HEAD + "\r\n" + EVENT, FrameKind.COMPLETE),
+                Arguments.of("until close, inside event", HEAD + "\r\n" + EVENT + "data: y\n", FrameKind.FAILED),
+                Arguments.of("until close, no event", HEAD + "\r\n", FrameKind.FAILED),
+                Arguments.of("no event stream, until close", JSON + "\r\n{}", FrameKind.COMPLETE));
+    }
+
+    /** A stream whose endpoint crashed inside an event was passed on to the entry as complete. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("answers")
+    void streamIsCompleteOnlyIfItEndedOutsideAnEvent(String name, String answer, FrameKind last) throws Exception {
+        respond(answer);
+        assertThat(lastFrame()).isEqualTo(last);
+    }
+}
