A stream that has started is continued by the rest of it or cut, whatever a second endpoint answers

Smaller answers, failures and errors of the entry did not get through, but only since Netty's encoder refuses a second head and the failed write closes the connection; the call was then counted as completed. Cause: endResponse, buffer, onAmbiguousRefusal and sendError did not ask whether the response had started; each caller had to.

ResponseWriter now keeps the state of the response and alone decides: after a start nothing but the rest of the stream is written. An attempt that was to resume and gets anything else but a rejection fails as NOT_RESUMED at the head, so that a third endpoint may still resume.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -178,7 +178,12 @@
             abandon(OutboundFailure.MALFORMED);
             return;
         }
-        if (responseHead.isSuccess() && responseHead.eventStream()) {
+        boolean stream = responseHead.isSuccess() && responseHead.eventStream();
+        if (exchange.response().started() && !stream && !responseHead.notRun()) {
+            abandon(OutboundFailure.NOT_RESUMED);
+            return;
+        }
+        if (stream) {
             events = new EventSplitter(exchange.resumeFrom());
             exchange.record().onStream(BodyFraming.of(received));
             exchange.response().onWritable(this::applyBackpressure);
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -233,14 +233,9 @@
             decide();
             return;
         }
-        if (response.started()) {
-            response.abort();
-            end(ResultCode.ANSWER_INCOMPLETE, 0);
-            return;
-        }
         ResultCode code =
                 failure == OutboundFailure.TIMED_OUT ? ResultCode.OUTCOME_UNKNOWN : ResultCode.ENDPOINT_FAILED;
-        end(code, response.sendError(code, 0));
+        fail(response.started() ? ResultCode.ANSWER_INCOMPLETE : code, 0);
     }
 
     /** Returns whether the call may run once more, and charges the retry to the budget. */
@@ -281,13 +276,12 @@
     void onAmbiguousRefusal(int status) {
         attempt = null;
         record.addNote("unclear-" + status);
-        end(ResultCode.ENDPOINT_FAILED, response.sendError(ResultCode.ENDPOINT_FAILED, 0));
+        fail(ResultCode.ENDPOINT_FAILED, 0);
     }
 
     private void refuse(ResultCode code, long retryAfterMs) {
         if (response.started()) {
-            response.abort();
-            end(ResultCode.ANSWER_INCOMPLETE, 0);
+            fail(ResultCode.ANSWER_INCOMPLETE, 0);
             return;
         }
         if (code == ResultCode.DEADLINE_NOT_REACHABLE || code == ResultCode.MODEL_NOT_LOADED) {
@@ -295,7 +289,7 @@
         }
         record.onRetryAfter(retryAfterMs);
         ResultCode reported = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
-        end(reported, response.sendError(reported, reported.hasRetryAfter() ? retryAfterMs : 0));
+        fail(reported, reported.hasRetryAfter() ? retryAfterMs : 0);
     }
 
     private void onDeadline() {
@@ -304,13 +298,13 @@
         }
         boolean mayHaveRun = runs > 0 || (attempt != null && attempt.sent());
         cancelAttempt();
-        if (response.started()) {
-            response.abort();
-            end(ResultCode.DEADLINE_PASSED_RUNNING, 0);
-            return;
-        }
         ResultCode code = mayHaveRun ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.DEADLINE_PASSED_WAITING;
-        end(code, response.sendError(code, mayHaveRun ? 0 : BUSY_RETRY_AFTER_MS));
+        fail(code, mayHaveRun ? 0 : BUSY_RETRY_AFTER_MS);
+    }
+
+    /** Ends the call with an error of the entry. */
+    private void fail(ResultCode code, long retryAfterMs) {
+        end(code, response.sendError(code, retryAfterMs));
     }
 
     private void onCallerGone() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ResponseWriter.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ResponseWriter.java
@@ -8,13 +8,25 @@
 import org.hawthornglade.gateway.port.CallProtocol;
 import org.hawthornglade.gateway.port.CallRequest;
 
-/** Writes the response to one call: an endpoint's response, complete or streamed, or an error of the entry. */
+/**
+ * Writes the response to one call: an endpoint's response, complete or streamed, or an error of the entry.
+ *
+ * <p>Nothing but the rest of the same stream is written after a stream has started: another response is replaced by
+ * the end of the connection, so that the stream does not look complete.
+ */
 final class ResponseWriter {
+    private enum State {
+        NOT_STARTED,
+        /** The head of a stream was sent. */
+        STARTED,
+        ENDED
+    }
+
     private final CallProtocol protocol;
     private final CallerResponse response;
     private final CallRequest request;
     private Optional<String> lastEventId = Optional.empty();
-    private boolean started;
+    private State state = State.NOT_STARTED;
 
     ResponseWriter(CallProtocol protocol, CallerResponse response, CallRequest request) {
         this.protocol = protocol;
@@ -24,23 +36,32 @@
 
     /** Returns whether part of a response has been sent to the caller. */
     boolean started() {
-        return started;
+        return state != State.NOT_STARTED;
     }
 
     Optional<String> lastEventId() {
         return lastEventId;
     }
 
-    /** Sends an endpoint's complete response. */
+    /** Sends an endpoint's complete response, or cuts a started stream. */
     void send(HttpResponse head, ByteBuf body) {
-        started = true;
+        if (state != State.NOT_STARTED) {
+            body.release();
+            abort();
+            return;
+        }
+        state = State.ENDED;
         response.send(head.status(), protocol.responseHeaders(head.headers()), body);
     }
 
     /** Sends a piece of an endpoint's response, preceded by the head if nothing was sent before. */
     void stream(HttpResponse head, ByteBuf piece) {
-        if (!started) {
-            started = true;
+        if (state == State.ENDED) {
+            piece.release();
+            return;
+        }
+        if (state == State.NOT_STARTED) {
+            state = State.STARTED;
             response.start(head.status(), protocol.responseHeaders(head.headers()));
         }
         if (piece.isReadable()) {
@@ -54,12 +75,20 @@
         lastEventId = eventId;
     }
 
+    /** Completes a started stream. */
     void finish() {
-        response.finish();
+        if (state == State.STARTED) {
+            state = State.ENDED;
+            response.finish();
+        }
     }
 
-    void abort() {
-        response.abort();
+    /** Ends the connection, so that a started stream does not look complete. */
+    private void abort() {
+        if (state == State.STARTED) {
+            state = State.ENDED;
+            response.abort();
+        }
     }
 
     boolean writable() {
@@ -71,12 +100,16 @@
     }
 
     /**
-     * Sends an error of the entry itself.
+     * Sends an error of the entry itself, or cuts a started stream.
      *
-     * @return its HTTP status
+     * @return its HTTP status; 0 if a stream was cut
      */
     int sendError(ResultCode code, long retryAfterMs) {
-        started = true;
+        if (state != State.NOT_STARTED) {
+            abort();
+            return 0;
+        }
+        state = State.ENDED;
         return ErrorResponse.send(protocol, response, request.id(), code, retryAfterMs);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundFailure.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundFailure.java
@@ -12,6 +12,8 @@
     MALFORMED(true),
     /** The peer sent more bytes than a response may have. */
     ENDLESS(true),
+    /** The peer answered with something else than the rest of a stream. */
+    NOT_RESUMED(true),
     /** Nothing was received within the allowed time. */
     TIMED_OUT(true);
 
