--- a/core/src/main/java/org/hawthornglade/core/dispatch/ModelDemand.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/ModelDemand.java
@@ -31,12 +31,14 @@
         return adapter.map(name -> model + "/" + name).orElse(model.value());
     }
 
+    /** Returns the parts of the prompt that other requests may share: all but the last. */
+    public List<PromptPart> sharedParts() {
+        return prefix.isEmpty() ? List.of() : prefix.subList(0, prefix.size() - 1);
+    }
+
     /** Returns the number of prompt tokens that are not shared with other requests. */
     public int ownTokens() {
-        int sharedTokens = 0;
-        for (int i = 0; i < prefix.size() - 1; i++) {
-            sharedTokens += prefix.get(i).tokens();
-        }
+        int sharedTokens = sharedParts().stream().mapToInt(PromptPart::tokens).sum();
         return Math.max(0, promptTokens - sharedTokens);
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -1,8 +1,11 @@
 package org.hawthornglade.gateway.exchange;
 
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
+import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.fleet.PromptPart;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.BodyFraming;
@@ -27,6 +30,7 @@
     private long retryAfterMs;
     private Optional<BodyFraming> streamFraming = Optional.empty();
     private int partialEventBytes;
+    private boolean responseLost;
 
     CallRecord(RequestId id, CallView view, long configurationVersion) {
         this.id = id;
@@ -72,12 +76,21 @@
         partialEventBytes = bytes;
     }
 
+    /** Records that the connection to an endpoint ended before its response. */
+    void onResponseLost() {
+        responseLost = true;
+    }
+
     void addNote(String text) {
         if (notes.length() < MAX_NOTES_LENGTH) {
             notes.append(notes.length() == 0 ? "" : ",").append(text);
         }
     }
 
+    private static String partIds(ModelDemand demand) {
+        return demand.sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+    }
+
     void write(EventLog log, GatewayMetrics metrics, ResultCode code, int status, long nowMs) {
         LogLine line = log.event("call")
                 .with("request", id)
@@ -112,6 +125,9 @@
         if (partialEventBytes > 0) {
             line.with("partial_event_bytes", partialEventBytes);
         }
+        if (responseLost) {
+            view.demand().ifPresent(demand -> line.with("shared_parts", partIds(demand)));
+        }
         if (notes.length() > 0) {
             line.with("notes", notes);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -226,6 +226,9 @@
             view.onProgress(context.clock().nowMs());
         }
         record.addNote(failure + ":" + endpoint.id());
+        if (failure == OutboundFailure.CLOSED || failure == OutboundFailure.BROKEN_OFF) {
+            record.onResponseLost();
+        }
         if (failure == OutboundFailure.ENDLESS) {
             context.metrics().count("endless_answers");
         }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
@@ -13,6 +13,9 @@
 import java.util.concurrent.TimeUnit;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
+import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.fleet.PromptPart;
+import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.result.ResultCode;
@@ -23,6 +26,7 @@
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The records of calls that waited for a load with an estimated end. */
 class CallRecordTest {
@@ -68,6 +72,27 @@
         assertThat(lines.poll(5, TimeUnit.SECONDS)).endsWith(expected + "\n");
     }
 
+    /** What the calls that a crash cut off had in common must be visible from their lines. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void lineOfACutOffCallNamesItsSharedParts(boolean lost) throws InterruptedException {
+        CallRecord record = new CallRecord(RequestId.of("r-1"), generation(), 1);
+        if (lost) {
+            record.onResponseLost();
+        }
+        record.write(log, metrics, ResultCode.ANSWER_INCOMPLETE, 0, ARRIVED_AT_MS + 900);
+        assertThat(lines.poll(5, TimeUnit.SECONDS).contains("shared_parts=a1,b2\n"))
+                .isEqualTo(lost);
+    }
+
+    private static CallView generation() {
+        List<PromptPart> prefix =
+                List.of(new PromptPart("a1", 100), new PromptPart("b2", 100), new PromptPart("own", 100));
+        ModelDemand demand = new ModelDemand(ModelName.of("m"), Optional.empty(), 300, 10, prefix);
+        CallView call = call();
+        return new CallView(call.service(), call.route(), Optional.of(demand), call.arrivedAtMs(), call.deadlineAtMs());
+    }
+
     private static CallView call() {
         Route route =
                 new Route("r", "h.example", "/r/", CallKind.STREAM, 15_000, 800, 500, 4_000, 1, 0, true, List.of());
