--- a/core/src/main/java/org/hawthornglade/core/fleet/PromptPart.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/PromptPart.java
@@ -1,9 +1,11 @@
 package org.hawthornglade.core.fleet;
 
+import org.hawthornglade.core.id.PromptPartId;
+
 /**
  * A part of a prompt that several requests may share.
  *
  * @param id the part's id, unique for its text
  * @param tokens its length in tokens
  */
-public record PromptPart(String id, int tokens) {}
+public record PromptPart(PromptPartId id, int tokens) {}
--- a/core/src/test/java/org/hawthornglade/core/fleet/PrefixCacheTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/PrefixCacheTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import org.hawthornglade.core.id.PromptPartId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -12,7 +13,7 @@
 
     private static List<PromptPart> parts(String ids) {
         return List.of(ids.split("\\+")).stream()
-                .map(id -> new PromptPart(id, 100))
+                .map(id -> new PromptPart(PromptPartId.of(id), 100))
                 .toList();
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -5,7 +5,6 @@
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.ModelDemand;
-import org.hawthornglade.core.fleet.PromptPart;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.BodyFraming;
@@ -88,7 +87,7 @@
     }
 
     private static String partIds(ModelDemand demand) {
-        return demand.sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+        return demand.sharedParts().stream().map(part -> part.id().value()).collect(Collectors.joining(","));
     }
 
     void write(EventLog log, GatewayMetrics metrics, ResultCode code, int status, long nowMs) {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
@@ -16,6 +16,7 @@
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.PromptPart;
 import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.result.ResultCode;
@@ -86,8 +87,10 @@
     }
 
     private static CallView generation() {
-        List<PromptPart> prefix =
-                List.of(new PromptPart("a1", 100), new PromptPart("b2", 100), new PromptPart("own", 100));
+        List<PromptPart> prefix = List.of(
+                new PromptPart(PromptPartId.of("a1"), 100),
+                new PromptPart(PromptPartId.of("b2"), 100),
+                new PromptPart(PromptPartId.of("own"), 100));
         ModelDemand demand = new ModelDemand(ModelName.of("m"), Optional.empty(), 300, 10, prefix);
         CallView call = call();
         return new CallView(call.service(), call.route(), Optional.of(demand), call.arrivedAtMs(), call.deadlineAtMs());
