--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
@@ -95,12 +95,13 @@
                 listener.close();
             }
             Endpoint endpoint = endpoint(listener.getLocalPort(), leaving);
-            CrashDetector detector = new CrashDetector(new Timers(loop, log), clock, connections, quarantine);
+            Timers timers = new Timers(loop, log);
+            CrashDetector detector = new CrashDetector(timers, clock, connections, quarantine);
             CompletableFuture<Boolean> checked = new CompletableFuture<>();
-            loop.execute(() -> {
+            timers.run(() -> {
                 detector.onCutOff(endpoint, call());
                 // Begins after the check of the detector, so that it ends after it.
-                loop.schedule(() -> checkAgain(endpoint, checked), 100, TimeUnit.MILLISECONDS);
+                timers.after(100, () -> checkAgain(endpoint, checked));
             });
             checked.get(5, TimeUnit.SECONDS);
             assertThat(loop.submit(() -> quarantine.suspected(call())).get(5, TimeUnit.SECONDS))
