A request never goes over a connection that has carried its id, whichever call it belongs to

What callers could see (REFUSED, TWICE): an endpoint repeats an earlier response on a kept connection; a caller that sends its id again gets that copy for its new call: 'not run' for a call that runs, which then also runs at a second endpoint. Cause: the exchange kept its own attempts off a connection, but ids, not exchanges, tell responses apart. The connection now remembers the ids that it has sent (256), and the exchange's own set is gone. AtMostOnceTest, 3 new rows, all failed before. Looked at besides: a copy between release and the next send closes the connection (read without a listener); one between send and the end of the write bears another id and is skipped, or none and fails the call as unknown. Run: tests of gateway.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -72,7 +72,11 @@
         boolean sendOnce = !exchange.view().route().repeatable();
         context.connections()
                 .pool(endpoint.record())
-                .acquire(sendOnce, idle -> !exchange.hasUsed(idle), this::onConnected, cause -> onConnectFailed());
+                .acquire(
+                        sendOnce,
+                        idle -> !idle.hasSent(exchange.request().id().value()),
+                        this::onConnected,
+                        cause -> onConnectFailed());
     }
 
     /** Returns whether the endpoint may have received the call. */
@@ -101,7 +105,6 @@
             return;
         }
         connection = opened;
-        exchange.addConnection(opened);
         long remainingMs =
                 Math.max(1, exchange.view().remainingMs(context.clock().nowMs()));
         AttemptParameters parameters = new AttemptParameters(
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -1,9 +1,7 @@
 package org.hawthornglade.gateway.exchange;
 
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.PermitWaiter;
@@ -12,7 +10,6 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.IncomingCall;
-import org.hawthornglade.gateway.http.OutboundConnection;
 import org.hawthornglade.gateway.http.OutboundFailure;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.port.CallRequest;
@@ -42,7 +39,6 @@
     private final ResponseWriter response;
     private final CallRecord record;
     private final PermitWaiter permitWaiter = new PermitWaiter();
-    private final Set<OutboundConnection> usedConnections = new HashSet<>();
     private Timers.Timeout deadline;
     private Attempt attempt;
     private int runs;
@@ -159,16 +155,6 @@
         attempt.start();
     }
 
-    /** Records the connection of an attempt. */
-    void addConnection(OutboundConnection connection) {
-        usedConnections.add(connection);
-    }
-
-    /** Returns whether a connection has carried the call; a late response on it would be mistaken for a new one. */
-    boolean hasUsed(OutboundConnection connection) {
-        return usedConnections.contains(connection);
-    }
-
     /** Handles a failed connection attempt; nothing was sent. */
     void onConnectFailed(Endpoint endpoint) {
         attempt = null;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -18,15 +18,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A connection to another process that carries one request at a time.
  *
  * <p>A response whose id is not that of the open request is skipped: it is a late or duplicate response to an earlier
  * request. The connection is closed if bytes arrive while no request is open, or if more responses are skipped than an
- * endpoint has reason to send. The id does not distinguish two attempts of one request, so that they need separate
- * connections.
+ * endpoint has reason to send. The id does not distinguish two requests with one id, such as two attempts of one call
+ * or calls of a caller that uses its id again, so that they need separate connections.
  */
 public final class OutboundConnection extends ChannelInboundHandlerAdapter {
     /** Limit for interim responses and responses to other requests before the expected response. */
@@ -36,11 +38,15 @@
     /** Limit for bytes that yield neither a head nor a part of a body. */
     static final long MAX_UNDECODED_BYTES = 65_536;
 
+    /** The most ids of earlier requests that are remembered; a response is not repeated after so many others. */
+    private static final int MAX_SENT_IDS = 256;
+
     private final ConnectionPool pool;
     private final ResponseDecoder decoder;
     private Channel channel;
     private ResponseListener listener;
     private Optional<ExpectedResponseId> responseId = Optional.empty();
+    private final Set<String> sentIds = new LinkedHashSet<>();
     private boolean written;
     private boolean headReceived;
     private boolean skipping;
@@ -67,6 +73,7 @@
     public void send(OutboundRequest request, ResponseListener responseListener) {
         listener = responseListener;
         responseId = request.responseId();
+        responseId.ifPresent(expected -> remember(expected.id()));
         written = false;
         headReceived = false;
         skipping = false;
@@ -93,6 +100,18 @@
         });
     }
 
+    private void remember(String id) {
+        sentIds.add(id);
+        if (sentIds.size() > MAX_SENT_IDS) {
+            sentIds.remove(sentIds.iterator().next());
+        }
+    }
+
+    /** Returns whether a request with this id was sent here, a late response to which would be mistaken for another. */
+    public boolean hasSent(String id) {
+        return sentIds.contains(id);
+    }
+
     /** Cancels the open request by closing the connection, which notifies the peer. */
     public void cancel() {
         listener = null;
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/AtMostOnceTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/AtMostOnceTest.java
@@ -52,6 +52,26 @@
         assertThat(remote.unreadRequests()).isEqualTo(1);
     }
 
+    /** A caller used an id again: a late copy of the first response was taken for the response to the second call. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("firstResponses")
+    void lateCopyIsNotMatchedToALaterCallWithTheSameId(String name, String firstResponse) throws Exception {
+        local.respond(firstResponse, ConnectionAction.KEEP_OPEN)
+                .respond("%LATE%" + COMPLETE, ConnectionAction.KEEP_OPEN);
+        remote.respond(SECOND, ConnectionAction.KEEP_OPEN).respond(SECOND, ConnectionAction.KEEP_OPEN);
+        entry.call("/unsafe/x");
+        int sentElsewhere = remote.unreadRequests();
+        assertThat(entry.call("/unsafe/x")).endsWith("first");
+        assertThat(remote.unreadRequests()).isEqualTo(sentElsewhere);
+    }
+
+    static Stream<Arguments> firstResponses() {
+        return Stream.of(
+                Arguments.of("rejection", NOT_RUN),
+                Arguments.of("success", SECOND),
+                Arguments.of("not found", SECOND.replace("200 OK", "404 Not Found")));
+    }
+
     static Stream<Arguments> incompleteRejections() {
         return Stream.of(
                 Arguments.of("cut", NOT_RUN.replace("busy", "bu"), ConnectionAction.CLOSE),
