A connection that is kept reads again after a response that ended while reading was paused

What callers could see: a caller that reads slowly pauses the endpoint's connection; if the last bytes of its response were already read, the connection went back to the pool paused, and the next call on it got no response, nor were extra bytes on it seen.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -234,6 +234,8 @@
         ResponseListener ended = listener;
         listener = null;
         if (reusable && written && channel.isActive()) {
+            // The receiver of the response may have paused reading; the next one starts without backpressure.
+            setReading(true);
             pool.release(this);
         } else {
             Channels.close(channel);
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -0,0 +1,77 @@
+package org.hawthornglade.gateway.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.hawthornglade.core.fleet.InstanceAddress;
+import org.junit.jupiter.api.Test;
+
+/** A connection to an endpoint, without sockets. */
+class OutboundConnectionTest {
+    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final ConnectionPool pool = new ConnectionPool(null, () -> 0, new InstanceAddress("10.0.0.1", 80), 1_000);
+    private final OutboundConnection connection = new OutboundConnection(pool, decoder);
+    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), decoder, connection);
+
+    private void send(ResponseListener listener) {
+        connection.send(
+                new OutboundRequest(
+                        HttpMethod.POST, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, Optional.empty()),
+                listener);
+    }
+
+    private void receive(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    /** The caller was slow at the end of a response, and the next call on the connection got no response. */
+    @Test
+    void connectionReadsAgainAfterAResponseThatEndedWhileReadingWasPaused() {
+        Recorder first = new Recorder();
+        send(first);
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+        assertThat(first.ended).isTrue();
+        assertThat(channel.isOpen()).isTrue();
+        assertThat(channel.config().isAutoRead()).isTrue();
+    }
+
+    /** Extra bytes on an idle connection must be read, so that it is closed before the next call. */
+    @Test
+    void idleConnectionIsClosedByExtraBytes() {
+        send(new Recorder());
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    /** Pauses reading at the first content, as for a slow caller. */
+    private final class Recorder implements ResponseListener {
+        private boolean ended;
+
+        @Override
+        public void onHead(HttpResponse head) {}
+
+        @Override
+        public void onContent(ByteBuf content) {
+            connection.setReading(false);
+        }
+
+        @Override
+        public void onEnd() {
+            ended = true;
+        }
+
+        @Override
+        public void onFailure(OutboundFailure failure) {
+            throw new AssertionError(failure);
+        }
+    }
+}
