The failures of an instance count for one run of it only

Seen by reading: EndpointHealth stayed with the id, so an instance that had started again was avoided, for up to 8 s, for the failures of the run before, and reported to the leader as unreachable. FleetTest.failuresCountForOneRunOnly, 1 of 2 rows failed before.

--- a/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
@@ -10,7 +10,7 @@
 
 /** Tracks one instance as known to an entry: its record on the platform's list, its models, its load and its health. */
 public final class Endpoint {
-    private final EndpointHealth health = new EndpointHealth();
+    private EndpointHealth health = new EndpointHealth();
     private EndpointNotices notices = new EndpointNotices();
     private Permits permits = new Permits();
     private final EndpointLoad load = new EndpointLoad();
@@ -32,6 +32,7 @@
         return record;
     }
 
+    /** Returns the health of this run of the instance. */
     public EndpointHealth health() {
         return health;
     }
@@ -64,6 +65,7 @@
             placement = null;
             lastPlacement = null;
             prefixCache.clear();
+            health = new EndpointHealth();
             notices = new EndpointNotices();
             permits = new Permits();
         }
--- a/core/src/test/java/org/hawthornglade/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/FleetTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 class FleetTest {
@@ -46,6 +47,19 @@
         assertThat(usable().isEmpty()).isEqualTo(staysUnusable);
     }
 
+    /** An instance that has started again after a crash was avoided for the failures of its earlier run. */
+    @ParameterizedTest
+    @CsvSource({"1, true", "5, false"})
+    void failuresCountForOneRunOnly(long bornMs, boolean avoided) {
+        fleet.onSnapshot(List.of(Records.record("i-1", false, 1, 1, List.of(), List.of())), 0);
+        fleet.endpoint(ID).orElseThrow().health().onUnreachable(STABLE_MS);
+        fleet.onChanged(Records.record("i-1", false, bornMs, 2, List.of(), List.of()), STABLE_MS);
+        EndpointHealth health = fleet.endpoint(ID).orElseThrow().health();
+        assertThat(health.unreachable(STABLE_MS + 1)).isEqualTo(avoided);
+        assertThat(health.inBackoff(STABLE_MS + 1)).isEqualTo(avoided);
+        assertThat(health.failureRate(STABLE_MS + 1) > 0).isEqualTo(avoided);
+    }
+
     @Test
     void removedRecordRemovesTheInstanceWhileTheListIsStable() {
         fleet.onSnapshot(List.of(Records.ready("i-1", List.of(), List.of())), 0);
