Parts that always come together are in quarantine together, and answers are remembered across a change of leader

Now both are blamed after three, a call is refused if it has all of them, and the next answer completed on one takes it out; sound calls with one of them are served throughout. It remembers the answers, prefers parts on which nothing was completed if they explain at least half, and an answer from before the crashes ends no quarantine any more.

Run: all tests of core, gateway, platform, bench but the process tests.

--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashEmulator.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashEmulator.java
@@ -33,7 +33,7 @@
     private CrashEmulator(CrashOptions options) {
         this.options = options;
         this.random = new Random(options.seed());
-        this.site = new CrashSite(random);
+        this.site = new CrashSite(random, options.seed() % 2 == 0);
         for (int i = 0; i < options.engines(); i++) {
             CrashingEngine engine = new CrashingEngine(i, time, random, checker);
             engines.put(engine.record().id(), engine);
--- a/core/src/main/java/org/hawthornglade/core/quarantine/CompletedParts.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/CompletedParts.java
@@ -16,8 +16,8 @@
         }
     };
 
-    void onCompleted(PromptPartId part, long nowMs) {
-        lastMs.put(part, nowMs);
+    void onCompleted(PromptPartId part, long atMs) {
+        lastMs.merge(part, atMs, Math::max);
     }
 
     Optional<Long> lastCompletedMs(PromptPartId part) {
--- a/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
@@ -111,18 +111,29 @@
         if (quarantined.isEmpty() || call.trial()) {
             return Optional.empty();
         }
-        for (PromptPartId part : sharedParts(call)) {
-            QuarantinedPart found = quarantined.get(part);
-            if (found != null && !startTrial(found, call)) {
-                refusedAtMs.put(part, nowMs);
-                unreportedRefusals.add(part);
-                long retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, found.untilMs() - nowMs);
-                return Optional.of(new Decision.Refuse(ResultCode.PROMPT_QUARANTINED, retryAfterMs));
+        Optional<QuarantinedPart> found = matching(sharedParts(call));
+        if (found.isEmpty() || startTrial(found.get(), call)) {
+            return Optional.empty();
+        }
+        refusedAtMs.put(found.get().part(), nowMs);
+        unreportedRefusals.add(found.get().part());
+        long retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, found.get().untilMs() - nowMs);
+        return Optional.of(new Decision.Refuse(ResultCode.PROMPT_QUARANTINED, retryAfterMs));
+    }
+
+    private Optional<QuarantinedPart> matching(List<PromptPartId> parts) {
+        for (QuarantinedPart each : quarantined.values()) {
+            if (each.matches(parts)) {
+                return Optional.of(each);
             }
         }
         return Optional.empty();
     }
 
+    private boolean inQuarantine(PromptPartId part) {
+        return quarantined.values().stream().anyMatch(each -> each.members().contains(part));
+    }
+
     private boolean startTrial(QuarantinedPart part, CallView call) {
         boolean mine = part.prober().equals(Optional.of(entry));
         if (!mine || !usedTrials.add(part.part())) {
@@ -134,14 +145,13 @@
 
     /** Returns whether a call has a part in quarantine. */
     public boolean quarantined(CallView call) {
-        return sharedParts(call).stream().anyMatch(quarantined::containsKey);
+        return matching(sharedParts(call)).isPresent();
     }
 
     /** Returns whether a call has a part that crashed an instance, so that it should not be sent to another one. */
     public boolean suspected(CallView call) {
         return sharedParts(call).stream()
-                .anyMatch(part ->
-                        quarantined.containsKey(part) || suspects.contains(part) || leaderSuspects.contains(part));
+                .anyMatch(part -> inQuarantine(part) || suspects.contains(part) || leaderSuspects.contains(part));
     }
 
     /** Handles a call of this entry that a crash has cut off. */
@@ -162,12 +172,11 @@
     }
 
     private void apply(CrashReport report, long nowMs) {
-        for (PromptPartId part : report.parts()) {
-            if (quarantined.containsKey(part)) {
-                suspects.onExplained(report.crash(), report.atMs());
-                onQuarantinedCrash(quarantined.get(part), nowMs);
-                return;
-            }
+        Optional<QuarantinedPart> known = matching(report.parts());
+        if (known.isPresent()) {
+            suspects.onExplained(report.crash(), report.atMs());
+            onQuarantinedCrash(known.get(), nowMs);
+            return;
         }
         suspects.onCrash(report);
         for (PromptPartId part : report.parts()) {
@@ -178,11 +187,11 @@
 
     private void blame(long nowMs) {
         suspects.blame(nowMs, role == Role.LEADING ? SuspectParts.MIN_CRASHES : SuspectParts.MIN_CRASHES_ONCE_COMPLETED)
-                .ifPresent(part -> {
-                    QuarantinedPart added = QuarantinedPart.first(part, nowMs);
-                    refusedAtMs.put(part, nowMs);
+                .ifPresent(blame -> {
+                    QuarantinedPart added = QuarantinedPart.first(blame, nowMs);
+                    refusedAtMs.put(added.part(), nowMs);
                     set(added);
-                    unconfirmed.put(part, added);
+                    unconfirmed.put(added.part(), added);
                     listener.onQuarantined(added);
                 });
     }
@@ -220,7 +229,7 @@
     public void onCompleted(CallView call, long nowMs) {
         for (PromptPartId part : sharedParts(call)) {
             completedParts.onCompleted(part, nowMs);
-            boolean watched = suspects.contains(part) || leaderSuspects.contains(part) || quarantined.containsKey(part);
+            boolean watched = suspects.contains(part) || leaderSuspects.contains(part) || inQuarantine(part);
             if (watched) {
                 unreportedCompletions.put(part, nowMs);
                 changed = true;
@@ -230,12 +239,27 @@
     }
 
     private void onCompleted(PromptPartId part, long atMs) {
-        if (quarantined.containsKey(part)) {
-            release(part);
+        for (QuarantinedPart each : List.copyOf(quarantined.values())) {
+            if (each.members().contains(part) && atMs > each.blamedFromMs()) {
+                narrow(each, part);
+            }
         }
         clear(part, atMs);
     }
 
+    /** Takes a part out of a quarantine, which ends with its last one. */
+    private void narrow(QuarantinedPart from, PromptPartId cleared) {
+        if (from.members().size() == 1) {
+            release(from.part());
+            return;
+        }
+        QuarantinedPart narrowed = from.without(cleared);
+        quarantined.put(from.part(), narrowed);
+        unconfirmed.computeIfPresent(from.part(), (part, known) -> narrowed);
+        changed = true;
+        listener.onCleared(cleared);
+    }
+
     private void clear(PromptPartId part, long atMs) {
         if (suspects.onCompleted(part, atMs)) {
             changed = true;
@@ -263,7 +287,11 @@
                 }
             });
             report.crashes().forEach(crash -> apply(crash, nowMs));
-            report.completedMs().forEach(this::onCompleted);
+            report.completedMs().forEach((part, atMs) -> {
+                // Remembered, since other entries may report earlier crashes of the part later.
+                completedParts.onCompleted(part, atMs);
+                onCompleted(part, atMs);
+            });
         }
         report.refused().forEach(part -> onRefused(reporter, part, nowMs));
     }
--- a/core/src/main/java/org/hawthornglade/core/quarantine/SuspectParts.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/SuspectParts.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.core.quarantine;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -11,7 +12,7 @@
 import org.hawthornglade.core.id.PromptPartId;
 
 /**
- * Finds the part of a prompt that explains a series of crashes.
+ * Finds the part of a prompt, or the parts that always come together, that explain a series of crashes.
  *
  * <p>A crash cuts off all calls of its instance, so that each of their parts is a suspect. The part that causes the
  * crashes is in all of them, and no answer is completed on it; the others are cleared by the next completed answer.
@@ -27,11 +28,21 @@
     static final int MIN_CRASHES_ONCE_COMPLETED = 5;
     /** The time in which other entries report calls of the same crash, and answers completed meanwhile. */
     static final long SETTLE_MS = 150;
+    /** The share of the crashes of the most frequent suspect that a part must explain to be blamed. */
+    private static final double MIN_EXPLAINED_SHARE = 0.5;
     /** The most suspects; the one that was in no crash for longest is dropped. */
     static final int MAX_SUSPECTS = 1_024;
     /** The most explained crashes that are remembered. */
     private static final int MAX_EXPLAINED = 256;
 
+    /**
+     * The parts that explain a series of crashes.
+     *
+     * @param parts the parts that were in the same crashes, at least one
+     * @param fromMs the time of the first crash, in milliseconds
+     */
+    record Blame(List<PromptPartId> parts, long fromMs) {}
+
     /** The crashes that a part was in, with their times. */
     private static final class Evidence {
         private final Map<InstanceCrash, Long> crashes = new HashMap<>();
@@ -53,13 +64,14 @@
         }
     }
 
-    private record Candidate(PromptPartId part, int crashes, boolean onceCompleted) {
-        /** The part that explains the most crashes comes first; of two, the one on which nothing was completed. */
-        private static final Comparator<Candidate> BEST_FIRST =
-                Comparator.comparingInt(Candidate::crashes).reversed().thenComparing(Candidate::onceCompleted);
+    /** A suspect with the number of its crashes, and how many of them happened apart from each other. */
+    private record Candidate(PromptPartId part, int crashes, int separateCrashes, boolean onceCompleted) {
+        /** Of parts that explain most crashes, one on which nothing was completed comes first. */
+        private static final Comparator<Candidate> BEST_FIRST = Comparator.comparing(Candidate::onceCompleted)
+                .thenComparing(Candidate::crashes, Comparator.reverseOrder());
 
         boolean blamed(int minCrashes) {
-            return crashes >= (onceCompleted ? MIN_CRASHES_ONCE_COMPLETED : minCrashes);
+            return separateCrashes >= (onceCompleted ? MIN_CRASHES_ONCE_COMPLETED : minCrashes);
         }
     }
 
@@ -114,14 +126,14 @@
     }
 
     /**
-     * Returns the part to blame for the crashes, if there is one, and takes them out of the evidence.
+     * Returns the parts to blame for the crashes, if there are any, and takes them out of the evidence.
      *
      * @param minCrashes the crashes that blame a part on which no answer is known to have been completed
      */
-    Optional<PromptPartId> blame(long nowMs, int minCrashes) {
+    Optional<Blame> blame(long nowMs, int minCrashes) {
         expire(nowMs);
-        Optional<PromptPartId> blamed = best(nowMs - SETTLE_MS, minCrashes);
-        blamed.ifPresent(part -> new HashMap<>(suspects.get(part).crashes).forEach(this::onExplained));
+        Optional<Blame> blamed = best(nowMs - SETTLE_MS, minCrashes);
+        blamed.ifPresent(blame -> new HashMap<>(suspects.get(blame.parts().get(0)).crashes).forEach(this::onExplained));
         return blamed;
     }
 
@@ -130,22 +142,37 @@
         suspects.values().removeIf(evidence -> evidence.crashes.isEmpty());
     }
 
-    private Optional<PromptPartId> best(long upToMs, int minCrashes) {
-        List<Candidate> candidates = suspects.entrySet().stream()
-                .map(entry -> new Candidate(
-                        entry.getKey(), entry.getValue().separateCrashes(upToMs), entry.getValue().onceCompleted))
+    private Optional<Blame> best(long upToMs, int minCrashes) {
+        List<Candidate> candidates = candidates(upToMs);
+        int mostCrashes = candidates.stream().mapToInt(Candidate::crashes).max().orElse(0);
+        List<Candidate> blamed = candidates.stream()
+                .filter(each -> each.blamed(minCrashes) && each.crashes() >= mostCrashes * MIN_EXPLAINED_SHARE)
                 .sorted(Candidate.BEST_FIRST)
                 .toList();
-        if (candidates.isEmpty() || !candidates.get(0).blamed(minCrashes)) {
+        if (blamed.isEmpty()) {
             return Optional.empty();
         }
-        Candidate best = candidates.get(0);
-        boolean tied = candidates.size() > 1 && Candidate.BEST_FIRST.compare(best, candidates.get(1)) == 0;
-        // Two parts that explain the crashes equally well are told apart by the next crash, if there is time for it.
-        if (tied && best.crashes() < MIN_CRASHES_ONCE_COMPLETED) {
+        Candidate best = blamed.get(0);
+        Map<InstanceCrash, Long> crashes = suspects.get(best.part()).crashes;
+        List<PromptPartId> equal = blamed.stream()
+                .filter(each -> Candidate.BEST_FIRST.compare(best, each) == 0)
+                .map(Candidate::part)
+                .toList();
+        List<PromptPartId> together = equal.stream()
+                .filter(part -> suspects.get(part).crashes.keySet().equals(crashes.keySet()))
+                .toList();
+        // Parts that explain other crashes equally well are told apart by the next crash, if there is time for it.
+        if (together.size() < equal.size() && best.separateCrashes() < MIN_CRASHES_ONCE_COMPLETED) {
             return Optional.empty();
         }
-        return Optional.of(best.part());
+        return Optional.of(new Blame(together, Collections.min(crashes.values())));
+    }
+
+    private List<Candidate> candidates(long upToMs) {
+        List<Candidate> candidates = new ArrayList<>();
+        suspects.forEach((part, evidence) -> candidates.add(new Candidate(
+                part, evidence.crashes.size(), evidence.separateCrashes(upToMs), evidence.onceCompleted)));
+        return candidates;
     }
 
     boolean contains(PromptPartId part) {
--- a/core/src/test/java/org/hawthornglade/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quarantine/PromptQuarantineTest.java
@@ -99,6 +99,41 @@
                 .isEqualTo(PromptQuarantine.MIN_RETRY_AFTER_MS);
     }
 
+    /** A rare sound part came with the deadly one each time; its sound calls must go on being served. */
+    @Test
+    void partsAlwaysTogetherAreRefusedTogetherUntilOneOfThemIsCleared() {
+        for (int i = 1; i <= 3; i++) {
+            crash(follower, call("b", "dead", "own"), START_MS + i * GAP_MS);
+            exchange(START_MS + i * GAP_MS + 1);
+        }
+        exchange(BLAMED_MS);
+        assertThat(refusal(follower, call("b", "dead", "own"), BLAMED_MS)).isPresent();
+        assertThat(refusal(follower, call("b", "own"), BLAMED_MS)).isEqualTo(Optional.empty());
+        assertThat(refusal(leader, call("dead", "own"), BLAMED_MS)).isEqualTo(Optional.empty());
+        follower.onCompleted(call("b", "own"), BLAMED_MS + 1);
+        exchange(BLAMED_MS + 2);
+        assertThat(refusal(leader, call("dead", "own"), BLAMED_MS + 2)).isPresent();
+        assertThat(refusal(follower, call("dead", "own"), BLAMED_MS + 2)).isPresent();
+        assertThat(refusal(follower, call("b", "own"), BLAMED_MS + 2)).isEqualTo(Optional.empty());
+    }
+
+    /** A new leader hears of answers from before the crashes, which do not clear a part that crashes since then. */
+    @Test
+    void answerCompletedBeforeTheCrashesEndsNoQuarantine() {
+        follower.onCompleted(call("dead", "own"), START_MS);
+        for (int i = 1; i <= 5; i++) {
+            crash(follower, call("dead", "own"), START_MS + i * GAP_MS);
+            exchange(START_MS + i * GAP_MS + 1);
+        }
+        exchange(START_MS + 5 * GAP_MS + SuspectParts.SETTLE_MS);
+        assertThat(leader.size()).isEqualTo(1);
+        PromptQuarantine next = new PromptQuarantine("next", new Recorder());
+        next.onRole(Role.LEADING, BLAMED_MS);
+        follower.onRole(Role.FOLLOWING, BLAMED_MS);
+        next.onReport("follower", follower.report(), BLAMED_MS);
+        assertThat(next.size()).isEqualTo(1);
+    }
+
     @Test
     void entryThatStartsLateLearnsTheQuarantineFromTheLeader() {
         quarantine();
@@ -165,6 +200,23 @@
         assertThat(events).contains("cleared a");
     }
 
+    /** A new leader blamed a sound part: its crashes were reported by one entry after its answers by another. */
+    @Test
+    void crashThatIsReportedAfterALaterAnswerBlamesNoPart() {
+        crash(follower, call("b", "own"), START_MS);
+        exchange(START_MS + 1);
+        follower.onCompleted(call("b", "own"), START_MS + 4 * GAP_MS);
+        exchange(START_MS + 4 * GAP_MS + 1);
+        PromptQuarantine other = new PromptQuarantine("other", new Recorder());
+        other.onRole(Role.FOLLOWING, 0);
+        for (int i = 1; i <= 3; i++) {
+            crash(other, call("b", "own"), START_MS + i * GAP_MS);
+        }
+        leader.onReport("other", other.report(), START_MS + 4 * GAP_MS + 2);
+        leader.check(START_MS + 10 * GAP_MS);
+        assertThat(leader.size()).isEqualTo(0);
+    }
+
     private int sent(PromptQuarantine at, long nowMs) {
         int sent = 0;
         for (int i = 0; i < 5; i++) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/QuarantineLog.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/QuarantineLog.java
@@ -38,6 +38,7 @@
         metrics.count("parts_quarantined");
         log.event("part-quarantined")
                 .with("part", part.part())
+                .with("together", part.members().size())
                 .with("times", part.quarantines())
                 .write();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/QuarantineCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/QuarantineCodec.java
@@ -62,7 +62,12 @@
     private static List<Quarantine> encode(List<QuarantinedPart> parts, long nowMs) {
         List<Quarantine> coded = new ArrayList<>();
         for (QuarantinedPart each : parts) {
-            Quarantine quarantine = new Quarantine(each.part().value(), each.untilMs() - nowMs, each.quarantines());
+            Quarantine quarantine = new Quarantine(
+                    each.part().value(),
+                    each.untilMs() - nowMs,
+                    each.quarantines(),
+                    texts(each.members()),
+                    nowMs - each.blamedFromMs());
             each.prober().ifPresent(quarantine::setProber);
             coded.add(quarantine);
         }
@@ -74,6 +79,8 @@
         for (Quarantine each : coded) {
             parts.add(new QuarantinedPart(
                     PromptPartId.of(each.getPart()),
+                    partSet(each.getMembers()),
+                    nowMs - each.getBlamedAgoMs(),
                     nowMs + each.getLeftMs(),
                     each.getQuarantines(),
                     Optional.ofNullable(each.getProber())));
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Quarantine.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Quarantine.java
@@ -17,6 +17,8 @@
   private static final org.apache.thrift.protocol.TField LEFT_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("leftMs", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField QUARANTINES_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantines", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField PROBER_FIELD_DESC = new org.apache.thrift.protocol.TField("prober", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField BLAMED_AGO_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("blamedAgoMs", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new QuarantineStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new QuarantineTupleSchemeFactory();
@@ -25,9 +27,14 @@
   private long leftMs; // required
   private int quarantines; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String prober; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> members; // required
+  private long blamedAgoMs; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    /**
+     * The first of the parts that were blamed, which identifies the quarantine.
+     */
     PART((short)1, "part"),
     /**
      * How long until one call may try the part; negative if that time has passed.
@@ -40,7 +47,15 @@
     /**
      * The entry that may send this one call.
      */
-    PROBER((short)4, "prober");
+    PROBER((short)4, "prober"),
+    /**
+     * The parts that a call must have to be refused.
+     */
+    MEMBERS((short)5, "members"),
+    /**
+     * How long ago the first crash was for which they are blamed.
+     */
+    BLAMED_AGO_MS((short)6, "blamedAgoMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -64,6 +79,10 @@
           return QUARANTINES;
         case 4: // PROBER
           return PROBER;
+        case 5: // MEMBERS
+          return MEMBERS;
+        case 6: // BLAMED_AGO_MS
+          return BLAMED_AGO_MS;
         default:
           return null;
       }
@@ -109,6 +128,7 @@
   // isset id assignments
   private static final int __LEFTMS_ISSET_ID = 0;
   private static final int __QUARANTINES_ISSET_ID = 1;
+  private static final int __BLAMEDAGOMS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.PROBER};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
@@ -122,6 +142,11 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.PROBER, new org.apache.thrift.meta_data.FieldMetaData("prober", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.MEMBERS, new org.apache.thrift.meta_data.FieldMetaData("members", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.BLAMED_AGO_MS, new org.apache.thrift.meta_data.FieldMetaData("blamedAgoMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Quarantine.class, metaDataMap);
   }
@@ -132,7 +157,9 @@
   public Quarantine(
     java.lang.String part,
     long leftMs,
-    int quarantines)
+    int quarantines,
+    java.util.List<java.lang.String> members,
+    long blamedAgoMs)
   {
     this();
     this.part = part;
@@ -140,6 +167,9 @@
     setLeftMsIsSet(true);
     this.quarantines = quarantines;
     setQuarantinesIsSet(true);
+    this.members = members;
+    this.blamedAgoMs = blamedAgoMs;
+    setBlamedAgoMsIsSet(true);
   }
 
   /**
@@ -155,6 +185,11 @@
     if (other.isSetProber()) {
       this.prober = other.prober;
     }
+    if (other.isSetMembers()) {
+      java.util.List<java.lang.String> __this__members = new java.util.ArrayList<java.lang.String>(other.members);
+      this.members = __this__members;
+    }
+    this.blamedAgoMs = other.blamedAgoMs;
   }
 
   @Override
@@ -170,13 +205,22 @@
     setQuarantinesIsSet(false);
     this.quarantines = 0;
     this.prober = null;
+    this.members = null;
+    setBlamedAgoMsIsSet(false);
+    this.blamedAgoMs = 0;
   }
 
+  /**
+   * The first of the parts that were blamed, which identifies the quarantine.
+   */
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getPart() {
     return this.part;
   }
 
+  /**
+   * The first of the parts that were blamed, which identifies the quarantine.
+   */
   public Quarantine setPart(@org.apache.thrift.annotation.Nullable java.lang.String part) {
     this.part = part;
     return this;
@@ -286,6 +330,82 @@
     }
   }
 
+  public int getMembersSize() {
+    return (this.members == null) ? 0 : this.members.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getMembersIterator() {
+    return (this.members == null) ? null : this.members.iterator();
+  }
+
+  public void addToMembers(java.lang.String elem) {
+    if (this.members == null) {
+      this.members = new java.util.ArrayList<java.lang.String>();
+    }
+    this.members.add(elem);
+  }
+
+  /**
+   * The parts that a call must have to be refused.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getMembers() {
+    return this.members;
+  }
+
+  /**
+   * The parts that a call must have to be refused.
+   */
+  public Quarantine setMembers(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> members) {
+    this.members = members;
+    return this;
+  }
+
+  public void unsetMembers() {
+    this.members = null;
+  }
+
+  /** Returns true if field members is set (has been assigned a value) and false otherwise */
+  public boolean isSetMembers() {
+    return this.members != null;
+  }
+
+  public void setMembersIsSet(boolean value) {
+    if (!value) {
+      this.members = null;
+    }
+  }
+
+  /**
+   * How long ago the first crash was for which they are blamed.
+   */
+  public long getBlamedAgoMs() {
+    return this.blamedAgoMs;
+  }
+
+  /**
+   * How long ago the first crash was for which they are blamed.
+   */
+  public Quarantine setBlamedAgoMs(long blamedAgoMs) {
+    this.blamedAgoMs = blamedAgoMs;
+    setBlamedAgoMsIsSet(true);
+    return this;
+  }
+
+  public void unsetBlamedAgoMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BLAMEDAGOMS_ISSET_ID);
+  }
+
+  /** Returns true if field blamedAgoMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetBlamedAgoMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BLAMEDAGOMS_ISSET_ID);
+  }
+
+  public void setBlamedAgoMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BLAMEDAGOMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -321,6 +441,22 @@
       }
       break;
 
+    case MEMBERS:
+      if (value == null) {
+        unsetMembers();
+      } else {
+        setMembers((java.util.List<java.lang.String>)value);
+      }
+      break;
+
+    case BLAMED_AGO_MS:
+      if (value == null) {
+        unsetBlamedAgoMs();
+      } else {
+        setBlamedAgoMs((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -340,6 +476,12 @@
     case PROBER:
       return getProber();
 
+    case MEMBERS:
+      return getMembers();
+
+    case BLAMED_AGO_MS:
+      return getBlamedAgoMs();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -360,6 +502,10 @@
       return isSetQuarantines();
     case PROBER:
       return isSetProber();
+    case MEMBERS:
+      return isSetMembers();
+    case BLAMED_AGO_MS:
+      return isSetBlamedAgoMs();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -413,6 +559,24 @@
         return false;
     }
 
+    boolean this_present_members = true && this.isSetMembers();
+    boolean that_present_members = true && that.isSetMembers();
+    if (this_present_members || that_present_members) {
+      if (!(this_present_members && that_present_members))
+        return false;
+      if (!this.members.equals(that.members))
+        return false;
+    }
+
+    boolean this_present_blamedAgoMs = true;
+    boolean that_present_blamedAgoMs = true;
+    if (this_present_blamedAgoMs || that_present_blamedAgoMs) {
+      if (!(this_present_blamedAgoMs && that_present_blamedAgoMs))
+        return false;
+      if (this.blamedAgoMs != that.blamedAgoMs)
+        return false;
+    }
+
     return true;
   }
 
@@ -432,6 +596,12 @@
     if (isSetProber())
       hashCode = hashCode * 8191 + prober.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetMembers()) ? 131071 : 524287);
+    if (isSetMembers())
+      hashCode = hashCode * 8191 + members.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(blamedAgoMs);
+
     return hashCode;
   }
 
@@ -483,6 +653,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetMembers(), other.isSetMembers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMembers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.members, other.members);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBlamedAgoMs(), other.isSetBlamedAgoMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBlamedAgoMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.blamedAgoMs, other.blamedAgoMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -532,6 +722,18 @@
       }
       first = false;
     }
+    if (!first) sb.append(", ");
+    sb.append("members:");
+    if (this.members == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.members);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("blamedAgoMs:");
+    sb.append(this.blamedAgoMs);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -611,6 +813,32 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // MEMBERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list118 = iprot.readListBegin();
+                struct.members = new java.util.ArrayList<java.lang.String>(_list118.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem119;
+                for (int _i120 = 0; _i120 < _list118.size; ++_i120)
+                {
+                  _elem119 = iprot.readString();
+                  struct.members.add(_elem119);
+                }
+                iprot.readListEnd();
+              }
+              struct.setMembersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // BLAMED_AGO_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.blamedAgoMs = iprot.readI64();
+              struct.setBlamedAgoMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -645,6 +873,21 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.members != null) {
+        oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.members.size()));
+          for (java.lang.String _iter121 : struct.members)
+          {
+            oprot.writeString(_iter121);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(BLAMED_AGO_MS_FIELD_DESC);
+      oprot.writeI64(struct.blamedAgoMs);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -676,7 +919,13 @@
       if (struct.isSetProber()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetMembers()) {
+        optionals.set(4);
+      }
+      if (struct.isSetBlamedAgoMs()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetPart()) {
         oprot.writeString(struct.part);
       }
@@ -689,12 +938,24 @@
       if (struct.isSetProber()) {
         oprot.writeString(struct.prober);
       }
+      if (struct.isSetMembers()) {
+        {
+          oprot.writeI32(struct.members.size());
+          for (java.lang.String _iter122 : struct.members)
+          {
+            oprot.writeString(_iter122);
+          }
+        }
+      }
+      if (struct.isSetBlamedAgoMs()) {
+        oprot.writeI64(struct.blamedAgoMs);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Quarantine struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.part = iprot.readString();
         struct.setPartIsSet(true);
@@ -711,6 +972,23 @@
         struct.prober = iprot.readString();
         struct.setProberIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list123 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.members = new java.util.ArrayList<java.lang.String>(_list123.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem124;
+          for (int _i125 = 0; _i125 < _list123.size; ++_i125)
+          {
+            _elem124 = iprot.readString();
+            struct.members.add(_elem124);
+          }
+        }
+        struct.setMembersIsSet(true);
+      }
+      if (incoming.get(5)) {
+        struct.blamedAgoMs = iprot.readI64();
+        struct.setBlamedAgoMsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineNews.java
@@ -439,13 +439,13 @@
           case 1: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<java.lang.String>(_list152.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem153;
-                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
+                org.apache.thrift.protocol.TList _list160 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<java.lang.String>(_list160.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem161;
+                for (int _i162 = 0; _i162 < _list160.size; ++_i162)
                 {
-                  _elem153 = iprot.readString();
-                  struct.suspects.add(_elem153);
+                  _elem161 = iprot.readString();
+                  struct.suspects.add(_elem161);
                 }
                 iprot.readListEnd();
               }
@@ -457,14 +457,14 @@
           case 2: // QUARANTINED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list155 = iprot.readListBegin();
-                struct.quarantined = new java.util.ArrayList<Quarantine>(_list155.size);
-                @org.apache.thrift.annotation.Nullable Quarantine _elem156;
-                for (int _i157 = 0; _i157 < _list155.size; ++_i157)
+                org.apache.thrift.protocol.TList _list163 = iprot.readListBegin();
+                struct.quarantined = new java.util.ArrayList<Quarantine>(_list163.size);
+                @org.apache.thrift.annotation.Nullable Quarantine _elem164;
+                for (int _i165 = 0; _i165 < _list163.size; ++_i165)
                 {
-                  _elem156 = new Quarantine();
-                  _elem156.read(iprot);
-                  struct.quarantined.add(_elem156);
+                  _elem164 = new Quarantine();
+                  _elem164.read(iprot);
+                  struct.quarantined.add(_elem164);
                 }
                 iprot.readListEnd();
               }
@@ -493,9 +493,9 @@
         oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.suspects.size()));
-          for (java.lang.String _iter158 : struct.suspects)
+          for (java.lang.String _iter166 : struct.suspects)
           {
-            oprot.writeString(_iter158);
+            oprot.writeString(_iter166);
           }
           oprot.writeListEnd();
         }
@@ -505,9 +505,9 @@
         oprot.writeFieldBegin(QUARANTINED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantined.size()));
-          for (Quarantine _iter159 : struct.quarantined)
+          for (Quarantine _iter167 : struct.quarantined)
           {
-            _iter159.write(oprot);
+            _iter167.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -542,18 +542,18 @@
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (java.lang.String _iter160 : struct.suspects)
+          for (java.lang.String _iter168 : struct.suspects)
           {
-            oprot.writeString(_iter160);
+            oprot.writeString(_iter168);
           }
         }
       }
       if (struct.isSetQuarantined()) {
         {
           oprot.writeI32(struct.quarantined.size());
-          for (Quarantine _iter161 : struct.quarantined)
+          for (Quarantine _iter169 : struct.quarantined)
           {
-            _iter161.write(oprot);
+            _iter169.write(oprot);
           }
         }
       }
@@ -565,27 +565,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list162 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.suspects = new java.util.ArrayList<java.lang.String>(_list162.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem163;
-          for (int _i164 = 0; _i164 < _list162.size; ++_i164)
+          org.apache.thrift.protocol.TList _list170 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.suspects = new java.util.ArrayList<java.lang.String>(_list170.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem171;
+          for (int _i172 = 0; _i172 < _list170.size; ++_i172)
           {
-            _elem163 = iprot.readString();
-            struct.suspects.add(_elem163);
+            _elem171 = iprot.readString();
+            struct.suspects.add(_elem171);
           }
         }
         struct.setSuspectsIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list165 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantined = new java.util.ArrayList<Quarantine>(_list165.size);
-          @org.apache.thrift.annotation.Nullable Quarantine _elem166;
-          for (int _i167 = 0; _i167 < _list165.size; ++_i167)
+          org.apache.thrift.protocol.TList _list173 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantined = new java.util.ArrayList<Quarantine>(_list173.size);
+          @org.apache.thrift.annotation.Nullable Quarantine _elem174;
+          for (int _i175 = 0; _i175 < _list173.size; ++_i175)
           {
-            _elem166 = new Quarantine();
-            _elem166.read(iprot);
-            struct.quarantined.add(_elem166);
+            _elem174 = new Quarantine();
+            _elem174.read(iprot);
+            struct.quarantined.add(_elem174);
           }
         }
         struct.setQuarantinedIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineReport.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineReport.java
@@ -746,14 +746,14 @@
           case 2: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list118 = iprot.readListBegin();
-                struct.crashes = new java.util.ArrayList<CutOffCall>(_list118.size);
-                @org.apache.thrift.annotation.Nullable CutOffCall _elem119;
-                for (int _i120 = 0; _i120 < _list118.size; ++_i120)
+                org.apache.thrift.protocol.TList _list126 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<CutOffCall>(_list126.size);
+                @org.apache.thrift.annotation.Nullable CutOffCall _elem127;
+                for (int _i128 = 0; _i128 < _list126.size; ++_i128)
                 {
-                  _elem119 = new CutOffCall();
-                  _elem119.read(iprot);
-                  struct.crashes.add(_elem119);
+                  _elem127 = new CutOffCall();
+                  _elem127.read(iprot);
+                  struct.crashes.add(_elem127);
                 }
                 iprot.readListEnd();
               }
@@ -765,15 +765,15 @@
           case 3: // COMPLETED_AGO_MS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map121 = iprot.readMapBegin();
-                struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map121.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key122;
-                long _val123;
-                for (int _i124 = 0; _i124 < _map121.size; ++_i124)
+                org.apache.thrift.protocol.TMap _map129 = iprot.readMapBegin();
+                struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map129.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key130;
+                long _val131;
+                for (int _i132 = 0; _i132 < _map129.size; ++_i132)
                 {
-                  _key122 = iprot.readString();
-                  _val123 = iprot.readI64();
-                  struct.completedAgoMs.put(_key122, _val123);
+                  _key130 = iprot.readString();
+                  _val131 = iprot.readI64();
+                  struct.completedAgoMs.put(_key130, _val131);
                 }
                 iprot.readMapEnd();
               }
@@ -785,14 +785,14 @@
           case 4: // QUARANTINED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list125 = iprot.readListBegin();
-                struct.quarantined = new java.util.ArrayList<Quarantine>(_list125.size);
-                @org.apache.thrift.annotation.Nullable Quarantine _elem126;
-                for (int _i127 = 0; _i127 < _list125.size; ++_i127)
+                org.apache.thrift.protocol.TList _list133 = iprot.readListBegin();
+                struct.quarantined = new java.util.ArrayList<Quarantine>(_list133.size);
+                @org.apache.thrift.annotation.Nullable Quarantine _elem134;
+                for (int _i135 = 0; _i135 < _list133.size; ++_i135)
                 {
-                  _elem126 = new Quarantine();
-                  _elem126.read(iprot);
-                  struct.quarantined.add(_elem126);
+                  _elem134 = new Quarantine();
+                  _elem134.read(iprot);
+                  struct.quarantined.add(_elem134);
                 }
                 iprot.readListEnd();
               }
@@ -804,13 +804,13 @@
           case 5: // REFUSED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
-                struct.refused = new java.util.ArrayList<java.lang.String>(_list128.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
-                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
+                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
+                struct.refused = new java.util.ArrayList<java.lang.String>(_list136.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem137;
+                for (int _i138 = 0; _i138 < _list136.size; ++_i138)
                 {
-                  _elem129 = iprot.readString();
-                  struct.refused.add(_elem129);
+                  _elem137 = iprot.readString();
+                  struct.refused.add(_elem137);
                 }
                 iprot.readListEnd();
               }
@@ -844,9 +844,9 @@
         oprot.writeFieldBegin(CRASHES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-          for (CutOffCall _iter131 : struct.crashes)
+          for (CutOffCall _iter139 : struct.crashes)
           {
-            _iter131.write(oprot);
+            _iter139.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -856,10 +856,10 @@
         oprot.writeFieldBegin(COMPLETED_AGO_MS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.completedAgoMs.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter132 : struct.completedAgoMs.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter140 : struct.completedAgoMs.entrySet())
           {
-            oprot.writeString(_iter132.getKey());
-            oprot.writeI64(_iter132.getValue());
+            oprot.writeString(_iter140.getKey());
+            oprot.writeI64(_iter140.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -869,9 +869,9 @@
         oprot.writeFieldBegin(QUARANTINED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantined.size()));
-          for (Quarantine _iter133 : struct.quarantined)
+          for (Quarantine _iter141 : struct.quarantined)
           {
-            _iter133.write(oprot);
+            _iter141.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -881,9 +881,9 @@
         oprot.writeFieldBegin(REFUSED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.refused.size()));
-          for (java.lang.String _iter134 : struct.refused)
+          for (java.lang.String _iter142 : struct.refused)
           {
-            oprot.writeString(_iter134);
+            oprot.writeString(_iter142);
           }
           oprot.writeListEnd();
         }
@@ -930,37 +930,37 @@
       if (struct.isSetCrashes()) {
         {
           oprot.writeI32(struct.crashes.size());
-          for (CutOffCall _iter135 : struct.crashes)
+          for (CutOffCall _iter143 : struct.crashes)
           {
-            _iter135.write(oprot);
+            _iter143.write(oprot);
           }
         }
       }
       if (struct.isSetCompletedAgoMs()) {
         {
           oprot.writeI32(struct.completedAgoMs.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter136 : struct.completedAgoMs.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter144 : struct.completedAgoMs.entrySet())
           {
-            oprot.writeString(_iter136.getKey());
-            oprot.writeI64(_iter136.getValue());
+            oprot.writeString(_iter144.getKey());
+            oprot.writeI64(_iter144.getValue());
           }
         }
       }
       if (struct.isSetQuarantined()) {
         {
           oprot.writeI32(struct.quarantined.size());
-          for (Quarantine _iter137 : struct.quarantined)
+          for (Quarantine _iter145 : struct.quarantined)
           {
-            _iter137.write(oprot);
+            _iter145.write(oprot);
           }
         }
       }
       if (struct.isSetRefused()) {
         {
           oprot.writeI32(struct.refused.size());
-          for (java.lang.String _iter138 : struct.refused)
+          for (java.lang.String _iter146 : struct.refused)
           {
-            oprot.writeString(_iter138);
+            oprot.writeString(_iter146);
           }
         }
       }
@@ -976,56 +976,56 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list139 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashes = new java.util.ArrayList<CutOffCall>(_list139.size);
-          @org.apache.thrift.annotation.Nullable CutOffCall _elem140;
-          for (int _i141 = 0; _i141 < _list139.size; ++_i141)
+          org.apache.thrift.protocol.TList _list147 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<CutOffCall>(_list147.size);
+          @org.apache.thrift.annotation.Nullable CutOffCall _elem148;
+          for (int _i149 = 0; _i149 < _list147.size; ++_i149)
           {
-            _elem140 = new CutOffCall();
-            _elem140.read(iprot);
-            struct.crashes.add(_elem140);
+            _elem148 = new CutOffCall();
+            _elem148.read(iprot);
+            struct.crashes.add(_elem148);
           }
         }
         struct.setCrashesIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TMap _map142 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map142.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key143;
-          long _val144;
-          for (int _i145 = 0; _i145 < _map142.size; ++_i145)
+          org.apache.thrift.protocol.TMap _map150 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map150.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key151;
+          long _val152;
+          for (int _i153 = 0; _i153 < _map150.size; ++_i153)
           {
-            _key143 = iprot.readString();
-            _val144 = iprot.readI64();
-            struct.completedAgoMs.put(_key143, _val144);
+            _key151 = iprot.readString();
+            _val152 = iprot.readI64();
+            struct.completedAgoMs.put(_key151, _val152);
           }
         }
         struct.setCompletedAgoMsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list146 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantined = new java.util.ArrayList<Quarantine>(_list146.size);
-          @org.apache.thrift.annotation.Nullable Quarantine _elem147;
-          for (int _i148 = 0; _i148 < _list146.size; ++_i148)
+          org.apache.thrift.protocol.TList _list154 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantined = new java.util.ArrayList<Quarantine>(_list154.size);
+          @org.apache.thrift.annotation.Nullable Quarantine _elem155;
+          for (int _i156 = 0; _i156 < _list154.size; ++_i156)
           {
-            _elem147 = new Quarantine();
-            _elem147.read(iprot);
-            struct.quarantined.add(_elem147);
+            _elem155 = new Quarantine();
+            _elem155.read(iprot);
+            struct.quarantined.add(_elem155);
           }
         }
         struct.setQuarantinedIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list149 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.refused = new java.util.ArrayList<java.lang.String>(_list149.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem150;
-          for (int _i151 = 0; _i151 < _list149.size; ++_i151)
+          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.refused = new java.util.ArrayList<java.lang.String>(_list157.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem158;
+          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
           {
-            _elem150 = iprot.readString();
-            struct.refused.add(_elem150);
+            _elem158 = iprot.readString();
+            struct.refused.add(_elem158);
           }
         }
         struct.setRefusedIsSet(true);
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -163,6 +163,7 @@
 
 /** A part of a prompt with which calls are refused. */
 struct Quarantine {
+  /** The first of the parts that were blamed, which identifies the quarantine. */
   1: string part
   /** How long until one call may try the part; negative if that time has passed. */
   2: i64 leftMs
@@ -170,6 +171,10 @@
   3: i32 quarantines
   /** The entry that may send this one call. */
   4: optional string prober
+  /** The parts that a call must have to be refused. */
+  5: list<string> members
+  /** How long ago the first crash was for which they are blamed. */
+  6: i64 blamedAgoMs
 }
 
 /** What an entry tells the leader of parts that may crash instances. */
