--- a/app/src/main/java/org/hawthornglade/app/EmulateCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/EmulateCommand.java
@@ -3,6 +3,10 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
+import org.hawthornglade.bench.crash.CrashEmulator;
+import org.hawthornglade.bench.crash.CrashOptions;
+import org.hawthornglade.bench.crash.CrashResult;
+import org.hawthornglade.bench.crash.CrashSummary;
 import org.hawthornglade.bench.emulator.Emulator;
 import org.hawthornglade.bench.emulator.EmulatorOptions;
 import org.hawthornglade.bench.emulator.EmulatorSummary;
@@ -26,7 +30,13 @@
     @Parameter(names = "--seconds", description = "Seconds in which calls arrive in each run, 10 to 600")
     private int seconds = 30;
 
-    @Parameter(names = "--calm", description = "Runs without restarts and pauses of entries")
+    @Parameter(
+            names = "--deadly-share",
+            description =
+                    "Plays engines that crash on one part of a prompt instead; the share of calls with it, 0 to 1")
+    private Double deadlyShare;
+
+    @Parameter(names = "--calm", description = "Runs without restarts and pauses of entries, or other crashes")
     private boolean calm = false;
 
     @Override
@@ -40,6 +50,28 @@
             out.println("--seeds is at least 1, --entries from 1 to 1000, --seconds from 10 to 600");
             return ExitCode.USAGE;
         }
+        return deadlyShare == null ? emulateNotices(out) : emulateCrashes(out);
+    }
+
+    private ExitCode emulateCrashes(PrintStream out) {
+        if (deadlyShare < 0 || deadlyShare > 1) {
+            out.println("--deadly-share is from 0 to 1");
+            return ExitCode.USAGE;
+        }
+        CrashSummary summary = new CrashSummary();
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            CrashOptions options = new CrashOptions(seed, entries, deadlyShare, !calm);
+            CrashResult result = CrashEmulator.run(options);
+            summary.add(result);
+            if (!result.clean()) {
+                out.println(options + " " + result);
+            }
+        }
+        out.println(summary);
+        return summary.clean() ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    private ExitCode emulateNotices(PrintStream out) {
         EmulatorSummary summary = new EmulatorSummary();
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
             EmulatorOptions options = new EmulatorOptions(seed, entries, seconds, !calm);
