What an entry has not reported yet is a class of its own

No change of behaviour, but that the oldest quarantine is dropped where 256 are passed, as its comment says now. Run: tests of core.quarantine.

--- a/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
@@ -1,8 +1,5 @@
 package org.hawthornglade.core.quarantine;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -34,7 +31,7 @@
     static final long TRIAL_MS = 15_000;
     /** A quarantine ends without a trial if no call with its part was refused for this long, in milliseconds. */
     static final long FORGET_MS = 1_800_000;
-    /** The most parts in quarantine; the one refused least lately is dropped. */
+    /** The most parts in quarantine; the oldest one is dropped. */
     static final int MAX_QUARANTINED = 256;
     /** The most shared parts of one prompt that are suspects. */
     static final int MAX_PARTS_OF_A_PROMPT = 16;
@@ -42,8 +39,6 @@
     static final long COLLECTION_MS = 500;
     /** An entry that has lost its leader blames no part for this time, in which there mostly is another one. */
     static final long WITHOUT_LEADER_MS = 5_000;
-    /** The most crash reports that are kept for a new leader. */
-    private static final int MAX_RECENT_REPORTS = 64;
 
     /** How an entry takes part in the decisions. */
     public enum Role {
@@ -74,15 +69,12 @@
     private final Listener listener;
     private final SuspectParts suspects = new SuspectParts();
     private final CompletedParts completedParts = new CompletedParts();
-    private final Map<PromptPartId, QuarantinedPart> quarantined = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<PromptPartId, QuarantinedPart> quarantined = new LinkedHashMap<>();
     private final Map<PromptPartId, Long> refusedAtMs = new HashMap<>();
     private final Map<PromptPartId, Long> trialSinceMs = new HashMap<>();
     private final Set<PromptPartId> usedTrials = new HashSet<>();
-    private final Deque<CrashReport> recentReports = new ArrayDeque<>();
-    private final List<CrashReport> unreportedCrashes = new ArrayList<>();
-    private final Map<PromptPartId, Long> unreportedCompletions = new HashMap<>();
+    private final UnreportedEvidence unreported = new UnreportedEvidence();
     private final Map<PromptPartId, QuarantinedPart> unconfirmed = new LinkedHashMap<>();
-    private final Set<PromptPartId> unreportedRefusals = new HashSet<>();
     private Set<PromptPartId> leaderSuspects = Set.of();
     private Role role = Role.WITHOUT_LEADER;
     private long blameFromMs = Long.MAX_VALUE;
@@ -116,7 +108,7 @@
             return Optional.empty();
         }
         refusedAtMs.put(found.get().part(), nowMs);
-        unreportedRefusals.add(found.get().part());
+        unreported.onRefused(found.get().part());
         long retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, found.get().untilMs() - nowMs);
         return Optional.of(new Decision.Refuse(ResultCode.PROMPT_QUARANTINED, retryAfterMs));
     }
@@ -161,11 +153,7 @@
             return;
         }
         CrashReport report = new CrashReport(crash, cutOffAtMs, parts);
-        recentReports.addLast(report);
-        if (recentReports.size() > MAX_RECENT_REPORTS) {
-            recentReports.removeFirst();
-        }
-        unreportedCrashes.add(report);
+        unreported.onCrash(report);
         changed = true;
         listener.onSuspects(report);
         apply(report, nowMs);
@@ -231,7 +219,7 @@
             completedParts.onCompleted(part, nowMs);
             boolean watched = suspects.contains(part) || leaderSuspects.contains(part) || inQuarantine(part);
             if (watched) {
-                unreportedCompletions.put(part, nowMs);
+                unreported.onCompleted(part, nowMs);
                 changed = true;
                 onCompleted(part, nowMs);
             }
@@ -269,12 +257,7 @@
 
     /** Returns what the leader has not been told yet. */
     public QuarantineReport report() {
-        QuarantineReport report = new QuarantineReport(
-                unreportedCrashes, unreportedCompletions, List.copyOf(unconfirmed.values()), unreportedRefusals);
-        unreportedCrashes.clear();
-        unreportedCompletions.clear();
-        unreportedRefusals.clear();
-        return report;
+        return unreported.take(unconfirmed.values());
     }
 
     /** Handles the report of an entry, as the leader. */
@@ -355,11 +338,11 @@
             }
         }
         leaderSuspects = update.suspects();
-        changed = !unreportedCompletions.isEmpty();
+        changed = unreported.hasCompleted();
     }
 
     private void reportLastCompletion(PromptPartId part) {
-        completedParts.lastCompletedMs(part).ifPresent(atMs -> unreportedCompletions.merge(part, atMs, Math::max));
+        completedParts.lastCompletedMs(part).ifPresent(atMs -> unreported.onCompleted(part, atMs));
     }
 
     private void onPublished(QuarantinedPart part) {
@@ -381,9 +364,7 @@
         role = current;
         blameFromMs = nowMs + (role == Role.LEADING ? COLLECTION_MS : WITHOUT_LEADER_MS);
         leaderSuspects = Set.of();
-        unreportedCrashes.clear();
-        unreportedCrashes.addAll(recentReports);
-        recentReports.forEach(report -> report.parts().forEach(this::reportLastCompletion));
+        unreported.repeatCrashes().forEach(report -> report.parts().forEach(this::reportLastCompletion));
         quarantined.replaceAll((part, found) -> found.withoutProber());
         unconfirmed.putAll(quarantined);
         changed = true;
