--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashSummary.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashSummary.java
@@ -31,7 +31,8 @@
     public String toString() {
         return String.format(
                 Locale.ROOT,
-                "runs %d  broken %d  crashes %.1f  late arrivals at most %.0f  quarantine after %.0f ms, at most %.0f ms"
+                "runs %d  broken %d  crashes %.1f  late arrivals at most %.0f"
+                        + "  quarantine after %.0f ms, at most %.0f ms"
                         + "  sound calls served before %.3f, after %.3f, refused %.0f  messages a second %.0f",
                 results.size(),
                 results.stream().filter(result -> !result.clean()).count(),
--- a/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
@@ -19,9 +19,9 @@
 /**
  * Keeps calls with a part of a prompt that crashes instances from reaching any further instance.
  *
- * <p>Each entry reports the calls that crashes cut off, and answers completed on suspects, to the leader, which blames a
- * part and publishes it to all entries. An entry without a leader decides by what it has seen itself and keeps what it
- * was told. After the time of a quarantine the leader lets one entry send one call: a crash prolongs the quarantine,
+ * <p>Each entry reports the calls that crashes cut off, and answers completed on suspects, to the leader, which blames
+ * a part and publishes it to all entries. An entry without a leader decides by what it has seen itself and keeps what
+ * it was told. After the time of a quarantine the leader lets one entry send one call: a crash prolongs the quarantine,
  * a completed answer ends it.
  */
 public final class PromptQuarantine implements CallScreen {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ResumptionFailureTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ResumptionFailureTest.java
@@ -44,7 +44,7 @@
                 Arguments.of("nothing", "", ConnectionAction.CLOSE));
     }
 
-    /** The text of the second answer, or its whole head, stood in the caller's stream, or the stream looked complete. */
+    /** The second answer's text, or its whole head, stood in the caller's stream, or the stream looked complete. */
     @ParameterizedTest(name = "{0}")
     @MethodSource("secondAnswers")
     void startedStreamIsCutAfterItsLastEvent(String name, String answer, ConnectionAction action) throws Exception {
