Tokens of leaders rise over restores of the store, and a row from the past frees no lease

Cause: the token was one more than that of the row, and a row from the past leads to the same number again.

Now a revision bears its era, and revisions of different eras never compare by number. A token is made of the transaction by which the claim was written, era first: no other claim has it, so a stale write that passes its condition because a number was given out again cannot hide a token either. A row that was not written since the restore frees nothing before the time of a lease has passed, whether it is missing, released or names an ended process; the answer of a write that rests on an earlier era is believed by nobody. The leader claims its own lease again at once and orders on meanwhile. Entries name the era to each other with placements, so a quiet entry reads its tables again.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -6,6 +6,8 @@
 import org.hawthornglade.core.chart.LeadershipEvent;
 import org.hawthornglade.core.chart.LeadershipState;
 import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.store.StoreEra;
+import org.hawthornglade.core.store.StoreRevision;
 
 /**
  * Decides when an entry reads, claims, renews and releases the lease of the placement leader.
@@ -18,6 +20,10 @@
  * <p>There are two exceptions. A follower takes over immediately if the leader's host refuses connections, because its
  * process has ended. And where engines check fencing tokens, a leader that cannot reach the store continues beyond its
  * lease: if another entry has taken over, the engines refuse the older token.
+ *
+ * <p>A store that was restored from an older copy may have lost the row of a lease that is in force, and may show an
+ * earlier one. A row that was not written since the restore therefore frees nothing: another entry waits for as long as
+ * a lease that was given before may last. The leader itself claims its lease again, with a new token.
  */
 public final class Leadership {
     /** Interval at which a follower without a leader reads the row, in milliseconds. */
@@ -41,7 +47,9 @@
     private final long leaseMs;
     private final boolean enginesCheckTokens;
     private final ChartInstance<LeadershipState, LeadershipEvent> state = LeadershipChart.CHART.start();
-    private StoredLease seen = new StoredLease(-1, Optional.empty());
+    private StoredLease seen = new StoredLease(new StoreRevision(StoreEra.NONE, -1), Optional.empty());
+    private StoreEra era = StoreEra.NONE;
+    private StoreRevision claimed = new StoreRevision(StoreEra.NONE, 0);
     private long seenSinceMs;
     private long nextReadMs;
     private long nextRenewalMs;
@@ -69,17 +77,35 @@
         this.leaseMs = enginesCheckTokens ? Math.min(leaseMs, FENCED_LEASE_MS) : leaseMs;
     }
 
+    /** Handles the era of the store that a response or another entry has named. */
+    public void onStoreEra(StoreEra named, long nowMs) {
+        if (!named.isAfter(era)) {
+            return;
+        }
+        era = named;
+        if (state.state() == LeadershipState.LEADING) {
+            nextReadMs = nowMs;
+        }
+    }
+
     /** Returns whether the row should be read now. */
     public boolean shouldRead(boolean leaderAlive, long nowMs) {
-        return state.state() == LeadershipState.FOLLOWING && !leaderAlive && !callInFlight && nowMs >= nextReadMs;
+        boolean wanted = state.state() == LeadershipState.FOLLOWING ? !leaderAlive : mustClaimAgain();
+        return wanted && !callInFlight && nowMs >= nextReadMs;
+    }
+
+    /** Returns whether this entry leads by a lease whose row the store may have lost. */
+    private boolean mustClaimAgain() {
+        return state.state() == LeadershipState.LEADING && era.isAfter(claimed.era());
     }
 
     /**
      * Records that a message of the leader was received after it had written a revision. If the row still has that
      * revision later, it has been unchanged at least since then.
      */
-    public void onLeaderMessage(long revision, long nowMs) {
-        if (state.state() == LeadershipState.FOLLOWING && revision > seen.revision()) {
+    public void onLeaderMessage(StoreRevision revision, long nowMs) {
+        onStoreEra(revision.era(), nowMs);
+        if (state.state() == LeadershipState.FOLLOWING && revision.isAfter(seen.revision())) {
             observe(new StoredLease(revision, seen.row()), nowMs);
         }
     }
@@ -103,24 +129,54 @@
      */
     public Optional<LeaseWrite> onRead(StoredLease stored, Optional<String> endedLeader, long nowMs) {
         callInFlight = false;
+        onStoreEra(stored.revision().era(), nowMs);
+        if (era.isAfter(stored.revision().era())) {
+            return Optional.empty();
+        }
         observe(stored, nowMs);
+        if (mustClaimAgain()) {
+            return claimAgain(stored);
+        }
         if (state.state() != LeadershipState.FOLLOWING || !leaseFree(endedLeader, nowMs)) {
             return Optional.empty();
         }
         fire(LeadershipEvent.CLAIM_SENT);
+        return Optional.of(claim(stored));
+    }
+
+    /** Claims the lease that this entry has, unless another entry has claimed it since the restore. */
+    private Optional<LeaseWrite> claimAgain(StoredLease stored) {
+        boolean others = stored.row()
+                .filter(row -> row.era().equals(era) && !row.nonce().equals(nonce))
+                .isPresent();
+        if (others) {
+            stepDown();
+            return Optional.empty();
+        }
+        return Optional.of(claim(stored));
+    }
+
+    private LeaseWrite claim(StoredLease stored) {
         callInFlight = true;
-        long token = stored.row().map(LeaseRow::token).orElse(0L) + 1;
-        return Optional.of(new LeaseWrite(stored.revision(), new LeaseRow(node, address, token, nonce, 0, false)));
+        // The version of the write is not known yet, but it is higher than that of the row.
+        long least = FencingToken.of(stored.revision()).value() + 1;
+        long token = Math.max(least, stored.row().map(LeaseRow::token).orElse(0L) + 1);
+        return new LeaseWrite(stored.revision(), new LeaseRow(node, address, token, nonce, 0, false, era));
     }
 
     private void observe(StoredLease stored, long nowMs) {
-        if (stored.revision() != seen.revision()) {
+        if (!stored.revision().equals(seen.revision())) {
             seenSinceMs = nowMs;
         }
         seen = stored;
     }
 
     private boolean leaseFree(Optional<String> endedLeader, long nowMs) {
+        boolean waited = nowMs - seenSinceMs > leaseMs + SAFETY_MARGIN_MS;
+        StoreEra writtenIn = seen.row().map(LeaseRow::era).orElse(StoreEra.NONE);
+        if (era.isAfter(writtenIn)) {
+            return waited;
+        }
         if (seen.row().isEmpty()) {
             return true;
         }
@@ -128,14 +184,22 @@
         // A holder with the same name and address is an earlier process of this entry, which has ended.
         boolean predecessor = row.holder().equals(node) && row.address().equals(address);
         boolean holderEnded = endedLeader.equals(Optional.of(row.address()));
-        return row.released() || predecessor || holderEnded || nowMs - seenSinceMs > leaseMs + SAFETY_MARGIN_MS;
+        return row.released() || predecessor || holderEnded || waited;
     }
 
     /** Handles the success of a claim or renewal; the lease is valid from when it was sent. */
-    public void onWritten(LeaseWrite write, long revision, long sentAtMs, long wallSentMs) {
+    public void onWritten(LeaseWrite write, StoreRevision revision, long sentAtMs, long wallSentMs) {
         callInFlight = false;
+        onStoreEra(revision.era(), sentAtMs);
+        if (!revision.era().equals(write.expected().era()) || era.isAfter(revision.era())) {
+            onWrittenAcrossRestore();
+            return;
+        }
         seen = new StoredLease(revision, Optional.of(write.row()));
         seenSinceMs = sentAtMs;
+        if (write.row().renewals() == 0) {
+            claimed = revision;
+        }
         if (state.state() == LeadershipState.CLAIMING) {
             fire(LeadershipEvent.WON);
         }
@@ -144,9 +208,20 @@
         nextRenewalMs = sentAtMs + leaseMs / RENEWALS_PER_LEASE;
     }
 
+    /** The write rests on a revision that the store has lost: it may be lost too, or have replaced another's row. */
+    private void onWrittenAcrossRestore() {
+        if (state.state() == LeadershipState.CLAIMING) {
+            stepDown();
+        }
+    }
+
     /** Handles the rejection of a write because the row had another revision than expected. */
     public void onConflict(StoredLease stored, LeaseWrite write, long nowMs) {
         callInFlight = false;
+        onStoreEra(stored.revision().era(), nowMs);
+        if (mustClaimAgain()) {
+            return;
+        }
         boolean ownEarlierWrite = stored.row().isPresent()
                 && stored.row().get().nonce().equals(nonce)
                 && !stored.row().get().released();
@@ -174,12 +249,13 @@
 
     /** Returns the renewal to be written, if one is due. */
     public Optional<LeaseWrite> renewal(long nowMs) {
-        if (state.state() != LeadershipState.LEADING || callInFlight || nowMs < nextRenewalMs) {
+        boolean due = state.state() == LeadershipState.LEADING && nowMs >= nextRenewalMs;
+        if (!due || callInFlight || mustClaimAgain()) {
             return Optional.empty();
         }
         callInFlight = true;
         return Optional.of(
-                new LeaseWrite(seen.revision(), seen.row().orElseThrow().renewed()));
+                new LeaseWrite(seen.revision(), seen.row().orElseThrow().renewed(token())));
     }
 
     /** Returns whether this entry may send orders now. */
@@ -228,11 +304,11 @@
      * @return the write that releases the lease, if this entry leads
      */
     public Optional<LeaseWrite> resign() {
-        boolean leading = state.state() == LeadershipState.LEADING;
+        boolean holdsRow = state.state() == LeadershipState.LEADING && !mustClaimAgain();
         if (state.accepts(LeadershipEvent.STOP)) {
             fire(LeadershipEvent.STOP);
         }
-        return leading
+        return holdsRow
                 ? Optional.of(
                         new LeaseWrite(seen.revision(), seen.row().orElseThrow().release()))
                 : Optional.empty();
@@ -242,9 +318,9 @@
         return state.state() == LeadershipState.LEADING;
     }
 
-    /** Returns the fencing token of this entry's own lease. */
-    public long token() {
-        return seen.row().orElseThrow().token();
+    /** Returns the fencing token of this entry's own lease, or of its last one. */
+    public FencingToken token() {
+        return FencingToken.of(claimed);
     }
 
     /** Returns the lease as last read or written. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.exchange.CallReceiver;
 import org.hawthornglade.gateway.exchange.CrashDetector;
@@ -146,6 +147,7 @@
     public void start(StoreFeeds feeds) {
         callers.listen(settings.callerAddress());
         placement.onLeadingChanged(feeds::setUrgent);
+        placement.onStoreEraReported(feeds::onStoreEra);
         placement.start();
         readiness.listen(settings.readinessAddress());
         timers.run(() -> feeds.start(this));
@@ -210,6 +212,11 @@
                 .orElseThrow();
     }
 
+    @Override
+    public void onStoreRestored(StoreEra era) {
+        placement.onStoreRestored(era);
+    }
+
     @Override
     public void onConfiguration(ServingConfiguration received) {
         if (configuration.isPresent() && configuration.get().version() >= received.version()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
@@ -6,6 +6,7 @@
 import org.hawthornglade.core.lease.LeaseWrite;
 import org.hawthornglade.core.lease.StoredLease;
 import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.port.LeaseStore;
@@ -77,6 +78,11 @@
         }
     }
 
+    /** Handles the era of the store that a response has named. */
+    void onStoreEra(StoreEra era) {
+        leadership.onStoreEra(era, clock.nowMs());
+    }
+
     /** Logs a persisting fault only when it begins and when it changes. */
     private void logFaultChange(String event, String reason) {
         String fault = event + reason;
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -15,6 +15,7 @@
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
 import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.GatewaySettings;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
@@ -55,6 +56,7 @@
     private long fullDemandSentMs;
     private boolean demandPending;
     private Consumer<Boolean> leadingListener = leading -> {};
+    private Consumer<StoreEra> storeEraListener = era -> {};
     private IntConsumer entryCountListener = entries -> {};
     private boolean wasLeading;
 
@@ -115,6 +117,16 @@
         entryCountListener = action;
     }
 
+    /** Sets the listener for the era of the store that the leader reports. */
+    public void onStoreEraReported(Consumer<StoreEra> action) {
+        storeEraListener = action;
+    }
+
+    /** Handles a restore of the store from an older copy. */
+    public void onStoreRestored(StoreEra era) {
+        lease.onStoreEra(era);
+    }
+
     /** Releases the lease, as at a stop. */
     public void resign() {
         lease.resign();
@@ -205,6 +217,7 @@
             followers.send(update);
         } else {
             leadership.onLeaderMessage(update.leaseRevision(), nowMs);
+            storeEraListener.accept(update.leaseRevision().era());
             leader.onLoadLimits(update.loadLimits());
         }
         waitingCalls.reconsider();
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -19,6 +19,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.limit.LimitUpdate;
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
@@ -26,6 +27,8 @@
 import org.hawthornglade.core.replica.LoadLimits;
 import org.hawthornglade.core.replica.ModelArrivals;
 import org.hawthornglade.core.replica.VariantDemand;
+import org.hawthornglade.core.store.StoreEra;
+import org.hawthornglade.core.store.StoreRevision;
 import org.hawthornglade.protocol.gen.peer.Arrivals;
 import org.hawthornglade.protocol.gen.peer.DemandReport;
 import org.hawthornglade.protocol.gen.peer.InstanceUse;
@@ -63,11 +66,19 @@
                 .forEach((service, learned) ->
                         limits.add(new StoreLimits(service.value(), learned.proven(), learned.max())));
         PeerMessage message = new PeerMessage();
-        message.setPlacement(new PlacementNews(update.token(), instances, update.leaseRevision(), update.entries())
-                .setStoreLimits(limits));
+        message.setPlacement(placementNews(update, instances).setStoreLimits(limits));
         return bytes(message);
     }
 
+    private static PlacementNews placementNews(PlacementUpdate update, List<PlacedInstance> instances) {
+        return new PlacementNews(
+                        update.token().value(),
+                        instances,
+                        update.leaseRevision().number(),
+                        update.entries())
+                .setStoreEra(update.leaseRevision().era().number());
+    }
+
     static byte[] encode(LimitUpdate update) {
         PeerMessage message = new PeerMessage();
         message.setLimits(LimitCodec.encode(update));
@@ -211,14 +222,20 @@
             running.put(id, instance.getRunning());
         }
         return new PlacementUpdate(
-                coded.getFencingToken(),
-                coded.getLeaseRevision(),
+                new FencingToken(coded.getFencingToken()),
+                leaseRevision(coded),
                 placements,
                 running,
                 coded.getEntries(),
                 loadLimits(coded));
     }
 
+    private static StoreRevision leaseRevision(PlacementNews coded) {
+        // Entries of the previous version send no era.
+        StoreEra era = coded.isSetStoreEra() ? new StoreEra(coded.getStoreEra()) : StoreEra.NONE;
+        return new StoreRevision(era, coded.getLeaseRevision());
+    }
+
     private static Map<ServiceName, LoadLimits> loadLimits(PlacementNews coded) {
         Map<ServiceName, LoadLimits> limits = new HashMap<>();
         // Entries of the previous version send none.
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementUpdate.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementUpdate.java
@@ -5,7 +5,9 @@
 import org.hawthornglade.core.fleet.InstancePlacement;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.replica.LoadLimits;
+import org.hawthornglade.core.store.StoreRevision;
 
 /**
  * The placements that the leader sends to entries.
@@ -18,8 +20,8 @@
  * @param loadLimits the load limits that the leader has learned for the weight store of each service
  */
 public record PlacementUpdate(
-        long token,
-        long leaseRevision,
+        FencingToken token,
+        StoreRevision leaseRevision,
         List<InstancePlacement> placements,
         Map<InstanceId, Integer> running,
         int entries,
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/EngineControl.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/EngineControl.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.function.Consumer;
 import org.hawthornglade.core.fleet.InstanceRecord;
+import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.replica.EngineReport;
 import org.hawthornglade.core.replica.OrderOutcome;
 import org.hawthornglade.core.replica.ReplicaOrder;
@@ -18,7 +19,8 @@
      * @param token the leader's fencing token
      * @param done receives the outcome, exactly once
      */
-    void order(InstanceRecord target, ReplicaOrder order, String holder, long token, Consumer<OrderOutcome> done);
+    void order(
+            InstanceRecord target, ReplicaOrder order, String holder, FencingToken token, Consumer<OrderOutcome> done);
 
     /** Requests the state of an engine. */
     void report(InstanceRecord target, Consumer<Either<Failure, EngineReport>> done);
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/LeaseWriteResult.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/LeaseWriteResult.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.gateway.port;
 
 import org.hawthornglade.core.lease.StoredLease;
+import org.hawthornglade.core.store.StoreRevision;
 
 /** The outcome of a conditional write of the lease row. */
 public sealed interface LeaseWriteResult {
@@ -9,7 +10,7 @@
      *
      * @param revision the row's new revision
      */
-    record Written(long revision) implements LeaseWriteResult {}
+    record Written(StoreRevision revision) implements LeaseWriteResult {}
 
     /**
      * The row had another revision.
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/StoreListener.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/StoreListener.java
@@ -4,9 +4,13 @@
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.store.StoreEra;
 
 /** Receives updates from the platform's store, on the event loop. */
 public interface StoreListener {
+    /** Called when the store was restored from an older copy, before anything that is read from it then. */
+    void onStoreRestored(StoreEra era);
+
     /** Handles a configuration, possibly one that is already known. */
     void onConfiguration(ServingConfiguration configuration);
 
--- a/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
@@ -10,6 +10,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.limit.LimitStatus;
 import org.hawthornglade.core.limit.LimitUpdate;
 import org.hawthornglade.core.limit.PermitRequest;
@@ -21,6 +22,8 @@
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
 import org.hawthornglade.core.quarantine.QuarantinedPart;
 import org.hawthornglade.core.replica.LoadLimits;
+import org.hawthornglade.core.store.StoreEra;
+import org.hawthornglade.core.store.StoreRevision;
 import org.hawthornglade.protocol.gen.peer.DemandReport;
 import org.hawthornglade.protocol.gen.peer.PeerMessage;
 import org.hawthornglade.protocol.gen.peer.PlacementNews;
@@ -36,8 +39,8 @@
     @Test
     void learnedLoadLimitsAreDecodedAsEncoded() {
         PlacementUpdate update = new PlacementUpdate(
-                7,
-                3,
+                new FencingToken(7),
+                new StoreRevision(new StoreEra(2), 3),
                 List.of(),
                 Map.of(),
                 31,
@@ -51,6 +54,7 @@
         PlacementNews coded = new PlacementNews(7, List.of(), 3, 31);
         PlacementUpdate update = PeerCodec.placement(coded, NOW_MS);
         assertThat(update.loadLimits()).isEmpty();
+        assertThat(update.leaseRevision()).isEqualTo(new StoreRevision(StoreEra.NONE, 3));
         assertThat(update.running()).isEqualTo(Map.<InstanceId, Integer>of());
     }
 
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField LEASE_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("leaseRevision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField STORE_LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("storeLimits", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField STORE_ERA_FIELD_DESC = new org.apache.thrift.protocol.TField("storeEra", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PlacementNewsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PlacementNewsTupleSchemeFactory();
@@ -27,6 +28,7 @@
   private long leaseRevision; // required
   private int entries; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<StoreLimits> storeLimits; // optional
+  private long storeEra; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,11 @@
      * How many entries there are, the leader included.
      */
     ENTRIES((short)4, "entries"),
-    STORE_LIMITS((short)5, "storeLimits");
+    STORE_LIMITS((short)5, "storeLimits"),
+    /**
+     * The era of the store in which the lease row had that revision.
+     */
+    STORE_ERA((short)6, "storeEra");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -66,6 +72,8 @@
           return ENTRIES;
         case 5: // STORE_LIMITS
           return STORE_LIMITS;
+        case 6: // STORE_ERA
+          return STORE_ERA;
         default:
           return null;
       }
@@ -112,8 +120,9 @@
   private static final int __FENCINGTOKEN_ISSET_ID = 0;
   private static final int __LEASEREVISION_ISSET_ID = 1;
   private static final int __ENTRIES_ISSET_ID = 2;
+  private static final int __STOREERA_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.STORE_LIMITS};
+  private static final _Fields optionals[] = {_Fields.STORE_LIMITS,_Fields.STORE_ERA};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -129,6 +138,8 @@
     tmpMap.put(_Fields.STORE_LIMITS, new org.apache.thrift.meta_data.FieldMetaData("storeLimits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, StoreLimits.class))));
+    tmpMap.put(_Fields.STORE_ERA, new org.apache.thrift.meta_data.FieldMetaData("storeEra", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PlacementNews.class, metaDataMap);
   }
@@ -174,6 +185,7 @@
       }
       this.storeLimits = __this__storeLimits;
     }
+    this.storeEra = other.storeEra;
   }
 
   @Override
@@ -191,6 +203,8 @@
     setEntriesIsSet(false);
     this.entries = 0;
     this.storeLimits = null;
+    setStoreEraIsSet(false);
+    this.storeEra = 0;
   }
 
   public long getFencingToken() {
@@ -356,6 +370,35 @@
     }
   }
 
+  /**
+   * The era of the store in which the lease row had that revision.
+   */
+  public long getStoreEra() {
+    return this.storeEra;
+  }
+
+  /**
+   * The era of the store in which the lease row had that revision.
+   */
+  public PlacementNews setStoreEra(long storeEra) {
+    this.storeEra = storeEra;
+    setStoreEraIsSet(true);
+    return this;
+  }
+
+  public void unsetStoreEra() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STOREERA_ISSET_ID);
+  }
+
+  /** Returns true if field storeEra is set (has been assigned a value) and false otherwise */
+  public boolean isSetStoreEra() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STOREERA_ISSET_ID);
+  }
+
+  public void setStoreEraIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STOREERA_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -399,6 +442,14 @@
       }
       break;
 
+    case STORE_ERA:
+      if (value == null) {
+        unsetStoreEra();
+      } else {
+        setStoreEra((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -421,6 +472,9 @@
     case STORE_LIMITS:
       return getStoreLimits();
 
+    case STORE_ERA:
+      return getStoreEra();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -443,6 +497,8 @@
       return isSetEntries();
     case STORE_LIMITS:
       return isSetStoreLimits();
+    case STORE_ERA:
+      return isSetStoreEra();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -505,6 +561,15 @@
         return false;
     }
 
+    boolean this_present_storeEra = true && this.isSetStoreEra();
+    boolean that_present_storeEra = true && that.isSetStoreEra();
+    if (this_present_storeEra || that_present_storeEra) {
+      if (!(this_present_storeEra && that_present_storeEra))
+        return false;
+      if (this.storeEra != that.storeEra)
+        return false;
+    }
+
     return true;
   }
 
@@ -526,6 +591,10 @@
     if (isSetStoreLimits())
       hashCode = hashCode * 8191 + storeLimits.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetStoreEra()) ? 131071 : 524287);
+    if (isSetStoreEra())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(storeEra);
+
     return hashCode;
   }
 
@@ -587,6 +656,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStoreEra(), other.isSetStoreEra());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStoreEra()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.storeEra, other.storeEra);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -640,6 +719,12 @@
       }
       first = false;
     }
+    if (isSetStoreEra()) {
+      if (!first) sb.append(", ");
+      sb.append("storeEra:");
+      sb.append(this.storeEra);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -749,6 +834,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // STORE_ERA
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.storeEra = iprot.readI64();
+              struct.setStoreEraIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -800,6 +893,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetStoreEra()) {
+        oprot.writeFieldBegin(STORE_ERA_FIELD_DESC);
+        oprot.writeI64(struct.storeEra);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -834,7 +932,10 @@
       if (struct.isSetStoreLimits()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetStoreEra()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetFencingToken()) {
         oprot.writeI64(struct.fencingToken);
       }
@@ -862,12 +963,15 @@
           }
         }
       }
+      if (struct.isSetStoreEra()) {
+        oprot.writeI64(struct.storeEra);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PlacementNews struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.fencingToken = iprot.readI64();
         struct.setFencingTokenIsSet(true);
@@ -908,6 +1012,10 @@
         }
         struct.setStoreLimitsIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.storeEra = iprot.readI64();
+        struct.setStoreEraIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -127,6 +127,8 @@
   /** How many entries there are, the leader included. */
   4: i32 entries
   5: optional list<StoreLimits> storeLimits
+  /** The era of the store in which the lease row had that revision. */
+  6: optional i64 storeEra
 }
 
 /** What the leader tells an entry of an endpoint with a limit. */
