An instance that had left is not used again because an older copy of the list names it

Callers could have been sent to an instance that was gone (DRAIN), or by an address used again. Cause: an instance without notices was forgotten when its record went, so a record that a restored list brought back was a new endpoint, ready to be used; even one whose leaving had been acknowledged. Same class: what was learned is unlearned since the store says so again.

Now the last record of a removed run is remembered. Leaving is final for a run also over its removal. A record that the first reading after a restore shows, of a removed run and no newer than what was known, waits until the instance has written again, or for 6 s, after which the platform has removed the record of a silent one.

--- a/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -16,8 +16,9 @@
  * The instances to which requests may be sent, kept up to date from the platform's list.
  *
  * <p>An instance that has announced that it is leaving stays excluded, whatever an older record says. Nothing is
- * removed while the list is unreachable. An instance that is missing when the list is reachable again has {@link
- * #RELIST_TIMEOUT_MS} to write its record again.
+ * removed while the list is unreachable. An instance that is missing when the list is reachable again, or was restored
+ * from an older copy, has {@link #RELIST_TIMEOUT_MS} to write its record again. A record that such a copy brings back is
+ * not used before the instance has written again, or has outlived the time after which the record of a silent one goes.
  */
 public final class Fleet {
     /**
@@ -25,15 +26,28 @@
      */
     public static final long RELIST_TIMEOUT_MS = 2_000;
 
-    /** Maximum number of unlisted instances whose notices are kept. */
+    /** Time after which the platform has removed a restored record of an instance that does not write any more. */
+    static final long RESTORED_RECORD_MS = 6_000;
+
+    /** Maximum number of unlisted instances that are remembered. */
     private static final int MAX_UNLISTED = 256;
 
+    /** A record that a restore has brought back, and when it may be used. */
+    private record RestoredRecord(InstanceRecord record, long usableFromMs) {}
+
     private final Map<InstanceId, Endpoint> endpoints = new HashMap<>();
+    private final Map<InstanceId, RestoredRecord> restored = new HashMap<>();
     private final Map<InstanceId, Long> missingUntilMs = new HashMap<>();
     private final Map<InstanceId, Endpoint> unlisted = new LinkedHashMap<>();
     private boolean listReachable;
     private long reachableSinceMs;
     private boolean listLoaded;
+    private boolean nextSnapshotRestored;
+
+    /** Records that the list was restored from an older copy, which the next snapshot shows. */
+    public void onListRestored() {
+        nextSnapshotRestored = true;
+    }
 
     /** Applies the whole list, as read at one moment. */
     public void onSnapshot(Collection<InstanceRecord> records, long nowMs) {
@@ -41,8 +55,13 @@
         Set<InstanceId> present = new HashSet<>();
         for (InstanceRecord record : records) {
             present.add(record.id());
-            onChanged(record, nowMs);
+            if (nextSnapshotRestored && fromThePast(record)) {
+                restored.put(record.id(), new RestoredRecord(record, nowMs + RESTORED_RECORD_MS));
+            } else {
+                onChanged(record, nowMs);
+            }
         }
+        nextSnapshotRestored = false;
         for (InstanceId id : List.copyOf(endpoints.keySet())) {
             if (!present.contains(id)) {
                 onRemoved(id, nowMs);
@@ -51,6 +70,17 @@
         listLoaded = true;
     }
 
+    /** Returns whether a record is of a run that was removed since, and that has not written since its removal. */
+    private boolean fromThePast(InstanceRecord record) {
+        Endpoint removed = unlisted.get(record.id());
+        if (removed == null || endpoints.containsKey(record.id())) {
+            return false;
+        }
+        InstanceRecord last = removed.record();
+        boolean sameRun = record.bornMs() == last.bornMs();
+        return sameRun ? record.recordSequence() <= last.recordSequence() : record.bornMs() < last.bornMs();
+    }
+
     /** Records that the list is reachable. */
     public void onListReachable(long nowMs) {
         if (!listReachable) {
@@ -67,6 +97,7 @@
     /** Applies a new or changed record; older ones are ignored. */
     public void onChanged(InstanceRecord record, long nowMs) {
         missingUntilMs.remove(record.id());
+        restored.remove(record.id());
         Endpoint known = endpoints.get(record.id());
         if (known == null) {
             endpoints.put(record.id(), relisted(record));
@@ -85,21 +116,24 @@
         known.onRecord(record);
     }
 
-    /** Returns the endpoint of a newly listed instance; notices from an earlier listing of the same run still apply. */
+    /** Returns the endpoint of a newly listed instance; what is known of the same run from before still applies. */
     private Endpoint relisted(InstanceRecord record) {
         Endpoint previous = unlisted.remove(record.id());
         if (previous == null || previous.record().bornMs() != record.bornMs()) {
             return new Endpoint(record);
         }
-        previous.onRecord(record);
+        if (!previous.record().leaving() || record.leaving()) {
+            previous.onRecord(record);
+        }
         return previous;
     }
 
     private void remove(InstanceId id) {
         Endpoint removed = endpoints.remove(id);
-        if (removed == null || removed.notices().isEmpty()) {
+        if (removed == null) {
             return;
         }
+        removed.prefixCache().clear();
         unlisted.put(id, removed);
         if (unlisted.size() > MAX_UNLISTED) {
             unlisted.remove(unlisted.keySet().iterator().next());
@@ -108,6 +142,7 @@
 
     /** Handles the removal of a record from the list. */
     public void onRemoved(InstanceId id, long nowMs) {
+        restored.remove(id);
         Endpoint known = endpoints.get(id);
         if (known == null) {
             return;
@@ -120,11 +155,15 @@
         remove(id);
     }
 
-    /** Removes the instances that were not relisted in time; must be called regularly. */
+    /**
+     * Removes the instances that were not relisted in time, and uses restored records that have outlived their time; must
+     * be called regularly.
+     */
     public void expire(long nowMs) {
         if (!listReachable) {
             return;
         }
+        useRestored(nowMs);
         for (Map.Entry<InstanceId, Long> missing : List.copyOf(missingUntilMs.entrySet())) {
             if (missing.getValue() <= nowMs) {
                 missingUntilMs.remove(missing.getKey());
@@ -133,6 +172,14 @@
         }
     }
 
+    private void useRestored(long nowMs) {
+        for (RestoredRecord each : List.copyOf(restored.values())) {
+            if (each.usableFromMs() <= nowMs) {
+                onChanged(each.record(), nowMs);
+            }
+        }
+    }
+
     /** Applies the placement of an instance reported by the leader. */
     public void onPlacement(InstancePlacement placement) {
         Endpoint endpoint = endpoints.get(placement.instance());
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -214,6 +214,7 @@
 
     @Override
     public void onStoreRestored(StoreEra era) {
+        fleet.onListRestored();
         placement.onStoreRestored(era);
     }
 
