An instance that an older copy of the list does not know stays until it can have written again

An instance that had registered in the lost seconds was dropped at once if the list had not been seen as unreachable, as after a short absence, though it served. FleetRestoreTest.instanceThatTheCopyDoesNotKnow... failed with the code before.

--- a/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -45,8 +45,9 @@
     private boolean nextSnapshotRestored;
 
     /** Records that the list was restored from an older copy, which the next snapshot shows. */
-    public void onListRestored() {
+    public void onListRestored(long nowMs) {
         nextSnapshotRestored = true;
+        reachableSinceMs = nowMs;
     }
 
     /** Applies the whole list, as read at one moment. */
--- a/core/src/test/java/org/hawthornglade/core/fleet/FleetRestoreTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/FleetRestoreTest.java
@@ -35,7 +35,7 @@
     }
 
     private void restore(List<InstanceRecord> records) {
-        fleet.onListRestored();
+        fleet.onListRestored(RESTORED_AT_MS);
         fleet.onSnapshot(records, RESTORED_AT_MS);
     }
 
@@ -116,4 +116,14 @@
         fleet.expire(RESTORED_AT_MS + Fleet.RESTORED_RECORD_MS);
         assertThat(usable()).isEmpty();
     }
+
+    /** An instance that had registered after the copy was made was dropped until it wrote again. */
+    @Test
+    void instanceThatTheCopyDoesNotKnowStaysUntilItCanHaveWrittenAgain() {
+        restore(List.of());
+        fleet.expire(RESTORED_AT_MS + Fleet.RELIST_TIMEOUT_MS - 1);
+        assertThat(usable()).containsExactly("i-1");
+        fleet.expire(RESTORED_AT_MS + Fleet.RELIST_TIMEOUT_MS);
+        assertThat(usable()).isEmpty();
+    }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -214,7 +214,7 @@
 
     @Override
     public void onStoreRestored(StoreEra era) {
-        fleet.onListRestored();
+        fleet.onListRestored(clock.nowMs());
         placement.onStoreRestored(era);
     }
 
