A configuration under a version that was given out again is not ignored for ever

Cause, by reading: an entry ignored every configuration whose version was not above its own, so other content that the operator wrote under the same version after a restore was never in force. Older versions from a copy were ignored already, rightly, and still are. The later content of a version replaces the earlier one, which is not taken again when a second copy shows it.

--- a/core/src/main/java/org/hawthornglade/core/serving/ServingConfiguration.java
+++ b/core/src/main/java/org/hawthornglade/core/serving/ServingConfiguration.java
@@ -44,6 +44,13 @@
         return version;
     }
 
+    /** Returns whether another configuration has the same routes, services and limits. */
+    boolean sameContent(ServingConfiguration other) {
+        return routesByHost.equals(other.routesByHost)
+                && services.equals(other.services)
+                && limits.equals(other.limits);
+    }
+
     public RequestLimits limits() {
         return limits;
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -20,6 +19,7 @@
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.limit.EntryCount;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
+import org.hawthornglade.core.serving.ConfigurationInForce;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.serving.ServingConfiguration;
@@ -74,7 +74,7 @@
     private final CallerServer readiness;
     private final RetryBudgets retryBudgets;
     private volatile GatewaySettings settings;
-    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private final ConfigurationInForce configuration = new ConfigurationInForce();
     private volatile boolean stopping;
     private final EntryCount entryCount = new EntryCount();
 
@@ -113,7 +113,7 @@
                 protocol,
                 log,
                 metrics);
-        this.receiver = new CallReceiver(exchanges, () -> configuration, collector::onCall, new Random());
+        this.receiver = new CallReceiver(exchanges, configuration::current, collector::onCall, new Random());
         this.callers = new CallerServer(context.loop(), timers, clock, this::limits, receiver);
         this.readiness =
                 new CallerServer(context.loop(), timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
@@ -198,15 +198,16 @@
     }
 
     private boolean ready() {
-        return !stopping && configuration.isPresent() && fleet.listLoaded();
+        return !stopping && configuration.current().isPresent() && fleet.listLoaded();
     }
 
     private RequestLimits limits() {
-        return configuration.map(ServingConfiguration::limits).orElse(RequestLimits.DEFAULT);
+        return configuration.current().map(ServingConfiguration::limits).orElse(RequestLimits.DEFAULT);
     }
 
     private EngineDefinition engine(ServiceName service) {
         return configuration
+                .current()
                 .flatMap(known -> known.service(service))
                 .flatMap(definition -> definition.engine())
                 .orElseThrow();
@@ -220,10 +221,9 @@
 
     @Override
     public void onConfiguration(ServingConfiguration received) {
-        if (configuration.isPresent() && configuration.get().version() >= received.version()) {
+        if (!configuration.onRead(received)) {
             return;
         }
-        configuration = Optional.of(received);
         log.event("config").with("version", received.version()).write();
         placement.onConfiguration(received);
         receiver.releaseStartupQueue();
