--- a/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
@@ -1,9 +1,12 @@
 package org.hawthornglade.core.dispatch;
 
+import com.google.common.base.Suppliers;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.serving.Route;
 
@@ -15,6 +18,7 @@
     private final long arrivedAtMs;
     private final long deadlineAtMs;
     private final Set<InstanceId> tried = new HashSet<>();
+    private final Supplier<Optional<RequestDigest>> digest;
     private long lastProgressAtMs;
     private boolean trial;
 
@@ -28,6 +32,26 @@
      */
     public CallView(
             ServiceName service, Route route, Optional<ModelDemand> demand, long arrivedAtMs, long deadlineAtMs) {
+        this(service, route, demand, arrivedAtMs, deadlineAtMs, Optional::empty);
+    }
+
+    /**
+     * Creates the view of a call whose request has a digest.
+     *
+     * @param service the target chosen from the route's services
+     * @param demand present where the service runs models
+     * @param arrivedAtMs when the request was read
+     * @param deadlineAtMs when the call expires by its caller's or its route's timeout
+     * @param digest computes the digest, which is empty if the request is not held any more
+     */
+    public CallView(
+            ServiceName service,
+            Route route,
+            Optional<ModelDemand> demand,
+            long arrivedAtMs,
+            long deadlineAtMs,
+            Supplier<Optional<RequestDigest>> digest) {
+        this.digest = Suppliers.memoize(digest::get);
         this.service = service;
         this.route = route;
         this.demand = demand;
@@ -48,6 +72,11 @@
         return demand;
     }
 
+    /** Returns the digest of the request, computed at the first call of this method. */
+    public Optional<RequestDigest> digest() {
+        return digest.get();
+    }
+
     public long arrivedAtMs() {
         return arrivedAtMs;
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -113,7 +113,8 @@
         Optional<ModelDemand> demand = runsModels ? request.demand() : Optional.empty();
         long budgetMs = Math.min(request.remainingMs().orElse(route.timeoutMs()), route.timeoutMs());
         long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs - RESPONSE_RESERVE_MS);
-        CallView view = new CallView(service, route, demand, call.arrivedAtMs(), deadlineAtMs);
+        CallView view = new CallView(
+                service, route, demand, call.arrivedAtMs(), deadlineAtMs, () -> RequestDigester.digest(call));
         if (!context.quarantine().quarantined(view)) {
             arrivals.accept(view);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -5,6 +5,7 @@
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.BodyFraming;
@@ -30,6 +31,7 @@
     private Optional<BodyFraming> streamFraming = Optional.empty();
     private int partialEventBytes;
     private boolean responseLost;
+    private Optional<RequestDigest> digest = Optional.empty();
 
     CallRecord(RequestId id, CallView view, long configurationVersion) {
         this.id = id;
@@ -78,6 +80,7 @@
     /** Records that the connection to an endpoint ended before its response. */
     void onResponseLost() {
         responseLost = true;
+        digest = view.digest();
     }
 
     void addNote(String text) {
@@ -124,6 +127,7 @@
         if (partialEventBytes > 0) {
             line.with("partial_event_bytes", partialEventBytes);
         }
+        digest.ifPresent(known -> line.with("digest", known));
         if (responseLost) {
             view.demand().ifPresent(demand -> line.with("shared_parts", partIds(demand)));
         }
