--- a/app/src/main/java/org/hawthornglade/app/EmulateCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/EmulateCommand.java
@@ -7,6 +7,7 @@
 import org.hawthornglade.bench.crash.CrashOptions;
 import org.hawthornglade.bench.crash.CrashResult;
 import org.hawthornglade.bench.crash.CrashSummary;
+import org.hawthornglade.bench.crash.DeadlyKind;
 import org.hawthornglade.bench.emulator.Emulator;
 import org.hawthornglade.bench.emulator.EmulatorOptions;
 import org.hawthornglade.bench.emulator.EmulatorSummary;
@@ -36,6 +37,9 @@
                     "Plays engines that crash on one part of a prompt instead; the share of calls with it, 0 to 1")
     private Double deadlyShare;
 
+    @Parameter(names = "--deadly-kind", description = "What crashes the engines: a PART of prompts or one REQUEST")
+    private DeadlyKind deadlyKind = DeadlyKind.PART;
+
     @Parameter(names = "--calm", description = "Runs without restarts and pauses of entries, or other crashes")
     private boolean calm = false;
 
@@ -60,7 +64,7 @@
         }
         CrashSummary summary = new CrashSummary();
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
-            CrashOptions options = new CrashOptions(seed, entries, deadlyShare, !calm);
+            CrashOptions options = new CrashOptions(seed, entries, deadlyKind, deadlyShare, !calm);
             CrashResult result = CrashEmulator.run(options);
             summary.add(result);
             if (!result.clean()) {
--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashEmulator.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashEmulator.java
@@ -24,7 +24,7 @@
     private final CrashOptions options;
     private final Random random;
     private final VirtualTime time = new VirtualTime();
-    private final CrashChecker checker = new CrashChecker();
+    private final CrashChecker checker;
     private final CrashSite site;
     private final Map<InstanceId, CrashingEngine> engines = new LinkedHashMap<>();
     private final List<CrashEntry> entries = new ArrayList<>();
@@ -33,7 +33,8 @@
     private CrashEmulator(CrashOptions options) {
         this.options = options;
         this.random = new Random(options.seed());
-        this.site = new CrashSite(random, options.seed() % 2 == 0);
+        this.checker = new CrashChecker(options.kind().crashesToReact());
+        this.site = new CrashSite(random, options.kind(), options.seed() % 2 == 0);
         for (int i = 0; i < options.engines(); i++) {
             CrashingEngine engine = new CrashingEngine(i, time, random, checker);
             engines.put(engine.record().id(), engine);
--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashEntry.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashEntry.java
@@ -11,11 +11,11 @@
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.id.InstanceId;
-import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.quarantine.CrashReport;
 import org.hawthornglade.core.quarantine.InstanceCrash;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.quarantine.QuarantinedPart;
+import org.hawthornglade.core.quarantine.Suspect;
 import org.hawthornglade.core.result.ResultCode;
 
 /** Emulates one entry: the real decisions with the minimum around them to send calls and to resume broken ones. */
@@ -80,15 +80,18 @@
             return;
         }
         InstanceCrash crash = new InstanceCrash(endpoint.id(), endpoint.record().bornMs());
+        long sentAtMs = time.nowMs();
         endpoint.load().begin(Optional.empty(), 0, 0);
         time.after(
                 NETWORK_MS,
                 () -> engine.run(
                         CrashSite.deadly(call),
-                        complete -> time.after(NETWORK_MS, () -> onEnd(call, endpoint, crash, runs + 1, complete))));
+                        complete -> time.after(
+                                NETWORK_MS, () -> onEnd(call, endpoint, crash, sentAtMs, runs + 1, complete))));
     }
 
-    private void onEnd(CallView call, Endpoint endpoint, InstanceCrash crash, int runs, boolean complete) {
+    private void onEnd(
+            CallView call, Endpoint endpoint, InstanceCrash crash, long sentAtMs, int runs, boolean complete) {
         endpoint.load().end(Optional.empty(), 0);
         if (complete) {
             endpoint.health().onSuccess(time.nowMs());
@@ -99,7 +102,7 @@
         endpoint.health().onResponseLost(time.nowMs());
         call.tried().add(endpoint.id());
         boolean suspected = quarantine.suspected(call);
-        reportCrash(call, endpoint.id(), crash);
+        reportCrash(call, endpoint.id(), crash, sentAtMs);
         if (call.route().repeatable() && runs < call.route().maxAttempts() && !suspected) {
             decide(call, runs);
         } else {
@@ -108,11 +111,11 @@
     }
 
     /** Reports a crash if the engine refuses connections shortly after the call was cut off. */
-    private void reportCrash(CallView call, InstanceId engine, InstanceCrash crash) {
+    private void reportCrash(CallView call, InstanceId engine, InstanceCrash crash, long sentAtMs) {
         long cutOffAtMs = time.nowMs();
         time.after(CRASH_CHECK_MS, () -> {
             if (!engines.get(engine).accepts()) {
-                quarantine.onCrash(crash, call, cutOffAtMs, time.nowMs());
+                quarantine.onCrash(crash, call, sentAtMs, cutOffAtMs, time.nowMs());
             }
         });
     }
@@ -129,12 +132,12 @@
         public void onSuspects(CrashReport report) {}
 
         @Override
-        public void onCleared(PromptPartId part) {}
+        public void onCleared(Suspect part) {}
 
         @Override
         public void onQuarantined(QuarantinedPart part) {}
 
         @Override
-        public void onReleased(PromptPartId part) {}
+        public void onReleased(Suspect part) {}
     }
 }
--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashOptions.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashOptions.java
@@ -5,13 +5,14 @@
  *
  * @param seed the seed of all random choices
  * @param entries the number of entries
- * @param deadlyShare the share of calls with the deadly part while they arrive, from 0 to 1
+ * @param kind what crashes the engines
+ * @param deadlyShare the share of calls that crash their engines while they arrive, from 0 to 1
  * @param faults whether engines also crash, leave and lose connections without a cause in a prompt
  */
-public record CrashOptions(long seed, int entries, double deadlyShare, boolean faults) {
+public record CrashOptions(long seed, int entries, DeadlyKind kind, double deadlyShare, boolean faults) {
     /** The time in which calls arrive, in seconds. */
     static final int SECONDS = 40;
-    /** When calls with the deadly part begin to arrive, in milliseconds. */
+    /** When calls that crash their engines begin to arrive, in milliseconds. */
     static final long DEADLY_FROM_MS = 8_000;
 
     private static final double CALLS_PER_ENTRY = 8;
--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashSite.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashSite.java
@@ -14,11 +14,15 @@
 import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.PromptPartId;
+import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
 
-/** Generates calls for one model: few first parts, more second parts, and one deadly second part. */
+/**
+ * Generates calls for one model: few first parts, more second parts, and one deadly second part or request. Some sound
+ * requests come again too.
+ */
 final class CrashSite {
     static final ServiceName SERVICE = ServiceName.of("drafts");
     static final FailureDomain LOCAL_DOMAIN = FailureDomain.of("zone-a");
@@ -34,25 +38,33 @@
     private static final long DEADLINE_MS = 5_000;
     private static final double RESUMABLE_SHARE = 0.3;
 
+    private static final String DEADLY_DIGEST = "deadly";
+    private static final double REPEATED_SHARE = 0.2;
+    private static final int REPEATED_REQUESTS = 5;
+
     private final Random random;
+    private final DeadlyKind kind;
     private final boolean sameParts;
     private long calls;
 
     /**
      * Creates a generator.
      *
+     * @param kind what crashes engines
      * @param sameParts whether all calls with the deadly part have the same other parts too
      */
-    CrashSite(Random random, boolean sameParts) {
+    CrashSite(Random random, DeadlyKind kind, boolean sameParts) {
         this.random = random;
+        this.kind = kind;
         this.sameParts = sameParts;
     }
 
     private List<PromptPart> prefix(boolean deadly) {
-        int first = deadly && sameParts ? 0 : random.nextInt(FIRST_PARTS);
-        int second = deadly && sameParts ? 0 : random.nextInt(SECOND_PARTS);
+        boolean same = deadly && (sameParts || kind == DeadlyKind.REQUEST);
+        int first = same ? 0 : random.nextInt(FIRST_PARTS);
+        int second = same ? 0 : random.nextInt(SECOND_PARTS);
         List<String> ids = new ArrayList<>(List.of("a" + first, "b" + second, "own" + calls++));
-        if (deadly) {
+        if (deadly && kind == DeadlyKind.PART) {
             ids.add(1, DEADLY_PART);
         }
         return ids.stream()
@@ -60,6 +72,14 @@
                 .toList();
     }
 
+    private RequestDigest digest(boolean deadly) {
+        if (deadly && kind == DeadlyKind.REQUEST) {
+            return new RequestDigest(DEADLY_DIGEST);
+        }
+        boolean repeated = !deadly && random.nextDouble() < REPEATED_SHARE;
+        return new RequestDigest(repeated ? "again" + random.nextInt(REPEATED_REQUESTS) : "call" + calls);
+    }
+
     /** Generates a call. */
     CallView call(boolean deadly, long nowMs) {
         boolean resumable = random.nextDouble() < RESUMABLE_SHARE;
@@ -78,11 +98,14 @@
                 List.of());
         List<PromptPart> prefix = prefix(deadly);
         ModelDemand demand = new ModelDemand(MODEL, Optional.empty(), prefix.size() * TOKENS, 100, prefix);
-        return new CallView(SERVICE, route, Optional.of(demand), nowMs, nowMs + DEADLINE_MS);
+        Optional<RequestDigest> digest = Optional.of(digest(deadly));
+        return new CallView(SERVICE, route, Optional.of(demand), nowMs, nowMs + DEADLINE_MS, () -> digest);
     }
 
     static boolean deadly(CallView call) {
-        return call.demand().orElseThrow().prefix().stream()
-                .anyMatch(part -> part.id().value().equals(DEADLY_PART));
+        boolean deadlyRequest = call.digest().equals(Optional.of(new RequestDigest(DEADLY_DIGEST)));
+        return deadlyRequest
+                || call.demand().orElseThrow().prefix().stream()
+                        .anyMatch(part -> part.id().value().equals(DEADLY_PART));
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/quarantine/CompletedParts.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/CompletedParts.java
@@ -3,24 +3,35 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.hawthornglade.core.id.PromptPartId;
 
-/** Remembers when an answer was last completed on a part of a prompt; the parts not used for longest are dropped. */
+/**
+ * Remembers when an answer was last completed on a part of a prompt or a request; those not used for longest are
+ * dropped, of each sort by itself.
+ */
 final class CompletedParts {
     static final int MAX_PARTS = 4_096;
 
-    private final Map<PromptPartId, Long> lastMs = new LinkedHashMap<>(16, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<PromptPartId, Long> eldest) {
-            return size() > MAX_PARTS;
-        }
-    };
+    private final Map<Suspect, Long> parts = lastUsedMap();
+    private final Map<Suspect, Long> requests = lastUsedMap();
 
-    void onCompleted(PromptPartId part, long atMs) {
-        lastMs.merge(part, atMs, Math::max);
+    private static Map<Suspect, Long> lastUsedMap() {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Suspect, Long> eldest) {
+                return size() > MAX_PARTS;
+            }
+        };
     }
 
-    Optional<Long> lastCompletedMs(PromptPartId part) {
-        return Optional.ofNullable(lastMs.get(part));
+    private Map<Suspect, Long> sortOf(Suspect suspect) {
+        return suspect.isRequest() ? requests : parts;
+    }
+
+    void onCompleted(Suspect suspect, long atMs) {
+        sortOf(suspect).merge(suspect, atMs, Math::max);
+    }
+
+    Optional<Long> lastCompletedMs(Suspect suspect) {
+        return Optional.ofNullable(sortOf(suspect).get(suspect));
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
@@ -8,16 +8,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hawthornglade.core.dispatch.CallScreen;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.PromptPart;
-import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.result.ResultCode;
 
 /**
- * Keeps calls with a part of a prompt that crashes instances from reaching any further instance.
+ * Keeps calls with a part of a prompt that crashes instances, and requests that do, from reaching any further instance.
  *
  * <p>Each entry reports the calls that crashes cut off, and answers completed on suspects, to the leader, which blames
  * a part and publishes it to all entries. An entry without a leader decides by what it has seen itself and keeps what
@@ -56,26 +56,26 @@
         void onSuspects(CrashReport report);
 
         /** Handles a suspect on which an answer was completed since its last crash. */
-        void onCleared(PromptPartId part);
+        void onCleared(Suspect part);
 
         /** Handles the start of a quarantine, or of its next term. */
         void onQuarantined(QuarantinedPart part);
 
         /** Handles the end of a quarantine. */
-        void onReleased(PromptPartId part);
+        void onReleased(Suspect part);
     }
 
     private final String entry;
     private final Listener listener;
     private final SuspectParts suspects = new SuspectParts();
     private final CompletedParts completedParts = new CompletedParts();
-    private final Map<PromptPartId, QuarantinedPart> quarantined = new LinkedHashMap<>();
-    private final Map<PromptPartId, Long> refusedAtMs = new HashMap<>();
-    private final Map<PromptPartId, Long> trialSinceMs = new HashMap<>();
-    private final Set<PromptPartId> usedTrials = new HashSet<>();
+    private final Map<Suspect, QuarantinedPart> quarantined = new LinkedHashMap<>();
+    private final Map<Suspect, Long> refusedAtMs = new HashMap<>();
+    private final Map<Suspect, Long> trialSinceMs = new HashMap<>();
+    private final Set<Suspect> usedTrials = new HashSet<>();
     private final UnreportedEvidence unreported = new UnreportedEvidence();
-    private final Map<PromptPartId, QuarantinedPart> unconfirmed = new LinkedHashMap<>();
-    private Set<PromptPartId> leaderSuspects = Set.of();
+    private final Map<Suspect, QuarantinedPart> unconfirmed = new LinkedHashMap<>();
+    private Set<Suspect> leaderSuspects = Set.of();
     private Role role = Role.WITHOUT_LEADER;
     private long blameFromMs = Long.MAX_VALUE;
     private boolean changed;
@@ -90,20 +90,29 @@
         this.listener = listener;
     }
 
-    private static List<PromptPartId> sharedParts(CallView call) {
+    private static Stream<Suspect> sharedParts(CallView call) {
         return call.demand().map(ModelDemand::sharedParts).orElse(List.of()).stream()
                 .map(PromptPart::id)
                 .distinct()
                 .limit(MAX_PARTS_OF_A_PROMPT)
+                .map(Suspect::of);
+    }
+
+    private static List<Suspect> suspectsOf(CallView call) {
+        return Stream.concat(sharedParts(call), call.digest().map(Suspect::of).stream())
                 .toList();
     }
 
+    private boolean watching() {
+        return !suspects.isEmpty() || !leaderSuspects.isEmpty() || !quarantined.isEmpty();
+    }
+
     @Override
     public Optional<Decision.Refuse> screen(CallView call, long nowMs) {
         if (quarantined.isEmpty() || call.trial()) {
             return Optional.empty();
         }
-        Optional<QuarantinedPart> found = matching(sharedParts(call));
+        Optional<QuarantinedPart> found = matching(suspectsOf(call));
         if (found.isEmpty() || startTrial(found.get(), call)) {
             return Optional.empty();
         }
@@ -113,7 +122,7 @@
         return Optional.of(new Decision.Refuse(ResultCode.PROMPT_QUARANTINED, retryAfterMs));
     }
 
-    private Optional<QuarantinedPart> matching(List<PromptPartId> parts) {
+    private Optional<QuarantinedPart> matching(List<Suspect> parts) {
         for (QuarantinedPart each : quarantined.values()) {
             if (each.matches(parts)) {
                 return Optional.of(each);
@@ -122,7 +131,7 @@
         return Optional.empty();
     }
 
-    private boolean inQuarantine(PromptPartId part) {
+    private boolean inQuarantine(Suspect part) {
         return quarantined.values().stream().anyMatch(each -> each.members().contains(part));
     }
 
@@ -137,22 +146,24 @@
 
     /** Returns whether a call has a part in quarantine. */
     public boolean quarantined(CallView call) {
-        return matching(sharedParts(call)).isPresent();
+        return !quarantined.isEmpty() && matching(suspectsOf(call)).isPresent();
     }
 
     /** Returns whether a call has a part that crashed an instance, so that it should not be sent to another one. */
     public boolean suspected(CallView call) {
-        return sharedParts(call).stream()
-                .anyMatch(part -> inQuarantine(part) || suspects.contains(part) || leaderSuspects.contains(part));
+        return watching()
+                && suspectsOf(call).stream()
+                        .anyMatch(
+                                part -> inQuarantine(part) || suspects.contains(part) || leaderSuspects.contains(part));
     }
 
     /** Handles a call of this entry that a crash has cut off. */
-    public void onCrash(InstanceCrash crash, CallView call, long cutOffAtMs, long nowMs) {
-        List<PromptPartId> parts = sharedParts(call);
-        if (parts.isEmpty()) {
+    public void onCrash(InstanceCrash crash, CallView call, long sentAtMs, long cutOffAtMs, long nowMs) {
+        List<Suspect> keys = suspectsOf(call);
+        if (keys.isEmpty()) {
             return;
         }
-        CrashReport report = new CrashReport(crash, cutOffAtMs, parts);
+        CrashReport report = new CrashReport(crash, sentAtMs, cutOffAtMs, keys);
         unreported.onCrash(report);
         changed = true;
         listener.onSuspects(report);
@@ -160,14 +171,14 @@
     }
 
     private void apply(CrashReport report, long nowMs) {
-        Optional<QuarantinedPart> known = matching(report.parts());
+        Optional<QuarantinedPart> known = matching(report.suspects());
         if (known.isPresent()) {
             suspects.onExplained(report.crash(), report.atMs());
             onQuarantinedCrash(known.get(), nowMs);
             return;
         }
         suspects.onCrash(report);
-        for (PromptPartId part : report.parts()) {
+        for (Suspect part : report.suspects()) {
             completedParts.lastCompletedMs(part).ifPresent(atMs -> clear(part, atMs));
         }
         changed = true;
@@ -203,7 +214,7 @@
         changed = true;
     }
 
-    private void release(PromptPartId part) {
+    private void release(Suspect part) {
         quarantined.remove(part);
         refusedAtMs.remove(part);
         trialSinceMs.remove(part);
@@ -215,7 +226,7 @@
 
     /** Handles a completed answer to a call of this entry. */
     public void onCompleted(CallView call, long nowMs) {
-        for (PromptPartId part : sharedParts(call)) {
+        for (Suspect part : suspectsOf(call)) {
             completedParts.onCompleted(part, nowMs);
             boolean watched = suspects.contains(part) || leaderSuspects.contains(part) || inQuarantine(part);
             if (watched) {
@@ -226,7 +237,7 @@
         }
     }
 
-    private void onCompleted(PromptPartId part, long atMs) {
+    private void onCompleted(Suspect part, long atMs) {
         for (QuarantinedPart each : List.copyOf(quarantined.values())) {
             if (each.members().contains(part) && atMs > each.blamedFromMs()) {
                 narrow(each, part);
@@ -236,7 +247,7 @@
     }
 
     /** Takes a part out of a quarantine, which ends with its last one. */
-    private void narrow(QuarantinedPart from, PromptPartId cleared) {
+    private void narrow(QuarantinedPart from, Suspect cleared) {
         if (from.members().size() == 1) {
             release(from.part());
             return;
@@ -248,7 +259,7 @@
         listener.onCleared(cleared);
     }
 
-    private void clear(PromptPartId part, long atMs) {
+    private void clear(Suspect part, long atMs) {
         if (suspects.onCompleted(part, atMs)) {
             changed = true;
             listener.onCleared(part);
@@ -279,7 +290,7 @@
         report.refused().forEach(part -> onRefused(reporter, part, nowMs));
     }
 
-    private void onRefused(String reporter, PromptPartId part, long nowMs) {
+    private void onRefused(String reporter, Suspect part, long nowMs) {
         QuarantinedPart found = quarantined.get(part);
         if (found == null) {
             return;
@@ -318,21 +329,21 @@
 
     /** Returns what to publish to all entries, as the leader. */
     public QuarantineUpdate update() {
-        return new QuarantineUpdate(suspects.parts(), List.copyOf(quarantined.values()));
+        return new QuarantineUpdate(suspects.watched(), List.copyOf(quarantined.values()));
     }
 
     /** Applies an update of the leader. */
     public void onUpdate(QuarantineUpdate update) {
-        Map<PromptPartId, QuarantinedPart> published =
+        Map<Suspect, QuarantinedPart> published =
                 update.quarantined().stream().collect(Collectors.toMap(QuarantinedPart::part, part -> part));
         unconfirmed.keySet().removeAll(published.keySet());
-        for (PromptPartId part : List.copyOf(quarantined.keySet())) {
+        for (Suspect part : List.copyOf(quarantined.keySet())) {
             if (!published.containsKey(part) && !unconfirmed.containsKey(part)) {
                 release(part);
             }
         }
         published.values().forEach(this::onPublished);
-        for (PromptPartId part : update.suspects()) {
+        for (Suspect part : update.suspects()) {
             if (!leaderSuspects.contains(part)) {
                 reportLastCompletion(part);
             }
@@ -341,7 +352,7 @@
         changed = unreported.hasCompleted();
     }
 
-    private void reportLastCompletion(PromptPartId part) {
+    private void reportLastCompletion(Suspect part) {
         completedParts.lastCompletedMs(part).ifPresent(atMs -> unreported.onCompleted(part, atMs));
     }
 
@@ -364,7 +375,7 @@
         role = current;
         blameFromMs = nowMs + (role == Role.LEADING ? COLLECTION_MS : WITHOUT_LEADER_MS);
         leaderSuspects = Set.of();
-        unreported.repeatCrashes().forEach(report -> report.parts().forEach(this::reportLastCompletion));
+        unreported.repeatCrashes().forEach(report -> report.suspects().forEach(this::reportLastCompletion));
         quarantined.replaceAll((part, found) -> found.withoutProber());
         unconfirmed.putAll(quarantined);
         changed = true;
--- a/core/src/main/java/org/hawthornglade/core/quarantine/QuarantineReport.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/QuarantineReport.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.hawthornglade.core.id.PromptPartId;
 
 /**
  * What an entry reports to the leader; times are on the steady clock of the entry that holds the report.
@@ -15,9 +14,9 @@
  */
 public record QuarantineReport(
         List<CrashReport> crashes,
-        Map<PromptPartId, Long> completedMs,
+        Map<Suspect, Long> completedMs,
         List<QuarantinedPart> quarantined,
-        Set<PromptPartId> refused) {
+        Set<Suspect> refused) {
     /** A report without content. */
     public static final QuarantineReport EMPTY = new QuarantineReport(List.of(), Map.of(), List.of(), Set.of());
 
--- a/core/src/main/java/org/hawthornglade/core/quarantine/QuarantineUpdate.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/QuarantineUpdate.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Set;
-import org.hawthornglade.core.id.PromptPartId;
 
 /**
  * What the leader publishes to all entries; times are on the steady clock of the entry that holds the update.
@@ -10,7 +9,7 @@
  * @param suspects the parts on which entries report completed answers
  * @param quarantined all parts in quarantine
  */
-public record QuarantineUpdate(Set<PromptPartId> suspects, List<QuarantinedPart> quarantined) {
+public record QuarantineUpdate(Set<Suspect> suspects, List<QuarantinedPart> quarantined) {
     /** Copies the collections. */
     public QuarantineUpdate {
         suspects = Set.copyOf(suspects);
--- a/core/src/main/java/org/hawthornglade/core/quarantine/QuarantinedPart.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/QuarantinedPart.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.hawthornglade.core.id.PromptPartId;
 
 /**
  * A part of a prompt that is in quarantine: calls with it are refused.
@@ -20,12 +19,7 @@
  * @param prober the entry that may send this one call; empty if none may now
  */
 public record QuarantinedPart(
-        PromptPartId part,
-        Set<PromptPartId> members,
-        long blamedFromMs,
-        long untilMs,
-        int quarantines,
-        Optional<String> prober) {
+        Suspect part, Set<Suspect> members, long blamedFromMs, long untilMs, int quarantines, Optional<String> prober) {
     /** The length of the first quarantine, in milliseconds; each further one is twice as long. */
     static final long FIRST_DURATION_MS = 120_000;
     /** The longest quarantine, in milliseconds. */
@@ -49,7 +43,7 @@
     }
 
     /** Returns whether a call with these parts is refused. */
-    boolean matches(List<PromptPartId> parts) {
+    boolean matches(List<Suspect> parts) {
         return parts.containsAll(members);
     }
 
@@ -70,8 +64,8 @@
     }
 
     /** Returns the same quarantine for fewer parts. */
-    QuarantinedPart without(PromptPartId cleared) {
-        Set<PromptPartId> remaining = new HashSet<>(members);
+    QuarantinedPart without(Suspect cleared) {
+        Set<Suspect> remaining = new HashSet<>(members);
         remaining.remove(cleared);
         return new QuarantinedPart(part, remaining, blamedFromMs, untilMs, quarantines, prober);
     }
--- a/core/src/main/java/org/hawthornglade/core/quarantine/UnreportedEvidence.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/UnreportedEvidence.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.hawthornglade.core.id.PromptPartId;
 
 /** What an entry has seen and has not reported to the leader yet; the latest crashes are kept for the next leader. */
 final class UnreportedEvidence {
@@ -17,8 +16,8 @@
 
     private final Deque<CrashReport> recent = new ArrayDeque<>();
     private final List<CrashReport> crashes = new ArrayList<>();
-    private final Map<PromptPartId, Long> completedMs = new HashMap<>();
-    private final Set<PromptPartId> refused = new HashSet<>();
+    private final Map<Suspect, Long> completedMs = new HashMap<>();
+    private final Set<Suspect> refused = new HashSet<>();
 
     void onCrash(CrashReport report) {
         recent.addLast(report);
@@ -28,11 +27,11 @@
         crashes.add(report);
     }
 
-    void onCompleted(PromptPartId part, long atMs) {
+    void onCompleted(Suspect part, long atMs) {
         completedMs.merge(part, atMs, Math::max);
     }
 
-    void onRefused(PromptPartId part) {
+    void onRefused(Suspect part) {
         refused.add(part);
     }
 
--- a/core/src/test/java/org/hawthornglade/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quarantine/PromptQuarantineTest.java
@@ -51,7 +51,7 @@
     }
 
     private void crash(PromptQuarantine at, CallView call, long atMs) {
-        at.onCrash(new InstanceCrash(InstanceId.of("i-" + crashes++), 1), call, atMs, atMs);
+        at.onCrash(new InstanceCrash(InstanceId.of("i-" + crashes++), 1), call, atMs, atMs, atMs);
     }
 
     /** Carries the report of the follower to the leader and the update of the leader back. */
@@ -289,7 +289,7 @@
         public void onSuspects(CrashReport report) {}
 
         @Override
-        public void onCleared(PromptPartId part) {
+        public void onCleared(Suspect part) {
             events.add("cleared " + part);
         }
 
@@ -299,7 +299,7 @@
         }
 
         @Override
-        public void onReleased(PromptPartId part) {
+        public void onReleased(Suspect part) {
             events.add("released " + part);
         }
     }
--- a/core/src/test/java/org/hawthornglade/core/quarantine/SuspectPartsTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quarantine/SuspectPartsTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.hawthornglade.core.id.InstanceId;
-import org.hawthornglade.core.id.PromptPartId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -14,7 +13,7 @@
 class SuspectPartsTest {
     private static final long GAP_MS = SuspectParts.MIN_GAP_MS;
     private static final long LATER_MS = 100 * GAP_MS + SuspectParts.SETTLE_MS;
-    private static final PromptPartId DEADLY = PromptPartId.of("dead");
+    private static final Suspect DEADLY = new Suspect("dead");
 
     private final SuspectParts suspects = new SuspectParts();
 
@@ -22,10 +21,10 @@
     private void crash(long atMs, String... parts) {
         InstanceCrash crash = new InstanceCrash(InstanceId.of("i-" + atMs), 1);
         suspects.onCrash(new CrashReport(
-                crash, atMs, Stream.of(parts).map(PromptPartId::of).toList()));
+                crash, atMs, atMs, Stream.of(parts).map(Suspect::new).toList()));
     }
 
-    private List<PromptPartId> blamed(long nowMs) {
+    private List<Suspect> blamed(long nowMs) {
         return suspects.blame(nowMs, SuspectParts.MIN_CRASHES)
                 .map(SuspectParts.Blame::parts)
                 .orElse(List.of());
@@ -51,7 +50,7 @@
         int number = 0;
         for (int at : crashes) {
             InstanceCrash crash = new InstanceCrash(InstanceId.of("i-" + number++), 1);
-            suspects.onCrash(new CrashReport(crash, at * GAP_MS, List.of(DEADLY)));
+            suspects.onCrash(new CrashReport(crash, at * GAP_MS, at * GAP_MS, List.of(DEADLY)));
         }
         if (completed >= 0) {
             suspects.onCompleted(DEADLY, completed * GAP_MS);
@@ -87,7 +86,7 @@
         for (int i = 1; i <= 3; i++) {
             crash(i * GAP_MS, "a", "dead");
         }
-        suspects.onCompleted(PromptPartId.of("a"), 0);
+        suspects.onCompleted(new Suspect("a"), 0);
         assertThat(blamed(LATER_MS)).containsExactly(DEADLY);
     }
 
@@ -96,7 +95,7 @@
         for (int i = 1; i <= 3; i++) {
             crash(i * GAP_MS, "a", "dead");
         }
-        assertThat(blamed(LATER_MS)).containsExactly(PromptPartId.of("a"), DEADLY);
+        assertThat(blamed(LATER_MS)).containsExactly(new Suspect("a"), DEADLY);
     }
 
     /** Each of two parts explains three of four crashes: only one more crash tells which is the cause. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -371,7 +371,7 @@
         } else {
             endpoint.health().onFailure(nowMs);
         }
-        exchange.onAttemptFailed(endpoint, failure);
+        exchange.onAttemptFailed(endpoint, failure, sentAtMs);
     }
 
     private void finish() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -115,6 +115,8 @@
         long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs - RESPONSE_RESERVE_MS);
         CallView view = new CallView(
                 service, route, demand, call.arrivedAtMs(), deadlineAtMs, () -> RequestDigester.digest(call));
+        // Computed now, since the body is released before the end of the call is handled.
+        view.digest();
         if (!context.quarantine().quarantined(view)) {
             arrivals.accept(view);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CrashDetector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CrashDetector.java
@@ -22,7 +22,7 @@
     /** The time in which a process that crashes closes all its sockets, in milliseconds. */
     private static final long CHECK_DELAY_MS = 20;
 
-    private record CutOffCall(CallView call, long atMs) {}
+    private record CutOffCall(CallView call, long sentAtMs, long atMs) {}
 
     private final Timers timers;
     private final Clock clock;
@@ -38,14 +38,18 @@
         this.quarantine = quarantine;
     }
 
-    /** Handles a call whose connection an instance has ended before its response. */
-    void onCutOff(Endpoint endpoint, CallView call) {
-        if (call.demand().isEmpty() || endpoint.leaving()) {
+    /**
+     * Handles a call whose connection an instance has ended before its response.
+     *
+     * @param sentAtMs when the call was sent to the instance
+     */
+    void onCutOff(Endpoint endpoint, CallView call, long sentAtMs) {
+        if (endpoint.leaving()) {
             return;
         }
         InstanceId instance = endpoint.id();
         InstanceCrash crash = new InstanceCrash(instance, endpoint.record().bornMs());
-        CutOffCall cutOff = new CutOffCall(call, clock.nowMs());
+        CutOffCall cutOff = new CutOffCall(call, sentAtMs, clock.nowMs());
         List<CutOffCall> pending = checking.get(crash);
         if (pending != null) {
             pending.add(cutOff);
@@ -63,6 +67,6 @@
             return;
         }
         long nowMs = clock.nowMs();
-        calls.forEach(each -> quarantine.onCrash(crash, each.call(), each.atMs(), nowMs));
+        calls.forEach(each -> quarantine.onCrash(crash, each.call(), each.sentAtMs(), each.atMs(), nowMs));
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -205,7 +205,7 @@
     }
 
     /** Handles an attempt that may have run and ended without a complete response. */
-    void onAttemptFailed(Endpoint endpoint, OutboundFailure failure) {
+    void onAttemptFailed(Endpoint endpoint, OutboundFailure failure, long sentAtMs) {
         attempt = null;
         runs++;
         view.tried().add(endpoint.id());
@@ -215,7 +215,7 @@
         record.addNote(failure + ":" + endpoint.id());
         if (failure == OutboundFailure.CLOSED || failure == OutboundFailure.BROKEN_OFF) {
             record.onResponseLost();
-            context.crashDetector().onCutOff(endpoint, view);
+            context.crashDetector().onCutOff(endpoint, view, sentAtMs);
         }
         if (failure == OutboundFailure.ENDLESS) {
             context.metrics().count("endless_answers");
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/QuarantineLog.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/QuarantineLog.java
@@ -1,10 +1,10 @@
 package org.hawthornglade.gateway.exchange;
 
 import java.util.stream.Collectors;
-import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.quarantine.CrashReport;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.quarantine.QuarantinedPart;
+import org.hawthornglade.core.quarantine.Suspect;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 
@@ -24,12 +24,12 @@
         log.event("crash-suspects")
                 .with("instance", report.crash().instance())
                 .with("born", report.crash().bornMs())
-                .with("parts", report.parts().stream().map(PromptPartId::value).collect(Collectors.joining(",")))
+                .with("suspects", report.suspects().stream().map(Suspect::value).collect(Collectors.joining(",")))
                 .write();
     }
 
     @Override
-    public void onCleared(PromptPartId part) {
+    public void onCleared(Suspect part) {
         log.event("suspect-cleared").with("part", part).write();
     }
 
@@ -44,7 +44,7 @@
     }
 
     @Override
-    public void onReleased(PromptPartId part) {
+    public void onReleased(Suspect part) {
         log.event("part-released").with("part", part).write();
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/QuarantineCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/QuarantineCodec.java
@@ -8,12 +8,12 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hawthornglade.core.id.InstanceId;
-import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.quarantine.CrashReport;
 import org.hawthornglade.core.quarantine.InstanceCrash;
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
 import org.hawthornglade.core.quarantine.QuarantinedPart;
+import org.hawthornglade.core.quarantine.Suspect;
 import org.hawthornglade.protocol.gen.peer.CutOffCall;
 import org.hawthornglade.protocol.gen.peer.Quarantine;
 import org.hawthornglade.protocol.gen.peer.QuarantineNews;
@@ -30,8 +30,12 @@
             String entry, QuarantineReport report, long nowMs) {
         List<CutOffCall> crashes = new ArrayList<>();
         for (CrashReport each : report.crashes()) {
-            crashes.add(new CutOffCall(
-                    each.crash().instance().value(), each.crash().bornMs(), nowMs - each.atMs(), texts(each.parts())));
+            CutOffCall call = new CutOffCall(
+                    each.crash().instance().value(),
+                    each.crash().bornMs(),
+                    nowMs - each.atMs(),
+                    texts(each.suspects()));
+            crashes.add(call.setSentAgoMs(nowMs - each.sentAtMs()));
         }
         Map<String, Long> completedAgoMs = new HashMap<>();
         report.completedMs().forEach((part, atMs) -> completedAgoMs.put(part.value(), nowMs - atMs));
@@ -43,10 +47,12 @@
         List<CrashReport> crashes = new ArrayList<>();
         for (CutOffCall each : coded.getCrashes()) {
             InstanceCrash crash = new InstanceCrash(InstanceId.of(each.getInstance()), each.getBornMs());
-            crashes.add(new CrashReport(crash, nowMs - each.getAgoMs(), parts(each.getParts())));
+            // Entries of the previous version do not tell when a call was sent.
+            long sentAtMs = each.isSetSentAgoMs() ? nowMs - each.getSentAgoMs() : Long.MIN_VALUE;
+            crashes.add(new CrashReport(crash, sentAtMs, nowMs - each.getAgoMs(), parts(each.getParts())));
         }
-        Map<PromptPartId, Long> completedMs = new HashMap<>();
-        coded.getCompletedAgoMs().forEach((part, agoMs) -> completedMs.put(PromptPartId.of(part), nowMs - agoMs));
+        Map<Suspect, Long> completedMs = new HashMap<>();
+        coded.getCompletedAgoMs().forEach((part, agoMs) -> completedMs.put(new Suspect(part), nowMs - agoMs));
         return new QuarantineReport(
                 crashes, completedMs, quarantined(coded.getQuarantined(), nowMs), partSet(coded.getRefused()));
     }
@@ -78,7 +84,7 @@
         List<QuarantinedPart> parts = new ArrayList<>();
         for (Quarantine each : coded) {
             parts.add(new QuarantinedPart(
-                    PromptPartId.of(each.getPart()),
+                    new Suspect(each.getPart()),
                     partSet(each.getMembers()),
                     nowMs - each.getBlamedAgoMs(),
                     nowMs + each.getLeftMs(),
@@ -88,17 +94,17 @@
         return parts;
     }
 
-    private static List<String> texts(Iterable<PromptPartId> parts) {
+    private static List<String> texts(Iterable<Suspect> parts) {
         List<String> texts = new ArrayList<>();
         parts.forEach(part -> texts.add(part.value()));
         return texts;
     }
 
-    private static List<PromptPartId> parts(List<String> texts) {
-        return texts.stream().map(PromptPartId::of).toList();
+    private static List<Suspect> parts(List<String> texts) {
+        return texts.stream().map(Suspect::new).toList();
     }
 
-    private static Set<PromptPartId> partSet(List<String> texts) {
+    private static Set<Suspect> partSet(List<String> texts) {
         return new HashSet<>(parts(texts));
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
@@ -27,6 +27,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.PromptPartId;
+import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.serving.CallKind;
@@ -59,6 +60,20 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    private static CallView call(boolean withPrompt) {
+        return withPrompt ? call() : plainCall();
+    }
+
+    private static CallView plainCall() {
+        return new CallView(
+                ServiceName.of("desk"),
+                ROUTE,
+                Optional.empty(),
+                0,
+                5_000,
+                () -> Optional.of(new RequestDigest("9c41d07b")));
+    }
+
     private static CallView call() {
         List<PromptPart> prefix =
                 List.of(new PromptPart(PromptPartId.of("a"), 100), new PromptPart(PromptPartId.of("own"), 100));
@@ -85,11 +100,21 @@
         return fleet.endpoint(record.id()).orElseThrow();
     }
 
-    /** A server that breaks off one answer, or drains, was not told from one that a prompt has crashed. */
-    @ParameterizedTest(name = "accepting: {0}, leaving: {1}")
-    @CsvSource({"true, false, false", "false, false, true", "false, true, false"})
-    void callIsReportedOnlyIfItsInstanceRefusesConnections(boolean accepting, boolean leaving, boolean suspected)
-            throws Exception {
+    /**
+     * A server that breaks off one answer, or drains, was not told from one that a prompt has crashed; calls to plain
+     * services were not reported at all.
+     */
+    @ParameterizedTest(name = "accepting: {0}, leaving: {1}, prompt: {2}")
+    @CsvSource({
+        "true, false, true, false",
+        "false, false, true, true",
+        "false, true, true, false",
+        "true, false, false, false",
+        "false, false, false, true",
+        "false, true, false, false",
+    })
+    void callIsReportedOnlyIfItsInstanceRefusesConnections(
+            boolean accepting, boolean leaving, boolean withPrompt, boolean suspected) throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             if (!accepting) {
                 listener.close();
@@ -99,12 +124,12 @@
             CrashDetector detector = new CrashDetector(timers, clock, connections, quarantine);
             CompletableFuture<Boolean> checked = new CompletableFuture<>();
             timers.run(() -> {
-                detector.onCutOff(endpoint, call());
+                detector.onCutOff(endpoint, call(withPrompt), clock.nowMs());
                 // Begins after the check of the detector, so that it ends after it.
                 timers.after(100, () -> checkAgain(endpoint, checked));
             });
             checked.get(5, TimeUnit.SECONDS);
-            assertThat(loop.submit(() -> quarantine.suspected(call())).get(5, TimeUnit.SECONDS))
+            assertThat(loop.submit(() -> quarantine.suspected(call(withPrompt))).get(5, TimeUnit.SECONDS))
                     .isEqualTo(suspected);
         }
     }
--- a/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
@@ -8,7 +8,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.hawthornglade.core.id.InstanceId;
-import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.limit.LimitStatus;
@@ -21,6 +20,7 @@
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
 import org.hawthornglade.core.quarantine.QuarantinedPart;
+import org.hawthornglade.core.quarantine.Suspect;
 import org.hawthornglade.core.replica.LoadLimits;
 import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.store.StoreRevision;
@@ -94,14 +94,14 @@
     /** Guards against entries that judge the same crashes by different times or parts. */
     @Test
     void quarantineReportIsDecodedAsEncoded() {
-        PromptPartId part = PromptPartId.of("5c1e07a2");
+        Suspect part = new Suspect("5c1e07a2");
         InstanceCrash crash = new InstanceCrash(InstanceId.of("i-1"), 1_791_725_696_495L);
         QuarantineReport report = new QuarantineReport(
-                List.of(new CrashReport(crash, NOW_MS - 40, List.of(part, PromptPartId.of("91bd3f06")))),
+                List.of(new CrashReport(crash, NOW_MS - 95, NOW_MS - 40, List.of(part, new Suspect("91bd3f06")))),
                 Map.of(part, NOW_MS - 7),
                 List.of(new QuarantinedPart(
                         part,
-                        Set.of(part, PromptPartId.of("91bd3f06")),
+                        Set.of(part, new Suspect("91bd3f06")),
                         NOW_MS - 900,
                         NOW_MS + 9_000,
                         2,
@@ -119,10 +119,10 @@
     @Test
     void quarantineUpdateIsDecodedAsEncoded() {
         QuarantineUpdate update = new QuarantineUpdate(
-                Set.of(PromptPartId.of("91bd3f06")),
+                Set.of(new Suspect("91bd3f06")),
                 List.of(new QuarantinedPart(
-                        PromptPartId.of("5c1e07a2"),
-                        Set.of(PromptPartId.of("5c1e07a2")),
+                        new Suspect("5c1e07a2"),
+                        Set.of(new Suspect("5c1e07a2")),
                         NOW_MS - 9,
                         NOW_MS - 3,
                         1,
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/CutOffCall.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/CutOffCall.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField BORN_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("bornMs", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField AGO_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("agoMs", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("parts", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField SENT_AGO_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentAgoMs", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CutOffCallStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CutOffCallTupleSchemeFactory();
@@ -25,6 +26,7 @@
   private long bornMs; // required
   private long agoMs; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> parts; // required
+  private long sentAgoMs; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -38,9 +40,13 @@
      */
     AGO_MS((short)3, "agoMs"),
     /**
-     * The parts of its prompt that other calls may share, in order.
+     * The parts of its prompt that other calls may share, in order, and the request itself.
      */
-    PARTS((short)4, "parts");
+    PARTS((short)4, "parts"),
+    /**
+     * How long ago the call was sent to the instance.
+     */
+    SENT_AGO_MS((short)5, "sentAgoMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -64,6 +70,8 @@
           return AGO_MS;
         case 4: // PARTS
           return PARTS;
+        case 5: // SENT_AGO_MS
+          return SENT_AGO_MS;
         default:
           return null;
       }
@@ -109,7 +117,9 @@
   // isset id assignments
   private static final int __BORNMS_ISSET_ID = 0;
   private static final int __AGOMS_ISSET_ID = 1;
+  private static final int __SENTAGOMS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SENT_AGO_MS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -122,6 +132,8 @@
     tmpMap.put(_Fields.PARTS, new org.apache.thrift.meta_data.FieldMetaData("parts", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.SENT_AGO_MS, new org.apache.thrift.meta_data.FieldMetaData("sentAgoMs", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CutOffCall.class, metaDataMap);
   }
@@ -158,6 +170,7 @@
       java.util.List<java.lang.String> __this__parts = new java.util.ArrayList<java.lang.String>(other.parts);
       this.parts = __this__parts;
     }
+    this.sentAgoMs = other.sentAgoMs;
   }
 
   @Override
@@ -173,6 +186,8 @@
     setAgoMsIsSet(false);
     this.agoMs = 0;
     this.parts = null;
+    setSentAgoMsIsSet(false);
+    this.sentAgoMs = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -275,7 +290,7 @@
   }
 
   /**
-   * The parts of its prompt that other calls may share, in order.
+   * The parts of its prompt that other calls may share, in order, and the request itself.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<java.lang.String> getParts() {
@@ -283,7 +298,7 @@
   }
 
   /**
-   * The parts of its prompt that other calls may share, in order.
+   * The parts of its prompt that other calls may share, in order, and the request itself.
    */
   public CutOffCall setParts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> parts) {
     this.parts = parts;
@@ -305,6 +320,35 @@
     }
   }
 
+  /**
+   * How long ago the call was sent to the instance.
+   */
+  public long getSentAgoMs() {
+    return this.sentAgoMs;
+  }
+
+  /**
+   * How long ago the call was sent to the instance.
+   */
+  public CutOffCall setSentAgoMs(long sentAgoMs) {
+    this.sentAgoMs = sentAgoMs;
+    setSentAgoMsIsSet(true);
+    return this;
+  }
+
+  public void unsetSentAgoMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTAGOMS_ISSET_ID);
+  }
+
+  /** Returns true if field sentAgoMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentAgoMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTAGOMS_ISSET_ID);
+  }
+
+  public void setSentAgoMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTAGOMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -340,6 +384,14 @@
       }
       break;
 
+    case SENT_AGO_MS:
+      if (value == null) {
+        unsetSentAgoMs();
+      } else {
+        setSentAgoMs((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -359,6 +411,9 @@
     case PARTS:
       return getParts();
 
+    case SENT_AGO_MS:
+      return getSentAgoMs();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -379,6 +434,8 @@
       return isSetAgoMs();
     case PARTS:
       return isSetParts();
+    case SENT_AGO_MS:
+      return isSetSentAgoMs();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -432,6 +489,15 @@
         return false;
     }
 
+    boolean this_present_sentAgoMs = true && this.isSetSentAgoMs();
+    boolean that_present_sentAgoMs = true && that.isSetSentAgoMs();
+    if (this_present_sentAgoMs || that_present_sentAgoMs) {
+      if (!(this_present_sentAgoMs && that_present_sentAgoMs))
+        return false;
+      if (this.sentAgoMs != that.sentAgoMs)
+        return false;
+    }
+
     return true;
   }
 
@@ -451,6 +517,10 @@
     if (isSetParts())
       hashCode = hashCode * 8191 + parts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSentAgoMs()) ? 131071 : 524287);
+    if (isSetSentAgoMs())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentAgoMs);
+
     return hashCode;
   }
 
@@ -502,6 +572,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSentAgoMs(), other.isSetSentAgoMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSentAgoMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentAgoMs, other.sentAgoMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -549,6 +629,12 @@
       sb.append(this.parts);
     }
     first = false;
+    if (isSetSentAgoMs()) {
+      if (!first) sb.append(", ");
+      sb.append("sentAgoMs:");
+      sb.append(this.sentAgoMs);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -638,6 +724,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // SENT_AGO_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentAgoMs = iprot.readI64();
+              struct.setSentAgoMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -677,6 +771,11 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.isSetSentAgoMs()) {
+        oprot.writeFieldBegin(SENT_AGO_MS_FIELD_DESC);
+        oprot.writeI64(struct.sentAgoMs);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -708,7 +807,10 @@
       if (struct.isSetParts()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetSentAgoMs()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetInstance()) {
         oprot.writeString(struct.instance);
       }
@@ -727,12 +829,15 @@
           }
         }
       }
+      if (struct.isSetSentAgoMs()) {
+        oprot.writeI64(struct.sentAgoMs);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, CutOffCall struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.instance = iprot.readString();
         struct.setInstanceIsSet(true);
@@ -758,6 +863,10 @@
         }
         struct.setPartsIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.sentAgoMs = iprot.readI64();
+        struct.setSentAgoMsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -159,8 +159,10 @@
   2: i64 bornMs
   /** How long ago the call was cut off. */
   3: i64 agoMs
-  /** The parts of its prompt that other calls may share, in order. */
+  /** The parts of its prompt that other calls may share, in order, and the request itself. */
   4: list<string> parts
+  /** How long ago the call was sent to the instance. */
+  5: optional i64 sentAgoMs
 }
 
 /** A part of a prompt with which calls are refused. */
