A call that outlasts a planned stop gets an error instead of a closed connection

Now all open calls are ended then: 504 where the call may have run, 503 where it was never sent; a response that has begun is broken off, which its framing shows.

Not tested: a real process whose endpoint outlasts the grace, arrivals at each moment of it, graceS 3 and 30, SIGTERM during a SIGHUP, a restore or a lost leader.

--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -299,6 +299,11 @@
             });
         }
 
+        @Override
+        public void failOpenCalls() {
+            timers.run(receiver::failOpenCalls);
+        }
+
         @Override
         public void close() {
             timers.run(callers::close);
--- a/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
@@ -7,7 +7,8 @@
  * Stops an entry step by step, without interrupting open calls.
  *
  * <p>First the entry leaves the load balancer's rotation, and serves all calls until that has taken effect. Then it
- * refuses new and waiting calls, which the end of the process could interrupt, and stops after its last open call.
+ * refuses new and waiting calls, which the end of the process could interrupt, and stops after its last open call. Calls
+ * that are still open when the time is over get an error instead of a closed connection.
  */
 final class GracefulStop {
     /** Time for which the load balancer may still send new connections. */
@@ -27,6 +28,9 @@
         /** Refuses new and waiting calls from now on. */
         void startRefusing();
 
+        /** Ends the open calls with an error, because the process ends before their responses. */
+        void failOpenCalls();
+
         /** Stops listening. */
         void close();
 
@@ -60,6 +64,9 @@
         steps.startRefusing();
         long latestMs = startMs + graceMs - EXIT_RESERVE_MS;
         waitForCalls(latestMs);
+        if (steps.openCalls() > 0) {
+            steps.failOpenCalls();
+        }
         steps.close();
         waitUntil(clock.nowMs() + ACCEPTED_REQUEST_MS);
         waitForCalls(latestMs + ACCEPTED_REQUEST_MS);
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -2,9 +2,11 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Either;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hawthornglade.core.dispatch.CallView;
@@ -35,6 +37,7 @@
     private final Consumer<CallView> arrivals;
     private final Random random;
     private final StartupQueue startupQueue;
+    private final Set<Exchange> open = new LinkedHashSet<>();
     private long callCount;
 
     /**
@@ -120,7 +123,14 @@
         if (!context.quarantine().quarantined(view)) {
             arrivals.accept(view);
         }
-        new Exchange(context, ++callCount, call, request, view, known.version()).start();
+        Exchange exchange = new Exchange(context, ++callCount, call, request, view, known.version(), open::remove);
+        open.add(exchange);
+        exchange.start();
+    }
+
+    /** Ends all open calls with an error, because this entry stops before their responses. */
+    public void failOpenCalls() {
+        List.copyOf(open).forEach(Exchange::failAtStop);
     }
 
     private ServiceName pickTarget(List<WeightedService> targets) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.PermitWaiter;
@@ -36,6 +37,7 @@
     private final IncomingCall call;
     private final CallRequest request;
     private final CallView view;
+    private final Consumer<Exchange> onEnded;
     private final ResponseWriter response;
     private final CallRecord record;
     private final PermitWaiter permitWaiter = new PermitWaiter();
@@ -52,8 +54,10 @@
             IncomingCall call,
             CallRequest request,
             CallView view,
-            long configurationVersion) {
+            long configurationVersion,
+            Consumer<Exchange> onEnded) {
         this.context = context;
+        this.onEnded = onEnded;
         this.number = number;
         this.call = call;
         this.request = request;
@@ -136,6 +140,18 @@
         }
     }
 
+    /** Ends an open call because this entry stops before the response. */
+    void failAtStop() {
+        if (ended) {
+            return;
+        }
+        boolean mayHaveRun = runs > 0 || (attempt != null && attempt.sent());
+        cancelAttempt();
+        record.addNote("stopping");
+        ResultCode code = mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : ResultCode.STOPPING;
+        fail(code, mayHaveRun ? 0 : CallReceiver.STOPPING_RETRY_AFTER_MS);
+    }
+
     private void enqueue() {
         if (context.waitingCalls().refusing()) {
             refuseAtStop();
@@ -321,6 +337,7 @@
 
     private void end(ResultCode code, int status) {
         ended = true;
+        onEnded.accept(this);
         permitWaiter.leave();
         deadline.cancel();
         context.waitingCalls().remove(this);
--- a/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
@@ -30,6 +30,11 @@
             steps.add("refuse at " + nowMs / 100 * 100);
         }
 
+        @Override
+        public void failOpenCalls() {
+            steps.add("fail at " + nowMs / 100 * 100);
+        }
+
         @Override
         public void close() {
             steps.add("close at " + nowMs / 100 * 100);
@@ -58,8 +63,11 @@
         Entry entry = new Entry(lastCallEndsMs);
         new GracefulStop(() -> nowMs, ms -> nowMs += ms, graceMs, entry).run();
         long refusedMs = Math.min(2_500, graceMs - 700);
-        assertThat(entry.steps)
-                .containsExactly("begin", "refuse at " + refusedMs, "close at " + closedMs)
-                .inOrder();
+        List<String> expected = new ArrayList<>(List.of("begin", "refuse at " + refusedMs, "close at " + closedMs));
+        if (lastCallEndsMs > graceMs) {
+            // A call that outlasts the grace was cut off without a response.
+            expected.add(2, "fail at " + closedMs);
+        }
+        assertThat(entry.steps).containsExactlyElementsIn(expected).inOrder();
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -51,6 +51,7 @@
     private final WaitingCalls waitingCalls = new WaitingCalls();
     private final Timers timers;
     private final CallerServer server;
+    private final CallReceiver receiver;
     private final int port;
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
@@ -85,9 +86,8 @@
                 new TestProtocol(),
                 log,
                 new GatewayMetrics());
-        CallReceiver entrance =
-                new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
-        server = new CallerServer(loop, timers, clock, () -> limits, entrance);
+        receiver = new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
+        server = new CallerServer(loop, timers, clock, () -> limits, receiver);
         port = freePort();
         server.listen(new InstanceAddress("127.0.0.1", port));
     }
@@ -155,6 +155,16 @@
         done.await(5, TimeUnit.SECONDS);
     }
 
+    /** Ends the open calls with an error, as at the end of a stop. */
+    void failOpenCalls() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        timers.run(() -> {
+            receiver.failOpenCalls();
+            done.countDown();
+        });
+        done.await(5, TimeUnit.SECONDS);
+    }
+
     /** Closes the connections without an open request, as in a stop. */
     void closeIdle() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
