--- a/app/src/test/java/org/hawthornglade/app/process/GatewayProcessTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/GatewayProcessTest.java
@@ -209,8 +209,8 @@
     }
 
     /**
-     * Guards against an entry that stays at what an older copy of the store says, or does not see what was written again
-     * under versions that were given out before.
+     * Guards against an entry that stays at what an older copy of the store says, or does not see what was written
+     * again under versions that were given out before.
      */
     @ParameterizedTest
     @CsvSource({"0, calm", "50, calm", "0, killed", "50, killed"})
--- a/bench/src/test/java/org/hawthornglade/bench/crash/CrashEmulatorTest.java
+++ b/bench/src/test/java/org/hawthornglade/bench/crash/CrashEmulatorTest.java
@@ -32,7 +32,7 @@
         }
     }
 
-    /** BUDGET: a request that crashes each engine came again at any entry and was sent to one engine after the other. */
+    /** BUDGET: a request that crashes each engine came again at any entry and was sent to one after the other. */
     @ParameterizedTest(name = "{0} entries, {1} seeds, deadly share {2}, other faults: {3}")
     @CsvSource({
         "4, 20, 0.02, false",
--- a/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -17,8 +17,9 @@
  *
  * <p>An instance that has announced that it is leaving stays excluded, whatever an older record says. Nothing is
  * removed while the list is unreachable. An instance that is missing when the list is reachable again, or was restored
- * from an older copy, has {@link #RELIST_TIMEOUT_MS} to write its record again. A record that such a copy brings back is
- * not used before the instance has written again, or has outlived the time after which the record of a silent one goes.
+ * from an older copy, has {@link #RELIST_TIMEOUT_MS} to write its record again. A record that such a copy brings back
+ * is not used before the instance has written again, or has outlived the time after which the record of a silent one
+ * goes.
  */
 public final class Fleet {
     /**
@@ -157,8 +158,9 @@
     }
 
     /**
-     * Removes the instances that were not relisted in time, and uses restored records that have outlived their time; must
-     * be called regularly.
+     * Removes the instances that were not relisted in time, and uses restored records that have outlived their time.
+     *
+     * <p>Must be called regularly.
      */
     public void expire(long nowMs) {
         if (!listReachable) {
--- a/core/src/main/java/org/hawthornglade/core/quarantine/CompletedParts.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/CompletedSuspects.java
@@ -8,8 +8,8 @@
  * Remembers when an answer was last completed on a part of a prompt or a request; those not used for longest are
  * dropped, of each sort by itself.
  */
-final class CompletedParts {
-    static final int MAX_PARTS = 4_096;
+final class CompletedSuspects {
+    static final int MAX_OF_A_SORT = 4_096;
 
     private final Map<Suspect, Long> parts = lastUsedMap();
     private final Map<Suspect, Long> requests = lastUsedMap();
@@ -18,7 +18,7 @@
         return new LinkedHashMap<>(16, 0.75f, true) {
             @Override
             protected boolean removeEldestEntry(Map.Entry<Suspect, Long> eldest) {
-                return size() > MAX_PARTS;
+                return size() > MAX_OF_A_SORT;
             }
         };
     }
--- a/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
@@ -67,8 +67,8 @@
 
     private final String entry;
     private final Listener listener;
-    private final SuspectParts suspects = new SuspectParts();
-    private final CompletedParts completedParts = new CompletedParts();
+    private final Suspects suspects = new Suspects();
+    private final CompletedSuspects completedSuspects = new CompletedSuspects();
     private final Map<Suspect, QuarantinedPart> quarantined = new LinkedHashMap<>();
     private final Map<Suspect, Long> refusedAtMs = new HashMap<>();
     private final Map<Suspect, Long> trialSinceMs = new HashMap<>();
@@ -179,13 +179,13 @@
         }
         suspects.onCrash(report);
         for (Suspect part : report.suspects()) {
-            completedParts.lastCompletedMs(part).ifPresent(atMs -> clear(part, atMs));
+            completedSuspects.lastCompletedMs(part).ifPresent(atMs -> clear(part, atMs));
         }
         changed = true;
     }
 
     private void blame(long nowMs) {
-        suspects.blame(nowMs, role == Role.LEADING ? SuspectParts.MIN_CRASHES : SuspectParts.MIN_CRASHES_ONCE_COMPLETED)
+        suspects.blame(nowMs, role == Role.LEADING ? Suspects.MIN_CRASHES : Suspects.MIN_CRASHES_ONCE_COMPLETED)
                 .ifPresent(blame -> {
                     QuarantinedPart added = QuarantinedPart.first(blame, nowMs);
                     refusedAtMs.put(added.part(), nowMs);
@@ -227,7 +227,7 @@
     /** Handles a completed answer to a call of this entry. */
     public void onCompleted(CallView call, long nowMs) {
         for (Suspect part : suspectsOf(call)) {
-            completedParts.onCompleted(part, nowMs);
+            completedSuspects.onCompleted(part, nowMs);
             boolean watched = suspects.contains(part) || leaderSuspects.contains(part) || inQuarantine(part);
             if (watched) {
                 unreported.onCompleted(part, nowMs);
@@ -283,7 +283,7 @@
             report.crashes().forEach(crash -> apply(crash, nowMs));
             report.completedMs().forEach((part, atMs) -> {
                 // Remembered, since other entries may report earlier crashes of the part later.
-                completedParts.onCompleted(part, atMs);
+                completedSuspects.onCompleted(part, atMs);
                 onCompleted(part, atMs);
             });
         }
@@ -353,7 +353,7 @@
     }
 
     private void reportLastCompletion(Suspect part) {
-        completedParts.lastCompletedMs(part).ifPresent(atMs -> unreported.onCompleted(part, atMs));
+        completedSuspects.lastCompletedMs(part).ifPresent(atMs -> unreported.onCompleted(part, atMs));
     }
 
     private void onPublished(QuarantinedPart part) {
--- a/core/src/main/java/org/hawthornglade/core/quarantine/QuarantinedPart.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/QuarantinedPart.java
@@ -32,7 +32,7 @@
         members = Set.copyOf(members);
     }
 
-    static QuarantinedPart first(SuspectParts.Blame blame, long nowMs) {
+    static QuarantinedPart first(Suspects.Blame blame, long nowMs) {
         return new QuarantinedPart(
                 blame.parts().get(0),
                 Set.copyOf(blame.parts()),
--- a/core/src/main/java/org/hawthornglade/core/quarantine/SuspectParts.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/Suspects.java
@@ -21,7 +21,7 @@
  * answer. Where a request and parts explain the same crashes, only that request is refused; the crashes count for the
  * parts again once there are further ones without it.
  */
-final class SuspectParts {
+final class Suspects {
     /** Older crashes are not counted. */
     static final long MAX_AGE_MS = 30_000;
     /** Crashes within this time of each other count once: a cause outside the prompts often hits several instances. */
@@ -100,14 +100,14 @@
     }
 
     /** A suspect with the number of its crashes, and how many of them happened apart from each other. */
-    private record Candidate(Suspect part, int crashes, int separateCrashes, boolean onceCompleted) {
+    private record Candidate(Suspect suspect, int crashes, int separateCrashes, boolean onceCompleted) {
         /** Of parts that explain most crashes, one on which nothing was completed comes first. */
         private static final Comparator<Candidate> BEST_FIRST = Comparator.comparing(Candidate::onceCompleted)
                 .thenComparing(Candidate::crashes, Comparator.reverseOrder());
 
-        /** Returns whether another suspect explains more of the crashes of this request, or as many and was never completed. */
+        /** Returns whether a suspect that was never completed explains more crashes than this request. */
         boolean explainedBetterBy(Candidate other) {
-            if (!part.isRequest() || other.onceCompleted) {
+            if (!suspect.isRequest() || other.onceCompleted) {
                 return false;
             }
             return other.crashes > crashes || (onceCompleted && other.crashes == crashes);
@@ -224,10 +224,10 @@
             return Optional.empty();
         }
         Candidate best = blamed.get(0);
-        Evidence evidence = suspects.get(best.part());
+        Evidence evidence = suspects.get(best.suspect());
         List<Suspect> equal = blamed.stream()
                 .filter(each -> Candidate.BEST_FIRST.compare(best, each) == 0)
-                .map(Candidate::part)
+                .map(Candidate::suspect)
                 .toList();
         List<Suspect> together = equal.stream()
                 .filter(part -> suspects.get(part).crashes.keySet().equals(evidence.crashes.keySet()))
--- a/core/src/main/java/org/hawthornglade/core/quarantine/package-info.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Keeps parts of prompts that crash the instances which process them from reaching further instances. */
+/** Keeps parts of prompts, and requests, that crash the instances which process them from reaching further ones. */
 package org.hawthornglade.core.quarantine;
--- a/core/src/test/java/org/hawthornglade/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quarantine/PromptQuarantineTest.java
@@ -24,9 +24,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class PromptQuarantineTest {
-    private static final long GAP_MS = SuspectParts.MIN_GAP_MS;
+    private static final long GAP_MS = Suspects.MIN_GAP_MS;
     private static final long START_MS = 10_000;
-    private static final long BLAMED_MS = START_MS + 3 * GAP_MS + SuspectParts.SETTLE_MS;
+    private static final long BLAMED_MS = START_MS + 3 * GAP_MS + Suspects.SETTLE_MS;
     private static final long TRIAL_MS = BLAMED_MS + QuarantinedPart.FIRST_DURATION_MS;
     private static final Route ROUTE =
             new Route("r", "h.example", "/r/", CallKind.STREAM, 15_000, 800, 500, 4_000, 2, 0, true, List.of());
@@ -125,7 +125,7 @@
             crash(follower, call("dead", "own"), START_MS + i * GAP_MS);
             exchange(START_MS + i * GAP_MS + 1);
         }
-        exchange(START_MS + 5 * GAP_MS + SuspectParts.SETTLE_MS);
+        exchange(START_MS + 5 * GAP_MS + Suspects.SETTLE_MS);
         assertThat(leader.size()).isEqualTo(1);
         PromptQuarantine next = new PromptQuarantine("next", new Recorder());
         next.onRole(Role.LEADING, BLAMED_MS);
--- a/core/src/test/java/org/hawthornglade/core/quarantine/RequestQuarantineTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quarantine/RequestQuarantineTest.java
@@ -77,7 +77,7 @@
      */
     private void step(String step) {
         if (step.equals("-")) {
-            nowMs += SuspectParts.MIN_GAP_MS;
+            nowMs += Suspects.MIN_GAP_MS;
             exchange();
             return;
         }
@@ -102,7 +102,7 @@
 
     private void settle() {
         for (int i = 0; i < 10; i++) {
-            nowMs += SuspectParts.SETTLE_MS;
+            nowMs += Suspects.SETTLE_MS;
             exchange();
         }
     }
--- a/core/src/test/java/org/hawthornglade/core/quarantine/SuspectPartsTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quarantine/SuspectsTest.java
@@ -10,12 +10,12 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-class SuspectPartsTest {
-    private static final long GAP_MS = SuspectParts.MIN_GAP_MS;
-    private static final long LATER_MS = 100 * GAP_MS + SuspectParts.SETTLE_MS;
+class SuspectsTest {
+    private static final long GAP_MS = Suspects.MIN_GAP_MS;
+    private static final long LATER_MS = 100 * GAP_MS + Suspects.SETTLE_MS;
     private static final Suspect DEADLY = new Suspect("dead");
 
-    private final SuspectParts suspects = new SuspectParts();
+    private final Suspects suspects = new Suspects();
 
     /** Cuts off a call with the given parts, in the crash of an instance of its own. */
     private void crash(long atMs, String... parts) {
@@ -25,8 +25,8 @@
     }
 
     private List<Suspect> blamed(long nowMs) {
-        return suspects.blame(nowMs, SuspectParts.MIN_CRASHES)
-                .map(SuspectParts.Blame::parts)
+        return suspects.blame(nowMs, Suspects.MIN_CRASHES)
+                .map(Suspects.Blame::parts)
                 .orElse(List.of());
     }
 
@@ -116,7 +116,7 @@
         for (int i = 1; i <= 3; i++) {
             crash(i * GAP_MS, "dead");
         }
-        long settledMs = 3 * GAP_MS + SuspectParts.SETTLE_MS;
+        long settledMs = 3 * GAP_MS + Suspects.SETTLE_MS;
         assertThat(blamed(settledMs - 1)).isEmpty();
         assertThat(blamed(settledMs)).containsExactly(DEADLY);
     }
@@ -125,8 +125,8 @@
     void oldCrashesAreNotCounted() {
         crash(GAP_MS, "dead");
         crash(2 * GAP_MS, "dead");
-        crash(3 * GAP_MS + SuspectParts.MAX_AGE_MS, "dead");
-        assertThat(blamed(4 * GAP_MS + SuspectParts.MAX_AGE_MS)).isEmpty();
+        crash(3 * GAP_MS + Suspects.MAX_AGE_MS, "dead");
+        assertThat(blamed(4 * GAP_MS + Suspects.MAX_AGE_MS)).isEmpty();
     }
 
     /** A caller that sends a million different parts must not displace the one that is in every crash. */
@@ -135,11 +135,11 @@
         int number = 0;
         for (int i = 1; i <= 3; i++) {
             crash(i * GAP_MS, "dead");
-            for (int j = 0; j < SuspectParts.MAX_SUSPECTS - 1; j++) {
+            for (int j = 0; j < Suspects.MAX_SUSPECTS - 1; j++) {
                 crash(i * GAP_MS + 1, "x" + number++);
             }
         }
-        assertThat(suspects.parts()).hasSize(SuspectParts.MAX_SUSPECTS);
+        assertThat(suspects.parts()).hasSize(Suspects.MAX_SUSPECTS);
         assertThat(blamed(LATER_MS)).containsExactly(DEADLY);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
@@ -7,8 +7,8 @@
  * Stops an entry step by step, without interrupting open calls.
  *
  * <p>First the entry leaves the load balancer's rotation, and serves all calls until that has taken effect. Then it
- * refuses new and waiting calls, which the end of the process could interrupt, and stops after its last open call. Calls
- * that are still open when the time is over get an error instead of a closed connection.
+ * refuses new and waiting calls, which the end of the process could interrupt, and stops after its last open call.
+ * Calls that are still open when the time is over get an error instead of a closed connection.
  */
 final class GracefulStop {
     /** Time for which the load balancer may still send new connections. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/RequestDigester.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/RequestDigester.java
@@ -14,8 +14,8 @@
 /**
  * Computes the digest of a request from its method, host, path with query, and body.
  *
- * <p>No header names the caller, and the others differ from try to try. The hash is cryptographic, so that no caller can
- * find a request with the digest of another one's.
+ * <p>No header names the caller, and the others differ from try to try. The hash is cryptographic, so that no caller
+ * can find a request with the digest of another one's.
  */
 final class RequestDigester {
     /** Characters of the digest; enough that no two requests of a deployment share one by chance. */
