--- a/app/src/test/java/org/hawthornglade/app/architecture/PlatformBoundaryTest.java
+++ b/app/src/test/java/org/hawthornglade/app/architecture/PlatformBoundaryTest.java
@@ -60,6 +60,7 @@
                 "rows-feed",
                 "rows-get",
                 "rows-tx",
+                "Store-Era",
                 "/v1/order",
                 "/v1/report",
                 "/v1/ready",
