--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashEntry.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashEntry.java
@@ -11,11 +11,8 @@
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.id.InstanceId;
-import org.hawthornglade.core.quarantine.CrashReport;
 import org.hawthornglade.core.quarantine.InstanceCrash;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
-import org.hawthornglade.core.quarantine.QuarantinedPart;
-import org.hawthornglade.core.quarantine.Suspect;
 import org.hawthornglade.core.result.ResultCode;
 
 /** Emulates one entry: the real decisions with the minimum around them to send calls and to resume broken ones. */
@@ -34,7 +31,7 @@
     private final PromptQuarantine quarantine;
 
     CrashEntry(String name, VirtualTime time, Map<InstanceId, CrashingEngine> engines, CrashChecker checker) {
-        this.quarantine = new PromptQuarantine(name, new SilentListener());
+        this.quarantine = new PromptQuarantine(name, new PromptQuarantine.Listener() {});
         this.time = time;
         this.engines = engines;
         this.checker = checker;
@@ -125,19 +122,4 @@
             checker.onSoundOutcome(call.arrivedAtMs(), served);
         }
     }
-
-    /** Ignores what is decided. */
-    private static final class SilentListener implements PromptQuarantine.Listener {
-        @Override
-        public void onSuspects(CrashReport report) {}
-
-        @Override
-        public void onCleared(Suspect part) {}
-
-        @Override
-        public void onQuarantined(QuarantinedPart part) {}
-
-        @Override
-        public void onReleased(Suspect part) {}
-    }
 }
--- a/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/hawthornglade/core/quarantine/PromptQuarantine.java
@@ -50,19 +50,19 @@
         WITHOUT_LEADER
     }
 
-    /** Receives what is decided, for the log. */
+    /** Receives what is decided, for the log; ignores it unless overridden. */
     public interface Listener {
         /** Handles the first report of a call that a crash cut off. */
-        void onSuspects(CrashReport report);
+        default void onSuspects(CrashReport report) {}
 
         /** Handles a suspect on which an answer was completed since its last crash. */
-        void onCleared(Suspect part);
+        default void onCleared(Suspect part) {}
 
         /** Handles the start of a quarantine, or of its next term. */
-        void onQuarantined(QuarantinedPart part);
+        default void onQuarantined(QuarantinedPart part) {}
 
         /** Handles the end of a quarantine. */
-        void onReleased(Suspect part);
+        default void onReleased(Suspect part) {}
     }
 
     private final String entry;
--- a/core/src/test/java/org/hawthornglade/core/quarantine/RequestQuarantineTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quarantine/RequestQuarantineTest.java
@@ -36,8 +36,8 @@
     /** The bound of the users for a decision after the third crash. */
     private static final long DECIDED_WITHIN_MS = 3_000;
 
-    private final PromptQuarantine leader = new PromptQuarantine("leader", new SilentListener());
-    private final PromptQuarantine follower = new PromptQuarantine("follower", new SilentListener());
+    private final PromptQuarantine leader = new PromptQuarantine("leader", new PromptQuarantine.Listener() {});
+    private final PromptQuarantine follower = new PromptQuarantine("follower", new PromptQuarantine.Listener() {});
     private long nowMs = START_MS;
     private int crashes;
 
@@ -169,7 +169,7 @@
     @ParameterizedTest
     @CsvSource({"3, false", "5, true"})
     void entryWithoutALeaderRefusesARequestAfterMoreCrashes(int ownCrashes, boolean refused) {
-        PromptQuarantine alone = new PromptQuarantine("alone", new SilentListener());
+        PromptQuarantine alone = new PromptQuarantine("alone", new PromptQuarantine.Listener() {});
         alone.onRole(Role.WITHOUT_LEADER, nowMs);
         for (int i = 0; i < ownCrashes; i++) {
             alone.onCrash(new InstanceCrash(InstanceId.of("i-" + i), 1), call("R"), nowMs, nowMs + RUN_MS, nowMs);
@@ -207,19 +207,4 @@
         assertThat(refused(follower, "R/p", nowMs)).isFalse();
         assertThat(refused(leader, "S/p", nowMs)).isFalse();
     }
-
-    /** Ignores what is decided. */
-    private static final class SilentListener implements PromptQuarantine.Listener {
-        @Override
-        public void onSuspects(CrashReport report) {}
-
-        @Override
-        public void onCleared(Suspect part) {}
-
-        @Override
-        public void onQuarantined(QuarantinedPart part) {}
-
-        @Override
-        public void onReleased(Suspect part) {}
-    }
 }
