A stream goes on only at an instance of the software version that began it

Cause: the version was read nowhere. Ruled out: a version that is known and ignored (by reading the decoder).

The first event that is passed on now sets the version of the call; every later decision sees only compatible instances, and the connection must belong to the start that was chosen. Where none is left the answer is cut, so that it does not look complete (2014).

--- a/bench/src/main/java/org/hawthornglade/bench/crash/CrashingEngine.java
+++ b/bench/src/main/java/org/hawthornglade/bench/crash/CrashingEngine.java
@@ -9,6 +9,7 @@
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.SoftwareVersion;
 
 /** Emulates an engine that crashes when it begins to write an answer on the deadly part. */
 final class CrashingEngine {
@@ -51,6 +52,7 @@
         return new InstanceRecord(
                 id,
                 CrashSite.SERVICE,
+                SoftwareVersion.of("v1"),
                 new InstanceAddress("10.0.0.1", 8_000),
                 CrashSite.LOCAL_DOMAIN,
                 SLOTS,
--- a/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatedSite.java
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/EmulatedSite.java
@@ -17,6 +17,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.ModelDefinition;
@@ -126,6 +127,7 @@
         return new InstanceRecord(
                 InstanceId.of(id),
                 service,
+                SoftwareVersion.of("v1"),
                 new InstanceAddress("10.0.0.1", 8_000),
                 LOCAL_DOMAIN,
                 slots,
--- a/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
@@ -8,6 +8,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.serving.Route;
 
 /** The state of one call that dispatch decisions depend on. */
@@ -19,6 +20,7 @@
     private final long deadlineAtMs;
     private final Set<InstanceId> tried = new HashSet<>();
     private final Supplier<Optional<RequestDigest>> digest;
+    private Optional<SoftwareVersion> streamVersion = Optional.empty();
     private long lastProgressAtMs;
     private boolean trial;
 
@@ -109,6 +111,23 @@
         return trial;
     }
 
+    /** Records which version of an instance's software has begun the stream; the first one stays. */
+    public void onStreamBegun(SoftwareVersion version) {
+        if (streamVersion.isEmpty()) {
+            streamVersion = Optional.of(version);
+        }
+    }
+
+    /** Returns the version at which the stream must go on; empty if it has not begun. */
+    public Optional<SoftwareVersion> streamVersion() {
+        return streamVersion;
+    }
+
+    /** Returns whether the call may run on an instance with this version of its software. */
+    public boolean mayRunAt(SoftwareVersion version) {
+        return streamVersion.isEmpty() || streamVersion.get().compatibleWith(version);
+    }
+
     /** Returns the instances to which this call has been sent. */
     public Set<InstanceId> tried() {
         return tried;
--- a/core/src/main/java/org/hawthornglade/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/Dispatcher.java
@@ -53,7 +53,20 @@
         if (usable.isEmpty()) {
             return new Decision.Refuse(ResultCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MS);
         }
+        List<Endpoint> compatible = compatible(call, usable);
+        if (compatible.isEmpty()) {
+            return new Decision.Refuse(ResultCode.STREAM_VERSION_GONE, 0);
+        }
         EndpointSelector selector = call.demand().isPresent() ? generationSelector : plainSelector;
-        return selector.select(call, usable, nowMs);
+        return selector.select(call, compatible, nowMs);
+    }
+
+    private static List<Endpoint> compatible(CallView call, List<Endpoint> endpoints) {
+        if (call.streamVersion().isEmpty()) {
+            return endpoints;
+        }
+        return endpoints.stream()
+                .filter(endpoint -> call.mayRunAt(endpoint.record().softwareVersion()))
+                .toList();
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/fleet/InstanceRecord.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/InstanceRecord.java
@@ -9,12 +9,14 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.SoftwareVersion;
 
 /**
  * The latest record of an instance on the platform's list.
  *
  * @param id the instance; usually new at each start
  * @param service the service that it runs
+ * @param softwareVersion the version of its software
  * @param address the address on which it listens
  * @param failureDomain the failure domain in which it runs
  * @param slots the number of requests that it runs concurrently
@@ -29,6 +31,7 @@
 public record InstanceRecord(
         InstanceId id,
         ServiceName service,
+        SoftwareVersion softwareVersion,
         InstanceAddress address,
         FailureDomain failureDomain,
         int slots,
--- a/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
+++ b/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
@@ -41,6 +41,7 @@
     ENDPOINTS_SHUT(2011, Execution.NOT_RUN, 503, true),
     ENDPOINTS_LIMITED(2012, Execution.NOT_RUN, 503, true),
     PROMPT_QUARANTINED(2013, Execution.NOT_RUN, 503, true),
+    STREAM_VERSION_GONE(2014, Execution.NOT_RUN, 503, false),
 
     OUTCOME_UNKNOWN(3001, Execution.UNKNOWN, 504, false),
     ANSWER_INCOMPLETE(3002, Execution.UNKNOWN, 502, false),
--- a/core/src/test/java/org/hawthornglade/core/fleet/Records.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/Records.java
@@ -10,6 +10,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.SoftwareVersion;
 
 /** Creates instance records for tests. */
 public final class Records {
@@ -36,6 +37,7 @@
         return new InstanceRecord(
                 InstanceId.of(id),
                 SERVICE,
+                SoftwareVersion.of("v1"),
                 new InstanceAddress("10.0.0.1", 8_000),
                 DOMAIN,
                 64,
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -244,6 +244,7 @@
         log.event("instance")
                 .with("id", record.id())
                 .with("service", record.service())
+                .with("version", record.softwareVersion())
                 .with("leaving", record.leaving())
                 .with("born", record.bornMs())
                 .with("seq", record.recordSequence())
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.SendPermission;
 import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.id.InstanceId;
@@ -37,6 +38,9 @@
     private final ExchangeContext context;
     private final Exchange exchange;
     private final Endpoint endpoint;
+    /** The record of the moment of choice. */
+    private final InstanceRecord chosen;
+
     private final Optional<Variant> variant;
     private final long kvTokens;
     private final int prefillTokens;
@@ -59,6 +63,7 @@
         this.context = context;
         this.exchange = exchange;
         this.endpoint = endpoint;
+        this.chosen = endpoint.record();
         Optional<ModelDemand> demand = exchange.view().demand();
         this.variant = demand.map(d -> new Variant(d.model(), d.adapter()));
         this.kvTokens = demand.map(ModelDemand::kvTokens).orElse(0L);
@@ -71,7 +76,7 @@
         endpoint.load().begin(variant, kvTokens, prefillTokens);
         boolean sendOnce = !exchange.view().route().repeatable();
         context.connections()
-                .pool(endpoint.record())
+                .pool(chosen)
                 .acquire(
                         sendOnce,
                         idle -> !idle.hasSent(exchange.request().id().value()),
@@ -98,7 +103,7 @@
             opened.cancel();
             return;
         }
-        if (!sendPermission.valid(context.clock().nowMs())) {
+        if (restarted() || !sendPermission.valid(context.clock().nowMs())) {
             opened.cancel();
             finish();
             exchange.onEndpointUnavailable(endpoint);
@@ -126,6 +131,11 @@
         opened.send(request, this);
     }
 
+    /** Returns whether the instance has started again, possibly with other software, while a connection was opened. */
+    private boolean restarted() {
+        return endpoint.record().bornMs() != chosen.bornMs();
+    }
+
     private long firstSilenceLimitMs() {
         Route route = exchange.view().route();
         return Math.max(MIN_SILENCE_LIMIT_MS, Math.round(route.targetMs() * SILENCE_TARGET_SHARE));
@@ -233,7 +243,7 @@
             return;
         }
         onPrefillDone();
-        exchange.record().onFirstByte(context.clock().nowMs());
+        exchange.onEvents(chosen.softwareVersion());
         watchSilence(Math.max(MIN_SILENCE_LIMIT_MS, exchange.view().route().gapTargetMs() * GAP_TARGET_FACTOR));
         forward(complete);
         exchange.response().setLastEventId(events.lastId());
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -124,6 +124,7 @@
             line.with("first_ms", firstByteAtMs - view.arrivedAtMs());
         }
         streamFraming.ifPresent(framing -> line.with("framing", framing));
+        view.streamVersion().ifPresent(version -> line.with("stream_version", version));
         if (partialEventBytes > 0) {
             line.with("partial_event_bytes", partialEventBytes);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -9,6 +9,7 @@
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Permits;
 import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.IncomingCall;
 import org.hawthornglade.gateway.http.OutboundFailure;
@@ -171,6 +172,12 @@
         attempt.start();
     }
 
+    /** Handles events of a stream, written by an instance with this version of its software. */
+    void onEvents(SoftwareVersion version) {
+        record.onFirstByte(context.clock().nowMs());
+        view.onStreamBegun(version);
+    }
+
     /** Handles a failed connection attempt; nothing was sent. */
     void onConnectFailed(Endpoint endpoint) {
         attempt = null;
@@ -292,6 +299,7 @@
 
     private void refuse(ResultCode code, long retryAfterMs) {
         if (response.started()) {
+            record.addNote(code.name());
             fail(ResultCode.ANSWER_INCOMPLETE, 0);
             return;
         }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
@@ -29,6 +29,7 @@
 import org.hawthornglade.core.id.PromptPartId;
 import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
@@ -85,6 +86,7 @@
         InstanceRecord record = new InstanceRecord(
                 InstanceId.of("i-1"),
                 ServiceName.of("drafts"),
+                SoftwareVersion.of("v1"),
                 new InstanceAddress("127.0.0.1", port),
                 FailureDomain.of("zone-a"),
                 8,
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -27,6 +27,7 @@
 import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.RequestLimits;
@@ -50,6 +51,8 @@
     private final ResponseBufferBudget bufferBudget = new ResponseBufferBudget();
     private final WaitingCalls waitingCalls = new WaitingCalls();
     private final Timers timers;
+    private final Fleet fleet;
+    private final Clock clock = Clock.system();
     private final CallerServer server;
     private final CallReceiver receiver;
     private final int port;
@@ -59,14 +62,19 @@
     }
 
     TestEntry(List<ScriptedEndpoint> endpoints, RequestLimits limits, RetryBudgets budgets) throws IOException {
+        this(endpoints, endpoints.stream().map(each -> "v1").toList(), limits, budgets);
+    }
+
+    /** Creates an entry whose endpoints run the given versions of their software. */
+    TestEntry(List<ScriptedEndpoint> endpoints, List<String> versions, RequestLimits limits, RetryBudgets budgets)
+            throws IOException {
         EventLoop loop = group.next();
-        Clock clock = Clock.system();
         EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
         timers = new Timers(loop, log);
-        Fleet fleet = new Fleet();
+        fleet = new Fleet();
         List<InstanceRecord> records = new ArrayList<>();
         for (int i = 0; i < endpoints.size(); i++) {
-            records.add(record("i-" + i, endpoints.get(i).port(), i));
+            records.add(record("i-" + i, endpoints.get(i).port(), i, versions.get(i), 1));
         }
         fleet.onSnapshot(records, clock.nowMs());
         LeastLoadedSelector selector = new LeastLoadedSelector(LOCAL_DOMAIN);
@@ -101,16 +109,17 @@
     }
 
     /** The first endpoint is in the local failure domain, so that calls go there first. */
-    private static InstanceRecord record(String id, int port, int index) {
+    private static InstanceRecord record(String id, int port, int index, String version, long bornMs) {
         return new InstanceRecord(
                 InstanceId.of(id),
                 SERVICE,
+                SoftwareVersion.of(version),
                 new InstanceAddress("127.0.0.1", port),
                 index == 0 ? LOCAL_DOMAIN : FailureDomain.of("zone-b"),
                 8,
                 false,
                 OptionalLong.empty(),
-                1,
+                bornMs,
                 1,
                 Map.of(),
                 Set.of(),
@@ -155,6 +164,12 @@
         done.await(5, TimeUnit.SECONDS);
     }
 
+    /** Lists a new start of an instance under its id, with another version of its software. */
+    void restart(int index, ScriptedEndpoint endpoint, String version) throws Exception {
+        InstanceRecord restarted = record("i-" + index, endpoint.port(), index, version, 2);
+        group.submit(() -> fleet.onChanged(restarted, clock.nowMs())).get(5, TimeUnit.SECONDS);
+    }
+
     /** Ends the open calls with an error, as at the end of a stop. */
     void failOpenCalls() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/DemandCollectorTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/DemandCollectorTest.java
@@ -17,6 +17,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.replica.EntryDemand;
 import org.hawthornglade.core.replica.VariantDemand;
 import org.hawthornglade.core.serving.CallKind;
@@ -64,6 +65,7 @@
         return new InstanceRecord(
                 InstanceId.of(id),
                 SERVICE,
+                SoftwareVersion.of("v1"),
                 new InstanceAddress("10.0.0.1", 8_000),
                 FailureDomain.of("zone-a"),
                 64,
