A stream that its caller takes up goes on only at the version that began it

The report of an entry out of step (cut off, stood still) has the same cause.

Cause: a taken-up stream was a new call; an entry decides by what it happens to know, and what it doesn't know looks like nothing to know. Ruled out: keeping origins in the entries alone (all may die).

Now a version is listed in the store before any entry sends it a stream. An origin that this entry doesn't hold is decided by a read made after the call arrived: one version listed, it goes on; several, by the note that the entry that began it has written there (in batches, only while several are listed); no note, refused as not run (2016); no answer, refused with when to come back (2015).

--- a/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
@@ -35,8 +35,14 @@
         EndpointConnections connections = new EndpointConnections(loop, clock);
         platform = Platform.create(loop, timers, clock, log, settings.storeAddress(), connections);
         LoopContext context = new LoopContext(loop, timers, clock, System::currentTimeMillis, log);
-        gateway =
-                new Gateway(settings, context, platform.protocol(), connections, platform.lease(), platform.engines());
+        gateway = new Gateway(
+                settings,
+                context,
+                platform.protocol(),
+                connections,
+                platform.lease(),
+                platform.streams(),
+                platform.engines());
     }
 
     void start() {
--- a/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
@@ -9,17 +9,18 @@
 import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.id.SoftwareVersion;
+import org.hawthornglade.core.resumption.StreamOrigin;
 import org.hawthornglade.core.serving.Route;
 
 /** The state of one call that dispatch decisions depend on. */
 public final class CallView {
-    private final ServiceName service;
     private final Route route;
     private final Optional<ModelDemand> demand;
     private final long arrivedAtMs;
     private final long deadlineAtMs;
     private final Set<InstanceId> tried = new HashSet<>();
     private final Supplier<Optional<RequestDigest>> digest;
+    private ServiceName service;
     private Optional<SoftwareVersion> streamVersion = Optional.empty();
     private long lastProgressAtMs;
     private boolean trial;
@@ -62,6 +63,7 @@
         this.lastProgressAtMs = arrivedAtMs;
     }
 
+    /** Returns the target service; it changes only when a stream is taken up that another one has begun. */
     public ServiceName service() {
         return service;
     }
@@ -118,6 +120,12 @@
         }
     }
 
+    /** Lets the call go on with a stream that an earlier one has begun. */
+    public void onTakenUp(StreamOrigin origin) {
+        service = origin.service();
+        streamVersion = Optional.of(origin.version());
+    }
+
     /** Returns the version at which the stream must go on; empty if it has not begun. */
     public Optional<SoftwareVersion> streamVersion() {
         return streamVersion;
--- a/core/src/main/java/org/hawthornglade/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.serving.CallKind;
 
 /** Decides for each call whether it is sent, waits or is refused. */
 public final class Dispatcher {
@@ -19,25 +20,38 @@
     private final EndpointSelector plainSelector;
     private final EndpointSelector generationSelector;
     private final CallScreen screen;
+    private final StreamGate streamGate;
 
-    /** Creates a dispatcher that screens no calls. */
+    /** Creates a dispatcher that screens no calls and keeps no streams back. */
     public Dispatcher(Fleet fleet, EndpointSelector plainSelector, EndpointSelector generationSelector) {
         this(fleet, plainSelector, generationSelector, CallScreen.NONE);
     }
 
+    /** Creates a dispatcher that keeps no streams back. */
+    public Dispatcher(
+            Fleet fleet, EndpointSelector plainSelector, EndpointSelector generationSelector, CallScreen screen) {
+        this(fleet, plainSelector, generationSelector, screen, StreamGate.OPEN);
+    }
+
     /**
      * Creates a dispatcher.
      *
      * @param plainSelector selects endpoints of services without models
      * @param generationSelector selects model engines
      * @param screen refuses calls before an endpoint is selected
+     * @param streamGate keeps streams from versions that are not listed yet
      */
     public Dispatcher(
-            Fleet fleet, EndpointSelector plainSelector, EndpointSelector generationSelector, CallScreen screen) {
+            Fleet fleet,
+            EndpointSelector plainSelector,
+            EndpointSelector generationSelector,
+            CallScreen screen,
+            StreamGate streamGate) {
         this.fleet = fleet;
         this.plainSelector = plainSelector;
         this.generationSelector = generationSelector;
         this.screen = screen;
+        this.streamGate = streamGate;
     }
 
     /** Decides the next step of a call. */
@@ -57,8 +71,12 @@
         if (compatible.isEmpty()) {
             return new Decision.Refuse(ResultCode.STREAM_VERSION_GONE, 0);
         }
+        List<Endpoint> open = open(call, compatible);
+        if (open.isEmpty()) {
+            return new Decision.Wait("version-listing");
+        }
         EndpointSelector selector = call.demand().isPresent() ? generationSelector : plainSelector;
-        return selector.select(call, compatible, nowMs);
+        return selector.select(call, open, nowMs);
     }
 
     private static List<Endpoint> compatible(CallView call, List<Endpoint> endpoints) {
@@ -69,4 +87,13 @@
                 .filter(endpoint -> call.mayRunAt(endpoint.record().softwareVersion()))
                 .toList();
     }
+
+    private List<Endpoint> open(CallView call, List<Endpoint> endpoints) {
+        return call.route().kind() != CallKind.STREAM
+                ? endpoints
+                : endpoints.stream()
+                        .filter(endpoint -> streamGate.listed(
+                                call.service(), endpoint.record().softwareVersion()))
+                        .toList();
+    }
 }
--- a/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
+++ b/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
@@ -42,6 +42,8 @@
     ENDPOINTS_LIMITED(2012, Execution.NOT_RUN, 503, true),
     PROMPT_QUARANTINED(2013, Execution.NOT_RUN, 503, true),
     STREAM_VERSION_GONE(2014, Execution.NOT_RUN, 503, false),
+    STREAM_ORIGIN_UNREADABLE(2015, Execution.NOT_RUN, 503, true),
+    STREAM_ORIGIN_UNKNOWN(2016, Execution.NOT_RUN, 503, false),
 
     OUTCOME_UNKNOWN(3001, Execution.UNKNOWN, 504, false),
     ANSWER_INCOMPLETE(3002, Execution.UNKNOWN, 502, false),
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -13,12 +13,14 @@
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.dispatch.FirstTokenSelector;
 import org.hawthornglade.core.dispatch.LeastLoadedSelector;
+import org.hawthornglade.core.dispatch.StreamGate;
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.limit.EntryCount;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
+import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.ConfigurationInForce;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.RequestLimits;
@@ -46,6 +48,8 @@
 import org.hawthornglade.gateway.port.LeaseStore;
 import org.hawthornglade.gateway.port.StoreFeeds;
 import org.hawthornglade.gateway.port.StoreListener;
+import org.hawthornglade.gateway.port.StreamStore;
+import org.hawthornglade.gateway.resumption.StreamResumption;
 
 /** Runs one entry: its servers, its view of the fleet and its exchanges, all on one event loop. */
 public final class Gateway implements StoreListener {
@@ -69,6 +73,7 @@
     private final WaitingCalls waitingCalls = new WaitingCalls();
     private final EndpointConnections connections;
     private final PlacementCoordinator placement;
+    private final StreamResumption resumption;
     private final CallReceiver receiver;
     private final CallerServer callers;
     private final CallerServer readiness;
@@ -85,6 +90,7 @@
             CallProtocol protocol,
             EndpointConnections connections,
             LeaseStore leaseStore,
+            StreamStore streamStore,
             EngineControl control) {
         this.timers = context.timers();
         this.clock = context.clock();
@@ -99,16 +105,19 @@
         waitingCalls.onDemandChanged(placement::demandChanged);
         placement.onEntryCount(this::onEntryCount);
         this.retryBudgets = new RetryBudgets(retryShare(settings), retryBurst(settings));
+        this.resumption = new StreamResumption(
+                fleet, streamStore, timers, clock, log, metrics, new Random(), waitingCalls::reconsider);
         ExchangeContext exchanges = new ExchangeContext(
                 timers,
                 clock,
                 fleet,
-                dispatcher(settings, quarantine),
+                dispatcher(settings, quarantine, resumption.gate()),
                 connections,
                 waitingCalls,
                 new ResponseBufferBudget(),
                 retryBudgets,
                 quarantine,
+                resumption,
                 new CrashDetector(timers, clock, connections, quarantine),
                 protocol,
                 log,
@@ -119,12 +128,13 @@
                 new CallerServer(context.loop(), timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
     }
 
-    private Dispatcher dispatcher(GatewaySettings source, CallScreen screen) {
+    private Dispatcher dispatcher(GatewaySettings source, CallScreen screen, StreamGate streamGate) {
         return new Dispatcher(
                 fleet,
                 new LeastLoadedSelector(source.failureDomain()),
                 new FirstTokenSelector(source.failureDomain(), this::engine),
-                screen);
+                screen,
+                streamGate);
     }
 
     private static double retryShare(GatewaySettings source) {
@@ -138,6 +148,7 @@
     private void onEntryCount(int reported) {
         int previous = entryCount.entries();
         entryCount.onReported(reported, clock.nowMs());
+        resumption.onEntryCount(entryCount.entries());
         if (entryCount.entries() != previous) {
             retryBudgets.updateLimits(retryShare(settings), retryBurst(settings));
         }
@@ -146,11 +157,15 @@
     /** Starts listening and watching the store; must not be called on the event loop. */
     public void start(StoreFeeds feeds) {
         callers.listen(settings.callerAddress());
-        placement.onLeadingChanged(feeds::setUrgent);
+        placement.onLeadingChanged(leading -> {
+            feeds.setUrgent(leading);
+            resumption.onLeading(leading);
+        });
         placement.onStoreEraReported(feeds::onStoreEra);
         placement.start();
         readiness.listen(settings.readinessAddress());
         timers.run(() -> feeds.start(this));
+        timers.run(resumption::start);
         timers.every(WAITING_CHECK_INTERVAL_MS, this::checkPeriodically);
         timers.after(METRICS_START_DELAY_MS, metrics::start);
         log.event("start")
@@ -217,6 +232,7 @@
     public void onStoreRestored(StoreEra era) {
         fleet.onListRestored(clock.nowMs());
         placement.onStoreRestored(era);
+        resumption.onStoreRestored();
     }
 
     @Override
@@ -226,6 +242,7 @@
         }
         log.event("config").with("version", received.version()).write();
         placement.onConfiguration(received);
+        resumption.onServices(received.services(CallKind.STREAM));
         receiver.releaseStartupQueue();
         waitingCalls.reconsider();
     }
@@ -233,6 +250,7 @@
     @Override
     public void onInstances(Collection<InstanceRecord> records) {
         fleet.onSnapshot(records, clock.nowMs());
+        resumption.onListReachable();
         log.event("instances").with("count", records.size()).write();
         receiver.releaseStartupQueue();
         fleetChanged();
@@ -265,18 +283,21 @@
     @Override
     public void onListReachable() {
         fleet.onListReachable(clock.nowMs());
+        resumption.onListReachable();
         log.event("list-reachable").write();
     }
 
     @Override
     public void onListUnreachable(String reason) {
         fleet.onListLost();
+        resumption.onListUnreachable();
         log.event("list-lost").with("reason", reason).write();
     }
 
     private void fleetChanged() {
         connections.retainPresent(fleet.all());
         placement.fleetChanged();
+        resumption.fleetChanged();
         waitingCalls.reconsider();
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
+import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.InstanceRecord;
@@ -103,7 +104,9 @@
             opened.cancel();
             return;
         }
-        if (restarted() || !sendPermission.valid(context.clock().nowMs())) {
+        if (restarted()
+                || !versionListed()
+                || !sendPermission.valid(context.clock().nowMs())) {
             opened.cancel();
             finish();
             exchange.onEndpointUnavailable(endpoint);
@@ -136,6 +139,12 @@
         return endpoint.record().bornMs() != chosen.bornMs();
     }
 
+    private boolean versionListed() {
+        CallView view = exchange.view();
+        return view.route().kind() != CallKind.STREAM
+                || context.resumption().gate().listed(view.service(), chosen.softwareVersion());
+    }
+
     private long firstSilenceLimitMs() {
         Route route = exchange.view().route();
         return Math.max(MIN_SILENCE_LIMIT_MS, Math.round(route.targetMs() * SILENCE_TARGET_SHARE));
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -11,6 +11,9 @@
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.resumption.StreamOrigin;
+import org.hawthornglade.core.resumption.TakeUpDecision;
+import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.gateway.http.IncomingCall;
 import org.hawthornglade.gateway.http.OutboundFailure;
 import org.hawthornglade.gateway.loop.Timers;
@@ -47,6 +50,7 @@
     private int runs;
     private int rejections;
     private boolean hasWaited;
+    private boolean streamBegun;
     private boolean ended;
 
     Exchange(
@@ -96,9 +100,26 @@
         long remainingMs = Math.max(0, view.remainingMs(context.clock().nowMs()));
         deadline = context.timers().after(remainingMs, this::onDeadline);
         context.retryBudgets().of(view.service()).onRequest();
+        if (view.route().kind() == CallKind.STREAM && request.takeUp().isPresent()) {
+            context.resumption().decide(request.id(), request.takeUp().get(), view.service(), this::onTakeUp);
+            return;
+        }
         decide();
     }
 
+    /** Handles the decision on a stream that an earlier attempt of the caller began. */
+    private void onTakeUp(TakeUpDecision decision) {
+        if (ended) {
+            return;
+        }
+        if (decision instanceof TakeUpDecision.GoOn goOn) {
+            view.onTakenUp(goOn.origin());
+            decide();
+        } else if (decision instanceof TakeUpDecision.Refuse refusal) {
+            refuse(refusal.code(), refusal.retryAfterMs());
+        }
+    }
+
     /** Decides again on a waiting call. */
     void reconsider() {
         if (ended || attempt != null) {
@@ -175,7 +196,13 @@
     /** Handles events of a stream, written by an instance with this version of its software. */
     void onEvents(SoftwareVersion version) {
         record.onFirstByte(context.clock().nowMs());
+        if (streamBegun) {
+            return;
+        }
+        streamBegun = true;
         view.onStreamBegun(version);
+        StreamOrigin origin = new StreamOrigin(view.service(), version);
+        context.resumption().onBegun(request.id(), origin, view.deadlineAtMs());
     }
 
     /** Handles a failed connection attempt; nothing was sent. */
@@ -287,6 +314,9 @@
         if (HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS) {
             context.quarantine().onCompleted(view, context.clock().nowMs());
         }
+        if (streamBegun) {
+            context.resumption().onCompleted(request.id());
+        }
         end(ResultCode.OK, status);
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -8,6 +8,7 @@
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.port.CallProtocol;
+import org.hawthornglade.gateway.resumption.StreamResumption;
 
 /**
  * Holds the components that all exchanges of an entry share.
@@ -21,6 +22,7 @@
  * @param bufferBudget the memory for buffered responses
  * @param retryBudgets limits retries
  * @param quarantine refuses calls with parts of prompts that crash instances
+ * @param resumption decides where streams that callers take up go on
  * @param crashDetector tells crashes from lost connections
  * @param protocol translates headers between callers and endpoints
  * @param log receives one line for each call
@@ -36,6 +38,7 @@
         ResponseBufferBudget bufferBudget,
         RetryBudgets retryBudgets,
         PromptQuarantine quarantine,
+        StreamResumption resumption,
         CrashDetector crashDetector,
         CallProtocol protocol,
         EventLog log,
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/CallRequest.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/CallRequest.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.resumption.TakeUp;
 
 /**
  * The information in a caller's headers.
@@ -12,6 +13,11 @@
  * @param remainingMs how long the caller will wait
  * @param demand the demand on a model engine
  * @param lastEventId the last event that the caller received, if it resumes a stream
+ * @param takeUp the caller's wish to resume a stream that an earlier attempt began
  */
 public record CallRequest(
-        RequestId id, OptionalLong remainingMs, Optional<ModelDemand> demand, Optional<String> lastEventId) {}
+        RequestId id,
+        OptionalLong remainingMs,
+        Optional<ModelDemand> demand,
+        Optional<String> lastEventId,
+        Optional<TakeUp> takeUp) {}
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
@@ -95,7 +95,7 @@
         assertThat(endpoints.get(1).unreadRequests()).isEqualTo(0);
     }
 
-    /** A broken stream was taken to another version after its own had rejected it, since a rejection is always retried. */
+    /** A broken stream was taken to another version after its own had rejected it. */
     @Test
     void rejectionOfResumptionDoesNotLeadToAnotherVersion() throws Exception {
         start("v1", "v2", "v1", "v1");
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.dispatch.LeastLoadedSelector;
 import org.hawthornglade.core.fleet.Fleet;
@@ -40,10 +41,12 @@
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
+import org.hawthornglade.gateway.resumption.InMemoryStreamStore;
+import org.hawthornglade.gateway.resumption.StreamResumption;
 
 /** An entry in front of scripted endpoints, and a caller that sends raw bytes. */
 final class TestEntry implements AutoCloseable {
-    private static final ServiceName SERVICE = ServiceName.of("orders");
+    static final ServiceName SERVICE = ServiceName.of("orders");
     private static final FailureDomain LOCAL_DOMAIN = FailureDomain.of("zone-a");
     private static final int READ_TIMEOUT_MS = 5_000;
 
@@ -52,6 +55,8 @@
     private final WaitingCalls waitingCalls = new WaitingCalls();
     private final Timers timers;
     private final Fleet fleet;
+    private final InMemoryStreamStore streamStore;
+    private final StreamResumption resumption;
     private final Clock clock = Clock.system();
     private final CallerServer server;
     private final CallReceiver receiver;
@@ -80,16 +85,21 @@
         LeastLoadedSelector selector = new LeastLoadedSelector(LOCAL_DOMAIN);
         PromptQuarantine quarantine = new PromptQuarantine("entry", new QuarantineLog(log, new GatewayMetrics()));
         EndpointConnections connections = new EndpointConnections(loop, clock);
+        streamStore = new InMemoryStreamStore(clock::nowMs);
+        resumption = new StreamResumption(
+                fleet, streamStore, timers, clock, log, new GatewayMetrics(), new Random(1), waitingCalls::reconsider);
+        timers.run(() -> resumption.onServices(Set.of(SERVICE)));
         ExchangeContext context = new ExchangeContext(
                 timers,
                 clock,
                 fleet,
-                new Dispatcher(fleet, selector, selector, quarantine),
+                new Dispatcher(fleet, selector, selector, quarantine, resumption.gate()),
                 connections,
                 waitingCalls,
                 bufferBudget,
                 budgets,
                 quarantine,
+                resumption,
                 new CrashDetector(timers, clock, connections, quarantine),
                 new TestProtocol(),
                 log,
@@ -167,7 +177,16 @@
     /** Lists a new start of an instance under its id, with another version of its software. */
     void restart(int index, ScriptedEndpoint endpoint, String version) throws Exception {
         InstanceRecord restarted = record("i-" + index, endpoint.port(), index, version, 2);
-        group.submit(() -> fleet.onChanged(restarted, clock.nowMs())).get(5, TimeUnit.SECONDS);
+        group.submit(() -> {
+                    fleet.onChanged(restarted, clock.nowMs());
+                    resumption.fleetChanged();
+                })
+                .get(5, TimeUnit.SECONDS);
+    }
+
+    /** Uses the store of versions and origins on the event loop. */
+    void onStreamStore(Consumer<InMemoryStreamStore> action) throws Exception {
+        group.submit(() -> action.accept(streamStore)).get(5, TimeUnit.SECONDS);
     }
 
     /** Ends the open calls with an error, as at the end of a stop. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -13,6 +13,7 @@
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.resumption.TakeUp;
 import org.hawthornglade.gateway.port.AttemptParameters;
 import org.hawthornglade.gateway.port.CallProtocol;
 import org.hawthornglade.gateway.port.CallRequest;
@@ -22,6 +23,8 @@
 final class TestProtocol implements CallProtocol {
     private static final String ID = "X-Request-Id";
     private static final String LAST_EVENT = "Last-Event-Id";
+    /** Header for the id of the attempt that began a stream which is taken up. */
+    static final String ORIGIN = "X-Origin";
     /** Header for the time until the deadline of the caller, in milliseconds. */
     static final String REMAINING_MS = "X-Time-Left";
     /** Header for the time for which an endpoint pauses, in milliseconds. */
@@ -39,7 +42,10 @@
         String remaining = head.headers().get(REMAINING_MS);
         OptionalLong remainingMs =
                 remaining == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(remaining));
-        return Either.right(new CallRequest(RequestId.of(id), remainingMs, Optional.empty(), lastEvent));
+        Optional<RequestId> origin =
+                Optional.ofNullable(head.headers().get(ORIGIN)).map(RequestId::of);
+        Optional<TakeUp> takeUp = lastEvent.map(event -> new TakeUp(origin));
+        return Either.right(new CallRequest(RequestId.of(id), remainingMs, Optional.empty(), lastEvent, takeUp));
     }
 
     @Override
