--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -55,6 +55,7 @@
     private EventSplitter events;
     private Timers.Timeout silenceTimeout;
     private int reservedBytes;
+    private int partialEventBytes;
     private long forwardedBytes;
     private boolean forwarding;
     private boolean prefillDone;
@@ -244,13 +245,27 @@
 
     private void forwardEvents(ByteBuf content) {
         ByteBuf complete = events.add(content);
-        if (!complete.isReadable()) {
+        if (complete.isReadable()) {
+            forwardComplete(complete);
+        } else {
             complete.release();
-            if (events.bufferedBytes() > ResponseBufferBudget.MAX_EVENT_BYTES) {
-                abandon(OutboundFailure.ENDLESS);
-            }
+        }
+        if (!ended) {
+            holdPartialEvent();
+        }
+    }
+
+    /** Reserves memory for the part of an event that has arrived; a stream for which there is none is cut off. */
+    private void holdPartialEvent() {
+        int bytes = events.bufferedBytes();
+        if (context.bufferBudget().tryHoldPartialEvent(partialEventBytes, bytes)) {
+            partialEventBytes = bytes;
             return;
         }
+        abandon(OutboundFailure.ENDLESS);
+    }
+
+    private void forwardComplete(ByteBuf complete) {
         onPrefillDone();
         exchange.onEvents(chosen.softwareVersion());
         watchSilence(Math.max(MIN_SILENCE_LIMIT_MS, exchange.view().route().gapTargetMs() * GAP_TARGET_FACTOR));
@@ -406,6 +421,8 @@
         }
         context.bufferBudget().release(reservedBytes);
         reservedBytes = 0;
+        context.bufferBudget().releasePartialEvent(partialEventBytes);
+        partialEventBytes = 0;
         endpoint.load().end(variant, kvTokens);
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EndlessBytesTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EndlessBytesTest.java
@@ -4,9 +4,12 @@
 
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.stream.Stream;
 import org.hawthornglade.gateway.exchange.ScriptedEndpoint.ConnectionAction;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -21,6 +24,9 @@
     private static final String EVENTS = HEAD + "Content-Type: text/event-stream\r\n\r\n";
     private static final String OTHER = HEAD.replace("%ID%", "r-other") + "\r\n";
 
+    /** The routes of the entry time out after this. */
+    private static final long ROUTE_TIMEOUT_MS = 4_000;
+
     /** The last byte of each response is repeated until the entry closes the connection. */
     static Stream<Arguments> endlessResponses() {
         return Stream.of(
@@ -112,4 +118,33 @@
     static Stream<Arguments> endlessSuccesses() {
         return Stream.of(Arguments.of("until the connection ends", HEAD + "\r\nx"));
     }
+
+    /** Each stream may hold a part of an event, but hundreds of them together filled the memory of the entry. */
+    @Test
+    void partsOfEventsHaveACommonLimit() throws Exception {
+        int streams = 40;
+        int allowed = (int) (ResponseBufferBudget.MAX_PARTIAL_EVENTS_BYTES / ResponseBufferBudget.MAX_EVENT_BYTES);
+        String part = EVENTS + "data: " + "x".repeat(ResponseBufferBudget.MAX_EVENT_BYTES - 1_000);
+        List<ScriptedEndpoint> endpoints = new ArrayList<>();
+        List<Socket> callers = new ArrayList<>();
+        ScriptedEndpoint shared = new ScriptedEndpoint();
+        for (int i = 0; i < streams; i++) {
+            shared.respond(part, ConnectionAction.WAIT_FOR_CLOSE);
+            endpoints.add(shared);
+        }
+        try (TestEntry many = new TestEntry(endpoints)) {
+            for (int i = 0; i < streams; i++) {
+                callers.add(many.connect());
+                TestEntry.send(callers.get(i), TestEntry.post("/stream/x", "r-" + i, "hello"));
+            }
+            for (int i = allowed + 1; i < streams; i++) {
+                assertThat(shared.awaitClose(ROUTE_TIMEOUT_MS / 2)).isTrue();
+            }
+        } finally {
+            shared.close();
+            for (Socket caller : callers) {
+                caller.close();
+            }
+        }
+    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
@@ -78,7 +78,12 @@
 
     /** Waits until the caller has closed a connection. */
     boolean awaitClose() throws InterruptedException {
-        return closes.poll(5, TimeUnit.SECONDS) != null;
+        return awaitClose(5_000);
+    }
+
+    /** Waits until the caller has closed a connection, but no longer than the limit in milliseconds. */
+    boolean awaitClose(long limitMs) throws InterruptedException {
+        return closes.poll(limitMs, TimeUnit.MILLISECONDS) != null;
     }
 
     private void accept() {
