--- a/gateway/src/test/java/org/hawthornglade/gateway/resumption/TakeUpSimulationTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/resumption/TakeUpSimulationTest.java
@@ -13,8 +13,10 @@
 
 /** Orders of events around releases, by seed in virtual time. */
 class TakeUpSimulationTest {
-    private static final int ENTRIES = 4;
-    private static final int SEEDS = 10;
+    /** More of both by hand: {@code -Dsimulation.entries=31 -Dsimulation.seeds=50}. */
+    private static final int ENTRIES = Integer.getInteger("simulation.entries", 4);
+
+    private static final int SEEDS = Integer.getInteger("simulation.seeds", 10);
     /** Share of the streams that callers take up which must go on under a single fault. */
     private static final double MIN_CONTINUED_SHARE = 0.9;
 
