--- a/gateway/src/test/java/org/hawthornglade/gateway/resumption/SimulatedEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/resumption/SimulatedEntry.java
@@ -155,6 +155,12 @@
                 .toList();
     }
 
+    /** Returns whether this entry knows an instance with a version. */
+    boolean knows(SoftwareVersion version) {
+        return fleet.usable(SERVICE).stream()
+                .anyMatch(endpoint -> version.compatibleWith(endpoint.record().softwareVersion()));
+    }
+
     void begin(RequestId stream, SoftwareVersion version, long deadlineAtMs) {
         resumption.onBegun(stream, new StreamOrigin(SERVICE, version), deadlineAtMs);
     }
