A response to HEAD has no body, whoever wrote it

Cause: the writer of responses did not know the method. The encoder knows it now, for all writers; a stream that is asked for by HEAD is not taken for one that broke off; no length is invented for HEAD and 304.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
@@ -201,7 +202,8 @@
             abandon(OutboundFailure.MALFORMED);
             return;
         }
-        boolean stream = responseHead.isSuccess() && responseHead.eventStream();
+        boolean bodiless = HttpMethod.HEAD.equals(exchange.call().head().method());
+        boolean stream = responseHead.isSuccess() && responseHead.eventStream() && !bodiless;
         if (exchange.response().started() && !stream && !responseHead.notRun()) {
             abandon(OutboundFailure.NOT_RESUMED);
             return;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -113,7 +114,8 @@
     }
 
     private void finishRequest() {
-        PendingResponse response = new PendingResponse(this, context.channel(), !HttpUtil.isKeepAlive(head));
+        PendingResponse response =
+                new PendingResponse(this, context.channel(), head.method(), !HttpUtil.isKeepAlive(head));
         IncomingCall call =
                 new IncomingCall(head, body, response, server.clock().nowMs());
         head = null;
@@ -212,6 +214,11 @@
         });
     }
 
+    /** Returns the method of the request that is being answered. */
+    Optional<HttpMethod> method() {
+        return current.map(call -> call.head().method());
+    }
+
     /** Returns whether the connection is to be closed after the next response. */
     boolean draining() {
         return server.isDraining();
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -64,7 +63,7 @@
                                 .addLast(
                                         new ByteActivityHandler(connection),
                                         new RequestDecoder(limits.get().maxHeaderBytes()),
-                                        new HttpResponseEncoder(),
+                                        new ResponseEncoder(connection::method),
                                         connection);
                     }
                 });
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -18,6 +19,7 @@
 final class PendingResponse implements CallerResponse {
     private final CallerConnection connection;
     private final Channel channel;
+    private final HttpMethod method;
     private final boolean closeRequested;
     private Runnable goneListener = () -> {};
     private Runnable writableListener = () -> {};
@@ -26,9 +28,11 @@
     /**
      * Creates a response of which nothing is written yet.
      *
+     * @param method the method of the request
      * @param closeRequested whether the caller requested that the connection is closed after this response
      */
-    PendingResponse(CallerConnection connection, Channel channel, boolean closeRequested) {
+    PendingResponse(CallerConnection connection, Channel channel, HttpMethod method, boolean closeRequested) {
+        this.method = method;
         this.connection = connection;
         this.channel = channel;
         this.closeRequested = closeRequested;
@@ -40,7 +44,8 @@
             content.release();
             return;
         }
-        if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        boolean bodiless = HttpMethod.HEAD.equals(method) || status.equals(HttpResponseStatus.NOT_MODIFIED);
+        if (!bodiless && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         }
         addCloseHeader(headers);
