A planned stop answers the requests that were read behind another one

Cause: the last answer of a connection was decided by the stop alone.

The last answer carries the close now, and requests start when all that arrived together is decoded.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -126,7 +126,13 @@
         if (queued.size() >= MAX_PIPELINED) {
             context.channel().config().setAutoRead(false);
         }
+    }
+
+    /** Starts the next request once all that has arrived is known, so that it is not answered as the last one. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext reader) {
         startNext();
+        reader.fireChannelReadComplete();
     }
 
     private void startNext() {
@@ -219,9 +225,9 @@
         return current.map(call -> call.head().method());
     }
 
-    /** Returns whether the connection is to be closed after the next response. */
-    boolean draining() {
-        return server.isDraining();
+    /** Returns whether a stop is in progress and no further request has been read, not even a part of its body. */
+    boolean endsWithThisResponse() {
+        return server.isDraining() && queued.isEmpty() && head == null && refusal.isEmpty();
     }
 
     /** Completes the current request and starts the next one, unless the response was the last on this connection. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -73,7 +73,7 @@
                 .channel();
     }
 
-    /** Closes each connection after its next response from now on; open requests continue. */
+    /** Closes each connection after the responses to what it has read from now on; open requests continue. */
     public void startDraining() {
         this.draining = true;
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -23,6 +23,7 @@
     private final boolean closeRequested;
     private Runnable goneListener = () -> {};
     private Runnable writableListener = () -> {};
+    private boolean closeAnnounced;
     private boolean ended;
 
     /**
@@ -106,11 +107,12 @@
     }
 
     private boolean closesConnection() {
-        return closeRequested || connection.draining();
+        return closeRequested || closeAnnounced || connection.endsWithThisResponse();
     }
 
     private void addCloseHeader(HttpHeaders headers) {
         if (closesConnection()) {
+            closeAnnounced = true;
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
     }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -199,6 +199,11 @@
         done.await(5, TimeUnit.SECONDS);
     }
 
+    /** Begins a planned stop: connections are closed after their last response. */
+    void startDraining() throws Exception {
+        group.submit(server::startDraining).get(5, TimeUnit.SECONDS);
+    }
+
     /** Closes the connections without an open request, as in a stop. */
     void closeIdle() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
