Versions of all services of the configuration are listed

By reading: a configuration that moves a route of streams to another service, just before the store is away, would have left its streams waiting for a list that nobody can write. No test of its own; TakeUpTest and the simulation pass.

--- a/core/src/main/java/org/hawthornglade/core/serving/ServingConfiguration.java
+++ b/core/src/main/java/org/hawthornglade/core/serving/ServingConfiguration.java
@@ -4,12 +4,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.Collectors;
 import org.hawthornglade.core.id.ServiceName;
 
@@ -82,19 +80,6 @@
         return Optional.empty();
     }
 
-    /** Returns the services to which calls of a kind are sent. */
-    public Set<ServiceName> services(CallKind kind) {
-        Set<ServiceName> found = new HashSet<>();
-        for (List<Route> routes : routesByHost.values()) {
-            for (Route route : routes) {
-                if (route.kind() == kind) {
-                    route.targets().forEach(target -> found.add(target.service()));
-                }
-            }
-        }
-        return found;
-    }
-
     private static String normalizedHost(String host) {
         int colon = host.indexOf(':');
         String name = colon < 0 ? host : host.substring(0, colon);
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
 import org.hawthornglade.core.dispatch.CallScreen;
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.dispatch.FirstTokenSelector;
@@ -20,10 +21,10 @@
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.limit.EntryCount;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
-import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.ConfigurationInForce;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.RequestLimits;
+import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.time.Clock;
@@ -242,7 +243,8 @@
         }
         log.event("config").with("version", received.version()).write();
         placement.onConfiguration(received);
-        resumption.onServices(received.services(CallKind.STREAM));
+        resumption.onServices(
+                received.services().stream().map(ServiceDefinition::name).collect(Collectors.toSet()));
         receiver.releaseStartupQueue();
         waitingCalls.reconsider();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/resumption/StreamResumption.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/resumption/StreamResumption.java
@@ -101,9 +101,13 @@
         return listing;
     }
 
-    /** Handles the services to which streams are sent. */
-    public void onServices(Set<ServiceName> streaming) {
-        services = Set.copyOf(streaming);
+    /**
+     * Handles the services of the configuration.
+     *
+     * <p>All of them are listed, so that a route can be moved to another service while the store is away.
+     */
+    public void onServices(Set<ServiceName> configured) {
+        services = Set.copyOf(configured);
         fleetChanged();
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/resumption/VersionListing.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/resumption/VersionListing.java
@@ -63,7 +63,7 @@
         this.onListed = onListed;
     }
 
-    /** Handles the versions of the instances of the services that serve streams. */
+    /** Handles the versions of the instances of each service. */
     void onPresent(Map<ServiceName, Set<SoftwareVersion>> present, boolean listReachable) {
         services.keySet().retainAll(present.keySet());
         present.forEach((service, versions) ->
