--- a/gateway/src/test/java/org/hawthornglade/gateway/resumption/SimulatedEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/resumption/SimulatedEntry.java
@@ -60,7 +60,7 @@
     private boolean frozen;
     private boolean alive = true;
 
-    SimulatedEntry(InMemoryStreamStore store, BiConsumer<Long, Runnable> world, long nowMs, long seed) {
+    SimulatedEntry(InMemoryStreamStore store, int entries, BiConsumer<Long, Runnable> world, long nowMs, long seed) {
         this.store = store;
         this.world = world;
         channel.freezeTime();
@@ -69,6 +69,7 @@
         resumption = new StreamResumption(
                 fleet, new RemoteStore(), timers, clock, LOG, new GatewayMetrics(), new Random(seed), () -> {});
         resumption.start();
+        resumption.onEntryCount(entries);
         resumption.onServices(Set.of(SERVICE));
     }
 
--- a/gateway/src/test/java/org/hawthornglade/gateway/resumption/TakeUpSimulation.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/resumption/TakeUpSimulation.java
@@ -70,6 +70,7 @@
     }
 
     private final Random random;
+    private final int entryCount;
     private final Release release;
     private final Trouble trouble;
     private final PriorityQueue<Event> events =
@@ -89,6 +90,7 @@
         this.random = new Random(seed);
         this.release = release;
         this.trouble = trouble;
+        this.entryCount = entryCount;
         this.store = new InMemoryStreamStore(() -> nowMs);
         for (int i = 0; i < entryCount; i++) {
             entries.add(newEntry());
@@ -96,7 +98,7 @@
     }
 
     private SimulatedEntry newEntry() {
-        return new SimulatedEntry(store, this::after, nowMs, random.nextLong());
+        return new SimulatedEntry(store, entryCount, this::after, nowMs, random.nextLong());
     }
 
     private void after(long delayMs, Runnable action) {
