--- a/platform/src/main/java/org/hawthornglade/platform/ResponseLimit.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/memory/ResponseLimit.java
@@ -1,15 +1,14 @@
-package org.hawthornglade.platform;
+package org.hawthornglade.gateway.memory;
 
 import org.hawthornglade.gateway.log.EventLog;
-import org.hawthornglade.gateway.memory.MemoryShare;
 
 /**
- * The limits for the responses to one kind of call.
+ * The limits for the responses to one kind of the entry's own calls.
  *
  * @param maxBytes the size of one response
  * @param share the memory for all of them together
  */
-record ResponseLimit(int maxBytes, MemoryShare share) {
+public record ResponseLimit(int maxBytes, MemoryShare share) {
     /** A page has at most 1 MB of values, a third more as base64, beside its keys. */
     private static final int MAX_STORE_RESPONSE_BYTES = 2_097_152;
 
@@ -20,12 +19,12 @@
     private static final long MAX_SERVER_BYTES = 4_194_304;
 
     /** Creates the limit for the responses of the store. */
-    static ResponseLimit ofStore(EventLog log) {
+    public static ResponseLimit ofStore(EventLog log) {
         return new ResponseLimit(MAX_STORE_RESPONSE_BYTES, new MemoryShare("store-responses", MAX_STORE_BYTES, log));
     }
 
     /** Creates the limit for the responses of servers to the entry's own calls. */
-    static ResponseLimit ofServers(EventLog log) {
+    public static ResponseLimit ofServers(EventLog log) {
         return new ResponseLimit(MAX_SERVER_RESPONSE_BYTES, new MemoryShare("server-responses", MAX_SERVER_BYTES, log));
     }
 }
