Responses that do not belong to the open request of their connection are logged and counted

What a connection skipped, or closed at, left no line and no count: a late copy of an answer, one that names an unknown request, one without an id, one while no request was open. No decision changes. Line event=unexpected-response, counters unexpected_responses_*. Run: OutboundConnectionTest (3 new rows), AtMostOnceTest, BodylessResponseTest.

--- a/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
@@ -10,9 +10,11 @@
 import org.hawthornglade.gateway.Gateway;
 import org.hawthornglade.gateway.GatewaySettings;
 import org.hawthornglade.gateway.exchange.EndpointConnections;
+import org.hawthornglade.gateway.exchange.UnexpectedResponseLog;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.platform.Platform;
 
 /** Creates a gateway with its platform adapter; the only place that connects the two. */
@@ -32,7 +34,8 @@
     GatewayProcess(GatewaySettings settings, PrintStream out) {
         log = new EventLog(clock, out);
         timers = new Timers(loop, log);
-        EndpointConnections connections = new EndpointConnections(loop, clock);
+        GatewayMetrics metrics = new GatewayMetrics();
+        EndpointConnections connections = new EndpointConnections(loop, clock, new UnexpectedResponseLog(log, metrics));
         platform = Platform.create(loop, timers, clock, log, settings.storeAddress(), connections);
         LoopContext context = new LoopContext(loop, timers, clock, System::currentTimeMillis, log);
         gateway = new Gateway(
@@ -42,7 +45,8 @@
                 connections,
                 platform.lease(),
                 platform.streams(),
-                platform.engines());
+                platform.engines(),
+                metrics);
     }
 
     void start() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -70,7 +70,7 @@
     private final EventLog log;
     private final CallProtocol protocol;
     private final Fleet fleet = new Fleet();
-    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final GatewayMetrics metrics;
     private final WaitingCalls waitingCalls = new WaitingCalls();
     private final EndpointConnections connections;
     private final PlacementCoordinator placement;
@@ -92,10 +92,12 @@
             EndpointConnections connections,
             LeaseStore leaseStore,
             StreamStore streamStore,
-            EngineControl control) {
+            EngineControl control,
+            GatewayMetrics metrics) {
         this.timers = context.timers();
         this.clock = context.clock();
         this.log = context.log();
+        this.metrics = metrics;
         this.settings = settings;
         this.protocol = protocol;
         this.connections = connections;
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointConnections.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointConnections.java
@@ -12,6 +12,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.http.ConnectionPool;
+import org.hawthornglade.gateway.http.UnexpectedResponseListener;
 
 /** Connections to endpoints, in one pool for each start of an instance. */
 public final class EndpointConnections {
@@ -23,10 +24,12 @@
 
     private final EventLoop loop;
     private final Clock clock;
+    private final UnexpectedResponseListener unexpectedResponses;
     private final Map<Incarnation, ConnectionPool> pools = new HashMap<>();
 
     /** Creates an empty set of pools. */
-    public EndpointConnections(EventLoop loop, Clock clock) {
+    public EndpointConnections(EventLoop loop, Clock clock, UnexpectedResponseListener unexpectedResponses) {
+        this.unexpectedResponses = unexpectedResponses;
         this.loop = loop;
         this.clock = clock;
     }
@@ -34,7 +37,8 @@
     /** Returns the connection pool of an instance. */
     public ConnectionPool pool(InstanceRecord record) {
         return pools.computeIfAbsent(
-                incarnation(record), key -> new ConnectionPool(loop, clock, key.address(), CONNECT_TIMEOUT_MS));
+                incarnation(record),
+                key -> new ConnectionPool(loop, clock, key.address(), CONNECT_TIMEOUT_MS, unexpectedResponses));
     }
 
     /** Removes the pools of instances that are no longer present and closes their idle connections. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/ConnectionPool.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/ConnectionPool.java
@@ -42,19 +42,32 @@
     private final Clock clock;
     private final InstanceAddress address;
     private final int connectTimeoutMs;
+    private final UnexpectedResponseListener unexpectedResponses;
     private final Deque<OutboundConnection> idle = new ArrayDeque<>();
     private final Set<OutboundConnection> open = new HashSet<>();
 
+    /** Creates an empty pool that reports no unexpected responses. */
+    public ConnectionPool(EventLoop loop, Clock clock, InstanceAddress address, int connectTimeoutMs) {
+        this(loop, clock, address, connectTimeoutMs, UnexpectedResponseListener.NONE);
+    }
+
     /**
      * Creates an empty pool.
      *
      * @param connectTimeoutMs the timeout for opening a connection
+     * @param unexpectedResponses receives the responses that do not belong to the open request of a connection
      */
-    public ConnectionPool(EventLoop loop, Clock clock, InstanceAddress address, int connectTimeoutMs) {
+    public ConnectionPool(
+            EventLoop loop,
+            Clock clock,
+            InstanceAddress address,
+            int connectTimeoutMs,
+            UnexpectedResponseListener unexpectedResponses) {
         this.loop = loop;
         this.clock = clock;
         this.address = address;
         this.connectTimeoutMs = connectTimeoutMs;
+        this.unexpectedResponses = unexpectedResponses;
     }
 
     /**
@@ -150,6 +163,10 @@
         idle.addFirst(connection);
     }
 
+    void onUnexpectedResponse(UnexpectedResponse response) {
+        unexpectedResponses.onUnexpectedResponse(address, response);
+    }
+
     void closed(OutboundConnection connection) {
         open.remove(connection);
         idle.remove(connection);
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -171,7 +171,7 @@
             return;
         }
         if (listener == null) {
-            Channels.close(channel);
+            closeUnexpected(message);
             return;
         }
         if (message instanceof HttpResponse head) {
@@ -182,11 +182,34 @@
         }
     }
 
+    private void closeUnexpected(HttpObject message) {
+        if (message instanceof HttpResponse head && channel.isActive()) {
+            report(UnexpectedResponse.Reason.NO_OPEN_REQUEST, head, receivedId(head));
+        }
+        Channels.close(channel);
+    }
+
+    /** Returns the id that a response names; empty if the last request has none to compare it with. */
+    private Optional<String> receivedId(HttpResponse head) {
+        return responseId.map(expected -> head.headers().get(expected.header()));
+    }
+
+    private void report(UnexpectedResponse.Reason reason, HttpResponse head, Optional<String> id) {
+        pool.onUnexpectedResponse(new UnexpectedResponse(reason, head.status().code(), id));
+    }
+
     private void readHead(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        Optional<String> receivedId = responseId.map(expected -> head.headers().get(expected.header()));
+        Optional<String> receivedId = receivedId(head);
         boolean otherResponse = receivedId.isPresent()
                 && !receivedId.get().equals(responseId.get().id());
+        if (otherResponse) {
+            boolean earlier = hasSent(receivedId.get());
+            report(
+                    earlier ? UnexpectedResponse.Reason.EARLIER_REQUEST : UnexpectedResponse.Reason.UNKNOWN_REQUEST,
+                    head,
+                    receivedId);
+        }
         skipping = interim || otherResponse;
         if (skipping) {
             skippedResponses++;
@@ -194,6 +217,7 @@
             return;
         }
         if (responseId.isPresent() && receivedId.isEmpty()) {
+            report(UnexpectedResponse.Reason.NO_ID, head, receivedId);
             fail(OutboundFailure.MALFORMED);
             return;
         }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CrashDetectorTest.java
@@ -35,6 +35,7 @@
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.http.ConnectionPool;
+import org.hawthornglade.gateway.http.UnexpectedResponseListener;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
@@ -54,7 +55,8 @@
             new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
     private final PromptQuarantine quarantine =
             new PromptQuarantine("entry", new QuarantineLog(log, new GatewayMetrics()));
-    private final EndpointConnections connections = new EndpointConnections(loop, clock);
+    private final EndpointConnections connections =
+            new EndpointConnections(loop, clock, UnexpectedResponseListener.NONE);
 
     @AfterEach
     void stop() {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -84,7 +84,8 @@
         fleet.onSnapshot(records, clock.nowMs());
         LeastLoadedSelector selector = new LeastLoadedSelector(LOCAL_DOMAIN);
         PromptQuarantine quarantine = new PromptQuarantine("entry", new QuarantineLog(log, new GatewayMetrics()));
-        EndpointConnections connections = new EndpointConnections(loop, clock);
+        EndpointConnections connections =
+                new EndpointConnections(loop, clock, new UnexpectedResponseLog(log, new GatewayMetrics()));
         streamStore = new InMemoryStreamStore(clock::nowMs);
         resumption = new StreamResumption(
                 fleet, streamStore, timers, clock, log, new GatewayMetrics(), new Random(1), waitingCalls::reconsider);
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -10,21 +10,36 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** A connection to an endpoint, without sockets. */
 class OutboundConnectionTest {
     private final ResponseDecoder decoder = new ResponseDecoder();
-    private final ConnectionPool pool = new ConnectionPool(null, () -> 0, new InstanceAddress("10.0.0.1", 80), 1_000);
+    private final List<UnexpectedResponse> unexpected = new ArrayList<>();
+    private final ConnectionPool pool = new ConnectionPool(
+            null, () -> 0, new InstanceAddress("10.0.0.1", 80), 1_000, (peer, response) -> unexpected.add(response));
     private final OutboundConnection connection = new OutboundConnection(pool, decoder);
     private final EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), decoder, connection);
 
     private void send(ResponseListener listener) {
+        send(Optional.empty(), listener);
+    }
+
+    private void send(String id, ResponseListener listener) {
+        send(Optional.of(new ExpectedResponseId("X-Id", id)), listener);
+    }
+
+    private void send(Optional<ExpectedResponseId> id, ResponseListener listener) {
         connection.send(
-                new OutboundRequest(
-                        HttpMethod.POST, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, Optional.empty()),
+                new OutboundRequest(HttpMethod.POST, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, id),
                 listener);
     }
 
@@ -52,6 +67,38 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    static Stream<Arguments> unexpectedResponses() {
+        return Stream.of(
+                Arguments.of("r-1", UnexpectedResponse.Reason.EARLIER_REQUEST),
+                Arguments.of("r-9", UnexpectedResponse.Reason.UNKNOWN_REQUEST));
+    }
+
+    /** A late copy of an answer left no trace, so that one could not tell it from an answer of another connection. */
+    @ParameterizedTest(name = "{1}")
+    @MethodSource("unexpectedResponses")
+    void skippedResponseIsReported(String id, UnexpectedResponse.Reason reason) {
+        send("r-1", new Recorder());
+        receive(answer("r-1"));
+        Recorder second = new Recorder();
+        send("r-2", second);
+        receive(answer(id) + answer("r-2"));
+        assertThat(second.ended).isTrue();
+        assertThat(unexpected).containsExactly(new UnexpectedResponse(reason, 200, Optional.of(id)));
+    }
+
+    @Test
+    void responseWithoutAnOpenRequestIsReported() {
+        send("r-1", new Recorder());
+        receive(answer("r-1") + answer("r-1"));
+        assertThat(unexpected)
+                .containsExactly(
+                        new UnexpectedResponse(UnexpectedResponse.Reason.NO_OPEN_REQUEST, 200, Optional.of("r-1")));
+    }
+
+    private static String answer(String id) {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 5\r\n\r\nfirst";
+    }
+
     /** Pauses reading at the first content, as for a slow caller. */
     private final class Recorder implements ResponseListener {
         private boolean ended;
