The beginning of a late copy is never joined to the next response

What callers saw (MIXED): a success where the server had answered a failure, with the failure's own id, signature and body. Cause: an endpoint that repeats an earlier answer may stop in its head. 'HTTP/1.1 200 ' followed by 'HTTP/1.1 500 Failed' and headers is one head to the decoder, of status 200 with the rest of the 500; so is a copy that ends inside a header's value. Extra bytes on an idle connection closed it only if they made a whole head: otherwise they stayed in the decoder, and the connection was used again. Why it works: a connection becomes idle when its read is over and nothing is left in the decoder, so nothing is sent while it holds bytes of something else; and a head with a second status line in a header or in its reason phrase, the only places where a join can leave it, is malformed. Run: it, ExchangeTest, AtMostOnceTest, EndlessBytesTest, CutResponseTest, StreamEndTest.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -55,6 +55,9 @@
     private long undecodedBytes;
     private boolean connectionReset;
     private boolean reusable;
+    /** The response is complete; the connection becomes idle if nothing else arrives with its last bytes. */
+    private boolean releasing;
+
     private BodyFraming framing = BodyFraming.NONE;
     private long idleSinceMs;
     private long idleLimitMs;
@@ -175,6 +178,10 @@
             return;
         }
         if (message instanceof HttpResponse head) {
+            if (JoinedHeads.isJoined(head)) {
+                fail(OutboundFailure.MALFORMED);
+                return;
+            }
             readHead(head);
         }
         if (message instanceof HttpContent content) {
@@ -257,16 +264,34 @@
         }
         ResponseListener ended = listener;
         listener = null;
-        if (reusable && written && channel.isActive()) {
-            // The receiver of the response may have paused reading; the next one starts without backpressure.
-            setReading(true);
-            pool.release(this);
-        } else {
+        releasing = reusable && written && channel.isActive();
+        if (!releasing) {
             Channels.close(channel);
         }
         ended.onEnd();
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (listener == null && decoder.hasUndecodedBytes()) {
+            Channels.close(channel);
+        }
+        if (releasing) {
+            release();
+        }
+        context.fireChannelReadComplete();
+    }
+
+    private void release() {
+        releasing = false;
+        if (!channel.isActive()) {
+            return;
+        }
+        // The receiver of the response may have paused reading; the next one starts without backpressure.
+        setReading(true);
+        pool.release(this);
+    }
+
     private void fail(OutboundFailure failure) {
         ResponseListener failed = listener;
         listener = null;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/ResponseDecoder.java
@@ -1,8 +1,11 @@
 package org.hawthornglade.gateway.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /** Decodes responses; a response to HEAD has no body. */
 final class ResponseDecoder extends HttpResponseDecoder {
@@ -11,11 +14,32 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
 
     private boolean headRequest;
+    /** A status line was read, but not all headers. */
+    private boolean insideHead;
 
     ResponseDecoder() {
         super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
     }
 
+    /** Returns whether bytes were received that are not a complete head or a part of a body yet. */
+    boolean hasUndecodedBytes() {
+        return insideHead || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        insideHead = true;
+        return super.createMessage(statusLine);
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+        super.decode(context, bytes, messages);
+        if (!messages.isEmpty()) {
+            insideHead = false;
+        }
+    }
+
     void expectResponseTo(HttpMethod method) {
         headRequest = method.equals(HttpMethod.HEAD);
     }
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,9 @@
                 listener);
     }
 
+    private static final String EARLIER =
+            "HTTP/1.1 200 OK\r\nX-Stamp: first\r\nX-Id: r-1\r\nContent-Length: 5\r\n\r\nfirst";
+
     private void receive(String text) {
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
@@ -67,6 +71,35 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    /** Each beginning of the head of a copy, at each moment at which a connection may receive it. */
+    static Stream<Arguments> beginningsOfACopy() {
+        String copy = EARLIER.substring(0, EARLIER.indexOf("\r\n\r\n") + 2);
+        return IntStream.rangeClosed(1, copy.length())
+                .boxed()
+                .flatMap(length -> Stream.of("with the response", "when idle", "before the next response")
+                        .map(moment -> Arguments.of(length, moment, copy.substring(0, length))));
+    }
+
+    /** MIXED: a failure was joined to the first bytes of an earlier success, whose status the caller got. */
+    @ParameterizedTest(name = "{0} bytes {1}")
+    @MethodSource("beginningsOfACopy")
+    void nextResponseDoesNotGetTheStatusOfACopy(int length, String moment, String beginning) {
+        send("r-1", new Recorder());
+        receive(moment.equals("with the response") ? EARLIER + beginning : EARLIER);
+        if (moment.equals("when idle")) {
+            receive(beginning);
+        }
+        if (!moment.equals("before the next response")) {
+            assertThat(channel.isOpen()).isFalse();
+            return;
+        }
+        StatusRecorder next = new StatusRecorder();
+        send("r-2", next);
+        receive(beginning);
+        receive("HTTP/1.1 500 Failed\r\nX-Id: r-2\r\nContent-Length: 6\r\n\r\nfailed");
+        assertThat(next.status).isAnyOf(0, 500);
+    }
+
     static Stream<Arguments> unexpectedResponses() {
         return Stream.of(
                 Arguments.of("r-1", UnexpectedResponse.Reason.EARLIER_REQUEST),
@@ -121,4 +154,23 @@
             throw new AssertionError(failure);
         }
     }
+
+    /** Records the status of a response; 0 if there was none. */
+    private static final class StatusRecorder implements ResponseListener {
+        private int status;
+
+        @Override
+        public void onHead(HttpResponse head) {
+            status = head.status().code();
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {}
+
+        @Override
+        public void onEnd() {}
+
+        @Override
+        public void onFailure(OutboundFailure failure) {}
+    }
 }
