A response is framed by the request that it answers, not by the newest one

Cause: the decoder knew the method of the newest request only. A copy of a GET's answer before the answer to HEAD was framed without a body, so that its body became a head; a copy of HEAD's answer took the next head for its body. Fix: SentRequests keeps the method with each id, and a response has a body by the method of the request that it names. Where it names a request that the connection does not know, and HEAD was sent there, the body cannot be told: malformed.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/ConnectionPool.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/ConnectionPool.java
@@ -106,8 +106,9 @@
     }
 
     private void connect(Consumer<OutboundConnection> ready, Consumer<Throwable> failed) {
-        ResponseDecoder decoder = new ResponseDecoder();
-        OutboundConnection connection = new OutboundConnection(this, decoder);
+        SentRequests sentRequests = new SentRequests();
+        ResponseDecoder decoder = new ResponseDecoder(sentRequests);
+        OutboundConnection connection = new OutboundConnection(this, sentRequests, decoder);
         connection.setIdleLimit(DEFAULT_IDLE_LIMIT_MS);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -18,9 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.LinkedHashSet;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * A connection to another process that carries one request at a time.
@@ -38,15 +36,11 @@
     /** Limit for bytes that yield neither a head nor a part of a body. */
     static final long MAX_UNDECODED_BYTES = 65_536;
 
-    /** The most ids of earlier requests that are remembered; a response is not repeated after so many others. */
-    private static final int MAX_SENT_IDS = 256;
-
     private final ConnectionPool pool;
+    private final SentRequests sentRequests;
     private final ResponseDecoder decoder;
     private Channel channel;
     private ResponseListener listener;
-    private Optional<ExpectedResponseId> responseId = Optional.empty();
-    private final Set<String> sentIds = new LinkedHashSet<>();
     private boolean written;
     private boolean headReceived;
     private boolean skipping;
@@ -62,8 +56,9 @@
     private long idleSinceMs;
     private long idleLimitMs;
 
-    OutboundConnection(ConnectionPool pool, ResponseDecoder decoder) {
+    OutboundConnection(ConnectionPool pool, SentRequests sentRequests, ResponseDecoder decoder) {
         this.pool = pool;
+        this.sentRequests = sentRequests;
         this.decoder = decoder;
     }
 
@@ -75,8 +70,7 @@
     /** Sends a request and releases its body, also on failure. */
     public void send(OutboundRequest request, ResponseListener responseListener) {
         listener = responseListener;
-        responseId = request.responseId();
-        responseId.ifPresent(expected -> remember(expected.id()));
+        sentRequests.add(request.method(), request.responseId());
         written = false;
         headReceived = false;
         skipping = false;
@@ -84,7 +78,6 @@
         skippedBytes = 0;
         undecodedBytes = 0;
         reusable = false;
-        decoder.expectResponseTo(request.method());
         if (request.body().isReadable() || request.method().equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         }
@@ -103,16 +96,9 @@
         });
     }
 
-    private void remember(String id) {
-        sentIds.add(id);
-        if (sentIds.size() > MAX_SENT_IDS) {
-            sentIds.remove(sentIds.iterator().next());
-        }
-    }
-
     /** Returns whether a request with this id was sent here, a late response to which would be mistaken for another. */
     public boolean hasSent(String id) {
-        return sentIds.contains(id);
+        return sentRequests.contains(id);
     }
 
     /** Cancels the open request by closing the connection, which notifies the peer. */
@@ -191,43 +177,43 @@
 
     private void closeUnexpected(HttpObject message) {
         if (message instanceof HttpResponse head && channel.isActive()) {
-            report(UnexpectedResponse.Reason.NO_OPEN_REQUEST, head, receivedId(head));
+            report(UnexpectedResponse.Reason.NO_OPEN_REQUEST, head);
         }
         Channels.close(channel);
     }
 
-    /** Returns the id that a response names; empty if the last request has none to compare it with. */
-    private Optional<String> receivedId(HttpResponse head) {
-        return responseId.map(expected -> head.headers().get(expected.header()));
-    }
-
-    private void report(UnexpectedResponse.Reason reason, HttpResponse head, Optional<String> id) {
-        pool.onUnexpectedResponse(new UnexpectedResponse(reason, head.status().code(), id));
+    private void report(UnexpectedResponse.Reason reason, HttpResponse head) {
+        pool.onUnexpectedResponse(new UnexpectedResponse(reason, head.status().code(), sentRequests.idOf(head)));
     }
 
     private void readHead(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        Optional<String> receivedId = receivedId(head);
-        boolean otherResponse = receivedId.isPresent()
-                && !receivedId.get().equals(responseId.get().id());
-        if (otherResponse) {
-            boolean earlier = hasSent(receivedId.get());
-            report(
-                    earlier ? UnexpectedResponse.Reason.EARLIER_REQUEST : UnexpectedResponse.Reason.UNKNOWN_REQUEST,
-                    head,
-                    receivedId);
-        }
-        skipping = interim || otherResponse;
-        if (skipping) {
-            skippedResponses++;
-            failIfSkippedTooMuch();
+        skipping = interim || !sentRequests.answersNewest(head);
+        if (!skipping) {
+            beginResponse(head);
             return;
         }
-        if (responseId.isPresent() && receivedId.isEmpty()) {
-            report(UnexpectedResponse.Reason.NO_ID, head, receivedId);
+        if (!interim && !canSkip(head)) {
             fail(OutboundFailure.MALFORMED);
             return;
         }
+        skippedResponses++;
+        failIfSkippedTooMuch();
+    }
+
+    /** Reports a response to another request, and returns whether the responses after it can be read. */
+    private boolean canSkip(HttpResponse head) {
+        Optional<String> id = sentRequests.idOf(head);
+        if (id.isEmpty()) {
+            report(UnexpectedResponse.Reason.NO_ID, head);
+            return false;
+        }
+        boolean earlier = hasSent(id.get());
+        report(earlier ? UnexpectedResponse.Reason.EARLIER_REQUEST : UnexpectedResponse.Reason.UNKNOWN_REQUEST, head);
+        return !sentRequests.bodyUnknown(head);
+    }
+
+    private void beginResponse(HttpResponse head) {
         headReceived = true;
         framing = BodyFraming.of(head);
         reusable = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CONNECTION;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/ResponseDecoder.java
@@ -7,18 +7,19 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
 
-/** Decodes responses; a response to HEAD has no body. */
+/** Decodes responses; one to HEAD has no body. */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
-    private boolean headRequest;
+    private final SentRequests sentRequests;
     /** A status line was read, but not all headers. */
     private boolean insideHead;
 
-    ResponseDecoder() {
+    ResponseDecoder(SentRequests sentRequests) {
         super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        this.sentRequests = sentRequests;
     }
 
     /** Returns whether bytes were received that are not a complete head or a part of a body yet. */
@@ -40,12 +41,10 @@
         }
     }
 
-    void expectResponseTo(HttpMethod method) {
-        headRequest = method.equals(HttpMethod.HEAD);
-    }
-
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return headRequest || super.isContentAlwaysEmpty(message);
+        boolean answersHead =
+                sentRequests.methodOf(message).filter(HttpMethod.HEAD::equals).isPresent();
+        return answersHead || super.isContentAlwaysEmpty(message);
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -23,11 +23,12 @@
 
 /** A connection to an endpoint, without sockets. */
 class OutboundConnectionTest {
-    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final SentRequests sentRequests = new SentRequests();
+    private final ResponseDecoder decoder = new ResponseDecoder(sentRequests);
     private final List<UnexpectedResponse> unexpected = new ArrayList<>();
     private final ConnectionPool pool = new ConnectionPool(
             null, () -> 0, new InstanceAddress("10.0.0.1", 80), 1_000, (peer, response) -> unexpected.add(response));
-    private final OutboundConnection connection = new OutboundConnection(pool, decoder);
+    private final OutboundConnection connection = new OutboundConnection(pool, sentRequests, decoder);
     private final EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), decoder, connection);
 
     private void send(ResponseListener listener) {
@@ -42,6 +43,7 @@
         connection.send(
                 new OutboundRequest(HttpMethod.POST, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, id),
                 listener);
+        channel.releaseOutbound();
     }
 
     private static final String EARLIER =
