A connection is closed before it would have to forget the id of a request

A connection now carries at most 256 requests with an id. OutboundConnectionTest.connectionNeverForgetsAnIdWhileItIsUsed failed before. Run: it, LateResponseTest, LateResponsePropertyTest.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -26,7 +26,8 @@
  * <p>A response whose id is not that of the open request is skipped: it is a late or duplicate response to an earlier
  * request. The connection is closed if bytes arrive while no request is open, or if more responses are skipped than an
  * endpoint has reason to send. The id does not distinguish two requests with one id, such as two attempts of one call
- * or calls of a caller that uses its id again, so that they need separate connections.
+ * or calls of a caller that uses its id again, so that they need separate connections. A connection is closed before it
+ * would have to forget an id.
  */
 public final class OutboundConnection extends ChannelInboundHandlerAdapter {
     /** Limit for interim responses and responses to other requests before the expected response. */
@@ -250,7 +251,7 @@
         }
         ResponseListener ended = listener;
         listener = null;
-        releasing = reusable && written && channel.isActive();
+        releasing = reusable && written && channel.isActive() && !sentRequests.isFull();
         if (!releasing) {
             Channels.close(channel);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -12,10 +12,10 @@
  * <p>Whether a response has a body depends on the method of that request, which need not be the newest one.
  */
 final class SentRequests {
-    /** The most ids of earlier requests that are remembered; a response is not repeated after so many others. */
-    private static final int MAX_IDS = 256;
+    /** The most requests of a connection, all of whose ids are remembered. */
+    static final int MAX_REQUESTS = 256;
 
-    private final Map<String, HttpMethod> methods = new LinkedHashMap<>();
+    private final Map<String, HttpMethod> methods = new HashMap<>();
     private Optional<ExpectedResponseId> newestId = Optional.empty();
     private HttpMethod newestMethod = HttpMethod.GET;
     private boolean headSent;
@@ -25,14 +25,12 @@
         newestMethod = method;
         newestId = id;
         headSent |= method.equals(HttpMethod.HEAD);
-        id.ifPresent(expected -> remember(expected.id(), method));
+        id.ifPresent(expected -> methods.put(expected.id(), method));
     }
 
-    private void remember(String id, HttpMethod method) {
-        methods.put(id, method);
-        if (methods.size() > MAX_IDS) {
-            methods.remove(methods.keySet().iterator().next());
-        }
+    /** Returns whether the connection has carried as many requests as it may. */
+    boolean isFull() {
+        return methods.size() >= MAX_REQUESTS;
     }
 
     /** Returns whether a request with this id was sent. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -102,6 +102,20 @@
         assertThat(next.status).isAnyOf(0, 500);
     }
 
+    /** A connection forgot the id of its first request, so that a copy passed as the response to the same id again. */
+    @Test
+    void connectionNeverForgetsAnIdWhileItIsUsed() {
+        int requests = 0;
+        while (channel.isOpen() && requests < 2 * SentRequests.MAX_REQUESTS) {
+            requests++;
+            String id = "r-" + requests;
+            send(id, new Recorder());
+            receive(answer(id));
+            assertThat(connection.hasSent("r-1")).isTrue();
+        }
+        assertThat(requests).isEqualTo(SentRequests.MAX_REQUESTS);
+    }
+
     static Stream<Arguments> unexpectedResponses() {
         return Stream.of(
                 Arguments.of("r-1", UnexpectedResponse.Reason.EARLIER_REQUEST),
