A joined status line is seen in each form that the decoder accepts

What callers would see (MIXED): status 200 where the server answered 500, if its status line is 'http/1.1 500', 'HTTP/1.1 500', with a tab, or of version 1.2 or 2.0, and a cut copy precedes it. The decoder accepts these forms; JoinedHeads knew 'HTTP/1.0 ddd' and 'HTTP/1.1 ddd' only. Fix: any case, any version of HTTP, any number of spaces and tabs. Run: OutboundConnectionTest, LateResponsePropertyTest.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/JoinedHeads.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/JoinedHeads.java
@@ -12,7 +12,9 @@
  */
 final class JoinedHeads {
     private static final String HTTP_VERSION = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
+    /** In each form that the decoder accepts. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/[0-9]+\\.[0-9]+[ \t]+[0-9]{3}", Pattern.CASE_INSENSITIVE);
 
     private JoinedHeads() {}
 
@@ -30,6 +32,6 @@
     }
 
     private static boolean hasStatusLine(String text) {
-        return text.contains(HTTP_VERSION) && STATUS_LINE.matcher(text).find();
+        return text.indexOf('/') >= 0 && STATUS_LINE.matcher(text).find();
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -116,6 +116,39 @@
         assertThat(requests).isEqualTo(SentRequests.MAX_REQUESTS);
     }
 
+    /** Status lines that the decoder accepts. */
+    static Stream<String> statusLines() {
+        return Stream.of(
+                "HTTP/1.1 500 Failed",
+                "http/1.1 500 Failed",
+                "HTTP/1.1  500 Failed",
+                "HTTP/1.1\t500 Failed",
+                "HTTP/1.2 500 Failed",
+                "HTTP/2.0 500 Failed",
+                "\r\nHTTP/1.1 500 Failed",
+                "\nHTTP/1.1 500 Failed",
+                "HTTP/1.1 500");
+    }
+
+    static Stream<Arguments> joinedStatusLines() {
+        return statusLines()
+                .flatMap(line -> Stream.of("HTTP/1.1 200 ", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nX-Stamp: fi")
+                        .flatMap(copy -> Stream.of("\r\n", "\n").map(end -> Arguments.of(copy, line, end))));
+    }
+
+    /** MIXED: a status line in a form that the decoder accepts was not seen where it was joined to a copy's head. */
+    @ParameterizedTest
+    @MethodSource("joinedStatusLines")
+    void joinedStatusLineIsSeenInEachForm(String copy, String line, String end) {
+        send("r-1", new Recorder());
+        receive(EARLIER);
+        StatusRecorder next = new StatusRecorder();
+        send("r-2", next);
+        receive(copy);
+        receive(String.join(end, line, "X-Id: r-2", "Content-Length: 6", "", "failed"));
+        assertThat(next.status).isAnyOf(0, 500);
+    }
+
     static Stream<Arguments> unexpectedResponses() {
         return Stream.of(
                 Arguments.of("r-1", UnexpectedResponse.Reason.EARLIER_REQUEST),
