100 Continue waits for the responses to earlier requests of its connection

The interim response was written at once; the encoder, inside the body of the earlier response, refuses it, and a failed write closes the connection. Fix: it is sent when no earlier request is open.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -34,6 +34,7 @@
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteBuf body;
+    private boolean continueExpected;
     private boolean refusing;
     private Optional<HttpResponseStatus> refusal = Optional.empty();
     private boolean closing;
@@ -91,10 +92,18 @@
         onBytesReceived();
         head = request;
         body = context.alloc().buffer();
-        if (HttpUtil.is100ContinueExpected(request)) {
-            Channels.write(
-                    context.channel(), new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        continueExpected = HttpUtil.is100ContinueExpected(request);
+        sendContinue();
+    }
+
+    /** Asks for the body of a request that waits for this, after the responses to the previous ones. */
+    private void sendContinue() {
+        if (!continueExpected || closing || current.isPresent() || !queued.isEmpty()) {
+            return;
         }
+        continueExpected = false;
+        Channels.write(
+                context.channel(), new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
 
     private void addContent(HttpContent content) {
@@ -120,6 +129,7 @@
                 new IncomingCall(head, body, response, server.clock().nowMs());
         head = null;
         body = null;
+        continueExpected = false;
         requestStartedMs = 0;
         queued.add(call);
         server.callOpened();
@@ -237,6 +247,7 @@
         lastActiveMs = server.clock().nowMs();
         closing |= last;
         startNext();
+        sendContinue();
         if (current.isEmpty() && !closing) {
             refusal.ifPresent(this::sendRefusal);
         }
