--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -47,8 +48,13 @@
         this.handler = handler;
     }
 
-    /** Starts listening; must not be called on the event loop. */
-    public void listen(InstanceAddress address) {
+    /**
+     * Starts listening; must not be called on the event loop.
+     *
+     * @param address the address; the system chooses a port in place of 0
+     * @return the port
+     */
+    public int listen(InstanceAddress address) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
@@ -71,6 +77,7 @@
                 .bind(address.host(), address.port())
                 .syncUninterruptibly()
                 .channel();
+        return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
     /** Closes each connection after the responses to what it has read from now on; open requests continue. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -7,7 +7,6 @@
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -107,18 +106,11 @@
                 new GatewayMetrics());
         receiver = new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
         server = new CallerServer(loop, timers, clock, () -> limits, receiver);
-        port = freePort();
-        server.listen(new InstanceAddress("127.0.0.1", port));
+        port = server.listen(new InstanceAddress("127.0.0.1", 0));
     }
 
     static final RequestLimits LIMITS = new RequestLimits(2_048, 10_000, 3_000, 15_000);
 
-    private static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return probe.getLocalPort();
-        }
-    }
-
     /** The first endpoint is in the local failure domain, so that calls go there first. */
     private static InstanceRecord record(String id, int port, int index, String version, long bornMs) {
         return new InstanceRecord(
