A copy that was cut in its body does not pass for a whole one

The next body, which a model writes, is then read as a head: a 200 where the server answered 500. Fix: the connection keeps length and checksum of each response's body and trailers; a skipped copy that differs is malformed, and the connection closes. A copy of a response that this connection does not know can't be compared; it is skipped as before. Beside it: the first response of a connection, which no copy can precede, may quote a status line in a header (firstResponseMayQuoteAStatusLine). Run: OutboundConnectionTest, LateResponseTest, LateResponsePropertyTest, ExchangeTest, AtMostOnceTest, StreamEndTest, EndlessBytesTest, CutResponseTest, PipelinedStopTest, PipelinedExpectTest.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -45,6 +45,10 @@
     private boolean written;
     private boolean headReceived;
     private boolean skipping;
+    /** The request that a skipped response names; empty for an interim response. */
+    private Optional<String> skippedId = Optional.empty();
+
+    private BodyDigest bodyDigest = new BodyDigest();
     private int skippedResponses;
     private long skippedBytes;
     private long undecodedBytes;
@@ -165,7 +169,7 @@
             return;
         }
         if (message instanceof HttpResponse head) {
-            if (JoinedHeads.isJoined(head)) {
+            if (sentRequests.severalSent() && JoinedHeads.isJoined(head)) {
                 fail(OutboundFailure.MALFORMED);
                 return;
             }
@@ -190,6 +194,8 @@
     private void readHead(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         skipping = interim || !sentRequests.answersNewest(head);
+        skippedId = interim ? Optional.empty() : sentRequests.idOf(head);
+        bodyDigest = new BodyDigest();
         if (!skipping) {
             beginResponse(head);
             return;
@@ -229,6 +235,10 @@
     }
 
     private void readContent(HttpContent content) {
+        bodyDigest.add(content.content());
+        if (content instanceof LastHttpContent last) {
+            bodyDigest.addTrailers(last.trailingHeaders());
+        }
         if (skipping) {
             skippedBytes += content.content().readableBytes();
             failIfSkippedTooMuch();
@@ -242,13 +252,14 @@
 
     private void endOfMessage() {
         if (skipping) {
-            skipping = false;
+            endOfSkipped();
             return;
         }
         if (framing == BodyFraming.CONNECTION && connectionReset) {
             fail(OutboundFailure.BROKEN_OFF);
             return;
         }
+        sentRequests.onResponse(bodyDigest.value());
         ResponseListener ended = listener;
         listener = null;
         releasing = reusable && written && channel.isActive() && !sentRequests.isFull();
@@ -258,6 +269,14 @@
         ended.onEnd();
     }
 
+    /** Fails if a copy has taken bytes of the next response for the rest of its body. */
+    private void endOfSkipped() {
+        skipping = false;
+        if (skippedId.isPresent() && sentRequests.differs(skippedId.get(), bodyDigest.value())) {
+            fail(OutboundFailure.MALFORMED);
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (listener == null && decoder.hasUndecodedBytes()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
@@ -9,25 +9,44 @@
 /**
  * Remembers the requests of a connection, so that each response can be attributed to the one that it answers.
  *
- * <p>Whether a response has a body depends on the method of that request, which need not be the newest one.
+ * <p>Whether a response has a body depends on the method of that request, which need not be the newest one. The digests
+ * of the bodies tell whether a late copy is complete: one that was cut off takes the next response for its rest.
  */
 final class SentRequests {
     /** The most requests of a connection, all of whose ids are remembered. */
     static final int MAX_REQUESTS = 256;
 
     private final Map<String, HttpMethod> methods = new HashMap<>();
+    private final Map<String, BodyDigest.Value> bodies = new HashMap<>();
     private Optional<ExpectedResponseId> newestId = Optional.empty();
     private HttpMethod newestMethod = HttpMethod.GET;
     private boolean headSent;
+    private int count;
 
     /** Adds a request that is about to be sent. */
     void add(HttpMethod method, Optional<ExpectedResponseId> id) {
+        count++;
         newestMethod = method;
         newestId = id;
         headSent |= method.equals(HttpMethod.HEAD);
         id.ifPresent(expected -> methods.put(expected.id(), method));
     }
 
+    /** Returns whether there was a request before the newest one, a copy of whose response may arrive. */
+    boolean severalSent() {
+        return count > 1;
+    }
+
+    /** Remembers the body of the complete response to the newest request. */
+    void onResponse(BodyDigest.Value body) {
+        newestId.ifPresent(expected -> bodies.put(expected.id(), body));
+    }
+
+    /** Returns whether a response to an earlier request had another body than the copy of it. */
+    boolean differs(String id, BodyDigest.Value copy) {
+        return contains(id) && !copy.equals(bodies.get(id));
+    }
+
     /** Returns whether the connection has carried as many requests as it may. */
     boolean isFull() {
         return methods.size() >= MAX_REQUESTS;
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -149,6 +149,41 @@
         assertThat(next.status).isAnyOf(0, 500);
     }
 
+    /** Copies that stop in their body, and the number of bytes that are due; "0" is the last chunk without its end. */
+    static Stream<Arguments> copiesCutInTheirBody() {
+        String id = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\n";
+        return Stream.of(
+                Arguments.of("length, no byte", id + "Content-Length: 58\r\n\r\n"),
+                Arguments.of("length, in the body", id + "Content-Length: 60\r\n\r\nfi"),
+                Arguments.of("length, short of one line", id + "Content-Length: 64\r\n\r\nfi"),
+                Arguments.of("last chunk", id + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n"),
+                Arguments.of("chunk", id + "Transfer-Encoding: chunked\r\n\r\n3a\r\n"),
+                Arguments.of("trailer", id + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\nX-Sum: 1"));
+    }
+
+    /** MIXED: a copy that stopped in its body took the next head for the rest, and the text of a body became a head. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("copiesCutInTheirBody")
+    void bodyIsNotReadAsAHeadAfterACopyCutInItsBody(String name, String copy) {
+        send("r-1", new Recorder());
+        receive(EARLIER);
+        StatusRecorder next = new StatusRecorder();
+        send("r-2", next);
+        receive(copy);
+        String text = "\r\n".repeat(10) + "HTTP/1.1 200 OK\r\nX-Id: r-2\r\nContent-Length: 0\r\n\r\n";
+        receive("HTTP/1.1 500 Failed\r\nX-Id: r-2\r\nContent-Length: " + text.length() + "\r\n\r\n" + text);
+        assertThat(next.status).isAnyOf(0, 500);
+    }
+
+    /** A first response, which no copy can precede, was malformed if a header quoted a status line. */
+    @Test
+    void firstResponseMayQuoteAStatusLine() {
+        Recorder first = new Recorder();
+        send("r-1", first);
+        receive("HTTP/1.1 500 Failed\r\nX-Id: r-1\r\nX-Error: HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+        assertThat(first.ended).isTrue();
+    }
+
     static Stream<Arguments> unexpectedResponses() {
         return Stream.of(
                 Arguments.of("r-1", UnexpectedResponse.Reason.EARLIER_REQUEST),
