A late copy is never the answer to an order, a report request or the call after one

A copy of a call's answer was the answer to an order (200 'it already holds', 409 and 421 that it doesn't) or to a report request; a copy of an order's or a report's answer was that of the next one, and a bodyless 200 an empty report; and the next call on the connection failed as malformed. Fix: a request can expect that its response names none (ExpectedResponseId.none). On such a connection a response that names an id is a call's: it is skipped, framed by the method of its request. The connection is closed after such a response, since a copy of it could not be told from the next. So an order or a report request finds nothing but copies that bear ids, and its own copies meet nobody. Reports are treated as orders are, not given a pool of their own: there, after an order without an answer, an older report with the same sequence would be believed. The store's client has a pool of its own and expects no ids; it is unchanged.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -26,7 +26,8 @@
  * <p>A response whose id is not that of the open request is skipped: it is a late or duplicate response to an earlier
  * request. The connection is closed if bytes arrive while no request is open, or if more responses are skipped than an
  * endpoint has reason to send. The id does not distinguish two requests with one id, such as two attempts of one call
- * or calls of a caller that uses its id again, so that they need separate connections.
+ * or calls of a caller that uses its id again, so that they need separate connections. A request whose response must
+ * name none ends its connection: a copy of that response could not be told from the response to another such request.
  */
 public final class OutboundConnection extends ChannelInboundHandlerAdapter {
     /** Limit for interim responses and responses to other requests before the expected response. */
@@ -216,7 +217,7 @@
     private void beginResponse(HttpResponse head) {
         headReceived = true;
         framing = BodyFraming.of(head);
-        reusable = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CONNECTION;
+        reusable = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CONNECTION && sentRequests.copyRecognisable();
         KeepAliveHeader.timeoutSeconds(head.headers()).ifPresent(seconds -> idleLimitMs = seconds * 1_000L);
         listener.onHead(head);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
@@ -25,7 +25,7 @@
         newestMethod = method;
         newestId = id;
         headSent |= method.equals(HttpMethod.HEAD);
-        id.ifPresent(expected -> remember(expected.id(), method));
+        id.flatMap(ExpectedResponseId::id).ifPresent(named -> remember(named, method));
     }
 
     private void remember(String id, HttpMethod method) {
@@ -40,14 +40,19 @@
         return methods.containsKey(id);
     }
 
-    /** Returns the id that a response names; empty if it names none, or if the newest request expects none. */
+    /** Returns the id that a response names; empty if it names none, or if the peer repeats no ids. */
     Optional<String> idOf(HttpMessage response) {
         return newestId.map(expected -> response.headers().get(expected.header()));
     }
 
     /** Returns whether a response answers the newest request, or cannot be told from one that does. */
     boolean answersNewest(HttpMessage response) {
-        return newestId.isEmpty() || idOf(response).equals(newestId.map(ExpectedResponseId::id));
+        return newestId.isEmpty() || idOf(response).equals(newestId.get().id());
+    }
+
+    /** Returns whether a copy of the newest response could be told from the response to a later request. */
+    boolean copyRecognisable() {
+        return newestId.isEmpty() || newestId.get().id().isPresent();
     }
 
     /** Returns the method of the request that a response answers; empty if it names a request that is not known. */
