--- a/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
@@ -29,7 +29,7 @@
         newestMethod = method;
         newestId = id;
         headSent |= method.equals(HttpMethod.HEAD);
-        id.ifPresent(expected -> methods.put(expected.id(), method));
+        id.flatMap(ExpectedResponseId::id).ifPresent(named -> methods.put(named, method));
     }
 
     /** Returns whether there was a request before the newest one, a copy of whose response may arrive. */
@@ -39,7 +39,7 @@
 
     /** Remembers the body of the complete response to the newest request. */
     void onResponse(BodyDigest.Value body) {
-        newestId.ifPresent(expected -> bodies.put(expected.id(), body));
+        newestId.flatMap(ExpectedResponseId::id).ifPresent(named -> bodies.put(named, body));
     }
 
     /** Returns whether a response to an earlier request had another body than the copy of it. */
@@ -57,14 +57,19 @@
         return methods.containsKey(id);
     }
 
-    /** Returns the id that a response names; empty if it names none, or if the newest request expects none. */
+    /** Returns the id that a response names; empty if it names none, or if the peer repeats no ids. */
     Optional<String> idOf(HttpMessage response) {
         return newestId.map(expected -> response.headers().get(expected.header()));
     }
 
     /** Returns whether a response answers the newest request, or cannot be told from one that does. */
     boolean answersNewest(HttpMessage response) {
-        return newestId.isEmpty() || idOf(response).equals(newestId.map(ExpectedResponseId::id));
+        return newestId.isEmpty() || idOf(response).equals(newestId.get().id());
+    }
+
+    /** Returns whether a copy of the newest response could be told from the response to a later request. */
+    boolean copyRecognisable() {
+        return newestId.isEmpty() || newestId.get().id().isPresent();
     }
 
     /** Returns the method of the request that a response answers; empty if it names a request that is not known. */
