An event whose id is not after the one before is logged and counted

What is passed on does not change. Fields out_of_order and after in event=call, counter streams_out_of_order (calls).

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -414,6 +414,7 @@
         ended = true;
         if (events != null) {
             exchange.record().onStreamEnd(events.bufferedBytes());
+            events.disorder().ifPresent(exchange.record()::onDisorder);
         }
         if (silenceTimeout != null) {
             silenceTimeout.cancel();
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -16,6 +16,7 @@
 /** Collects the events of a call and logs them as one line when the call ends. */
 final class CallRecord {
     private static final int MAX_NOTES_LENGTH = 300;
+    private static final int MAX_EVENT_ID_LENGTH = 40;
 
     private final RequestId id;
     private final CallView view;
@@ -30,6 +31,7 @@
     private long retryAfterMs;
     private Optional<BodyFraming> streamFraming = Optional.empty();
     private int partialEventBytes;
+    private Optional<EventDisorder> disorder = Optional.empty();
     private boolean responseLost;
     private Optional<RequestDigest> digest = Optional.empty();
 
@@ -77,6 +79,11 @@
         partialEventBytes = bytes;
     }
 
+    /** Records an event whose id was not after the one before; the first one of a call is kept. */
+    void onDisorder(EventDisorder found) {
+        disorder = disorder.or(() -> Optional.of(found));
+    }
+
     /** Records that the connection to an endpoint ended before its response. */
     void onResponseLost() {
         responseLost = true;
@@ -89,6 +96,10 @@
         }
     }
 
+    private static String shortened(EventId id) {
+        return id.text().substring(0, Math.min(id.text().length(), MAX_EVENT_ID_LENGTH));
+    }
+
     private static String partIds(ModelDemand demand) {
         return demand.sharedParts().stream().map(part -> part.id().value()).collect(Collectors.joining(","));
     }
@@ -128,6 +139,11 @@
         if (partialEventBytes > 0) {
             line.with("partial_event_bytes", partialEventBytes);
         }
+        if (disorder.isPresent()) {
+            line.with("out_of_order", shortened(disorder.get().received()))
+                    .with("after", shortened(disorder.get().last()));
+            metrics.count("streams_out_of_order");
+        }
         digest.ifPresent(known -> line.with("digest", known));
         if (responseLost) {
             view.demand().ifPresent(demand -> line.with("shared_parts", partIds(demand)));
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.hawthornglade.core.stream.EventScanner;
 
@@ -13,11 +12,10 @@
  * complete event.
  */
 final class EventSplitter {
-    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
-
     private final ByteBuf buffered = Unpooled.buffer();
     private final EventScanner scanner = new EventScanner();
-    private Optional<String> lastId;
+    private Optional<EventId> lastId;
+    private Optional<EventDisorder> disorder = Optional.empty();
 
     /**
      * Creates a splitter at the beginning of an event.
@@ -25,7 +23,7 @@
      * @param lastId the id of the last event before the stream, if there is one
      */
     EventSplitter(Optional<String> lastId) {
-        this.lastId = lastId;
+        this.lastId = lastId.map(EventId::new);
     }
 
     /** Adds bytes and returns the events that they complete; the caller owns the result. */
@@ -36,19 +34,24 @@
             scanner.add(value);
             buffered.writeByte(value);
             if (!scanner.insideEvent()) {
+                readEvent(end, buffered.writerIndex());
                 end = buffered.writerIndex();
             }
         }
         ByteBuf events = Unpooled.copiedBuffer(buffered.slice(buffered.readerIndex(), end - buffered.readerIndex()));
         buffered.readerIndex(end);
         buffered.discardReadBytes();
-        readIds(events);
         return events;
     }
 
     /** Returns the id of the last complete event. */
     Optional<String> lastId() {
-        return lastId;
+        return lastId.map(EventId::text);
+    }
+
+    /** Returns the first event whose id was not after the one before, if there was one. */
+    Optional<EventDisorder> disorder() {
+        return disorder;
     }
 
     /** Returns the number of buffered bytes of an incomplete event. */
@@ -56,28 +59,14 @@
         return buffered.readableBytes();
     }
 
-    private void readIds(ByteBuf events) {
-        int lineStart = events.readerIndex();
-        for (int i = events.readerIndex(); i < events.writerIndex(); i++) {
-            byte value = events.getByte(i);
-            if (value == '\n' || value == '\r') {
-                readId(events, lineStart, i);
-                lineStart = i + 1;
-            }
-        }
-    }
-
-    private void readId(ByteBuf events, int start, int end) {
-        if (end - start <= ID_FIELD.length) {
+    private void readEvent(int start, int end) {
+        Optional<EventId> id = EventId.read(buffered, start, end);
+        if (id.isEmpty()) {
             return;
         }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (events.getByte(start + i) != ID_FIELD[i]) {
-                return;
-            }
+        if (disorder.isEmpty()) {
+            disorder = lastId.filter(last -> !id.get().mayFollow(last)).map(last -> new EventDisorder(last, id.get()));
         }
-        int from = start + ID_FIELD.length;
-        lastId = Optional.of(
-                events.toString(from, end - from, StandardCharsets.UTF_8).trim());
+        lastId = id;
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
@@ -25,6 +25,7 @@
 import org.hawthornglade.gateway.http.BodyFraming;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -73,6 +74,19 @@
         assertThat(lines.poll(5, TimeUnit.SECONDS)).endsWith(expected + "\n");
     }
 
+    /** From the line of a call and a counter it must be visible which id of its stream went back, and after which. */
+    @Test
+    void lineOfAStreamNamesTheFirstIdThatWentBack() throws InterruptedException {
+        metrics.start();
+        CallRecord record = new CallRecord(RequestId.of("r-1"), call(), 1);
+        record.onStream(BodyFraming.CHUNKED);
+        record.onDisorder(new EventDisorder(new EventId("7"), new EventId("1")));
+        record.onDisorder(new EventDisorder(new EventId("9"), new EventId("9")));
+        record.write(log, metrics, ResultCode.ANSWER_INCOMPLETE, 0, ARRIVED_AT_MS + 900);
+        assertThat(lines.poll(5, TimeUnit.SECONDS)).endsWith("framing=CHUNKED out_of_order=1 after=7\n");
+        assertThat(metrics.text()).contains("hawthornglade_streams_out_of_order_total 1.0");
+    }
+
     /** What the calls that a crash cut off had in common must be visible from their lines. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
@@ -56,4 +56,22 @@
         assertThat(splitter.lastId()).isEqualTo(Optional.of("3"));
         assertThat(splitter.bufferedBytes()).isEqualTo("id: 4".length());
     }
+
+    /** An id that went back, or came again, left no trace. */
+    @ParameterizedTest
+    @CsvSource({
+        "'id: 1||id: 3||', none",
+        "'id: 3||id: 1||id: 1||', 1 after 3",
+        "'id: 3||data: x||id: 3||', 3 after 3",
+        "': c|id: 3^|^|: c|id: 2^|^|', 2 after 3",
+    })
+    void firstIdThatIsNotAfterTheOneBeforeIsNoted(String text, String expected) {
+        EventSplitter splitter = new EventSplitter(Optional.empty());
+        add(splitter, lines(text));
+        assertThat(splitter.disorder()
+                        .map(found -> found.received().text() + " after "
+                                + found.last().text())
+                        .orElse("none"))
+                .isEqualTo(expected);
+    }
 }
