A stream ends, or goes on elsewhere, at the first event that is not after the last

Cause: EventSplitter noted ids and compared none. Why it works: the splitter returns nothing from that event on; the attempt is abandoned as OUT_OF_ORDER, its connection is closed, and Exchange decides as for a stream that broke off: another instance with the last id that was passed on, or an end without the last chunk. An empty id ("id: ") leaves the last one, as "id:" did; otherwise it would hide an id that goes back. It was sent on as an empty Last-Event-Id. Tests: 3 rows of EventIdTest on empty ids became rows of EventSplitterTest; its rows of noted ids now also say where the splitter stops.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -53,10 +53,9 @@
     private EndpointNotices notices;
     private ResponseHead responseHead;
     private ByteBuf buffered = Unpooled.buffer(INITIAL_BUFFER_BYTES);
-    private EventSplitter events;
+    private ReceivedEvents events;
     private Timers.Timeout silenceTimeout;
     private int reservedBytes;
-    private int partialEventBytes;
     private long forwardedBytes;
     private boolean forwarding;
     private boolean prefillDone;
@@ -209,7 +208,7 @@
             return;
         }
         if (stream) {
-            events = new EventSplitter(exchange.resumeFrom());
+            events = new ReceivedEvents(exchange.resumeFrom(), context.bufferBudget());
             exchange.record().onStream(BodyFraming.of(received));
             exchange.response().onWritable(this::applyBackpressure);
         }
@@ -253,20 +252,10 @@
             complete.release();
         }
         if (!ended) {
-            holdPartialEvent();
+            events.failure().ifPresent(this::abandon);
         }
     }
 
-    /** Reserves memory for the part of an event that has arrived; a stream for which there is none is cut off. */
-    private void holdPartialEvent() {
-        int bytes = events.bufferedBytes();
-        if (context.bufferBudget().tryHoldPartialEvent(partialEventBytes, bytes)) {
-            partialEventBytes = bytes;
-            return;
-        }
-        abandon(OutboundFailure.ENDLESS);
-    }
-
     private void forwardComplete(ByteBuf complete) {
         onPrefillDone();
         exchange.onEvents(chosen.softwareVersion());
@@ -354,7 +343,7 @@
             return false;
         }
         boolean noEvents = !prefillDone;
-        return events.bufferedBytes() > 0 || (noEvents && BodyFraming.of(head) == BodyFraming.CONNECTION);
+        return events.insideEvent() || (noEvents && BodyFraming.of(head) == BodyFraming.CONNECTION);
     }
 
     private void recordHealth(long nowMs) {
@@ -413,8 +402,7 @@
     private void finish() {
         ended = true;
         if (events != null) {
-            exchange.record().onStreamEnd(events.bufferedBytes());
-            events.disorder().ifPresent(exchange.record()::onDisorder);
+            events.end(exchange.record());
         }
         if (silenceTimeout != null) {
             silenceTimeout.cancel();
@@ -424,8 +412,6 @@
         }
         context.bufferBudget().release(reservedBytes);
         reservedBytes = 0;
-        context.bufferBudget().releasePartialEvent(partialEventBytes);
-        partialEventBytes = 0;
         endpoint.load().end(variant, kvTokens);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventId.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventId.java
@@ -42,16 +42,18 @@
                 bytes.toString(from, end - from, StandardCharsets.UTF_8).trim());
     }
 
+    /** Returns whether this id says where in its stream an event is; an empty one doesn't. */
+    boolean known() {
+        return !text.isEmpty();
+    }
+
     /**
      * Returns whether an event with this id may follow the one with the given id.
      *
      * <p>Numbers of any length are compared by value. No order is known of other ids: only the same id again is
-     * certainly not a later event. An empty id says nothing.
+     * certainly not a later event.
      */
     boolean mayFollow(EventId last) {
-        if (text.isEmpty() || last.text.isEmpty()) {
-            return true;
-        }
         if (isNumber() && last.isNumber()) {
             return compareNumbers(text, last.text) > 0;
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
@@ -9,7 +9,7 @@
  * Splits an event stream at the boundaries of its events.
  *
  * <p>Only complete events are returned, so that a stream which breaks within an event can be resumed after the last
- * complete event.
+ * complete event. Nothing is returned from the first event on whose id is not after that of the event before it.
  */
 final class EventSplitter {
     private final ByteBuf buffered = Unpooled.buffer();
@@ -23,33 +23,32 @@
      * @param lastId the id of the last event before the stream, if there is one
      */
     EventSplitter(Optional<String> lastId) {
-        this.lastId = lastId.map(EventId::new);
+        this.lastId = lastId.map(EventId::new).filter(EventId::known);
     }
 
     /** Adds bytes and returns the events that they complete; the caller owns the result. */
     ByteBuf add(ByteBuf bytes) {
         int end = buffered.readerIndex();
-        for (int i = bytes.readerIndex(); i < bytes.writerIndex(); i++) {
+        for (int i = bytes.readerIndex(); i < bytes.writerIndex() && disorder.isEmpty(); i++) {
             byte value = bytes.getByte(i);
             scanner.add(value);
             buffered.writeByte(value);
             if (!scanner.insideEvent()) {
-                readEvent(end, buffered.writerIndex());
-                end = buffered.writerIndex();
+                end = endOfEvent(end, buffered.writerIndex());
             }
         }
         ByteBuf events = Unpooled.copiedBuffer(buffered.slice(buffered.readerIndex(), end - buffered.readerIndex()));
-        buffered.readerIndex(end);
+        buffered.readerIndex(disorder.isEmpty() ? end : buffered.writerIndex());
         buffered.discardReadBytes();
         return events;
     }
 
-    /** Returns the id of the last complete event. */
+    /** Returns the id of the last event that was returned, or came before the stream. */
     Optional<String> lastId() {
         return lastId.map(EventId::text);
     }
 
-    /** Returns the first event whose id was not after the one before, if there was one. */
+    /** Returns the event at which the splitter stopped, if it did. */
     Optional<EventDisorder> disorder() {
         return disorder;
     }
@@ -59,14 +58,17 @@
         return buffered.readableBytes();
     }
 
-    private void readEvent(int start, int end) {
-        Optional<EventId> id = EventId.read(buffered, start, end);
+    /** Reads the id of a complete event; returns the end of what may be passed on. */
+    private int endOfEvent(int start, int end) {
+        Optional<EventId> id = EventId.read(buffered, start, end).filter(EventId::known);
         if (id.isEmpty()) {
-            return;
+            return end;
         }
-        if (disorder.isEmpty()) {
-            disorder = lastId.filter(last -> !id.get().mayFollow(last)).map(last -> new EventDisorder(last, id.get()));
+        disorder = lastId.filter(last -> !id.get().mayFollow(last)).map(last -> new EventDisorder(last, id.get()));
+        if (disorder.isPresent()) {
+            return start;
         }
         lastId = id;
+        return end;
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundFailure.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundFailure.java
@@ -14,6 +14,8 @@
     ENDLESS(true),
     /** The peer answered with something else than the rest of a stream. */
     NOT_RESUMED(true),
+    /** The peer sent an event of a stream that is not after the one before it. */
+    OUT_OF_ORDER(true),
     /** The peer answered from a state that it has lost since. */
     OUTDATED(true),
     /** Nothing was received within the allowed time. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventIdTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventIdTest.java
@@ -29,9 +29,6 @@
         "1, a, true",
         "a, 1, true",
         "-1, -2, true",
-        "'', '', true",
-        "'', 1, true",
-        "1, '', true",
     })
     void numbersMustIncreaseAndOtherIdsMustDiffer(String last, String next, boolean expected) {
         assertThat(new EventId(next).mayFollow(new EventId(last))).isEqualTo(expected);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
@@ -57,21 +57,28 @@
         assertThat(splitter.bufferedBytes()).isEqualTo("id: 4".length());
     }
 
-    /** An id that went back, or came again, left no trace. */
+    /** An id that went back, or came again, was passed on and left no trace. */
     @ParameterizedTest
     @CsvSource({
-        "'id: 1||id: 3||', none",
-        "'id: 3||id: 1||id: 1||', 1 after 3",
-        "'id: 3||data: x||id: 3||', 3 after 3",
-        "': c|id: 3^|^|: c|id: 2^|^|', 2 after 3",
+        "'id: 1||id: 3||', 'id: 1||id: 3||', none",
+        "'id: 3||id: 1||id: 1||id: 4||', 'id: 3||', 1 after 3",
+        "'id: 3||data: x||id: 3||', 'id: 3||data: x||', 3 after 3",
+        "': c|id: 3^|^|: c|id: 2^|^|', ': c|id: 3^|^|: c|', 2 after 3",
+        "'id: ||id: ||', 'id: ||id: ||', none",
+        "'id: 3||id: ||id: 2||', 'id: 3||id: ||', 2 after 3",
     })
-    void firstIdThatIsNotAfterTheOneBeforeIsNoted(String text, String expected) {
+    void splitterStopsAtTheFirstIdThatIsNotAfterTheOneBefore(String text, String returned, String expected) {
         EventSplitter splitter = new EventSplitter(Optional.empty());
-        add(splitter, lines(text));
+        assertThat(add(splitter, lines(text))).isEqualTo(lines(returned));
         assertThat(splitter.disorder()
                         .map(found -> found.received().text() + " after "
                                 + found.last().text())
                         .orElse("none"))
                 .isEqualTo(expected);
+        if (splitter.disorder().isPresent()) {
+            assertThat(add(splitter, "id: 9\n\n")).isEmpty();
+            assertThat(splitter.lastId()).isEqualTo(Optional.of("3"));
+            assertThat(splitter.bufferedBytes()).isEqualTo(0);
+        }
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -58,6 +58,7 @@
     private final InMemoryStreamStore streamStore;
     private final StreamResumption resumption;
     private final Clock clock = Clock.system();
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private final CallerServer server;
     private final CallReceiver receiver;
     private final int port;
@@ -104,7 +105,8 @@
                 new CrashDetector(timers, clock, connections, quarantine),
                 new TestProtocol(),
                 log,
-                new GatewayMetrics());
+                metrics);
+        metrics.start();
         receiver = new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
         server = new CallerServer(loop, timers, clock, () -> limits, receiver);
         port = freePort();
@@ -215,6 +217,11 @@
         done.await(5, TimeUnit.SECONDS);
     }
 
+    /** Returns the metrics of calls as text, after the event loop has handled what came before. */
+    String metrics() throws Exception {
+        return group.submit(metrics::text).get(5, TimeUnit.SECONDS);
+    }
+
     /** Returns the memory that is reserved for responses; read on the event loop. */
     long reservedBytes() throws Exception {
         return group.submit(bufferBudget::reservedBytes).get(5, TimeUnit.SECONDS);
