--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.hawthornglade.core.stream.EventScanner;
 
@@ -10,14 +9,13 @@
  * Splits an event stream at the boundaries of its events.
  *
  * <p>Only complete events are returned, so that a stream which breaks within an event can be resumed after the last
- * complete event.
+ * complete event. Nothing is returned from the first event on whose id is not after that of the event before it.
  */
 final class EventSplitter {
-    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
-
     private final ByteBuf buffered = Unpooled.buffer();
     private final EventScanner scanner = new EventScanner();
-    private Optional<String> lastId;
+    private Optional<EventId> lastId;
+    private Optional<EventDisorder> disorder = Optional.empty();
 
     /**
      * Creates a splitter at the beginning of an event.
@@ -25,30 +23,34 @@
      * @param lastId the id of the last event before the stream, if there is one
      */
     EventSplitter(Optional<String> lastId) {
-        this.lastId = lastId;
+        this.lastId = lastId.map(EventId::new).filter(EventId::known);
     }
 
     /** Adds bytes and returns the events that they complete; the caller owns the result. */
     ByteBuf add(ByteBuf bytes) {
         int end = buffered.readerIndex();
-        for (int i = bytes.readerIndex(); i < bytes.writerIndex(); i++) {
+        for (int i = bytes.readerIndex(); i < bytes.writerIndex() && disorder.isEmpty(); i++) {
             byte value = bytes.getByte(i);
             scanner.add(value);
             buffered.writeByte(value);
             if (!scanner.insideEvent()) {
-                end = buffered.writerIndex();
+                end = endOfEvent(end, buffered.writerIndex());
             }
         }
         ByteBuf events = Unpooled.copiedBuffer(buffered.slice(buffered.readerIndex(), end - buffered.readerIndex()));
-        buffered.readerIndex(end);
+        buffered.readerIndex(disorder.isEmpty() ? end : buffered.writerIndex());
         buffered.discardReadBytes();
-        readIds(events);
         return events;
     }
 
-    /** Returns the id of the last complete event. */
+    /** Returns the id of the last event that was returned, or came before the stream. */
     Optional<String> lastId() {
-        return lastId;
+        return lastId.map(EventId::text);
+    }
+
+    /** Returns the event at which the splitter stopped, if it did. */
+    Optional<EventDisorder> disorder() {
+        return disorder;
     }
 
     /** Returns the number of buffered bytes of an incomplete event. */
@@ -56,28 +58,17 @@
         return buffered.readableBytes();
     }
 
-    private void readIds(ByteBuf events) {
-        int lineStart = events.readerIndex();
-        for (int i = events.readerIndex(); i < events.writerIndex(); i++) {
-            byte value = events.getByte(i);
-            if (value == '\n' || value == '\r') {
-                readId(events, lineStart, i);
-                lineStart = i + 1;
-            }
-        }
-    }
-
-    private void readId(ByteBuf events, int start, int end) {
-        if (end - start <= ID_FIELD.length) {
-            return;
+    /** Reads the id of a complete event; returns the end of what may be passed on. */
+    private int endOfEvent(int start, int end) {
+        Optional<EventId> id = EventId.read(buffered, start, end).filter(EventId::known);
+        if (id.isEmpty()) {
+            return end;
         }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (events.getByte(start + i) != ID_FIELD[i]) {
-                return;
-            }
+        disorder = lastId.filter(last -> !id.get().mayFollow(last)).map(last -> new EventDisorder(last, id.get()));
+        if (disorder.isPresent()) {
+            return start;
         }
-        int from = start + ID_FIELD.length;
-        lastId = Optional.of(
-                events.toString(from, end - from, StandardCharsets.UTF_8).trim());
+        lastId = id;
+        return end;
     }
 }
