A stream that ends with its connection is complete only if its instance still accepts connections

Cause: the kernel closes the connection of a crashed process, and the end of the connection was taken for the end of the stream. Evidence: UnframedStreamEndTest failed before in 4 of the 78 rows that it then had, the four of a crash: {resumable, not} x {after the first event, later}. Why it works: a crashed instance refuses connections, so one is opened, for no more than 5 ms. Refused, while a reachable list has this start of the instance and it has not said that it leaves: broken off. Else complete as before. Not changed: whole responses without a length. Not measured: the delay of the end; its bound is the constant.

--- a/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Fleet.java
@@ -207,6 +207,11 @@
         return listLoaded;
     }
 
+    /** Returns whether the list is reachable and has a record of an instance. */
+    public boolean listed(InstanceId id) {
+        return listReachable && endpoints.containsKey(id) && !missingUntilMs.containsKey(id);
+    }
+
     /** Returns an instance by id. */
     public Optional<Endpoint> endpoint(InstanceId id) {
         return Optional.ofNullable(endpoints.get(id));
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -154,14 +154,18 @@
 
     private void watchSilence(long limitMs) {
         Route route = exchange.view().route();
-        if (silenceTimeout != null) {
-            silenceTimeout.cancel();
-        }
+        cancelSilenceTimeout();
         if (route.repeatable()) {
             silenceTimeout = context.timers().after(limitMs, this::onSilence);
         }
     }
 
+    private void cancelSilenceTimeout() {
+        if (silenceTimeout != null) {
+            silenceTimeout.cancel();
+        }
+    }
+
     /** Abandons a silent attempt, unless the call may not run elsewhere; then it keeps waiting at this endpoint. */
     private void onSilence() {
         if (ended || !exchange.canRetryElsewhere()) {
@@ -330,6 +334,26 @@
             abandon(OutboundFailure.BROKEN_OFF);
             return;
         }
+        if (events != null && BodyFraming.of(head) == BodyFraming.CONNECTION) {
+            cancelSilenceTimeout();
+            new StreamEndCheck(context, endpoint, chosen, this::onEndChecked).start();
+            return;
+        }
+        complete();
+    }
+
+    private void onEndChecked(boolean crashed) {
+        if (ended) {
+            return;
+        }
+        if (crashed) {
+            abandon(OutboundFailure.BROKEN_OFF);
+            return;
+        }
+        complete();
+    }
+
+    private void complete() {
         finish();
         long nowMs = context.clock().nowMs();
         if (responseHead.notRun()) {
@@ -415,9 +439,7 @@
         if (events != null) {
             exchange.record().onStreamEnd(events.bufferedBytes());
         }
-        if (silenceTimeout != null) {
-            silenceTimeout.cancel();
-        }
+        cancelSilenceTimeout();
         if (!prefillDone) {
             endpoint.load().endPrefill(prefillTokens);
         }
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/StreamEndCheck.java
@@ -0,0 +1,77 @@
+package org.hawthornglade.gateway.exchange;
+
+import java.util.function.Consumer;
+import org.hawthornglade.core.fleet.Endpoint;
+import org.hawthornglade.core.fleet.InstanceRecord;
+import org.hawthornglade.gateway.loop.Timers;
+
+/**
+ * Tells whether a stream that ended with its connection was cut off by a crash of its instance.
+ *
+ * <p>A connection to the instance is opened: an instance that has crashed refuses it. So does one that has stopped as
+ * planned, which has announced it. Where it cannot be told, the stream counts as complete.
+ */
+final class StreamEndCheck {
+    /** How long the end of a stream waits for an answer of the instance, in milliseconds. */
+    static final long LIMIT_MS = 5;
+
+    private final ExchangeContext context;
+    private final Endpoint endpoint;
+    private final InstanceRecord chosen;
+    private final Consumer<Boolean> crashed;
+    private Timers.Timeout limit;
+    private boolean done;
+
+    /**
+     * Creates a check.
+     *
+     * @param chosen the record by which the endpoint was chosen
+     * @param crashed receives once whether the instance has crashed
+     */
+    StreamEndCheck(ExchangeContext context, Endpoint endpoint, InstanceRecord chosen, Consumer<Boolean> crashed) {
+        this.context = context;
+        this.endpoint = endpoint;
+        this.chosen = chosen;
+        this.crashed = crashed;
+    }
+
+    void start() {
+        if (!expectedToAccept()) {
+            crashed.accept(false);
+            return;
+        }
+        context.connections().pool(chosen).checkAccepting(accepting -> end(!accepting && expectedToAccept()));
+        // The connection is opened by a task of the event loop; the time that the loop takes until then does not count.
+        context.timers().run(this::startLimit);
+    }
+
+    private void startLimit() {
+        if (!done) {
+            limit = context.timers().after(LIMIT_MS, () -> end(false));
+        }
+    }
+
+    /** Returns whether the list has this start of the instance, which has not announced that it leaves. */
+    private boolean expectedToAccept() {
+        boolean current =
+                context.fleet().endpoint(endpoint.id()).filter(endpoint::equals).isPresent();
+        return current
+                && context.fleet().listed(endpoint.id())
+                && endpoint.record().bornMs() == chosen.bornMs()
+                && !endpoint.leaving();
+    }
+
+    private void end(boolean hasCrashed) {
+        if (done) {
+            return;
+        }
+        done = true;
+        if (limit != null) {
+            limit.cancel();
+        }
+        if (hasCrashed) {
+            context.metrics().count("streams_cut_between_events");
+        }
+        crashed.accept(hasCrashed);
+    }
+}
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
@@ -26,6 +26,8 @@
         WAIT_FOR_CLOSE,
         /** The bytes are sent when {@link #release} is called. */
         SEND_WHEN_RELEASED,
+        /** The connection is closed when {@link #release} is called. */
+        CLOSE_WHEN_RELEASED,
         /** The last byte is repeated until the caller closes the connection. */
         REPEAT_LAST_BYTE
     }
@@ -46,16 +48,19 @@
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> closes = new LinkedBlockingQueue<>();
     private final Semaphore released = new Semaphore(0);
+    private final Thread acceptor;
+    private volatile boolean accepting = true;
 
     ScriptedEndpoint() throws IOException {
         listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        start(this::accept);
+        acceptor = start(this::accept);
     }
 
-    private static void start(Runnable action) {
+    private static Thread start(Runnable action) {
         Thread thread = new Thread(action, "scripted-endpoint");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     int port() {
@@ -86,9 +91,20 @@
         return closes.poll(limitMs, TimeUnit.MILLISECONDS) != null;
     }
 
+    /** Closes the listener, and waits until connections are refused: while a thread accepts, the socket stays open. */
+    void refuseConnections() throws InterruptedException {
+        close();
+        acceptor.join();
+    }
+
+    /** Leaves further connections in the queue of the listener. */
+    void stopAccepting() {
+        accepting = false;
+    }
+
     private void accept() {
         try {
-            while (true) {
+            while (accepting) {
                 Socket socket = listener.accept();
                 start(() -> serve(socket));
             }
@@ -144,6 +160,7 @@
             case RESET -> socket.setSoLinger(true, 0);
             case REPEAT_LAST_BYTE -> repeatLastByte(response, out);
             case WAIT_FOR_CLOSE -> closes.add(in.read() < 0 ? "closed" : "more");
+            case CLOSE_WHEN_RELEASED -> released.acquireUninterruptibly();
             case CLOSE -> {}
         }
         return false;
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.dispatch.LeastLoadedSelector;
@@ -185,6 +186,11 @@
                 .get(5, TimeUnit.SECONDS);
     }
 
+    /** Applies a change to the list of instances on the event loop. */
+    void onFleet(BiConsumer<Fleet, Long> change) throws Exception {
+        group.submit(() -> change.accept(fleet, clock.nowMs())).get(5, TimeUnit.SECONDS);
+    }
+
     /** Uses the store of versions and origins on the event loop. */
     void onStreamStore(Consumer<InMemoryStreamStore> action) throws Exception {
         group.submit(() -> action.accept(streamStore)).get(5, TimeUnit.SECONDS);
