--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/LateResponseTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/LateResponseTest.java
@@ -41,7 +41,7 @@
         return TestEntry.post("/unsafe/x", id, "").replace("POST", method);
     }
 
-    /** A copy of the response to HEAD, or to another method where HEAD came next, was framed by the next call's method. */
+    /** A copy of a response was framed by the next call's method, although one of both was HEAD. */
     @ParameterizedTest(name = "{0}, then {1}, {2}")
     @MethodSource("calls")
     void nextCallGetsItsOwnResponse(String first, String next, String shape) throws Exception {
