A failed run's own response is returned when no later attempt brings one

Cause: Attempt.endResponse discarded the 500 as soon as a retry was acquired. If the retry was then rejected, lost, not possible or too late, the entry reported ENDPOINT_FAILED or a passed deadline, as the call had run.

KeptResponse keeps the head and body of the newest failure, within the budget for buffered responses; Exchange.fail sends it unchanged in place of an error of the entry, unless a response was begun. It is released at every end of the call. A status that implies that the call has not run is not kept, and only safe calls are tried again after a failure, so that no promise changes. The log line of the call says kept-instead-of-<code>.

Failed before: 11 of the 15 rows of KeptResponseTest: later attempt rejected, refused unclearly, closed, reset, cut off, unsigned, silent until the deadline; no connection, no other endpoint, entry stops, memory while it is kept. The other 4 (newer failure, later success, unsafe, no memory) passed before and after.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -381,8 +381,7 @@
         }
         boolean failedRun = responseHead.status() >= 500;
         if (failedRun && exchange.view().route().kind() == CallKind.SAFE && exchange.tryAcquireRetry()) {
-            buffered.release();
-            exchange.retryAfterFailure(endpoint, responseHead.status());
+            exchange.retryAfterFailure(endpoint, responseHead, head, buffered);
             return;
         }
         if (responseHead.impliesNotRun()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -1,5 +1,7 @@
 package org.hawthornglade.gateway.exchange;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -44,6 +46,7 @@
     private final Consumer<Exchange> onEnded;
     private final ResponseWriter response;
     private final CallRecord record;
+    private final KeptResponse keptResponse;
     private final PermitWaiter permitWaiter = new PermitWaiter();
     private Timers.Timeout deadline;
     private Attempt attempt;
@@ -69,6 +72,7 @@
         this.view = view;
         this.response = new ResponseWriter(context.protocol(), call.response(), request);
         this.record = new CallRecord(request.id(), view, configurationVersion);
+        this.keptResponse = new KeptResponse(context.bufferBudget());
     }
 
     public CallView view() {
@@ -295,11 +299,17 @@
                 && context.retryBudgets().of(view.service()).allowsRetry();
     }
 
-    /** Runs a safe call again after the endpoint returned a failure. */
-    void retryAfterFailure(Endpoint endpoint, int status) {
+    /** Runs a safe call again after the endpoint returned a failure, which is kept; takes over its body. */
+    void retryAfterFailure(Endpoint endpoint, ResponseHead head, HttpResponse received, ByteBuf body) {
         attempt = null;
         view.tried().add(endpoint.id());
-        record.addNote("status-" + status + ":" + endpoint.id());
+        record.addNote("status-" + head.status() + ":" + endpoint.id());
+        if (head.impliesNotRun()) {
+            // The call has run, so that its caller must not get this status.
+            body.release();
+        } else {
+            keptResponse.keep(received, body);
+        }
         decide();
     }
 
@@ -333,6 +343,10 @@
             fail(ResultCode.ANSWER_INCOMPLETE, 0);
             return;
         }
+        if (keptResponse.present()) {
+            fail(code, 0);
+            return;
+        }
         if (code == ResultCode.DEADLINE_NOT_REACHABLE || code == ResultCode.MODEL_NOT_LOADED) {
             context.waitingCalls().expectedRetries().add(view, context.clock().nowMs() + retryAfterMs);
         }
@@ -351,8 +365,14 @@
         fail(code, mayHaveRun ? 0 : BUSY_RETRY_AFTER_MS);
     }
 
-    /** Ends the call with an error of the entry. */
+    /** Ends the call with the kept response of a failed run, or else with an error of the entry. */
     private void fail(ResultCode code, long retryAfterMs) {
+        Optional<Integer> keptStatus = keptResponse.sendTo(response);
+        if (keptStatus.isPresent()) {
+            record.addNote("kept-instead-of-" + code.number());
+            end(ResultCode.OK, keptStatus.get());
+            return;
+        }
         end(code, response.sendError(code, retryAfterMs));
     }
 
@@ -375,6 +395,7 @@
 
     private void end(ResultCode code, int status) {
         ended = true;
+        keptResponse.release();
         onEnded.accept(this);
         permitWaiter.leave();
         deadline.cancel();
