--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
@@ -167,7 +167,7 @@
         return "";
     }
 
-    private static String readRequest(InputStream in) throws IOException {
+    static String readRequest(InputStream in) throws IOException {
         StringBuilder text = new StringBuilder();
         while (text.indexOf("\r\n\r\n") < 0) {
             int read = in.read();
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -73,13 +73,18 @@
     /** Creates an entry whose endpoints run the given versions of their software. */
     TestEntry(List<ScriptedEndpoint> endpoints, List<String> versions, RequestLimits limits, RetryBudgets budgets)
             throws IOException {
+        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions);
+    }
+
+    private TestEntry(RequestLimits limits, RetryBudgets budgets, List<Integer> ports, List<String> versions)
+            throws IOException {
         EventLoop loop = group.next();
         EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
         timers = new Timers(loop, log);
         fleet = new Fleet();
         List<InstanceRecord> records = new ArrayList<>();
-        for (int i = 0; i < endpoints.size(); i++) {
-            records.add(record("i-" + i, endpoints.get(i).port(), i, versions.get(i), 1));
+        for (int i = 0; i < ports.size(); i++) {
+            records.add(record("i-" + i, ports.get(i), i, versions.get(i), 1));
         }
         fleet.onSnapshot(records, clock.nowMs());
         LeastLoadedSelector selector = new LeastLoadedSelector(LOCAL_DOMAIN);
@@ -111,6 +116,12 @@
         server.listen(new InstanceAddress("127.0.0.1", port));
     }
 
+    /** Creates an entry whose endpoints listen at the given ports. */
+    static TestEntry ofPorts(List<Integer> ports, RetryBudgets budgets) throws IOException {
+        return new TestEntry(
+                LIMITS, budgets, ports, ports.stream().map(each -> "v1").toList());
+    }
+
     static final RequestLimits LIMITS = new RequestLimits(2_048, 10_000, 3_000, 15_000);
 
     private static int freePort() throws IOException {
