--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointConnections.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EndpointConnections.java
@@ -14,7 +14,7 @@
 import org.hawthornglade.gateway.http.ConnectionPool;
 import org.hawthornglade.gateway.http.UnexpectedResponseListener;
 
-/** Connections to endpoints, in one pool for each start of an instance. */
+/** Connections to endpoints, in one pool for the calls of each start of an instance and one for its reports. */
 public final class EndpointConnections {
     /** Timeout for opening a connection to an endpoint. */
     private static final int CONNECT_TIMEOUT_MS = 400;
@@ -26,6 +26,7 @@
     private final Clock clock;
     private final UnexpectedResponseListener unexpectedResponses;
     private final Map<Incarnation, ConnectionPool> pools = new HashMap<>();
+    private final Map<Incarnation, ConnectionPool> reportPools = new HashMap<>();
 
     /** Creates an empty set of pools. */
     public EndpointConnections(EventLoop loop, Clock clock, UnexpectedResponseListener unexpectedResponses) {
@@ -34,17 +35,33 @@
         this.clock = clock;
     }
 
-    /** Returns the connection pool of an instance. */
+    /** Returns the connection pool for the calls of an instance. */
     public ConnectionPool pool(InstanceRecord record) {
-        return pools.computeIfAbsent(
-                incarnation(record),
-                key -> new ConnectionPool(loop, clock, key.address(), CONNECT_TIMEOUT_MS, unexpectedResponses));
+        return pools.computeIfAbsent(incarnation(record), this::newPool);
+    }
+
+    /**
+     * Returns the connection pool for the reports of an instance, which name no request.
+     *
+     * <p>Apart from the calls, so that a late copy of a response there can only be an older report.
+     */
+    public ConnectionPool reportPool(InstanceRecord record) {
+        return reportPools.computeIfAbsent(incarnation(record), this::newPool);
+    }
+
+    private ConnectionPool newPool(Incarnation incarnation) {
+        return new ConnectionPool(loop, clock, incarnation.address(), CONNECT_TIMEOUT_MS, unexpectedResponses);
     }
 
     /** Removes the pools of instances that are no longer present and closes their idle connections. */
     public void retainPresent(Iterable<Endpoint> endpoints) {
         Set<Incarnation> present = new HashSet<>();
         endpoints.forEach(endpoint -> present.add(incarnation(endpoint.record())));
+        retain(pools, present);
+        retain(reportPools, present);
+    }
+
+    private static void retain(Map<Incarnation, ConnectionPool> pools, Set<Incarnation> present) {
         for (Incarnation key : List.copyOf(pools.keySet())) {
             if (!present.contains(key)) {
                 pools.remove(key).closeIdle();
