A copy that has taken a part of the next response is logged and counted

The call failed as malformed and nothing told why. Reasons joined_head and other_body of event=unexpected-response, with their counters. Run: OutboundConnectionTest (cutCopyIsReported, 2 rows; before, no reason was reported), LateResponseTest, LateResponsePropertyTest, AtMostOnceTest, ExchangeTest.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -46,8 +46,8 @@
     private boolean written;
     private boolean headReceived;
     private boolean skipping;
-    /** The request that a skipped response names; empty for an interim response. */
-    private Optional<String> skippedId = Optional.empty();
+    /** The head of a skipped response to another request. */
+    private Optional<HttpResponse> skippedHead = Optional.empty();
 
     private BodyDigest bodyDigest = new BodyDigest();
     private int skippedResponses;
@@ -170,10 +170,6 @@
             return;
         }
         if (message instanceof HttpResponse head) {
-            if (sentRequests.severalSent() && JoinedHeads.isJoined(head)) {
-                fail(OutboundFailure.MALFORMED);
-                return;
-            }
             readHead(head);
         }
         if (message instanceof HttpContent content) {
@@ -193,14 +189,19 @@
     }
 
     private void readHead(HttpResponse head) {
+        if (sentRequests.severalSent() && JoinedHeads.isJoined(head)) {
+            report(UnexpectedResponse.Reason.JOINED_HEAD, head);
+            fail(OutboundFailure.MALFORMED);
+            return;
+        }
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         skipping = interim || !sentRequests.answersNewest(head);
-        skippedId = interim ? Optional.empty() : sentRequests.idOf(head);
         bodyDigest = new BodyDigest();
         if (!skipping) {
             beginResponse(head);
             return;
         }
+        skippedHead = Optional.of(head).filter(skipped -> !interim);
         if (!interim && !canSkip(head)) {
             fail(OutboundFailure.MALFORMED);
             return;
@@ -273,7 +274,10 @@
     /** Fails if a copy has taken bytes of the next response for the rest of its body. */
     private void endOfSkipped() {
         skipping = false;
-        if (skippedId.isPresent() && sentRequests.differs(skippedId.get(), bodyDigest.value())) {
+        Optional<HttpResponse> differing =
+                skippedHead.filter(head -> sentRequests.bodyDiffers(head, bodyDigest.value()));
+        if (differing.isPresent()) {
+            report(UnexpectedResponse.Reason.OTHER_BODY, differing.get());
             fail(OutboundFailure.MALFORMED);
         }
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/SentRequests.java
@@ -42,9 +42,12 @@
         newestId.flatMap(ExpectedResponseId::id).ifPresent(named -> bodies.put(named, body));
     }
 
-    /** Returns whether a response to an earlier request had another body than the copy of it. */
-    boolean differs(String id, BodyDigest.Value copy) {
-        return contains(id) && !copy.equals(bodies.get(id));
+    /** Returns whether a copy of an earlier response has another body than the response had. */
+    boolean bodyDiffers(HttpMessage copy, BodyDigest.Value body) {
+        return idOf(copy)
+                .filter(this::contains)
+                .filter(id -> !body.equals(bodies.get(id)))
+                .isPresent();
     }
 
     /** Returns whether the connection has carried as many requests as it may. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/UnexpectedResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/UnexpectedResponse.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /**
- * A response that does not belong to the open request of its connection.
+ * A response that does not belong, or not only, to the open request of its connection.
  *
  * @param reason why it does not belong to the request
  * @param status its HTTP status
@@ -19,6 +19,10 @@
         /** It names no request although the peer repeats the ids of requests. */
         NO_ID,
         /** No request was open. */
-        NO_OPEN_REQUEST
+        NO_OPEN_REQUEST,
+        /** Its head begins with a part of another response. */
+        JOINED_HEAD,
+        /** It has another body than the earlier response that it repeats. */
+        OTHER_BODY
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/OutboundConnectionTest.java
@@ -175,6 +175,25 @@
         assertThat(next.status).isAnyOf(0, 500);
     }
 
+    static Stream<Arguments> mergedResponses() {
+        String cutBody = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 4\r\n\r\n";
+        return Stream.of(
+                Arguments.of("HTTP/1.1 200 ", UnexpectedResponse.Reason.JOINED_HEAD),
+                Arguments.of(cutBody, UnexpectedResponse.Reason.OTHER_BODY));
+    }
+
+    /** A call failed as malformed, and nothing said that a cut copy had taken a part of its response. */
+    @ParameterizedTest(name = "{1}")
+    @MethodSource("mergedResponses")
+    void cutCopyIsReported(String copy, UnexpectedResponse.Reason reason) {
+        send("r-1", new Recorder());
+        receive(EARLIER);
+        send("r-2", new StatusRecorder());
+        receive(copy);
+        receive("HTTP/1.1 500 Failed\r\nX-Id: r-2\r\nContent-Length: 0\r\n\r\n");
+        assertThat(unexpected.stream().map(UnexpectedResponse::reason)).contains(reason);
+    }
+
     /** A first response, which no copy can precede, was malformed if a header quoted a status line. */
     @Test
     void firstResponseMayQuoteAStatusLine() {
