--- a/platform/src/main/java/org/hawthornglade/platform/JsonFields.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/json/JsonFields.java
@@ -1,14 +1,19 @@
-package org.hawthornglade.platform;
+package org.hawthornglade.gateway.json;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads typed fields of a JSON object; an error names the field that is missing or has the wrong type. */
-final class JsonFields {
+/**
+ * Reads typed fields of a JSON object.
+ *
+ * <p>A field that is missing, or has the wrong type, is reported by a {@link MalformedFieldException} which names it.
+ */
+public final class JsonFields {
     private JsonFields() {}
 
-    static String string(JsonNode node, String field) {
+    /** Returns a text that is not empty. */
+    public static String string(JsonNode node, String field) {
         JsonNode value = node.path(field);
         if (!value.isTextual() || value.textValue().isEmpty()) {
             throw new MalformedFieldException(field, "a string");
@@ -17,7 +22,7 @@
     }
 
     /** Returns a text that may be empty. */
-    static String text(JsonNode node, String field) {
+    public static String text(JsonNode node, String field) {
         JsonNode value = node.path(field);
         if (!value.isTextual()) {
             throw new MalformedFieldException(field, "a text");
@@ -25,7 +30,8 @@
         return value.textValue();
     }
 
-    static long integer(JsonNode node, String field) {
+    /** Returns an integer of 64 bits. */
+    public static long integer(JsonNode node, String field) {
         JsonNode value = node.path(field);
         if (!value.isIntegralNumber() || !value.canConvertToLong()) {
             throw new MalformedFieldException(field, "an integer of 64 bits");
@@ -34,7 +40,7 @@
     }
 
     /** Returns an integer of 32 bits. */
-    static int smallInteger(JsonNode node, String field) {
+    public static int smallInteger(JsonNode node, String field) {
         long value = integer(node, field);
         if (value != (int) value) {
             throw new MalformedFieldException(field, "an integer of 32 bits");
@@ -42,15 +48,18 @@
         return (int) value;
     }
 
-    static int smallInteger(JsonNode node, String field, int defaultValue) {
+    /** Returns an integer of 32 bits; the default if the field is missing. */
+    public static int smallInteger(JsonNode node, String field, int defaultValue) {
         return node.has(field) ? smallInteger(node, field) : defaultValue;
     }
 
-    static long integer(JsonNode node, String field, long defaultValue) {
+    /** Returns an integer of 64 bits; the default if the field is missing. */
+    public static long integer(JsonNode node, String field, long defaultValue) {
         return node.has(field) ? integer(node, field) : defaultValue;
     }
 
-    static double number(JsonNode node, String field, double defaultValue) {
+    /** Returns a finite number; the default if the field is missing. */
+    public static double number(JsonNode node, String field, double defaultValue) {
         if (!node.has(field)) {
             return defaultValue;
         }
@@ -61,7 +70,8 @@
         return value.doubleValue();
     }
 
-    static boolean bool(JsonNode node, String field, boolean defaultValue) {
+    /** Returns true or false; the default if the field is missing. */
+    public static boolean bool(JsonNode node, String field, boolean defaultValue) {
         if (!node.has(field)) {
             return defaultValue;
         }
@@ -73,7 +83,7 @@
     }
 
     /** Returns the elements of a list; an empty list if the field is missing. */
-    static List<JsonNode> list(JsonNode node, String field) {
+    public static List<JsonNode> list(JsonNode node, String field) {
         if (!node.has(field)) {
             return List.of();
         }
@@ -86,7 +96,8 @@
         return elements;
     }
 
-    static List<String> strings(JsonNode node, String field) {
+    /** Returns the elements of a list of texts; an empty list if the field is missing. */
+    public static List<String> strings(JsonNode node, String field) {
         List<String> strings = new ArrayList<>();
         for (JsonNode entry : list(node, field)) {
             if (!entry.isTextual()) {
@@ -96,11 +107,4 @@
         }
         return strings;
     }
-
-    /** Reports a field that is missing or has the wrong type. */
-    static final class MalformedFieldException extends IllegalArgumentException {
-        MalformedFieldException(String field, String expected) {
-            super(field + " is not " + expected);
-        }
-    }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/hawthornglade/gateway/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of JSON that other processes send. */
+package org.hawthornglade.gateway.json;
