The line of a call says what was wrong with the first event that is no part of its stream

The line of a call now has invalid_event (no id, empty, no number, several, no data, an unknown field, a status line) and last_event; streams_with_invalid_events counts. The content is not logged.

What events are is the protocol's word: EventRule, with NumberedEventRule for the platform's streams. Nothing is stopped by it yet.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -212,7 +212,7 @@
             return;
         }
         if (stream) {
-            events = new ReceivedEvents(exchange.resumeFrom(), context.bufferBudget());
+            events = new ReceivedEvents(context.protocol().eventRule(), exchange.resumeFrom(), context.bufferBudget());
             exchange.record().onStream(BodyFraming.of(received));
             exchange.response().onWritable(this::applyBackpressure);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -32,6 +32,7 @@
     private Optional<BodyFraming> streamFraming = Optional.empty();
     private int partialEventBytes;
     private Optional<EventDisorder> disorder = Optional.empty();
+    private Optional<InvalidEvent> invalidEvent = Optional.empty();
     private boolean responseLost;
     private Optional<RequestDigest> digest = Optional.empty();
 
@@ -84,6 +85,11 @@
         disorder = disorder.or(() -> Optional.of(found));
     }
 
+    /** Records an event that is not a part of its stream; the first one of a call is kept. */
+    void onInvalidEvent(InvalidEvent found) {
+        invalidEvent = invalidEvent.or(() -> Optional.of(found));
+    }
+
     /** Records that the connection to an endpoint ended before its response. */
     void onResponseLost() {
         responseLost = true;
@@ -144,6 +150,11 @@
                     .with("after", shortened(disorder.get().last()));
             metrics.count("streams_out_of_order");
         }
+        if (invalidEvent.isPresent()) {
+            line.with("invalid_event", invalidEvent.get().defect());
+            invalidEvent.get().last().ifPresent(last -> line.with("last_event", shortened(last)));
+            metrics.count("streams_with_invalid_events");
+        }
         digest.ifPresent(known -> line.with("digest", known));
         if (responseLost) {
             view.demand().ifPresent(demand -> line.with("shared_parts", partIds(demand)));
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventId.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventId.java
@@ -1,45 +1,10 @@
 package org.hawthornglade.gateway.exchange;
 
-import io.netty.buffer.ByteBuf;
-import java.nio.charset.StandardCharsets;
-import java.util.Optional;
-
 /** The id of an event of a stream. */
 record EventId(String text) {
-    private static final byte[] FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
-
-    /** Reads the id of a complete event; the last one counts if it has several. */
-    static Optional<EventId> read(ByteBuf bytes, int start, int end) {
-        Optional<EventId> id = Optional.empty();
-        int lineStart = start;
-        for (int i = start; i < end; i++) {
-            byte value = bytes.getByte(i);
-            if (value == '\n' || value == '\r') {
-                if (isId(bytes, lineStart, i)) {
-                    id = Optional.of(readLine(bytes, lineStart, i));
-                }
-                lineStart = i + 1;
-            }
-        }
-        return id;
-    }
-
-    private static boolean isId(ByteBuf bytes, int start, int end) {
-        if (end - start <= FIELD.length) {
-            return false;
-        }
-        for (int i = 0; i < FIELD.length; i++) {
-            if (bytes.getByte(start + i) != FIELD[i]) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static EventId readLine(ByteBuf bytes, int start, int end) {
-        int from = start + FIELD.length;
-        return new EventId(
-                bytes.toString(from, end - from, StandardCharsets.UTF_8).trim());
+    /** Removes the blanks around the id: not all readers keep them. */
+    EventId {
+        text = text.trim();
     }
 
     /** Returns whether this id says where in its stream an event is; an empty one doesn't. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
@@ -2,8 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.hawthornglade.core.stream.EventDefect;
+import org.hawthornglade.core.stream.EventRule;
 import org.hawthornglade.core.stream.EventScanner;
+import org.hawthornglade.core.stream.StreamEvent;
 
 /**
  * Splits an event stream at the boundaries of its events.
@@ -14,15 +18,19 @@
 final class EventSplitter {
     private final ByteBuf buffered = Unpooled.buffer();
     private final EventScanner scanner = new EventScanner();
+    private final EventRule rule;
     private Optional<EventId> lastId;
     private Optional<EventDisorder> disorder = Optional.empty();
+    private Optional<InvalidEvent> invalid = Optional.empty();
 
     /**
      * Creates a splitter at the beginning of an event.
      *
+     * @param rule which events belong to the stream
      * @param lastId the id of the last event before the stream, if there is one
      */
-    EventSplitter(Optional<String> lastId) {
+    EventSplitter(EventRule rule, Optional<String> lastId) {
+        this.rule = rule;
         this.lastId = lastId.map(EventId::new).filter(EventId::known);
     }
 
@@ -53,6 +61,11 @@
         return disorder;
     }
 
+    /** Returns the first event that is not a part of the stream, if there was one. */
+    Optional<InvalidEvent> invalid() {
+        return invalid;
+    }
+
     /** Returns the number of buffered bytes of an incomplete event. */
     int bufferedBytes() {
         return buffered.readableBytes();
@@ -60,7 +73,12 @@
 
     /** Reads the id of a complete event; returns the end of what may be passed on. */
     private int endOfEvent(int start, int end) {
-        Optional<EventId> id = EventId.read(buffered, start, end).filter(EventId::known);
+        StreamEvent event = StreamEvent.read(buffered.toString(start, end - start, StandardCharsets.UTF_8));
+        if (!event.isEmpty()) {
+            Optional<EventDefect> defect = rule.defect(event);
+            invalid = invalid.or(() -> defect.map(found -> new InvalidEvent(found, lastId)));
+        }
+        Optional<EventId> id = event.id().map(EventId::new).filter(EventId::known);
         if (id.isEmpty()) {
             return end;
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ReceivedEvents.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ReceivedEvents.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.Optional;
+import org.hawthornglade.core.stream.EventRule;
 import org.hawthornglade.gateway.http.OutboundFailure;
 
 /** The events of one attempt's stream, with the memory for the part of an event that has arrived. */
@@ -13,10 +14,11 @@
     /**
      * Creates the events of a stream that begins.
      *
+     * @param rule which events belong to the stream
      * @param lastId the id of the last event before the stream, if there is one
      */
-    ReceivedEvents(Optional<String> lastId, ResponseBufferBudget budget) {
-        this.splitter = new EventSplitter(lastId);
+    ReceivedEvents(EventRule rule, Optional<String> lastId, ResponseBufferBudget budget) {
+        this.splitter = new EventSplitter(rule, lastId);
         this.budget = budget;
     }
 
@@ -52,6 +54,7 @@
     void end(CallRecord record) {
         record.onStreamEnd(splitter.bufferedBytes());
         splitter.disorder().ifPresent(record::onDisorder);
+        splitter.invalid().ifPresent(record::onInvalidEvent);
         budget.releasePartialEvent(reservedBytes);
         reservedBytes = 0;
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/CallProtocol.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/CallProtocol.java
@@ -7,6 +7,7 @@
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
+import org.hawthornglade.core.stream.EventRule;
 
 /** Translates the headers of callers and endpoints on one platform. */
 public interface CallProtocol {
@@ -30,6 +31,9 @@
      */
     HttpHeaders errorHeaders(RequestId id, ResultCode code, long retryAfterMs);
 
+    /** Returns the rule by which events belong to the streams of endpoints. */
+    EventRule eventRule();
+
     /** Returns the name of the header by which responses are matched to requests. */
     String requestIdHeader();
 
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
@@ -22,6 +22,7 @@
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.core.stream.EventDefect;
 import org.hawthornglade.gateway.http.BodyFraming;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
@@ -87,6 +88,24 @@
         assertThat(metrics.text()).contains("hawthornglade_streams_out_of_order_total 1.0");
     }
 
+    /** From the line of a call and a counter it must be visible what was wrong with an event, and where it came. */
+    @ParameterizedTest
+    @CsvSource({
+        "7, invalid_event=NO_ID last_event=7",
+        ", invalid_event=NO_ID",
+    })
+    void lineOfAStreamNamesTheFirstInvalidEvent(String last, String expected) throws InterruptedException {
+        metrics.start();
+        CallRecord record = new CallRecord(RequestId.of("r-1"), call(), 1);
+        record.onStream(BodyFraming.CHUNKED);
+        Optional<EventId> lastId = Optional.ofNullable(last).map(EventId::new);
+        record.onInvalidEvent(new InvalidEvent(EventDefect.NO_ID, lastId));
+        record.onInvalidEvent(new InvalidEvent(EventDefect.STATUS_LINE, lastId));
+        record.write(log, metrics, ResultCode.ANSWER_INCOMPLETE, 0, ARRIVED_AT_MS + 900);
+        assertThat(lines.poll(5, TimeUnit.SECONDS)).endsWith("framing=CHUNKED " + expected + "\n");
+        assertThat(metrics.text()).contains("hawthornglade_streams_with_invalid_events_total 1.0");
+    }
+
     /** What the calls that a crash cut off had in common must be visible from their lines. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventIdTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventIdTest.java
@@ -2,9 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -33,24 +30,4 @@
     void numbersMustIncreaseAndOtherIdsMustDiffer(String last, String next, boolean expected) {
         assertThat(new EventId(next).mayFollow(new EventId(last))).isEqualTo(expected);
     }
-
-    /** {@code |} stands for LF and {@code ^} for CR. */
-    @ParameterizedTest
-    @CsvSource({
-        "'id: 4|data: x||', 4",
-        "'id:4|data: x||', 4",
-        "'data: x|id: 4||', 4",
-        "'id: 3|id: 4|data: x||', 4",
-        "'id: 4^|data: x^|^', 4",
-        "'data: id: 4||', none",
-        "'id:|data: x||', none",
-        "'data: x||', none",
-    })
-    void lastIdLineOfAnEventCounts(String event, String expected) {
-        ByteBuf bytes = Unpooled.copiedBuffer(event.replace('|', '\n').replace('^', '\r'), StandardCharsets.UTF_8);
-        assertThat(EventId.read(bytes, 0, bytes.writerIndex())
-                        .map(EventId::text)
-                        .orElse("none"))
-                .isEqualTo(expected);
-    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
@@ -9,10 +9,14 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.hawthornglade.core.stream.EventRule;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 class EventSplitterTest {
+    /** A rule of streams of which any event is a part. */
+    private static final EventRule ANY_EVENT = event -> Optional.empty();
+
     private static String add(EventSplitter splitter, String text) {
         return splitter.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)).toString(StandardCharsets.UTF_8);
     }
@@ -34,7 +38,7 @@
         "': comment|id: 4', ': comment|', none",
     })
     void returnsCompleteEventsOnly(String text, String returned, String lastId) {
-        EventSplitter splitter = new EventSplitter(Optional.empty());
+        EventSplitter splitter = new EventSplitter(ANY_EVENT, Optional.empty());
         assertThat(add(splitter, lines(text))).isEqualTo(lines(returned));
         assertThat(splitter.lastId().orElse("none")).isEqualTo(lastId);
     }
@@ -43,7 +47,7 @@
     void splitOfInputDoesNotChangeEvents(
             @ForAll @Size(max = 12) java.util.List<@IntRange(min = 1, max = 9) Integer> cuts) {
         String text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4";
-        EventSplitter splitter = new EventSplitter(Optional.empty());
+        EventSplitter splitter = new EventSplitter(ANY_EVENT, Optional.empty());
         StringBuilder returned = new StringBuilder();
         int from = 0;
         for (int cut : cuts) {
@@ -68,7 +72,7 @@
         "'id: 3||id: ||id: 2||', 'id: 3||id: ||', 2 after 3",
     })
     void splitterStopsAtTheFirstIdThatIsNotAfterTheOneBefore(String text, String returned, String expected) {
-        EventSplitter splitter = new EventSplitter(Optional.empty());
+        EventSplitter splitter = new EventSplitter(ANY_EVENT, Optional.empty());
         assertThat(add(splitter, lines(text))).isEqualTo(lines(returned));
         assertThat(splitter.disorder()
                         .map(found -> found.received().text() + " after "
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -14,6 +14,8 @@
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.resumption.TakeUp;
+import org.hawthornglade.core.stream.EventRule;
+import org.hawthornglade.core.stream.NumberedEventRule;
 import org.hawthornglade.gateway.port.AttemptParameters;
 import org.hawthornglade.gateway.port.CallProtocol;
 import org.hawthornglade.gateway.port.CallRequest;
@@ -31,6 +33,10 @@
     static final String RETRY_AFTER_MS = "X-Shut-Ms";
     /** Header for the requests per second that an endpoint accepts from all entries together. */
     static final String LIMIT = "X-Limit";
+    /** The numeric field that may be the first line of an event. */
+    static final String WEIGHTS_FIELD = "x-weights";
+
+    private static final EventRule EVENT_RULE = new NumberedEventRule(Set.of(WEIGHTS_FIELD));
 
     @Override
     public Either<Failure, CallRequest> readCall(HttpRequest head) {
@@ -94,6 +100,11 @@
         return headers;
     }
 
+    @Override
+    public EventRule eventRule() {
+        return EVENT_RULE;
+    }
+
     @Override
     public String requestIdHeader() {
         return ID;
