A stream ends, or goes on elsewhere, at the first event that is no part of it

Cause: EventSplitter passed on every event that was not known to go back, so an event without an id, or with an empty one, or with a word for an id, went to the caller, and so did bytes that are no field.

Now an event is passed on only if it is known to be a part of its stream: one id, a number, and data; else the attempt ends as INVALID_EVENT, and the call goes on as after a stream that broke off (decision 0038). It works for all kinds alike, since the rule says what an event is and lists no garbage.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EventSplitter.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import org.hawthornglade.core.stream.EventDefect;
 import org.hawthornglade.core.stream.EventRule;
 import org.hawthornglade.core.stream.EventScanner;
 import org.hawthornglade.core.stream.StreamEvent;
@@ -13,7 +12,8 @@
  * Splits an event stream at the boundaries of its events.
  *
  * <p>Only complete events are returned, so that a stream which breaks within an event can be resumed after the last
- * complete event. Nothing is returned from the first event on whose id is not after that of the event before it.
+ * complete event. Nothing is returned from the first event on that is not a part of the stream, or whose id is not
+ * after that of the event before it.
  */
 final class EventSplitter {
     private final ByteBuf buffered = Unpooled.buffer();
@@ -37,7 +37,7 @@
     /** Adds bytes and returns the events that they complete; the caller owns the result. */
     ByteBuf add(ByteBuf bytes) {
         int end = buffered.readerIndex();
-        for (int i = bytes.readerIndex(); i < bytes.writerIndex() && disorder.isEmpty(); i++) {
+        for (int i = bytes.readerIndex(); i < bytes.writerIndex() && !stopped(); i++) {
             byte value = bytes.getByte(i);
             scanner.add(value);
             buffered.writeByte(value);
@@ -46,7 +46,7 @@
             }
         }
         ByteBuf events = Unpooled.copiedBuffer(buffered.slice(buffered.readerIndex(), end - buffered.readerIndex()));
-        buffered.readerIndex(disorder.isEmpty() ? end : buffered.writerIndex());
+        buffered.readerIndex(stopped() ? buffered.writerIndex() : end);
         buffered.discardReadBytes();
         return events;
     }
@@ -56,12 +56,16 @@
         return lastId.map(EventId::text);
     }
 
-    /** Returns the event at which the splitter stopped, if it did. */
+    private boolean stopped() {
+        return disorder.isPresent() || invalid.isPresent();
+    }
+
+    /** Returns the event at which the splitter stopped because it is not after the one before, if it did. */
     Optional<EventDisorder> disorder() {
         return disorder;
     }
 
-    /** Returns the first event that is not a part of the stream, if there was one. */
+    /** Returns the event at which the splitter stopped because it is not a part of the stream, if it did. */
     Optional<InvalidEvent> invalid() {
         return invalid;
     }
@@ -71,12 +75,15 @@
         return buffered.readableBytes();
     }
 
-    /** Reads the id of a complete event; returns the end of what may be passed on. */
+    /** Checks a complete event; returns the end of what may be passed on. */
     private int endOfEvent(int start, int end) {
         StreamEvent event = StreamEvent.read(buffered.toString(start, end - start, StandardCharsets.UTF_8));
-        if (!event.isEmpty()) {
-            Optional<EventDefect> defect = rule.defect(event);
-            invalid = invalid.or(() -> defect.map(found -> new InvalidEvent(found, lastId)));
+        if (event.isEmpty()) {
+            return end;
+        }
+        invalid = rule.defect(event).map(defect -> new InvalidEvent(defect, lastId));
+        if (invalid.isPresent()) {
+            return start;
         }
         Optional<EventId> id = event.id().map(EventId::new).filter(EventId::known);
         if (id.isEmpty()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ReceivedEvents.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ReceivedEvents.java
@@ -32,6 +32,9 @@
         if (splitter.disorder().isPresent()) {
             return Optional.of(OutboundFailure.OUT_OF_ORDER);
         }
+        if (splitter.invalid().isPresent()) {
+            return Optional.of(OutboundFailure.INVALID_EVENT);
+        }
         int bytes = splitter.bufferedBytes();
         if (!budget.tryHoldPartialEvent(reservedBytes, bytes)) {
             return Optional.of(OutboundFailure.ENDLESS);
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundFailure.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundFailure.java
@@ -16,6 +16,8 @@
     NOT_RESUMED(true),
     /** The peer sent an event of a stream that is not after the one before it. */
     OUT_OF_ORDER(true),
+    /** The peer sent something in a stream that is not an event of it. */
+    INVALID_EVENT(true),
     /** The peer answered from a state that it has lost since. */
     OUTDATED(true),
     /** Nothing was received within the allowed time. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/EventSplitterTest.java
@@ -5,11 +5,13 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.hawthornglade.core.stream.EventRule;
+import org.hawthornglade.core.stream.NumberedEventRule;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -85,4 +87,28 @@
             assertThat(splitter.bufferedBytes()).isEqualTo(0);
         }
     }
+
+    /** Events that no run wrote were passed on because nothing forbade them (issue 48). */
+    @ParameterizedTest
+    @CsvSource({
+        "'id: 3|data: x||data: y||id: 4|data: z||', 'id: 3|data: x||', NO_ID after 3",
+        "'data: y||', '', NO_ID after none",
+        "'id: 3|data: x||: c|id:|data: y||', 'id: 3|data: x||: c|', EMPTY_ID after 3",
+        "'id: 3|data: x||HTTP/1.1 200 OK^|A: b^|^|', 'id: 3|data: x||', STATUS_LINE after 3",
+        "'id: 3|data: x||y^^id: 4|data: z||', 'id: 3|data: x||', UNKNOWN_FIELD after 3",
+        "'id: 3|data: x||retry: 5||: c|id: 4|data: z||', 'id: 3|data: x||retry: 5||: c|id: 4|data: z||', none",
+    })
+    void splitterStopsAtTheFirstEventThatIsNoPartOfTheStream(String text, String returned, String expected) {
+        EventSplitter splitter = new EventSplitter(new NumberedEventRule(Set.of()), Optional.empty());
+        assertThat(add(splitter, lines(text))).isEqualTo(lines(returned));
+        assertThat(splitter.invalid()
+                        .map(found -> found.defect() + " after "
+                                + found.last().map(EventId::text).orElse("none"))
+                        .orElse("none"))
+                .isEqualTo(expected);
+        if (splitter.invalid().isPresent()) {
+            assertThat(add(splitter, "id: 9\ndata: x\n\n")).isEmpty();
+            assertThat(splitter.bufferedBytes()).isEqualTo(0);
+        }
+    }
 }
