SilenceLimit leaves Attempt

How long an endpoint may be silent is a class of its own; no behaviour changes. The lower bound now stands in one place. Run: SilentEndpointTest, ExchangeTest, ResumptionFailureTest, StreamVersionTest, EventOrderTest (108 rows): passed.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -16,26 +16,18 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.notice.EndpointNotices;
 import org.hawthornglade.core.serving.CallKind;
-import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.gateway.http.BodyFraming;
 import org.hawthornglade.gateway.http.ExpectedResponseId;
 import org.hawthornglade.gateway.http.OutboundConnection;
 import org.hawthornglade.gateway.http.OutboundFailure;
 import org.hawthornglade.gateway.http.OutboundRequest;
 import org.hawthornglade.gateway.http.ResponseListener;
-import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.port.AttemptParameters;
 import org.hawthornglade.gateway.port.ResponseHead;
 
 /** One attempt to run a call at one endpoint. */
 final class Attempt implements ResponseListener {
     private static final int INITIAL_BUFFER_BYTES = 1_024;
-    /** A repeatable call is sent elsewhere if its endpoint is silent for this share of the latency target. */
-    private static final double SILENCE_TARGET_SHARE = 0.8;
-    /** Lower bound of the time that an endpoint may be silent. */
-    private static final long MIN_SILENCE_LIMIT_MS = 150;
-    /** Within a stream, an endpoint may be silent for this many times the target for the gap between events. */
-    private static final int GAP_TARGET_FACTOR = 2;
 
     private final ExchangeContext context;
     private final Exchange exchange;
@@ -46,6 +38,7 @@
     private final Optional<Variant> variant;
     private final long kvTokens;
     private final int prefillTokens;
+    private final SilenceLimit silenceLimit;
     private SendPermission sendPermission;
     private OutboundConnection connection;
     private HttpResponse head;
@@ -54,7 +47,6 @@
     private ResponseHead responseHead;
     private ByteBuf buffered = Unpooled.buffer(INITIAL_BUFFER_BYTES);
     private ReceivedEvents events;
-    private Timers.Timeout silenceTimeout;
     private int reservedBytes;
     private long forwardedBytes;
     private boolean forwarding;
@@ -71,6 +63,7 @@
         this.kvTokens = demand.map(ModelDemand::kvTokens).orElse(0L);
         this.prefillTokens =
                 demand.map(d -> Math.max(0, d.promptTokens() - cachedTokens)).orElse(0);
+        this.silenceLimit = new SilenceLimit(context.timers(), exchange.view().route(), this::onSilence);
     }
 
     void start() {
@@ -129,7 +122,7 @@
                 Optional.of(new ExpectedResponseId(
                         context.protocol().requestIdHeader(),
                         exchange.request().id().value())));
-        watchSilence(firstSilenceLimitMs());
+        silenceLimit.startBeforeResponse();
         sentAtMs = context.clock().nowMs();
         notices = endpoint.notices();
         opened.send(request, this);
@@ -146,25 +139,6 @@
                 || context.resumption().gate().listed(view.service(), chosen.softwareVersion());
     }
 
-    private long firstSilenceLimitMs() {
-        Route route = exchange.view().route();
-        return Math.max(MIN_SILENCE_LIMIT_MS, Math.round(route.targetMs() * SILENCE_TARGET_SHARE));
-    }
-
-    private void watchSilence(long limitMs) {
-        Route route = exchange.view().route();
-        cancelSilenceTimeout();
-        if (route.repeatable()) {
-            silenceTimeout = context.timers().after(limitMs, this::onSilence);
-        }
-    }
-
-    private void cancelSilenceTimeout() {
-        if (silenceTimeout != null) {
-            silenceTimeout.cancel();
-        }
-    }
-
     /** Abandons a silent attempt, unless the call may not run elsewhere; then it keeps waiting at this endpoint. */
     private void onSilence() {
         if (ended || !exchange.canRetryElsewhere()) {
@@ -263,7 +237,7 @@
     private void forwardComplete(ByteBuf complete) {
         onPrefillDone();
         exchange.onEvents(chosen.softwareVersion());
-        watchSilence(Math.max(MIN_SILENCE_LIMIT_MS, exchange.view().route().gapTargetMs() * GAP_TARGET_FACTOR));
+        silenceLimit.startBetweenEvents();
         forward(complete);
         exchange.response().setLastEventId(events.lastId());
     }
@@ -324,7 +298,7 @@
             return;
         }
         if (events != null && BodyFraming.of(head) == BodyFraming.CONNECTION) {
-            cancelSilenceTimeout();
+            silenceLimit.cancel();
             new StreamEndCheck(context, endpoint, chosen, this::onEndChecked).start();
             return;
         }
@@ -427,7 +401,7 @@
         if (events != null) {
             events.end(exchange.record());
         }
-        cancelSilenceTimeout();
+        silenceLimit.cancel();
         if (!prefillDone) {
             endpoint.load().endPrefill(prefillTokens);
         }
