On a streaming route each success is read as events, on the others none

On a streaming route a signed 200 without a type, or with another one, was passed on whole, whatever it held, and looked complete when it was cut. On other routes, whose bodies are returned unchanged, an event stream without ids ended in 502.

Cause: the server's word decided whether its bytes are checked. Now the route does.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -179,8 +179,7 @@
             abandon(OutboundFailure.MALFORMED);
             return;
         }
-        boolean bodiless = HttpMethod.HEAD.equals(exchange.call().head().method());
-        boolean stream = responseHead.isSuccess() && responseHead.eventStream() && !bodiless;
+        boolean stream = isStream();
         if (exchange.response().started() && !stream && !responseHead.notRun()) {
             abandon(OutboundFailure.NOT_RESUMED);
             return;
@@ -192,6 +191,17 @@
         }
     }
 
+    /**
+     * Returns whether the body is read as events.
+     *
+     * <p>The route decides it: what an endpoint calls its response does not make it one.
+     */
+    private boolean isStream() {
+        boolean bodiless =
+                HttpMethod.HEAD.equals(exchange.call().head().method()) || BodyFraming.of(head) == BodyFraming.NONE;
+        return exchange.view().route().kind() == CallKind.STREAM && responseHead.isSuccess() && !bodiless;
+    }
+
     /** Handles the notices in the response, unless another instance or another start of it may have sent them. */
     private void handleNotices(long nowMs) {
         Optional<InstanceId> instance = responseHead.instance();
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/ResponseHead.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/ResponseHead.java
@@ -13,7 +13,6 @@
  * @param impliesNotRun whether callers would conclude from the status that the request did not run
  * @param misdirected whether the request reached another instance, or an endpoint that has not loaded the model
  * @param signed whether the endpoint's signature is present; a success without it is not accepted
- * @param eventStream whether the body is an event stream
  * @param instance the instance that responded, if stated
  * @param load the load of the endpoint, if stated
  * @param leaving whether the endpoint announces that it leaves
@@ -26,7 +25,6 @@
         boolean impliesNotRun,
         boolean misdirected,
         boolean signed,
-        boolean eventStream,
         Optional<InstanceId> instance,
         Optional<ReportedLoad> load,
         boolean leaving,
