What stands between events is no progress of a stream

Now they are held, within the limit of an event, until the event after them or the end of the stream, and read with it.

StreamContentTest: 8 of 8 rows failed before (6 of ends, empty lines without end, the comment), none now.

--- a/core/src/main/java/org/hawthornglade/core/stream/EventScanner.java
+++ b/core/src/main/java/org/hawthornglade/core/stream/EventScanner.java
@@ -10,10 +10,12 @@
     private boolean comment;
     private boolean hasFields;
     private boolean afterCr;
+    private boolean endedEvent;
 
     /** Reads the next byte of the stream. */
     public void add(byte value) {
         boolean secondOfCrLf = afterCr && value == '\n';
+        endedEvent = false;
         afterCr = value == '\r';
         if (secondOfCrLf) {
             return;
@@ -30,6 +32,7 @@
 
     private void endLine() {
         if (lineEmpty) {
+            endedEvent = hasFields;
             hasFields = false;
         } else if (!comment) {
             hasFields = true;
@@ -37,6 +40,11 @@
         lineEmpty = true;
     }
 
+    /** Returns whether the last byte ended an event; after CR, the LF of the same end of line may follow. */
+    public boolean endedEvent() {
+        return endedEvent;
+    }
+
     /** Returns whether the last byte belongs to an event, or a line, of which the end is missing. */
     public boolean insideEvent() {
         return hasFields || !lineEmpty;
--- a/core/src/main/java/org/hawthornglade/core/stream/NumberedEventRule.java
+++ b/core/src/main/java/org/hawthornglade/core/stream/NumberedEventRule.java
@@ -34,8 +34,7 @@
                 return found;
             }
         }
-        boolean onlyRetry = event.count(StreamEvent.RETRY) == event.fields().size();
-        return onlyRetry ? Optional.empty() : contentDefect(event);
+        return event.hasContent() ? contentDefect(event) : Optional.empty();
     }
 
     private Optional<EventDefect> fieldDefect(EventField field, boolean first) {
--- a/core/src/main/java/org/hawthornglade/core/stream/StreamEvent.java
+++ b/core/src/main/java/org/hawthornglade/core/stream/StreamEvent.java
@@ -1,15 +1,16 @@
 package org.hawthornglade.core.stream;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
 /**
  * One event of a stream ({@code text/event-stream}).
  *
  * @param fields its lines in their order, without comments
+ * @param hasLoneCr whether a line ends with CR without LF, which not all readers take for an end
  */
-public record StreamEvent(List<EventField> fields) {
+public record StreamEvent(List<EventField> fields, boolean hasLoneCr) {
     /** The name of the field that holds the id of an event. */
     public static final String ID = "id";
     /** The name of a field that holds a part of an event's content. */
@@ -19,26 +20,40 @@
     /** The name of the field that holds the time before a caller connects again, in milliseconds. */
     public static final String RETRY = "retry";
 
-    private static final String COMMENT = ":";
-    private static final Pattern LINE_ENDS = Pattern.compile("[\r\n]+");
+    private static final char COMMENT = ':';
 
     /** Copies the list. */
     public StreamEvent {
         fields = List.copyOf(fields);
     }
 
-    /** Reads the text of one event, of comments or of empty lines; the end of the last line may be missing. */
+    /** Reads the text of one event and of the comments before it; the end of the last line may be missing. */
     public static StreamEvent read(String text) {
-        return new StreamEvent(LINE_ENDS
-                .splitAsStream(text)
-                .filter(line -> !line.isEmpty() && !line.startsWith(COMMENT))
-                .map(EventField::of)
-                .toList());
+        List<EventField> fields = new ArrayList<>();
+        boolean hasLoneCr = false;
+        int lineStart = 0;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c != '\n' && c != '\r') {
+                continue;
+            }
+            addField(text, lineStart, i, fields);
+            hasLoneCr |= c == '\r' && !text.startsWith("\n", i + 1);
+            lineStart = i + 1;
+        }
+        addField(text, lineStart, text.length(), fields);
+        return new StreamEvent(fields, hasLoneCr);
     }
 
-    /** Returns whether there is no field: such an event means nothing to its reader. */
-    public boolean isEmpty() {
-        return fields.isEmpty();
+    private static void addField(String text, int start, int end, List<EventField> fields) {
+        if (start < end && text.charAt(start) != COMMENT) {
+            fields.add(EventField.of(text.substring(start, end)));
+        }
+    }
+
+    /** Returns whether there is anything that means something to the reader of the stream's content. */
+    public boolean hasContent() {
+        return fields.stream().anyMatch(field -> !field.name().equals(RETRY));
     }
 
     /** Returns the value of the last id field. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -303,8 +303,7 @@
         if (ended) {
             return;
         }
-        if (streamBrokenOff()) {
-            abandon(OutboundFailure.BROKEN_OFF);
+        if (events != null && !endEvents()) {
             return;
         }
         if (events != null && BodyFraming.of(head) == BodyFraming.CONNECTION) {
@@ -315,6 +314,19 @@
         complete();
     }
 
+    /** Passes on what stands after the last event; returns whether the stream has ended properly. */
+    private boolean endEvents() {
+        ByteBuf rest = events.endOfStream();
+        Optional<OutboundFailure> failure = events.failure();
+        if (failure.isPresent() || streamBrokenOff()) {
+            rest.release();
+            abandon(failure.orElse(OutboundFailure.BROKEN_OFF));
+            return false;
+        }
+        forward(rest);
+        return true;
+    }
+
     private void onEndChecked(boolean crashed) {
         if (ended) {
             return;
@@ -347,9 +359,6 @@
      * <p>The end of a connection looks the same whether the endpoint has finished or failed.
      */
     private boolean streamBrokenOff() {
-        if (events == null) {
-            return false;
-        }
         boolean noEvents = !prefillDone;
         return events.insideEvent() || (noEvents && BodyFraming.of(head) == BodyFraming.CONNECTION);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ReceivedEvents.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ReceivedEvents.java
@@ -27,6 +27,11 @@
         return splitter.add(bytes);
     }
 
+    /** Ends the stream and returns what stands after its last event; the caller owns the result. */
+    ByteBuf endOfStream() {
+        return splitter.end();
+    }
+
     /** Returns why the stream can't go on, or reserves memory for the part of an event that has arrived. */
     Optional<OutboundFailure> failure() {
         if (splitter.disorder().isPresent()) {
@@ -50,12 +55,12 @@
 
     /** Returns whether the end of an event is missing. */
     boolean insideEvent() {
-        return splitter.bufferedBytes() > 0;
+        return splitter.insideEvent();
     }
 
     /** Records how the stream ended and releases its memory. */
     void end(CallRecord record) {
-        record.onStreamEnd(splitter.bufferedBytes());
+        record.onStreamEnd(insideEvent() ? splitter.bufferedBytes() : 0);
         splitter.disorder().ifPresent(record::onDisorder);
         splitter.invalid().ifPresent(record::onInvalidEvent);
         budget.releasePartialEvent(reservedBytes);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamContentTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamContentTest.java
@@ -2,8 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
+import java.util.stream.Stream;
 import org.hawthornglade.gateway.exchange.ScriptedEndpoint.ConnectionAction;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bytes of an endpoint that reach the caller of a stream, or count as its progress, though they are no event of it. */
@@ -40,4 +44,52 @@
 
         assertThat(call(path).body()).isEqualTo(GARBAGE);
     }
+
+    static Stream<String> besideEvents() {
+        return Stream.of(": c\n\n", "\n", "retry: 5\n\n");
+    }
+
+    /** A stream that ended with its connection looked complete if anything, such as an empty line, had arrived. */
+    @ParameterizedTest(name = "{index}")
+    @MethodSource("besideEvents")
+    void unframedStreamWithoutEventsIsNotComplete(String beside) throws Exception {
+        local.respond(EVENTS + "\r\n" + beside, ConnectionAction.CLOSE);
+
+        ReceivedResponse received = call("/stream/x");
+
+        assertThat(received.complete() && received.status() == 200).isFalse();
+    }
+
+    /** The same for the stream that goes on: events were missing and the response looked complete. */
+    @ParameterizedTest(name = "{index}")
+    @MethodSource("besideEvents")
+    void unframedRestWithoutEventsIsNotComplete(String beside) throws Exception {
+        local.respond(EVENTS + sized(FIRST + GARBAGE), ConnectionAction.KEEP_OPEN);
+        remote.respond(EVENTS + "\r\n" + beside, ConnectionAction.CLOSE);
+
+        assertThat(call("/patient/x").complete()).isFalse();
+    }
+
+    /** Empty lines without end were passed on until the deadline, and each counted as progress of the stream. */
+    @Test
+    void endlessEmptyLinesAreNoProgress() throws Exception {
+        local.respond(EVENTS + "\r\n" + FIRST, ConnectionAction.REPEAT_LAST_BYTE);
+        remote.respond(EVENTS + sized(SECOND), ConnectionAction.KEEP_OPEN);
+
+        ReceivedResponse received = call("/patient/x");
+
+        assertThat(received.body().replaceAll("\n+", "\n")).isEqualTo((FIRST + SECOND).replaceAll("\n+", "\n"));
+        assertThat(received.complete()).isTrue();
+    }
+
+    /** A comment bound the call to the software version of its instance, though the caller had no event yet. */
+    @Test
+    void commentDoesNotBindTheStreamToAVersion() throws Exception {
+        entry.close();
+        entry = new TestEntry(List.of(local, remote), List.of("v1", "v2"), TestEntry.LIMITS, new RetryBudgets(0.1, 10));
+        local.respond(EVENTS + sized(": c\n" + GARBAGE), ConnectionAction.KEEP_OPEN);
+        remote.respond(EVENTS + sized(FIRST), ConnectionAction.KEEP_OPEN);
+
+        assertThat(call("/patient/x").body()).endsWith(FIRST);
+    }
 }
