An event with a lone CR is no part of a stream

Cause: the rule ends a stream where readers differ, but the ends of lines were left out. Now CR alone is no end of a line, and an event counts as ended by CR LF only with its LF.

StreamContentTest.breakWithinTheEndOfALineDoesNotJoinLines failed before; so did the three rows of NumberedEventRuleTest, by construction.

--- a/core/src/main/java/org/hawthornglade/core/stream/EventDefect.java
+++ b/core/src/main/java/org/hawthornglade/core/stream/EventDefect.java
@@ -8,6 +8,8 @@
     UNKNOWN_FIELD,
     /** The value of a field, or its place, is not what the field allows. */
     INVALID_FIELD,
+    /** A line ends with CR without LF: not all readers take that for the end of a line. */
+    LONE_CR,
     /** The event has no id. */
     NO_ID,
     /** The id is empty or consists of blanks. */
--- a/core/src/main/java/org/hawthornglade/core/stream/NumberedEventRule.java
+++ b/core/src/main/java/org/hawthornglade/core/stream/NumberedEventRule.java
@@ -34,6 +34,9 @@
                 return found;
             }
         }
+        if (event.hasLoneCr()) {
+            return Optional.of(EventDefect.LONE_CR);
+        }
         return event.hasContent() ? contentDefect(event) : Optional.empty();
     }
 
--- a/core/src/test/java/org/hawthornglade/core/stream/NumberedEventRuleTest.java
+++ b/core/src/test/java/org/hawthornglade/core/stream/NumberedEventRuleTest.java
@@ -63,6 +63,10 @@
         "'HTTP/1.1 200 OK^|Content-Length: 5^|^|', STATUS_LINE",
         "'id: 4|HTTP/1.1 200 OK|data: x||', STATUS_LINE",
         "'Content-Length: 5^|^|', UNKNOWN_FIELD",
+        "'id: 4^|data: x^|^|', none",
+        "'id: 4^data: x||', LONE_CR",
+        "'id: 4|data: x^^', LONE_CR",
+        "': c^id: 4|data: x||', LONE_CR",
     })
     void tellsWhyAnEventIsNotAPartOfAStream(String text, String expected) {
         StreamEvent event =
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamContentTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamContentTest.java
@@ -92,4 +92,13 @@
 
         assertThat(call("/patient/x").body()).endsWith(FIRST);
     }
+
+    /** A break between CR and LF left a lone CR, so that readers of LF found no id in the event after it. */
+    @Test
+    void breakWithinTheEndOfALineDoesNotJoinLines() throws Exception {
+        local.respond(EVENTS + "Content-Length: 99\r\n\r\nid: 1\r\ndata: a\r\n\r", ConnectionAction.CLOSE);
+        remote.respond(EVENTS + sized(FIRST + SECOND), ConnectionAction.KEEP_OPEN);
+
+        assertThat(call("/patient/x").body()).isEqualTo(FIRST + SECOND);
+    }
 }
