--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/InvalidEventTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/InvalidEventTest.java
@@ -156,7 +156,7 @@
         return ReceivedResponse.parse(entry.call(resumable ? "/resumable/x" : "/stream/x"), "POST");
     }
 
-    /** Pieces that no run wrote, without an id or with an empty one, reached callers as pieces of a stream (issue 48). */
+    /** Pieces that no run wrote, without an id or with an empty one, reached callers of a stream (issue 48). */
     @ParameterizedTest(name = "{0}")
     @MethodSource("garbageRows")
     void eventThatIsNoPartOfTheStreamNeverReachesTheCaller(GarbageRow row) throws Exception {
