--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -196,11 +196,7 @@
         responseHead
                 .load()
                 .ifPresent(load -> endpoint.load()
-                        .updateOthers(
-                                load.running()
-                                        + load.waiting()
-                                        - endpoint.load().ownRequests(),
-                                nowMs));
+                        .updateOthers(load.requests() - endpoint.load().ownRequests(), nowMs));
         if (responseHead.isSuccess() && !responseHead.signed()) {
             abandon(OutboundFailure.MALFORMED);
             return;
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/ResponseHead.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/ResponseHead.java
@@ -39,7 +39,12 @@
      * @param waiting queued requests
      * @param slots the number of requests that can run concurrently
      */
-    public record ReportedLoad(int running, int waiting, int slots) {}
+    public record ReportedLoad(int running, int waiting, int slots) {
+        /** Returns the requests in flight from all entries. */
+        public int requests() {
+            return running + waiting;
+        }
+    }
 
     public boolean isSuccess() {
         return status >= 200 && status < 300;
