A request with a negative number of tokens no longer makes a full server look empty

A caller's "X-Token-Count: -2147483648,5", or a part of a prompt with a negative length, was taken as it stood: as long as the call ran, its endpoint counted two billion tokens too few, so that any further request seemed to fit into its memory, and the entry sent them there. Parts of more than 2^31 tokens together overflowed in the same sums.

The sums are of 64 bits.

--- a/core/src/main/java/org/hawthornglade/core/dispatch/ModelDemand.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/ModelDemand.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.core.dispatch;
 
+import com.google.common.base.Preconditions;
 import java.util.List;
 import java.util.Optional;
 import org.hawthornglade.core.fleet.PromptPart;
@@ -21,8 +22,10 @@
         int promptTokens,
         int maxOutputTokens,
         List<PromptPart> prefix) {
-    /** Copies the list. */
+    /** Validates the numbers and copies the list. */
     public ModelDemand {
+        Preconditions.checkArgument(promptTokens >= 0, "negative number of prompt tokens: %s", promptTokens);
+        Preconditions.checkArgument(maxOutputTokens >= 0, "negative number of output tokens: %s", maxOutputTokens);
         prefix = List.copyOf(prefix);
     }
 
@@ -38,8 +41,8 @@
 
     /** Returns the number of prompt tokens that are not shared with other requests. */
     public int ownTokens() {
-        int sharedTokens = sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-        return Math.max(0, promptTokens - sharedTokens);
+        long sharedTokens = sharedParts().stream().mapToLong(PromptPart::tokens).sum();
+        return (int) Math.max(0, promptTokens - sharedTokens);
     }
 
     /** Returns the maximum space that the request needs in the KV cache, in tokens. */
--- a/core/src/main/java/org/hawthornglade/core/fleet/PrefixCache.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/PrefixCache.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.core.fleet;
 
+import com.google.common.primitives.Ints;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,15 +34,15 @@
     /** Returns the number of prompt tokens that are probably cached. */
     public int cachedTokens(String variant, List<PromptPart> parts) {
         StringBuilder chain = new StringBuilder(variant);
-        int cached = 0;
+        long cached = 0;
         for (PromptPart part : parts) {
             chain.append('|').append(part.id());
             if (!tokensByChain.containsKey(chain.toString())) {
-                return cached;
+                break;
             }
             cached += part.tokens();
         }
-        return cached;
+        return Ints.saturatedCast(cached);
     }
 
     /** Removes all prefixes, as after a restart of the instance. */
--- a/core/src/main/java/org/hawthornglade/core/fleet/PromptPart.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/PromptPart.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.core.fleet;
 
+import com.google.common.base.Preconditions;
 import org.hawthornglade.core.id.PromptPartId;
 
 /**
@@ -8,4 +9,9 @@
  * @param id the part's id, unique for its text
  * @param tokens its length in tokens
  */
-public record PromptPart(PromptPartId id, int tokens) {}
+public record PromptPart(PromptPartId id, int tokens) {
+    /** Validates the length. */
+    public PromptPart {
+        Preconditions.checkArgument(tokens >= 0, "negative number of tokens: %s", tokens);
+    }
+}
--- a/core/src/test/java/org/hawthornglade/core/fleet/PrefixCacheTest.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/PrefixCacheTest.java
@@ -30,6 +30,16 @@
         assertThat(cache.cachedTokens(variant, parts(requested))).isEqualTo(cached);
     }
 
+    /** The sum of two long parts overflowed, so that cached parts counted as still to be read. */
+    @Test
+    void countsLongPartsWithoutOverflow() {
+        List<PromptPart> parts = List.of(
+                new PromptPart(PromptPartId.of("a"), Integer.MAX_VALUE),
+                new PromptPart(PromptPartId.of("b"), Integer.MAX_VALUE));
+        cache.add("m", parts);
+        assertThat(cache.cachedTokens("m", parts)).isEqualTo(Integer.MAX_VALUE);
+    }
+
     @Test
     void isEmptyAfterARestart() {
         cache.add("m", parts("a"));
