--- a/gateway/src/main/java/org/hawthornglade/gateway/json/JsonFields.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/json/JsonFields.java
@@ -84,9 +84,11 @@
 
     /** Returns the elements of a list; an empty list if the field is missing. */
     public static List<JsonNode> list(JsonNode node, String field) {
-        if (!node.has(field)) {
-            return List.of();
-        }
+        return node.has(field) ? requiredList(node, field) : List.of();
+    }
+
+    /** Returns the elements of a list. */
+    public static List<JsonNode> requiredList(JsonNode node, String field) {
         JsonNode value = node.path(field);
         if (!value.isArray()) {
             throw new MalformedFieldException(field, "a list");
