--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -31,6 +32,7 @@
 import org.hawthornglade.gateway.exchange.CallReceiver;
 import org.hawthornglade.gateway.exchange.CrashDetector;
 import org.hawthornglade.gateway.exchange.EndpointConnections;
+import org.hawthornglade.gateway.exchange.EngineStartCheck;
 import org.hawthornglade.gateway.exchange.ExchangeContext;
 import org.hawthornglade.gateway.exchange.QuarantineLog;
 import org.hawthornglade.gateway.exchange.ResponseBufferBudget;
@@ -121,6 +123,7 @@
                 retryBudgets,
                 quarantine,
                 resumption,
+                new EngineStartCheck(control, this::runsModels),
                 new CrashDetector(timers, clock, connections, quarantine),
                 protocol,
                 log,
@@ -223,12 +226,19 @@
         return configuration.current().map(ServingConfiguration::limits).orElse(RequestLimits.DEFAULT);
     }
 
+    private boolean runsModels(ServiceName service) {
+        return engineOf(service).isPresent();
+    }
+
     private EngineDefinition engine(ServiceName service) {
+        return engineOf(service).orElseThrow();
+    }
+
+    private Optional<EngineDefinition> engineOf(ServiceName service) {
         return configuration
                 .current()
                 .flatMap(known -> known.service(service))
-                .flatMap(definition -> definition.engine())
-                .orElseThrow();
+                .flatMap(definition -> definition.engine());
     }
 
     @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -105,7 +105,31 @@
             opened.cancel();
             return;
         }
-        if (restarted()
+        if (exchange.view().streamVersion().isEmpty()) {
+            sendOver(opened);
+            return;
+        }
+        // Asked after the connection was opened: what has started since then did not accept it.
+        context.startCheck().check(chosen, result -> onStartChecked(opened, result));
+    }
+
+    private void onStartChecked(OutboundConnection opened, StartCheck.Result result) {
+        if (ended) {
+            opened.cancel();
+            return;
+        }
+        if (result != StartCheck.Result.SAME) {
+            opened.cancel();
+            finish();
+            exchange.onStartUnconfirmed(endpoint, result);
+            return;
+        }
+        sendOver(opened);
+    }
+
+    private void sendOver(OutboundConnection opened) {
+        if (!opened.isOpen()
+                || restarted()
                 || !versionListed()
                 || !sendPermission.valid(context.clock().nowMs())) {
             opened.cancel();
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -224,6 +224,15 @@
         retryNotRun();
     }
 
+    /** Handles an instance that was not asked to go on with a stream, since it may have started again. */
+    void onStartUnconfirmed(Endpoint endpoint, StartCheck.Result result) {
+        attempt = null;
+        view.tried().add(endpoint.id());
+        record.addNote("start-" + result + ":" + endpoint.id());
+        context.metrics().count("starts_unconfirmed");
+        retryNotRun();
+    }
+
     /** Handles a rejection: the endpoint has stated that it did not run the call. */
     void onRejected(Endpoint endpoint, ResponseHead head) {
         attempt = null;
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -23,6 +23,7 @@
  * @param retryBudgets limits retries
  * @param quarantine refuses calls with parts of prompts that crash instances
  * @param resumption decides where streams that callers take up go on
+ * @param startCheck finds out whether instances have started again
  * @param crashDetector tells crashes from lost connections
  * @param protocol translates headers between callers and endpoints
  * @param log receives one line for each call
@@ -39,6 +40,7 @@
         RetryBudgets retryBudgets,
         PromptQuarantine quarantine,
         StreamResumption resumption,
+        StartCheck startCheck,
         CrashDetector crashDetector,
         CallProtocol protocol,
         EventLog log,
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -118,7 +118,8 @@
         channel.config().setAutoRead(on);
     }
 
-    boolean isOpen() {
+    /** Returns whether the connection has not been closed by either side. */
+    public boolean isOpen() {
         return channel.isActive();
     }
 
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Deque;
+import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -41,6 +42,9 @@
      */
     record Script(String text, ConnectionAction connectionAction) {}
 
+    /** The time of the first start of an endpoint. */
+    static final long FIRST_BORN_MS = 1;
+
     private static final int PIECE_BYTES = 16_384;
 
     private final ServerSocket listener;
@@ -50,6 +54,7 @@
     private final Semaphore released = new Semaphore(0);
     private final Thread acceptor;
     private volatile boolean accepting = true;
+    private volatile OptionalLong bornMs = OptionalLong.of(FIRST_BORN_MS);
 
     ScriptedEndpoint() throws IOException {
         listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -67,6 +72,21 @@
         return listener.getLocalPort();
     }
 
+    /** Starts again under the same id and address. */
+    void startAgain() {
+        bornMs = OptionalLong.of(FIRST_BORN_MS + 1);
+    }
+
+    /** Does not answer any more when it is asked for its start. */
+    void hideStart() {
+        bornMs = OptionalLong.empty();
+    }
+
+    /** Returns what the endpoint says of its start. */
+    OptionalLong bornMs() {
+        return bornMs;
+    }
+
     ScriptedEndpoint respond(String text, ConnectionAction action) {
         scripts.add(new Script(text, action));
         return this;
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.hawthornglade.gateway.exchange.ScriptedEndpoint.ConnectionAction;
 import org.junit.jupiter.api.AfterEach;
@@ -123,6 +124,44 @@
         assertThat(endpoints.get(1).unreadRequests()).isEqualTo(0);
     }
 
+    static Stream<Arguments> unconfirmedStarts() {
+        return Stream.of(
+                Arguments.of("other start", (Consumer<ScriptedEndpoint>) ScriptedEndpoint::startAgain),
+                Arguments.of("no answer", (Consumer<ScriptedEndpoint>) ScriptedEndpoint::hideStart));
+    }
+
+    /** An instance that had started again with other software, which the list did not show, went on with a stream. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("unconfirmedStarts")
+    void brokenStreamDoesNotGoOnAfterARestartThatTheListDoesNotShow(String name, Consumer<ScriptedEndpoint> restart)
+            throws Exception {
+        start("v1", "v1", "v1");
+        endpoints.get(0).respond(begun(), ConnectionAction.RESET);
+        for (ScriptedEndpoint endpoint : endpoints) {
+            restart.accept(endpoint);
+            endpoint.respond(rest(), ConnectionAction.KEEP_OPEN);
+        }
+        assertThat(entry.call("/resumable/x")).endsWith(chunk(FIRST));
+        assertThat(endpoints.get(1).unreadRequests() + endpoints.get(2).unreadRequests())
+                .isEqualTo(0);
+    }
+
+    /** The same beside an instance that has not started again: a stream that is sound there must not end. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("unconfirmedStarts")
+    void brokenStreamGoesOnBesideARestartThatTheListDoesNotShow(String name, Consumer<ScriptedEndpoint> restart)
+            throws Exception {
+        start("v1", "v1", "v1", "v1");
+        endpoints.get(0).respond(begun(), ConnectionAction.RESET);
+        for (ScriptedEndpoint endpoint : endpoints) {
+            endpoint.respond(rest(), ConnectionAction.KEEP_OPEN);
+        }
+        restart.accept(endpoints.get(1));
+        restart.accept(endpoints.get(2));
+        assertThat(entry.call("/resumable/x")).endsWith(chunk(SECOND) + "0\r\n\r\n");
+        assertThat(endpoints.get(3).unreadRequests()).isEqualTo(1);
+    }
+
     /** Instances that name no version were taken for instances of one version. */
     @Test
     void unknownVersionsAreNotCompatible() throws Exception {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TakeUpTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TakeUpTest.java
@@ -161,6 +161,36 @@
         assertThat(endpoints.get(1).unreadRequests()).isEqualTo(0);
     }
 
+    /** A stream was taken up at an instance that had started again with other software, which the list did not show. */
+    @ParameterizedTest(name = "named: {0}")
+    @MethodSource("unknownOrigins")
+    void streamOfAnotherEntryIsNotTakenUpAfterARestartThatTheListDoesNotShow(String name, String origin)
+            throws Exception {
+        start("v1", "v1");
+        endpoints.forEach(ScriptedEndpoint::startAgain);
+        assertThat(takeUp("/resumable/x", origin)).startsWith("HTTP/1.1 503");
+        assertThat(requests()).isEqualTo(0);
+    }
+
+    /** The same with a stream that began at this entry. */
+    @Test
+    void streamThatBeganHereIsNotTakenUpAfterARestartThatTheListDoesNotShow() throws Exception {
+        endpoints.add(new ScriptedEndpoint().respond(HEAD + FIRST, ConnectionAction.WAIT_FOR_CLOSE));
+        endpoints.add(new ScriptedEndpoint().respond(HEAD + SECOND + END, ConnectionAction.KEEP_OPEN));
+        entry = new TestEntry(endpoints, List.of("v1", "v1"), TestEntry.LIMITS, new RetryBudgets(0.1, 10));
+        try (Socket caller = entry.connect()) {
+            TestEntry.send(caller, TestEntry.post("/stream/x", "r-0", "hello"));
+            TestEntry.read(caller, FIRST);
+        }
+        endpoints.get(0).startAgain();
+        endpoints.get(0).respond(HEAD + SECOND + END, ConnectionAction.KEEP_OPEN);
+        assertThat(takeUp("/stream/x", named("r-0"))).contains(SECOND + END);
+        assertThat(endpoints.get(0).unreadRequests()).isEqualTo(1);
+        endpoints.get(1).startAgain();
+        assertThat(takeUp("/stream/x", named("r-0"))).startsWith("HTTP/1.1 503");
+        assertThat(endpoints.get(0).unreadRequests()).isEqualTo(1);
+    }
+
     /** A new version got streams before other entries could learn that it may have begun some. */
     @Test
     void streamsAreNotSentToAVersionThatIsNotListed() throws Exception {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -74,10 +74,31 @@
     /** Creates an entry whose endpoints run the given versions of their software. */
     TestEntry(List<ScriptedEndpoint> endpoints, List<String> versions, RequestLimits limits, RetryBudgets budgets)
             throws IOException {
-        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions);
+        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions, startsOf(endpoints));
     }
 
-    private TestEntry(RequestLimits limits, RetryBudgets budgets, List<Integer> ports, List<String> versions)
+    private static StartCheck startsOf(List<ScriptedEndpoint> endpoints) {
+        return (record, done) -> done.accept(endpoints.stream()
+                .filter(endpoint -> endpoint.port() == record.address().port())
+                .map(endpoint -> start(endpoint, record))
+                .findFirst()
+                .orElse(StartCheck.Result.UNKNOWN));
+    }
+
+    private static StartCheck.Result start(ScriptedEndpoint endpoint, InstanceRecord record) {
+        if (endpoint.bornMs().isEmpty()) {
+            return StartCheck.Result.UNKNOWN;
+        }
+        boolean same = endpoint.bornMs().getAsLong() == record.bornMs();
+        return same ? StartCheck.Result.SAME : StartCheck.Result.OTHER;
+    }
+
+    private TestEntry(
+            RequestLimits limits,
+            RetryBudgets budgets,
+            List<Integer> ports,
+            List<String> versions,
+            StartCheck startCheck)
             throws IOException {
         EventLoop loop = group.next();
         EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
@@ -85,7 +106,7 @@
         fleet = new Fleet();
         List<InstanceRecord> records = new ArrayList<>();
         for (int i = 0; i < ports.size(); i++) {
-            records.add(record("i-" + i, ports.get(i), i, versions.get(i), 1));
+            records.add(record("i-" + i, ports.get(i), i, versions.get(i), ScriptedEndpoint.FIRST_BORN_MS));
         }
         fleet.onSnapshot(records, clock.nowMs());
         LeastLoadedSelector selector = new LeastLoadedSelector(LOCAL_DOMAIN);
@@ -107,6 +128,7 @@
                 budgets,
                 quarantine,
                 resumption,
+                startCheck,
                 new CrashDetector(timers, clock, connections, quarantine),
                 new TestProtocol(),
                 log,
@@ -120,7 +142,11 @@
     /** Creates an entry whose endpoints listen at the given ports. */
     static TestEntry ofPorts(List<Integer> ports, RetryBudgets budgets) throws IOException {
         return new TestEntry(
-                LIMITS, budgets, ports, ports.stream().map(each -> "v1").toList());
+                LIMITS,
+                budgets,
+                ports,
+                ports.stream().map(each -> "v1").toList(),
+                (record, done) -> done.accept(StartCheck.Result.SAME));
     }
 
     static final RequestLimits LIMITS = new RequestLimits(2_048, 10_000, 3_000, 15_000);
