--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -118,7 +118,7 @@
             opened.cancel();
             return;
         }
-        if (result != StartCheck.Result.SAME) {
+        if (result != StartCheck.Result.SAME && !restarted()) {
             opened.cancel();
             finish();
             exchange.onStartUnconfirmed(endpoint, result);
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/EngineStartCheck.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/EngineStartCheck.java
@@ -9,6 +9,9 @@
 
 /** Requests the report of an engine, which names its start; an instance without models has none to request. */
 public final class EngineStartCheck implements StartCheck {
+    /** The start in a report that names none. */
+    private static final long NOT_STATED_MS = 0;
+
     private final EngineControl control;
     private final Predicate<ServiceName> runsModels;
 
@@ -32,6 +35,10 @@
     }
 
     private static Result result(InstanceRecord record, EngineReport report) {
-        return report.version().bornMs() == record.bornMs() ? Result.SAME : Result.OTHER;
+        long bornMs = report.version().bornMs();
+        if (bornMs == NOT_STATED_MS) {
+            return Result.UNKNOWN;
+        }
+        return bornMs == record.bornMs() ? Result.SAME : Result.OTHER;
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -230,6 +230,12 @@
         view.tried().add(endpoint.id());
         record.addNote("start-" + result + ":" + endpoint.id());
         context.metrics().count("starts_unconfirmed");
+        boolean present =
+                context.fleet().endpoint(endpoint.id()).filter(endpoint::equals).isPresent();
+        if (present && result == StartCheck.Result.OTHER) {
+            // Its next record brings it back; until then its software and its models are unknown.
+            context.fleet().onMisdirected(endpoint.id());
+        }
         retryNotRun();
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/StartCheck.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/StartCheck.java
@@ -13,7 +13,7 @@
     enum Result {
         /** The instance runs since the start that its record names. */
         SAME,
-        /** The instance has started again. */
+        /** The instance has started again, or another one has its address. */
         OTHER,
         /** The instance did not answer in time, or with something else. */
         UNKNOWN
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
@@ -162,6 +162,21 @@
         assertThat(endpoints.get(3).unreadRequests()).isEqualTo(1);
     }
 
+    /** An instance that was known to have started again was chosen until no attempt was left, and no call got through. */
+    @Test
+    void restartThatTheListDoesNotShowEndsTheUseOfTheInstanceUntilItsNextRecord() throws Exception {
+        start("v1", "v1");
+        endpoints.get(0).respond(begun(), ConnectionAction.RESET);
+        for (ScriptedEndpoint endpoint : endpoints) {
+            endpoint.startAgain();
+            endpoint.respond(rest(), ConnectionAction.KEEP_OPEN);
+        }
+        assertThat(entry.call("/resumable/x")).endsWith(chunk(FIRST));
+        assertThat(entry.call("/resumable/x")).startsWith("HTTP/1.1 503");
+        entry.restart(1, endpoints.get(1), "v1");
+        assertThat(entry.call("/resumable/x")).endsWith(chunk(SECOND) + "0\r\n\r\n");
+    }
+
     /** Instances that name no version were taken for instances of one version. */
     @Test
     void unknownVersionsAreNotCompatible() throws Exception {
