The bodies of callers have a common budget: a burst of large ones no longer stops the entry

Cause: each connection kept its body in one growing direct buffer, and nothing limited their sum. With -Xmx96m the direct memory was used up, and each allocation on the event loop slept in java.nio.Bits.reserveMemory before it failed.

Change: RequestBodyBudget (56 MiB, at most 0.6 of the direct memory) is reserved before a connection is read on. Small bodies (64 KiB) are always read; large ones wait in their order, the oldest with a part of its own, so that half-read bodies never block each other; a body that was not read for 2 s, or can never fit, is refused as not run (503, code 2017, Retry-After). Memory is released when a call ends, is refused, or its connection closes. The time in which a caller is not read from does not count against it. Bodies lie in pieces of 64 KiB, which are not copied as they grow.

--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -43,6 +43,8 @@
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.memory.BodyPressureLog;
+import org.hawthornglade.gateway.memory.RequestBodyBudget;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.port.CallProtocol;
 import org.hawthornglade.gateway.port.EngineControl;
@@ -76,6 +78,7 @@
     private final PlacementCoordinator placement;
     private final StreamResumption resumption;
     private final CallReceiver receiver;
+    private final RequestBodyBudget bodies;
     private final CallerServer callers;
     private final CallerServer readiness;
     private final RetryBudgets retryBudgets;
@@ -126,7 +129,8 @@
                 log,
                 metrics);
         this.receiver = new CallReceiver(exchanges, configuration::current, collector::onCall, new Random());
-        this.callers = new CallerServer(context.loop(), timers, clock, this::limits, receiver);
+        this.bodies = RequestBodyBudget.ofEntry(clock, new BodyPressureLog(clock, log, metrics));
+        this.callers = new CallerServer(context.loop(), timers, clock, this::limits, receiver, bodies);
         this.readiness =
                 new CallerServer(context.loop(), timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
     }
@@ -198,6 +202,8 @@
 
     private void checkPeriodically() {
         fleet.expire(clock.nowMs());
+        metrics.set("request_body_bytes", (int) bodies.reservedBytes());
+        metrics.set("request_bodies_waiting", bodies.waiting());
         if (!waitingCalls.isEmpty()) {
             waitingCalls.reconsider();
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -27,6 +27,8 @@
 public final class CallReceiver implements CallHandler {
     /** Retry-After while no configuration is known. */
     private static final long NOT_READY_RETRY_AFTER_MS = 500;
+    /** Retry-After while the bodies of other calls take the memory; other entries may have room at once. */
+    private static final long NO_MEMORY_RETRY_AFTER_MS = 500;
     /** Retry-After while this entry stops; the caller then reaches another entry. */
     static final long STOPPING_RETRY_AFTER_MS = 50;
     /** A call ends this long before its caller's deadline, so that the response arrives in time. */
@@ -102,6 +104,12 @@
         start(call, request, route.get(), known.get());
     }
 
+    @Override
+    public void onNoMemory(IncomingCall call) {
+        RequestId id = context.protocol().readCall(call.head()).fold(invalid -> RequestId.of("none"), CallRequest::id);
+        sendError(call, id, ResultCode.BODY_MEMORY_FULL, NO_MEMORY_RETRY_AFTER_MS, "no memory for its body");
+    }
+
     /** Continues the calls in the startup queue if the configuration and the instances are known by now. */
     public void releaseStartupQueue() {
         if (configuration.get().isPresent() && context.fleet().listLoaded()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/RequestDigester.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/RequestDigester.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
@@ -34,7 +35,9 @@
         put(hasher, head.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT));
         put(hasher, head.uri());
         ByteBuf body = call.body();
-        hasher.putBytes(body.nioBuffer(body.readerIndex(), body.readableBytes()));
+        for (ByteBuffer piece : body.nioBuffers()) {
+            hasher.putBytes(piece);
+        }
         return Optional.of(new RequestDigest(hasher.hash().toString().substring(0, LENGTH)));
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallHandler.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallHandler.java
@@ -1,7 +1,16 @@
 package org.hawthornglade.gateway.http;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
 /** Handles incoming calls. */
 public interface CallHandler {
     /** Handles a call that was read completely; the response may be sent later. */
     void onCall(IncomingCall call);
+
+    /** Refuses a call whose body was not read, because there is no memory for it; the connection is closed after it. */
+    default void onNoMemory(IncomingCall call) {
+        call.response().send(HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+    }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.gateway.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -18,34 +19,55 @@
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.memory.BodyPressureListener;
+import org.hawthornglade.gateway.memory.RequestBodyBudget;
 
 /** Accepts connections from callers at one address. */
 public final class CallerServer {
     private static final int BACKLOG = 1_024;
+    /** The first read from a connection is small: most requests are. */
+    private static final int FIRST_READ_BYTES = 2_048;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final long OVERDUE_CHECK_INTERVAL_MS = 100;
 
     private final EventLoop loop;
     private final Timers timers;
     private final Clock clock;
     private final Supplier<RequestLimits> limits;
     private final CallHandler handler;
+    private final RequestBodyBudget bodies;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listener;
     private volatile int openCalls;
     private boolean draining;
 
+    /** Creates a server that does not listen yet, with a budget of its own for bodies. */
+    public CallerServer(
+            EventLoop loop, Timers timers, Clock clock, Supplier<RequestLimits> limits, CallHandler handler) {
+        this(loop, timers, clock, limits, handler, RequestBodyBudget.ofEntry(clock, BodyPressureListener.NONE));
+    }
+
     /**
      * Creates a server that does not listen yet.
      *
      * @param limits the request limits currently in force
      * @param handler handles the calls
+     * @param bodies limits the memory for the bodies of requests
      */
     public CallerServer(
-            EventLoop loop, Timers timers, Clock clock, Supplier<RequestLimits> limits, CallHandler handler) {
+            EventLoop loop,
+            Timers timers,
+            Clock clock,
+            Supplier<RequestLimits> limits,
+            CallHandler handler,
+            RequestBodyBudget bodies) {
         this.loop = loop;
         this.timers = timers;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
+        this.bodies = bodies;
     }
 
     /**
@@ -61,6 +83,10 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(
+                                MIN_READ_BYTES, FIRST_READ_BYTES, RequestBodyBudget.MAX_READ_BYTES))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -77,6 +103,7 @@
                 .bind(address.host(), address.port())
                 .syncUninterruptibly()
                 .channel();
+        timers.every(OVERDUE_CHECK_INTERVAL_MS, bodies::refuseOverdue);
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
@@ -133,6 +160,10 @@
         return clock;
     }
 
+    RequestBodyBudget bodies() {
+        return bodies;
+    }
+
     CallHandler handler() {
         return handler;
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -120,7 +120,9 @@
     private void complete(HttpObject end) {
         ended = true;
         boolean last = closesConnection();
-        if (last) {
+        if (last && connection.discardsRest()) {
+            Channels.writeAndDiscardRest(channel, end);
+        } else if (last) {
             Channels.writeAndClose(channel, end);
         } else {
             Channels.write(channel, end);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -40,6 +40,8 @@
 import org.hawthornglade.gateway.http.CallerServer;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.memory.BodyPressureLog;
+import org.hawthornglade.gateway.memory.RequestBodyBudget;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.resumption.InMemoryStreamStore;
 import org.hawthornglade.gateway.resumption.StreamResumption;
@@ -49,6 +51,7 @@
     static final ServiceName SERVICE = ServiceName.of("orders");
     private static final FailureDomain LOCAL_DOMAIN = FailureDomain.of("zone-a");
     private static final int READ_TIMEOUT_MS = 5_000;
+    private static final long BODY_BYTES = 40_000_000;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final ResponseBufferBudget bufferBudget = new ResponseBufferBudget();
@@ -61,6 +64,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final CallerServer server;
     private final CallReceiver receiver;
+    private final RequestBodyBudget bodies;
     private final int port;
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
@@ -74,10 +78,11 @@
     /** Creates an entry whose endpoints run the given versions of their software. */
     TestEntry(List<ScriptedEndpoint> endpoints, List<String> versions, RequestLimits limits, RetryBudgets budgets)
             throws IOException {
-        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions);
+        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions, BODY_BYTES);
     }
 
-    private TestEntry(RequestLimits limits, RetryBudgets budgets, List<Integer> ports, List<String> versions)
+    private TestEntry(
+            RequestLimits limits, RetryBudgets budgets, List<Integer> ports, List<String> versions, long bodyBytes)
             throws IOException {
         EventLoop loop = group.next();
         EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
@@ -113,14 +118,20 @@
                 metrics);
         metrics.start();
         receiver = new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
-        server = new CallerServer(loop, timers, clock, () -> limits, receiver);
+        bodies = new RequestBodyBudget(bodyBytes, clock, new BodyPressureLog(clock, log, metrics));
+        server = new CallerServer(loop, timers, clock, () -> limits, receiver, bodies);
         port = server.listen(new InstanceAddress("127.0.0.1", 0));
     }
 
     /** Creates an entry whose endpoints listen at the given ports. */
     static TestEntry ofPorts(List<Integer> ports, RetryBudgets budgets) throws IOException {
         return new TestEntry(
-                LIMITS, budgets, ports, ports.stream().map(each -> "v1").toList());
+                LIMITS, budgets, ports, ports.stream().map(each -> "v1").toList(), BODY_BYTES);
+    }
+
+    /** Creates an entry with one endpoint and a limit for the bodies of all requests together. */
+    static TestEntry ofBodyBytes(ScriptedEndpoint endpoint, RequestLimits limits, long bodyBytes) throws IOException {
+        return new TestEntry(limits, new RetryBudgets(0.1, 10), List.of(endpoint.port()), List.of("v1"), bodyBytes);
     }
 
     static final RequestLimits LIMITS = new RequestLimits(2_048, 10_000, 3_000, 15_000);
@@ -236,6 +247,16 @@
         return group.submit(bufferBudget::reservedBytes).get(5, TimeUnit.SECONDS);
     }
 
+    /** Returns the memory that is reserved for the bodies of requests; read on the event loop. */
+    long bodyBytes() throws Exception {
+        return group.submit(bodies::reservedBytes).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Returns how many bodies are not read on for now; read on the event loop. */
+    int waitingBodies() throws Exception {
+        return group.submit(bodies::waiting).get(5, TimeUnit.SECONDS);
+    }
+
     /** Opens a connection as a caller. */
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
