--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -40,6 +40,8 @@
 import org.hawthornglade.gateway.http.CallerServer;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.Timers;
+import org.hawthornglade.gateway.memory.BodyPressureLog;
+import org.hawthornglade.gateway.memory.RequestBodyBudget;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.resumption.InMemoryStreamStore;
 import org.hawthornglade.gateway.resumption.StreamResumption;
@@ -50,6 +52,7 @@
     private static final FailureDomain LOCAL_DOMAIN = FailureDomain.of("zone-a");
     private static final int READ_TIMEOUT_MS = 5_000;
     private static final long PATIENT_TARGET_MS = 60_000;
+    private static final long BODY_BYTES = 40_000_000;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final ResponseBufferBudget bufferBudget = new ResponseBufferBudget();
@@ -62,6 +65,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final CallerServer server;
     private final CallReceiver receiver;
+    private final RequestBodyBudget bodies;
     private final int port;
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
@@ -75,7 +79,7 @@
     /** Creates an entry whose endpoints run the given versions of their software. */
     TestEntry(List<ScriptedEndpoint> endpoints, List<String> versions, RequestLimits limits, RetryBudgets budgets)
             throws IOException {
-        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions, startsOf(endpoints));
+        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions, startsOf(endpoints), BODY_BYTES);
     }
 
     private static StartCheck startsOf(List<ScriptedEndpoint> endpoints) {
@@ -99,7 +103,8 @@
             RetryBudgets budgets,
             List<Integer> ports,
             List<String> versions,
-            StartCheck startCheck)
+            StartCheck startCheck,
+            long bodyBytes)
             throws IOException {
         EventLoop loop = group.next();
         EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
@@ -136,7 +141,8 @@
                 metrics);
         metrics.start();
         receiver = new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
-        server = new CallerServer(loop, timers, clock, () -> limits, receiver);
+        bodies = new RequestBodyBudget(bodyBytes, clock, new BodyPressureLog(clock, log, metrics));
+        server = new CallerServer(loop, timers, clock, () -> limits, receiver, bodies);
         port = server.listen(new InstanceAddress("127.0.0.1", 0));
     }
 
@@ -147,7 +153,13 @@
                 budgets,
                 ports,
                 ports.stream().map(each -> "v1").toList(),
-                (record, done) -> done.accept(StartCheck.Result.SAME));
+                (record, done) -> done.accept(StartCheck.Result.SAME),
+                BODY_BYTES);
+    }
+
+    /** Creates an entry with one endpoint and a limit for the bodies of all requests together. */
+    static TestEntry ofBodyBytes(ScriptedEndpoint endpoint, RequestLimits limits, long bodyBytes) throws IOException {
+        return new TestEntry(limits, new RetryBudgets(0.1, 10), List.of(endpoint.port()), List.of("v1"), (record, done) -> done.accept(StartCheck.Result.SAME), bodyBytes);
     }
 
     static final RequestLimits LIMITS = new RequestLimits(2_048, 10_000, 3_000, 15_000);
@@ -274,6 +286,16 @@
         return group.submit(bufferBudget::reservedBytes).get(5, TimeUnit.SECONDS);
     }
 
+    /** Returns the memory that is reserved for the bodies of requests; read on the event loop. */
+    long bodyBytes() throws Exception {
+        return group.submit(bodies::reservedBytes).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Returns how many bodies are not read on for now; read on the event loop. */
+    int waitingBodies() throws Exception {
+        return group.submit(bodies::waiting).get(5, TimeUnit.SECONDS);
+    }
+
     /** Opens a connection as a caller. */
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
