A success that claims not to have run is malformed

Cause: the mark was believed against the status. Now such an answer is malformed: a repeatable call goes elsewhere, any other ends with 502.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -195,7 +195,7 @@
                 .load()
                 .ifPresent(load -> endpoint.load()
                         .updateOthers(load.requests() - endpoint.load().ownRequests(), nowMs));
-        if (responseHead.isSuccess() && !responseHead.signed()) {
+        if (responseHead.isSuccess() && (!responseHead.signed() || responseHead.notRun())) {
             abandon(OutboundFailure.MALFORMED);
             return;
         }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamContentTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamContentTest.java
@@ -7,6 +7,7 @@
 import org.hawthornglade.gateway.exchange.ScriptedEndpoint.ConnectionAction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -101,4 +102,21 @@
 
         assertThat(call("/patient/x").body()).isEqualTo(FIRST + SECOND);
     }
+
+    /** A success that said it was not run was passed on, and the call then ran elsewhere and was joined to it. */
+    @ParameterizedTest
+    @CsvSource({"/patient/x, 200", "/stream/x, 502", "/unsafe/x, 502", "/safe/x, 200"})
+    void successThatClaimsNotToHaveRunIsMalformed(String path, int status) throws Exception {
+        local.respond(EVENTS + "X-Unrun: 1\r\n" + sized(FIRST + SECOND), ConnectionAction.KEEP_OPEN);
+        remote.respond(EVENTS + sized(FIRST + SECOND), ConnectionAction.KEEP_OPEN);
+
+        ReceivedResponse received = call(path);
+
+        assertThat(received.status()).isEqualTo(status);
+        assertThat(received.complete()).isTrue();
+        if (status == 200) {
+            assertThat(received.body()).isEqualTo(FIRST + SECOND);
+        }
+        assertThat(remote.unreadRequests()).isEqualTo(status == 200 ? 1 : 0);
+    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -79,7 +79,13 @@
     /** Creates an entry whose endpoints run the given versions of their software. */
     TestEntry(List<ScriptedEndpoint> endpoints, List<String> versions, RequestLimits limits, RetryBudgets budgets)
             throws IOException {
-        this(limits, budgets, endpoints.stream().map(ScriptedEndpoint::port).toList(), versions, startsOf(endpoints), BODY_BYTES);
+        this(
+                limits,
+                budgets,
+                endpoints.stream().map(ScriptedEndpoint::port).toList(),
+                versions,
+                startsOf(endpoints),
+                BODY_BYTES);
     }
 
     private static StartCheck startsOf(List<ScriptedEndpoint> endpoints) {
@@ -159,7 +165,13 @@
 
     /** Creates an entry with one endpoint and a limit for the bodies of all requests together. */
     static TestEntry ofBodyBytes(ScriptedEndpoint endpoint, RequestLimits limits, long bodyBytes) throws IOException {
-        return new TestEntry(limits, new RetryBudgets(0.1, 10), List.of(endpoint.port()), List.of("v1"), (record, done) -> done.accept(StartCheck.Result.SAME), bodyBytes);
+        return new TestEntry(
+                limits,
+                new RetryBudgets(0.1, 10),
+                List.of(endpoint.port()),
+                List.of("v1"),
+                (record, done) -> done.accept(StartCheck.Result.SAME),
+                bodyBytes);
     }
 
     static final RequestLimits LIMITS = new RequestLimits(2_048, 10_000, 3_000, 15_000);
