--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
@@ -162,7 +162,7 @@
         assertThat(endpoints.get(3).unreadRequests()).isEqualTo(1);
     }
 
-    /** An instance that was known to have started again was chosen until no attempt was left, and no call got through. */
+    /** An instance that had started again was chosen until no attempt was left, and no call got through. */
     @Test
     void restartThatTheListDoesNotShowEndsTheUseOfTheInstanceUntilItsNextRecord() throws Exception {
         start("v1", "v1");
