--- a/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
@@ -25,24 +25,37 @@
         this.demand = demand;
     }
 
-    /** Returns the next order for an adapter that calls wait for; empty if it is loaded already or must wait. */
-    Optional<ReplicaOrder> nextOrder(
+    /** The next order for an adapter, if there is one, and why there is none otherwise. */
+    record Step(AdapterWait state, Optional<ReplicaOrder> order) {
+        private static Step none(AdapterWait state) {
+            return new Step(state, Optional.empty());
+        }
+    }
+
+    /** Returns the next step for an adapter that calls wait for. */
+    Step nextStep(
             Variant wanted, Collection<EngineReplicaTracker> trackers, Set<EngineReplicaTracker> occupied, long nowMs) {
         AdapterName adapter = wanted.adapter().orElseThrow();
         EngineReplicaTracker best = null;
+        boolean served = false;
         for (EngineReplicaTracker tracker : trackers) {
             if (!tracker.serves(wanted.model())) {
                 continue;
             }
+            served = true;
             if (tracker.models().get(wanted.model()).adapters().containsKey(adapter)) {
-                return Optional.empty();
+                return Step.none(AdapterWait.LOADED);
             }
             boolean free = !occupied.contains(tracker) && tracker.acceptsAdapterOrder();
             if (free && (best == null || isLessLoaded(tracker, best, nowMs))) {
                 best = tracker;
             }
         }
-        return best == null ? Optional.empty() : orderAt(best, wanted, nowMs);
+        if (best == null) {
+            return Step.none(served ? AdapterWait.ENGINES_BUSY : AdapterWait.NO_REPLICA);
+        }
+        Optional<ReplicaOrder> order = orderAt(best, wanted, nowMs);
+        return new Step(order.isPresent() ? AdapterWait.ORDERED : AdapterWait.SLOTS_IN_USE, order);
     }
 
     /**
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +33,7 @@
     private final TargetEngineChooser targets;
     private final ProactiveLoadPlanner proactiveLoads;
     private final RemoteLoadMonitor remoteLoads;
+    private final Map<AdapterWait, Integer> adapterWaits = new EnumMap<>(AdapterWait.class);
 
     /** Creates a planner for one version of the engine definition of a service. */
     public ReplicaPlanner(
@@ -55,12 +58,7 @@
         PlanningRound round = new PlanningRound(engine, pacer, evictions, trackers, nowMs);
         List<VariantDemand> waiting = waitingByPriority(trackers, nowMs);
         continuePendingModels(round);
-        for (VariantDemand each : waiting) {
-            if (each.variant().adapter().isPresent()) {
-                adapters.nextOrder(each.variant(), trackers, round.occupied(), nowMs)
-                        .ifPresent(round::add);
-            }
-        }
+        orderAdapters(waiting, round);
         proactiveLoads.addRequiredReplicas(round);
         proactiveLoads.addReplicasForAdapters(waiting, round);
         for (VariantDemand each : waiting) {
@@ -74,6 +72,24 @@
         return round.orders();
     }
 
+    private void orderAdapters(List<VariantDemand> waiting, PlanningRound round) {
+        adapterWaits.clear();
+        for (VariantDemand each : waiting) {
+            if (each.variant().adapter().isEmpty()) {
+                continue;
+            }
+            AdapterPlanner.Step step =
+                    adapters.nextStep(each.variant(), round.trackers(), round.occupied(), round.nowMs());
+            adapterWaits.merge(step.state(), 1, Integer::sum);
+            step.order().ifPresent(round::add);
+        }
+    }
+
+    /** Returns what the adapters that calls wait for were waiting for in the last round, with how many of them. */
+    public Map<AdapterWait, Integer> adapterWaits() {
+        return Collections.unmodifiableMap(adapterWaits);
+    }
+
     /** Returns the expected duration of an order that is about to be sent. */
     public OrderDuration expectedDuration(
             EngineReplicaTracker tracker, ReplicaOrder order, Collection<EngineReplicaTracker> trackers, long nowMs) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -5,6 +5,7 @@
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.dispatch.ReplicaShortage;
 import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.result.ResultCode;
@@ -29,6 +30,7 @@
     private long firstByteAtMs;
     private long promisedAtMs;
     private long retryAfterMs;
+    private Optional<ReplicaShortage> shortage = Optional.empty();
     private Optional<BodyFraming> streamFraming = Optional.empty();
     private int partialEventBytes;
     private Optional<EventDisorder> disorder = Optional.empty();
@@ -49,6 +51,11 @@
         }
     }
 
+    /** Records what no endpoint had ready when the call was made to wait or refused; the last one counts. */
+    void onShortage(ReplicaShortage found) {
+        shortage = Optional.of(found);
+    }
+
     void onRetryAfter(long delayMs) {
         retryAfterMs = delayMs;
     }
@@ -127,6 +134,7 @@
         if (!waitedFor.isEmpty()) {
             line.with("waited_for", waitedFor);
         }
+        shortage.ifPresent(found -> line.with("lacked", found));
         if (promisedAtMs > 0) {
             line.with("promised_ms", promisedAtMs - view.arrivedAtMs());
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -8,6 +8,7 @@
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.PermitWaiter;
+import org.hawthornglade.core.dispatch.ReplicaShortage;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Permits;
 import org.hawthornglade.core.id.ModelName;
@@ -188,9 +189,18 @@
             return;
         }
         hasWaited = true;
+        recordShortage();
         context.waitingCalls().addNew(this);
     }
 
+    private void recordShortage() {
+        view.demand()
+                .ifPresent(demand -> record.onShortage(ReplicaShortage.of(
+                        demand,
+                        context.fleet().usable(view.service()),
+                        context.clock().nowMs())));
+    }
+
     private void send(Decision.Send decision) {
         record.onSent(decision, context.clock().nowMs());
         attempt = new Attempt(context, this, decision.endpoint(), decision.cachedTokens());
@@ -365,6 +375,7 @@
         if (code == ResultCode.DEADLINE_NOT_REACHABLE || code == ResultCode.MODEL_NOT_LOADED) {
             context.waitingCalls().expectedRetries().add(view, context.clock().nowMs() + retryAfterMs);
         }
+        recordShortage();
         record.onRetryAfter(retryAfterMs);
         ResultCode reported = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
         fail(reported, reported.hasRetryAfter() ? retryAfterMs : 0);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -7,6 +7,7 @@
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.lease.Leadership;
 import org.hawthornglade.core.lease.LeaseRow;
 import org.hawthornglade.core.limit.LimitUpdate;
@@ -19,6 +20,7 @@
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.GatewaySettings;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
+import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
@@ -53,12 +55,14 @@
     private final SharedQuarantine quarantine;
     private final Timers timers;
     private final Clock clock;
+    private final EventLog log;
     private long fullDemandSentMs;
     private boolean demandPending;
     private Consumer<Boolean> leadingListener = leading -> {};
     private Consumer<StoreEra> storeEraListener = era -> {};
     private IntConsumer entryCountListener = entries -> {};
     private boolean wasLeading;
+    private FencingToken followedToken = new FencingToken(0);
 
     /** Creates the leading and the following side. */
     public PlacementCoordinator(
@@ -77,6 +81,7 @@
         this.collector = collector;
         this.timers = context.timers();
         this.clock = context.clock();
+        this.log = context.log();
         String nonce = settings.node() + "-" + context.wallClock().nowMs();
         this.leadership = new Leadership(
                 settings.node(),
@@ -202,9 +207,33 @@
         leader.scheduleRound();
     }
 
+    @Override
+    public long publish(PlacementUpdate update) {
+        apply(update, clock.nowMs());
+        long bytes = followers.send(update);
+        waitingCalls.reconsider();
+        return bytes;
+    }
+
     @Override
     public void onPlacements(PlacementUpdate update) {
         long nowMs = clock.nowMs();
+        logToken(update.token());
+        apply(update, nowMs);
+        leadership.onLeaderMessage(update.leaseRevision(), nowMs);
+        storeEraListener.accept(update.leaseRevision().era());
+        leader.onLoadLimits(update.loadLimits());
+        waitingCalls.reconsider();
+    }
+
+    private void logToken(FencingToken token) {
+        if (!token.equals(followedToken)) {
+            followedToken = token;
+            log.event("placements-followed").with("token", token).write();
+        }
+    }
+
+    private void apply(PlacementUpdate update, long nowMs) {
         for (InstancePlacement placement : update.placements()) {
             fleet.onPlacement(placement);
             Optional<Endpoint> endpoint = fleet.endpoint(placement.instance());
@@ -213,14 +242,6 @@
                     known -> known.load().updateOthers(running - known.load().ownRequests(), nowMs));
         }
         entryCountListener.accept(update.entries());
-        if (leadership.leading()) {
-            followers.send(update);
-        } else {
-            leadership.onLeaderMessage(update.leaseRevision(), nowMs);
-            storeEraListener.accept(update.leaseRevision().era());
-            leader.onLoadLimits(update.loadLimits());
-        }
-        waitingCalls.reconsider();
     }
 
     @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -42,8 +42,12 @@
 
     /** Receives the updates of the leader. */
     public interface Listener {
-        /** Receives an update for all entries. */
-        void onPlacements(PlacementUpdate update);
+        /**
+         * Receives an update for all entries.
+         *
+         * @return the number of bytes that it takes to send it to them
+         */
+        long publish(PlacementUpdate update);
     }
 
     private final String node;
@@ -56,6 +60,7 @@
     private final Clock clock;
     private final EventLog log;
     private final GatewayMetrics metrics;
+    private final LeaderActivity activity;
     private final Map<ServiceName, EnginePool> pools = new HashMap<>();
     private boolean wasLeading;
     private boolean roundScheduled;
@@ -84,6 +89,7 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
+        this.activity = new LeaderActivity(clock, log, metrics);
     }
 
     /** Applies the newest configuration. */
@@ -163,6 +169,7 @@
         if (changed || clock.nowMs() - publishedAtMs >= PUBLISH_INTERVAL_MS) {
             publish();
         }
+        activity.check();
     }
 
     private void updateLeadership() {
@@ -194,6 +201,7 @@
     }
 
     private void onReportFailed(EngineReplicaTracker tracker, Failure failure) {
+        activity.onReportFailed();
         tracker.onReportFailed();
         log.event("report-failed")
                 .with("instance", tracker.id())
@@ -203,6 +211,7 @@
 
     private boolean sendOrders(EnginePool pool) {
         List<ReplicaOrder> orders = pool.planner().plan(pool.trackers(), clock.nowMs());
+        activity.onAdapterWaits(pool.planner().adapterWaits());
         for (ReplicaOrder order : orders) {
             Optional<EngineReplicaTracker> tracker = pool.tracker(order.instance());
             tracker.ifPresent(target -> sendOrder(pool, target, order));
@@ -213,6 +222,7 @@
     private void sendOrder(EnginePool pool, EngineReplicaTracker tracker, ReplicaOrder order) {
         OrderDuration duration = pool.planner().expectedDuration(tracker, order, pool.trackers(), clock.nowMs());
         tracker.onOrderSent(order, clock.nowMs());
+        activity.onOrderSent(order);
         log.event("order")
                 .with("instance", order.instance())
                 .with("action", order.action())
@@ -234,6 +244,7 @@
     private void onOrderOutcome(
             EngineReplicaTracker tracker, ReplicaOrder order, OrderOutcome outcome, OrderDuration duration) {
         tracker.onOrderAnswered(order, outcome, duration, clock.nowMs());
+        activity.onOrderAnswered(outcome);
         if (outcome != OrderOutcome.ACCEPTED) {
             log.event("order-answer")
                     .with("instance", order.instance())
@@ -275,8 +286,9 @@
             }
         }
         metrics.set("engines_changing", enginesChanging);
-        listener.onPlacements(new PlacementUpdate(
-                leadership.token(), leadership.seen().revision(), placements, running, entryCount(nowMs), loadLimits));
+        PlacementUpdate update = new PlacementUpdate(
+                leadership.token(), leadership.seen().revision(), placements, running, entryCount(nowMs), loadLimits);
+        activity.onPublished(listener.publish(update));
     }
 
     /** Adopts the load limits that the leading entry has learned about the weight stores. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/metrics/GatewayMetrics.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/metrics/GatewayMetrics.java
@@ -69,6 +69,12 @@
                 meterRegistry -> meterRegistry.counter("hawthornglade_" + name).increment());
     }
 
+    /** Adds an amount to a counter, such as the bytes that were sent. */
+    public void add(String name, long amount) {
+        registry.ifPresent(
+                meterRegistry -> meterRegistry.counter("hawthornglade_" + name).increment((double) amount));
+    }
+
     /** Sets a gauge, such as the number of engines that load a model. */
     public void set(String name, int value) {
         registry.ifPresent(meterRegistry -> gauges.computeIfAbsent(
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/FollowerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/FollowerServer.java
@@ -62,13 +62,21 @@
                 .syncUninterruptibly();
     }
 
-    /** Sends an update to all followers. */
-    public void send(PlacementUpdate update) {
+    /**
+     * Sends an update to all followers.
+     *
+     * @return the number of bytes sent, over all followers
+     */
+    public long send(PlacementUpdate update) {
         if (followers.isEmpty()) {
-            return;
+            return 0;
         }
         byte[] frame = PeerCodec.encode(update, clock.nowMs());
-        followers.keySet().forEach(follower -> follower.send(frame));
+        long bytes = 0;
+        for (PeerChannel follower : followers.keySet()) {
+            bytes += follower.send(frame) ? frame.length : 0;
+        }
+        return bytes;
     }
 
     /** Sends an update on rate-limited endpoints to one follower. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerChannel.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerChannel.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.gateway.peer;
 
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -47,11 +48,18 @@
                         peer);
     }
 
-    /** Sends a frame, or drops it if the peer reads too slowly; a later frame contains the same information. */
-    void send(byte[] frame) {
-        if (channel.isWritable()) {
-            channel.writeAndFlush(Unpooled.wrappedBuffer(frame)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    /**
+     * Sends a frame, or drops it if the peer reads too slowly; a later frame contains the same information.
+     *
+     * @return whether it was sent
+     */
+    @CanIgnoreReturnValue
+    boolean send(byte[] frame) {
+        if (!channel.isWritable()) {
+            return false;
         }
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        return true;
     }
 
     /** Returns whether a frame that is sent now is not dropped. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/CallRecordTest.java
@@ -14,6 +14,7 @@
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Decision;
 import org.hawthornglade.core.dispatch.ModelDemand;
+import org.hawthornglade.core.dispatch.ReplicaShortage;
 import org.hawthornglade.core.fleet.PromptPart;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.PromptPartId;
@@ -29,6 +30,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The records of calls that waited for a load with an estimated end. */
@@ -59,6 +61,16 @@
                 .isEqualTo(broken);
     }
 
+    /** From the line of a refused call it must be visible whether its model or just its adapter was missing. */
+    @ParameterizedTest
+    @EnumSource(ReplicaShortage.class)
+    void lineOfARefusedCallNamesWhatItLacked(ReplicaShortage shortage) throws InterruptedException {
+        CallRecord record = new CallRecord(RequestId.of("r-1"), call(), 1);
+        record.onShortage(shortage);
+        record.write(log, metrics, ResultCode.DEADLINE_NOT_REACHABLE, 503, ARRIVED_AT_MS + 900);
+        assertThat(lines.poll(5, TimeUnit.SECONDS)).endsWith(" lacked=" + shortage + "\n");
+    }
+
     /** From the line of a call it must be visible how its stream was to end, and whether it ended inside an event. */
     @ParameterizedTest
     @CsvSource({
