--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/FollowerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/FollowerServer.java
@@ -37,6 +37,7 @@
     private final Clock clock;
     private final Listener listener;
     private final Map<PeerChannel, String> followers = new HashMap<>();
+    private final PlacementPublisher publisher = new PlacementPublisher();
 
     /** Creates a server that does not listen yet. */
     public FollowerServer(EventLoop loop, Clock clock, Listener listener) {
@@ -68,15 +69,7 @@
      * @return the number of bytes sent, over all followers
      */
     public long send(PlacementUpdate update) {
-        if (followers.isEmpty()) {
-            return 0;
-        }
-        byte[] frame = PeerCodec.encode(update, clock.nowMs());
-        long bytes = 0;
-        for (PeerChannel follower : followers.keySet()) {
-            bytes += follower.send(frame) ? frame.length : 0;
-        }
-        return bytes;
+        return publisher.publish(update, clock.nowMs());
     }
 
     /** Sends an update on rate-limited endpoints to one follower. */
@@ -105,6 +98,7 @@
         @Override
         public void onOpen(PeerChannel channel) {
             followers.put(channel, "");
+            publisher.add(channel);
             listener.onFollowerConnected();
         }
 
@@ -126,6 +120,7 @@
         @Override
         public void onClosed(PeerChannel channel) {
             String entry = followers.remove(channel);
+            publisher.remove(channel);
             if (entry != null && !entry.isEmpty() && !followers.containsValue(entry)) {
                 listener.onFollowerDisconnected(entry);
             }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerChannel.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerChannel.java
@@ -13,7 +13,7 @@
 import org.hawthornglade.protocol.gen.peer.PeerMessage;
 
 /** A connection between two entries that carries frames in both directions. */
-final class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> {
+final class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> implements PlacementPublisher.Follower {
     private static final int MAX_FRAME_BYTES = 4_194_304;
     private static final int LENGTH_BYTES = 4;
 
@@ -53,8 +53,9 @@
      *
      * @return whether it was sent
      */
+    @Override
     @CanIgnoreReturnValue
-    boolean send(byte[] frame) {
+    public boolean send(byte[] frame) {
         if (!channel.isWritable()) {
             return false;
         }
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PlacementTrafficTest.java
@@ -0,0 +1,68 @@
+package org.hawthornglade.gateway.peer;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The bytes that a leader sends to the other entries while adapters are replaced. */
+class PlacementTrafficTest {
+    /** The smallest link of an entry, 10 Mbit/s, in bytes a second. */
+    private static final long SMALLEST_LINK_BYTES_PER_S = 1_250_000;
+    /** Calls, orders, reports and the lease need the rest of the link. */
+    private static final double LINK_SHARE = 0.5;
+
+    private static final long CHANGE_INTERVAL_MS = 20;
+    private static final long PUBLISH_INTERVAL_MS = 300;
+    /** A leader publishes when it sends an order, when it is answered, and when the adapter is ready. */
+    private static final int PUBLICATIONS_PER_CHANGE = 3;
+
+    private static final long DURATION_MS = 10_000;
+
+    /**
+     * Guards against a leader whose publications fill its own link, so that its orders, reports and lease time out.
+     */
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({"30, 1", "30, 2", "30, 3"})
+    void fiftyChangedAdaptersASecondLeaveRoomOnTheSmallestLink(int entries, long seed) {
+        PublishedEngines engines = new PublishedEngines(2 * entries, entries, seed);
+        PlacementPublisher publisher = new PlacementPublisher();
+        for (int i = 1; i < entries; i++) {
+            publisher.add(new ReadingFollower());
+        }
+        publisher.publish(engines.update(), 0);
+        long bytesThisSecond = 0;
+        for (long nowMs = CHANGE_INTERVAL_MS; nowMs <= DURATION_MS; nowMs += CHANGE_INTERVAL_MS) {
+            bytesThisSecond += publishChange(engines, publisher, nowMs);
+            if (nowMs % 1_000 == 0) {
+                assertWithMessage("bytes in the second before %s ms", nowMs)
+                        .that((double) bytesThisSecond)
+                        .isAtMost(LINK_SHARE * SMALLEST_LINK_BYTES_PER_S);
+                bytesThisSecond = 0;
+            }
+        }
+    }
+
+    private static long publishChange(PublishedEngines engines, PlacementPublisher publisher, long nowMs) {
+        long bytes = 0;
+        engines.changeAdapter();
+        for (int i = 0; i < PUBLICATIONS_PER_CHANGE; i++) {
+            engines.changeRunning();
+            bytes += publisher.publish(engines.update(), nowMs);
+        }
+        if (nowMs % PUBLISH_INTERVAL_MS == 0) {
+            bytes += publisher.publish(engines.update(), nowMs);
+        }
+        return bytes;
+    }
+
+    /** A follower that reads each frame at once. */
+    private static final class ReadingFollower implements PlacementPublisher.Follower {
+        @Override
+        public boolean send(byte[] frame) {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PublishedEngines.java
@@ -0,0 +1,84 @@
+package org.hawthornglade.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.fleet.ReplicaState;
+import org.hawthornglade.core.fleet.ReplicaStatus;
+import org.hawthornglade.core.id.AdapterName;
+import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.lease.FencingToken;
+import org.hawthornglade.core.replica.LoadLimits;
+import org.hawthornglade.core.store.StoreEra;
+import org.hawthornglade.core.store.StoreRevision;
+
+/** Engines whose adapters and calls change at random, as a leader would publish them. */
+final class PublishedEngines {
+    private static final int ADAPTER_SLOTS = 8;
+    private static final int MAX_RUNNING = 30;
+
+    private final Random random;
+    private final int entries;
+    private final Map<InstanceId, InstancePlacement> placements = new LinkedHashMap<>();
+    private final Map<InstanceId, Integer> running = new HashMap<>();
+
+    PublishedEngines(int engines, int entries, long seed) {
+        this.random = new Random(seed);
+        this.entries = entries;
+        for (int i = 0; i < engines; i++) {
+            InstanceId id = InstanceId.of(String.format("i-%010x", i));
+            Map<AdapterName, ReplicaStatus> adapters = new HashMap<>();
+            for (int slot = 0; slot < ADAPTER_SLOTS; slot++) {
+                adapters.put(AdapterName.of("a" + slot), ReplicaStatus.READY);
+            }
+            ModelName model = ModelName.of("model" + i % 40);
+            placements.put(
+                    id,
+                    new InstancePlacement(id, 1, Map.of(model, new ReplicaState(ReplicaStatus.READY, 0, adapters))));
+        }
+    }
+
+    /** Replaces an adapter of one engine. */
+    void changeAdapter() {
+        List<InstanceId> ids = new ArrayList<>(placements.keySet());
+        InstanceId id = ids.get(random.nextInt(ids.size()));
+        InstancePlacement old = placements.get(id);
+        Map<ModelName, ReplicaState> models = new HashMap<>();
+        old.models().forEach((model, state) -> {
+            Map<AdapterName, ReplicaStatus> adapters = new HashMap<>(state.adapters());
+            adapters.remove(adapters.keySet().iterator().next());
+            adapters.put(AdapterName.of("b" + random.nextInt(100)), ReplicaStatus.READY);
+            models.put(model, new ReplicaState(state.status(), state.readyAtMs(), adapters));
+        });
+        placements.put(id, new InstancePlacement(id, old.bornMs(), models));
+    }
+
+    /** Changes how many calls run, at each engine. */
+    void changeRunning() {
+        placements.keySet().forEach(id -> running.put(id, random.nextInt(MAX_RUNNING)));
+    }
+
+    /** Removes an engine. */
+    void removeEngine() {
+        InstanceId id = placements.keySet().iterator().next();
+        placements.remove(id);
+        running.remove(id);
+    }
+
+    /** Returns all placements, as the leader knows them. */
+    PlacementUpdate update() {
+        return new PlacementUpdate(
+                new FencingToken(7),
+                new StoreRevision(new StoreEra(2), 3),
+                List.copyOf(placements.values()),
+                running,
+                entries,
+                Map.of(ServiceName.of("drafts"), new LoadLimits(1, 1)));
+    }
+}
