--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaFixture.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaFixture.java
@@ -73,9 +73,18 @@
 
     /** Reports calls that wait at a named entry. */
     void waiting(String entry, long slackMs, String... variants) {
+        waiting(entry, 0, slackMs, variants);
+    }
+
+    /** Reports calls that an entry has refused and that are expected to be made again. */
+    void expected(String entry, long slackMs, String... variants) {
+        waiting(entry, 1, slackMs, variants);
+    }
+
+    private void waiting(String entry, int expectedCalls, long slackMs, String... variants) {
         List<VariantDemand> waiting = new ArrayList<>();
         for (String variant : variants) {
-            waiting.add(new VariantDemand(variant(variant), 1, slackMs));
+            waiting.add(new VariantDemand(variant(variant), 1, expectedCalls, slackMs));
         }
         demand.onDemand(entry, new EntryDemand(waiting, Map.of(), Map.of(), Set.of(), Map.of()), nowMs);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.hawthornglade.core.dispatch.CallView;
-import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.Variant;
@@ -90,20 +89,19 @@
 
     private List<VariantDemand> waiting(ServiceName service, long nowMs) {
         Map<Variant, VariantDemand> sums = new HashMap<>();
-        List<CallView> calls = waitingCalls.expectedRetries().pending(nowMs);
-        waitingCalls.all().forEach(exchange -> calls.add(exchange.view()));
-        for (CallView call : calls) {
-            if (call.demand().isPresent() && call.service().equals(service)) {
-                VariantDemand variantDemand = demandOf(call, call.demand().get(), nowMs);
-                sums.merge(variantDemand.variant(), variantDemand, VariantDemand::plus);
-            }
-        }
+        waitingCalls.expectedRetries().pending(nowMs).forEach(call -> add(call, 1, service, sums, nowMs));
+        waitingCalls.all().forEach(exchange -> add(exchange.view(), 0, service, sums, nowMs));
         return new ArrayList<>(sums.values());
     }
 
-    private static VariantDemand demandOf(CallView call, ModelDemand demand, long nowMs) {
+    private static void add(
+            CallView call, int expectedCalls, ServiceName service, Map<Variant, VariantDemand> sums, long nowMs) {
+        if (call.demand().isEmpty() || !call.service().equals(service)) {
+            return;
+        }
+        Variant variant = call.demand().get().variant();
         long slackMs = call.arrivedAtMs() + call.route().targetMs() - nowMs;
-        return new VariantDemand(new Variant(demand.model(), demand.adapter()), 1, slackMs);
+        sums.merge(variant, new VariantDemand(variant, 1, expectedCalls, slackMs), VariantDemand::plus);
     }
 
     private Set<InstanceId> unreachable(ServiceName service, long nowMs) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -139,6 +139,9 @@
         for (VariantDemand each : demand.waiting()) {
             Waiting waiting = new Waiting(each.variant().model().value(), each.calls(), each.slackMs());
             each.variant().adapter().ifPresent(adapter -> waiting.setAdapter(adapter.value()));
+            if (each.expectedCalls() > 0) {
+                waiting.setExpectedCalls(each.expectedCalls());
+            }
             coded.addToWaiting(waiting);
         }
         demand.arrivals()
@@ -172,8 +175,12 @@
     private static EntryDemand entryDemand(ServiceDemand coded) {
         List<VariantDemand> waiting = new ArrayList<>();
         for (Waiting each : coded.getWaiting()) {
-            waiting.add(
-                    new VariantDemand(variant(each.getModel(), each.getAdapter()), each.getCalls(), each.getSlackMs()));
+            // Entries of the previous version send no expected calls.
+            waiting.add(new VariantDemand(
+                    variant(each.getModel(), each.getAdapter()),
+                    each.getCalls(),
+                    each.getExpectedCalls(),
+                    each.getSlackMs()));
         }
         Map<ModelName, ModelArrivals> arrivals = new HashMap<>();
         coded.getArrivals()
--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/DemandCollectorTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/DemandCollectorTest.java
@@ -45,7 +45,7 @@
         EntryDemand demand = collector.collect(true, nowMs).services().get(SERVICE);
         List<VariantDemand> expected = calls == 0
                 ? List.of()
-                : List.of(new VariantDemand(new Variant(MODEL, Optional.empty()), 1, ARRIVED_AT_MS + 800 - nowMs));
+                : List.of(new VariantDemand(new Variant(MODEL, Optional.empty()), 1, 1, ARRIVED_AT_MS + 800 - nowMs));
         assertThat(demand.waiting()).isEqualTo(expected);
     }
 
--- a/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
@@ -7,7 +7,10 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.hawthornglade.core.fleet.Variant;
+import org.hawthornglade.core.id.AdapterName;
 import org.hawthornglade.core.id.InstanceId;
+import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.limit.LimitStatus;
@@ -21,7 +24,9 @@
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
 import org.hawthornglade.core.quarantine.QuarantinedPart;
 import org.hawthornglade.core.quarantine.Suspect;
+import org.hawthornglade.core.replica.EntryDemand;
 import org.hawthornglade.core.replica.LoadLimits;
+import org.hawthornglade.core.replica.VariantDemand;
 import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.store.StoreRevision;
 import org.hawthornglade.protocol.gen.peer.DemandReport;
@@ -59,6 +64,19 @@
         assertThat(update.running()).isEqualTo(Map.<InstanceId, Integer>of());
     }
 
+    /** The leader must be able to tell calls that wait from those that were refused and may come again. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 3})
+    void expectedCallsAreDecodedAsEncoded(int expectedCalls) {
+        Variant variant = new Variant(ModelName.of("m0"), Optional.of(AdapterName.of("a1")));
+        EntryDemand demand = new EntryDemand(
+                List.of(new VariantDemand(variant, 3, expectedCalls, -900)), Map.of(), Map.of(), Set.of(), Map.of());
+        DemandUpdate update =
+                new DemandUpdate("e-1", Map.of(ServiceName.of("drafts"), demand), false, PermitRequests.NONE);
+        assertThat(PeerCodec.demand(PeerCodec.decode(PeerCodec.encode(update)).getDemand()))
+                .isEqualTo(update);
+    }
+
     /** Permit requests and granted permits must be decoded as encoded, with and without a limit. */
     @ParameterizedTest
     @ValueSource(doubles = {0, 0.25, 1e6, Double.NaN})
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Waiting.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Waiting.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField ADAPTER_FIELD_DESC = new org.apache.thrift.protocol.TField("adapter", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField CALLS_FIELD_DESC = new org.apache.thrift.protocol.TField("calls", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField SLACK_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("slackMs", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField EXPECTED_CALLS_FIELD_DESC = new org.apache.thrift.protocol.TField("expectedCalls", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WaitingStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WaitingTupleSchemeFactory();
@@ -25,6 +26,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String adapter; // optional
   private int calls; // required
   private long slackMs; // required
+  private int expectedCalls; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,11 @@
     /**
      * How long the most urgent call can still wait within its latency target; negative when late.
      */
-    SLACK_MS((short)4, "slackMs");
+    SLACK_MS((short)4, "slackMs"),
+    /**
+     * How many of the calls were refused and are expected to come again.
+     */
+    EXPECTED_CALLS((short)5, "expectedCalls");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -58,6 +64,8 @@
           return CALLS;
         case 4: // SLACK_MS
           return SLACK_MS;
+        case 5: // EXPECTED_CALLS
+          return EXPECTED_CALLS;
         default:
           return null;
       }
@@ -103,8 +111,9 @@
   // isset id assignments
   private static final int __CALLS_ISSET_ID = 0;
   private static final int __SLACKMS_ISSET_ID = 1;
+  private static final int __EXPECTEDCALLS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.ADAPTER};
+  private static final _Fields optionals[] = {_Fields.ADAPTER,_Fields.EXPECTED_CALLS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -116,6 +125,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.SLACK_MS, new org.apache.thrift.meta_data.FieldMetaData("slackMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.EXPECTED_CALLS, new org.apache.thrift.meta_data.FieldMetaData("expectedCalls", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Waiting.class, metaDataMap);
   }
@@ -149,6 +160,7 @@
     }
     this.calls = other.calls;
     this.slackMs = other.slackMs;
+    this.expectedCalls = other.expectedCalls;
   }
 
   @Override
@@ -164,6 +176,8 @@
     this.calls = 0;
     setSlackMsIsSet(false);
     this.slackMs = 0;
+    setExpectedCallsIsSet(false);
+    this.expectedCalls = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -268,6 +282,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SLACKMS_ISSET_ID, value);
   }
 
+  /**
+   * How many of the calls were refused and are expected to come again.
+   */
+  public int getExpectedCalls() {
+    return this.expectedCalls;
+  }
+
+  /**
+   * How many of the calls were refused and are expected to come again.
+   */
+  public Waiting setExpectedCalls(int expectedCalls) {
+    this.expectedCalls = expectedCalls;
+    setExpectedCallsIsSet(true);
+    return this;
+  }
+
+  public void unsetExpectedCalls() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EXPECTEDCALLS_ISSET_ID);
+  }
+
+  /** Returns true if field expectedCalls is set (has been assigned a value) and false otherwise */
+  public boolean isSetExpectedCalls() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EXPECTEDCALLS_ISSET_ID);
+  }
+
+  public void setExpectedCallsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPECTEDCALLS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -303,6 +346,14 @@
       }
       break;
 
+    case EXPECTED_CALLS:
+      if (value == null) {
+        unsetExpectedCalls();
+      } else {
+        setExpectedCalls((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -322,6 +373,9 @@
     case SLACK_MS:
       return getSlackMs();
 
+    case EXPECTED_CALLS:
+      return getExpectedCalls();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -342,6 +396,8 @@
       return isSetCalls();
     case SLACK_MS:
       return isSetSlackMs();
+    case EXPECTED_CALLS:
+      return isSetExpectedCalls();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -395,6 +451,15 @@
         return false;
     }
 
+    boolean this_present_expectedCalls = true && this.isSetExpectedCalls();
+    boolean that_present_expectedCalls = true && that.isSetExpectedCalls();
+    if (this_present_expectedCalls || that_present_expectedCalls) {
+      if (!(this_present_expectedCalls && that_present_expectedCalls))
+        return false;
+      if (this.expectedCalls != that.expectedCalls)
+        return false;
+    }
+
     return true;
   }
 
@@ -414,6 +479,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(slackMs);
 
+    hashCode = hashCode * 8191 + ((isSetExpectedCalls()) ? 131071 : 524287);
+    if (isSetExpectedCalls())
+      hashCode = hashCode * 8191 + expectedCalls;
+
     return hashCode;
   }
 
@@ -465,6 +534,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetExpectedCalls(), other.isSetExpectedCalls());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetExpectedCalls()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.expectedCalls, other.expectedCalls);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -514,6 +593,12 @@
     sb.append("slackMs:");
     sb.append(this.slackMs);
     first = false;
+    if (isSetExpectedCalls()) {
+      if (!first) sb.append(", ");
+      sb.append("expectedCalls:");
+      sb.append(this.expectedCalls);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -593,6 +678,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // EXPECTED_CALLS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.expectedCalls = iprot.readI32();
+              struct.setExpectedCallsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -627,6 +720,11 @@
       oprot.writeFieldBegin(SLACK_MS_FIELD_DESC);
       oprot.writeI64(struct.slackMs);
       oprot.writeFieldEnd();
+      if (struct.isSetExpectedCalls()) {
+        oprot.writeFieldBegin(EXPECTED_CALLS_FIELD_DESC);
+        oprot.writeI32(struct.expectedCalls);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -658,7 +756,10 @@
       if (struct.isSetSlackMs()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetExpectedCalls()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetModel()) {
         oprot.writeString(struct.model);
       }
@@ -671,12 +772,15 @@
       if (struct.isSetSlackMs()) {
         oprot.writeI64(struct.slackMs);
       }
+      if (struct.isSetExpectedCalls()) {
+        oprot.writeI32(struct.expectedCalls);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Waiting struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.model = iprot.readString();
         struct.setModelIsSet(true);
@@ -693,6 +797,10 @@
         struct.slackMs = iprot.readI64();
         struct.setSlackMsIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.expectedCalls = iprot.readI32();
+        struct.setExpectedCallsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -10,6 +10,8 @@
   3: i32 calls
   /** How long the most urgent call can still wait within its latency target; negative when late. */
   4: i64 slackMs
+  /** How many of the calls were refused and are expected to come again. */
+  5: optional i32 expectedCalls
 }
 
 /** Calls under way for a model or adapter. */
