An adapter is loaded where a slot is free or can be freed, not only at the least loaded engine

What callers saw: calls for adapters that wait for a slot while another engine with the model has one. Cause: the engine was chosen by its load first, and the slot was looked for there only. Now a free slot at any engine goes first, then the unload of an unused adapter, each at the least loaded engine that has one. AdapterSlotsTest.adapterIsLoadedWhereASlotIsOrCanBeFreed: 2 of 2 rows failed before (no order at all), pass now.

--- a/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
@@ -1,5 +1,6 @@
 package org.hawthornglade.core.replica;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -36,8 +37,8 @@
     Step nextStep(
             Variant wanted, Collection<EngineReplicaTracker> trackers, Set<EngineReplicaTracker> occupied, long nowMs) {
         AdapterName adapter = wanted.adapter().orElseThrow();
-        EngineReplicaTracker best = null;
         boolean served = false;
+        List<EngineReplicaTracker> candidates = new ArrayList<>();
         for (EngineReplicaTracker tracker : trackers) {
             if (!tracker.serves(wanted.model())) {
                 continue;
@@ -46,18 +47,31 @@
             if (tracker.models().get(wanted.model()).adapters().containsKey(adapter)) {
                 return Step.none(AdapterWait.LOADED);
             }
-            boolean free = !occupied.contains(tracker) && tracker.acceptsAdapterOrder();
-            if (free && (best == null || isLessLoaded(tracker, best, nowMs))) {
-                best = tracker;
+            if (!occupied.contains(tracker) && tracker.acceptsAdapterOrder()) {
+                candidates.add(tracker);
             }
         }
-        if (best == null) {
+        if (candidates.isEmpty()) {
             return Step.none(served ? AdapterWait.ENGINES_BUSY : AdapterWait.NO_REPLICA);
         }
-        Optional<ReplicaOrder> order = orderAt(best, wanted, nowMs);
+        Optional<ReplicaOrder> order = bestOrder(candidates, wanted, nowMs);
         return new Step(order.isPresent() ? AdapterWait.ORDERED : AdapterWait.SLOTS_IN_USE, order);
     }
 
+    /** Returns the load into a free slot at the least loaded engine that has one, or else an unload that frees one. */
+    private Optional<ReplicaOrder> bestOrder(List<EngineReplicaTracker> candidates, Variant wanted, long nowMs) {
+        candidates.sort((one, other) -> compareLoad(one, other, nowMs));
+        Optional<ReplicaOrder> unload = Optional.empty();
+        for (EngineReplicaTracker tracker : candidates) {
+            Optional<ReplicaOrder> order = orderAt(tracker, wanted, nowMs);
+            if (order.isPresent() && order.get().action() == OrderAction.LOAD) {
+                return order;
+            }
+            unload = unload.or(() -> order);
+        }
+        return unload;
+    }
+
     /**
      * Returns whether calls wait for adapters of a model while every engine that serves the model has all its adapter
      * slots taken.
@@ -85,9 +99,9 @@
                 .count();
     }
 
-    private boolean isLessLoaded(EngineReplicaTracker one, EngineReplicaTracker other, long nowMs) {
+    private int compareLoad(EngineReplicaTracker one, EngineReplicaTracker other, long nowMs) {
         int byRunning = Integer.compare(demand.running(one.id(), nowMs), demand.running(other.id(), nowMs));
-        return byRunning != 0 ? byRunning < 0 : one.adapterCount() < other.adapterCount();
+        return byRunning != 0 ? byRunning : Integer.compare(one.adapterCount(), other.adapterCount());
     }
 
     private Optional<ReplicaOrder> orderAt(EngineReplicaTracker tracker, Variant wanted, long nowMs) {
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaFixture.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaFixture.java
@@ -12,6 +12,7 @@
 import org.hawthornglade.core.fleet.Records;
 import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.id.AdapterName;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.ModelDefinition;
@@ -89,6 +90,16 @@
         demand.onDemand(entry, new EntryDemand(waiting, Map.of(), Map.of(), Set.of(), Map.of()), nowMs);
     }
 
+    /** Reports calls that run at an engine. */
+    void running(String engine, String... variants) {
+        Map<Variant, Integer> calls = new HashMap<>();
+        for (String variant : variants) {
+            calls.merge(variant(variant), 1, Integer::sum);
+        }
+        Map<InstanceId, Map<Variant, Integer>> running = Map.of(InstanceId.of(engine), calls);
+        demand.onDemand("running-" + engine, new EntryDemand(List.of(), Map.of(), running, Set.of(), Map.of()), nowMs);
+    }
+
     /** Reports arrivals of calls for a model, with their latency target. */
     void arrived(String model, long calls, long targetMs) {
         arrived(model, calls, targetMs, 100);
