--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/DemandCollector.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.hawthornglade.core.dispatch.CallView;
+import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.Variant;
@@ -99,7 +100,8 @@
         if (call.demand().isEmpty() || !call.service().equals(service)) {
             return;
         }
-        Variant variant = call.demand().get().variant();
+        ModelDemand demand = call.demand().get();
+        Variant variant = new Variant(demand.model(), demand.adapter());
         long slackMs = call.arrivedAtMs() + call.route().targetMs() - nowMs;
         sums.merge(variant, new VariantDemand(variant, 1, expectedCalls, slackMs), VariantDemand::plus);
     }
