Calls that were refused and are gone no longer take the adapter slots of calls that wait

Cause: a refused call counts as demand until it is to come back, up to 13 s, and is the oldest and so the most urgent; a slot freed for a waiting call went back to the adapter that it was taken from. Class: demand that nobody can use yet, ranked before demand that waits.

Now adapters with a call that waits go first, among them those that have run no calls for the longest time; for refused calls only, a free slot is used but no adapter unloaded. Models are planned as before.

AdapterSlotsTest: 2 of 3 rows, 1 of 1 and 2 of 12 rows failed before. ReplicaPlannerTest, PeerCodecTest, DemandCollectorTest pass.

--- a/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/AdapterPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,9 +34,35 @@
         }
     }
 
-    /** Returns the next step for an adapter that calls wait for. */
+    /**
+     * Returns the order in which adapters that calls wait for get their slots.
+     *
+     * <p>Adapters with calls that could be sent at once go first. Among them, those that have not run calls for the
+     * longest time go first, so that each gets its turn when there are more of them than slots.
+     *
+     * @param waiting the waiting demand, the most urgent first
+     */
+    List<VariantDemand> inTurn(List<VariantDemand> waiting) {
+        List<VariantDemand> forAdapters = new ArrayList<>(waiting);
+        forAdapters.removeIf(each -> each.variant().adapter().isEmpty());
+        // The sort is stable. False goes before true.
+        forAdapters.sort(Comparator.comparing((VariantDemand each) -> !each.hasPresentCalls())
+                .thenComparingLong(each -> demand.lastRunAtMs(each.variant())));
+        return forAdapters;
+    }
+
+    /**
+     * Returns the next step for an adapter that calls wait for.
+     *
+     * <p>For calls that were refused and are only expected to be made again, no other adapter is unloaded: they could
+     * not use the slot yet, and would keep it from a call that waits.
+     */
     Step nextStep(
-            Variant wanted, Collection<EngineReplicaTracker> trackers, Set<EngineReplicaTracker> occupied, long nowMs) {
+            VariantDemand waiting,
+            Collection<EngineReplicaTracker> trackers,
+            Set<EngineReplicaTracker> occupied,
+            long nowMs) {
+        Variant wanted = waiting.variant();
         AdapterName adapter = wanted.adapter().orElseThrow();
         boolean served = false;
         List<EngineReplicaTracker> candidates = new ArrayList<>();
@@ -54,7 +81,8 @@
         if (candidates.isEmpty()) {
             return Step.none(served ? AdapterWait.ENGINES_BUSY : AdapterWait.NO_REPLICA);
         }
-        Optional<ReplicaOrder> order = bestOrder(candidates, wanted, nowMs);
+        Optional<ReplicaOrder> order = bestOrder(candidates, wanted, nowMs)
+                .filter(next -> next.action() == OrderAction.LOAD || waiting.hasPresentCalls());
         return new Step(order.isPresent() ? AdapterWait.ORDERED : AdapterWait.SLOTS_IN_USE, order);
     }
 
--- a/core/src/main/java/org/hawthornglade/core/replica/EntryDemandAggregator.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/EntryDemandAggregator.java
@@ -16,12 +16,14 @@
     private record EntryReport(EntryDemand demand, long receivedAtMs) {}
 
     private final Map<String, EntryReport> byEntry = new HashMap<>();
+    private final Map<Variant, Long> lastRunAtMs = new HashMap<>();
     private DemandTotals totals;
     private long totalsAtMs;
 
     /** Records the demand that an entry reports; it replaces the entry's earlier report. */
     public void onDemand(String entry, EntryDemand demand, long nowMs) {
         byEntry.put(entry, new EntryReport(demand, nowMs));
+        demand.running().values().forEach(calls -> calls.keySet().forEach(variant -> lastRunAtMs.put(variant, nowMs)));
         totals = null;
     }
 
@@ -67,6 +69,11 @@
         return totals(nowMs).running(instance, variant);
     }
 
+    /** Returns when a variant was last reported to run calls, in milliseconds; {@link Long#MIN_VALUE} if never. */
+    long lastRunAtMs(Variant variant) {
+        return lastRunAtMs.getOrDefault(variant, Long.MIN_VALUE);
+    }
+
     /** Returns how many calls run at an instance. */
     public int running(InstanceId instance, long nowMs) {
         return totals(nowMs).running(instance);
--- a/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/ReplicaPlanner.java
@@ -74,12 +74,8 @@
 
     private void orderAdapters(List<VariantDemand> waiting, PlanningRound round) {
         adapterWaits.clear();
-        for (VariantDemand each : waiting) {
-            if (each.variant().adapter().isEmpty()) {
-                continue;
-            }
-            AdapterPlanner.Step step =
-                    adapters.nextStep(each.variant(), round.trackers(), round.occupied(), round.nowMs());
+        for (VariantDemand each : adapters.inTurn(waiting)) {
+            AdapterPlanner.Step step = adapters.nextStep(each, round.trackers(), round.occupied(), round.nowMs());
             adapterWaits.merge(step.state(), 1, Integer::sum);
             step.order().ifPresent(round::add);
         }
