--- a/core/src/test/java/org/hawthornglade/core/dispatch/AdapterOfAReadyModelTest.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/AdapterOfAReadyModelTest.java
@@ -32,7 +32,7 @@
 
     private final Fleet fleet = new Fleet();
 
-    /** Guards against a load of a further replica that makes calls for adapters of the ready ones come back far later. */
+    /** Guards against a load of a further replica for whose end calls for adapters of the ready ones are sent away. */
     @ParameterizedTest
     @CsvSource({"1, 0", "1, 1", "1, 4", "2, 0", "2, 1", "2, 4"})
     void callIsNotRefusedForTheLoadOfAFurtherReplica(int ready, int loading) {
