--- a/agent/src/main/java/org/hawthornglade/agent/attempt/EndpointClient.java
+++ b/agent/src/main/java/org/hawthornglade/agent/attempt/EndpointClient.java
@@ -54,7 +54,7 @@
     /**
      * Creates a client.
      *
-     * @param client the HTTP client for the calls; the caller has to close it
+     * @param client the HTTP client for the calls, which {@link #close} closes
      * @param base the endpoint's address
      * @param limits the time limits of its answers
      * @param clock the clock
--- a/bench/src/main/java/org/hawthornglade/bench/emulator/RuleChecker.java
+++ b/bench/src/main/java/org/hawthornglade/bench/emulator/RuleChecker.java
@@ -29,6 +29,13 @@
 
     private record EndpointKey(InstanceId endpoint, int entry) {}
 
+    /** A second of the run in which calls for an endpoint waited, counted from its start. */
+    private record DemandSecond(InstanceId endpoint, long second) {
+        private static DemandSecond of(InstanceId endpoint, long atMs) {
+            return new DemandSecond(endpoint, atMs / 1_000);
+        }
+    }
+
     /** A retry-after pause of an endpoint and the requests that it received meanwhile from one entry. */
     private static final class PausePeriod {
         private final Span span;
@@ -50,7 +57,7 @@
     private final Map<EndpointKey, Long> leavingNotifiedMs = new HashMap<>();
     private final Map<EndpointKey, List<PausePeriod>> pausePeriods = new HashMap<>();
     private final Map<Integer, List<Span>> exemptions = new HashMap<>();
-    private final Set<EndpointKey> demandSeconds = new HashSet<>();
+    private final Set<DemandSecond> demandSeconds = new HashSet<>();
     private int limitBreaks;
     private int drainBreaks;
     private int budgetBreaks;
@@ -139,7 +146,7 @@
 
     /** Records that a call could have been served at an endpoint. */
     void onDemand(InstanceId endpoint, long nowMs) {
-        demandSeconds.add(new EndpointKey(endpoint, (int) (nowMs / 1_000)));
+        demandSeconds.add(DemandSecond.of(endpoint, nowMs));
     }
 
     /** Returns the requests at limited endpoints in the seconds with calls for them, as a share of their limits. */
@@ -150,7 +157,7 @@
             for (LimitPeriod limit : endpoint.limits()) {
                 long fromMs = limit.span().fromMs() + STABLE_MS;
                 for (long atMs = fromMs; atMs + 1_000 <= limit.span().toMs(); atMs += 1_000) {
-                    if (demandSeconds.contains(new EndpointKey(endpoint.id(), (int) (atMs / 1_000)))) {
+                    if (demandSeconds.contains(DemandSecond.of(endpoint.id(), atMs))) {
                         limits += limit.perSecond();
                         received += arrivals(endpoint.id(), new Span(atMs, atMs + 1_000));
                     }
