--- a/core/src/main/java/org/hawthornglade/core/replica/AdapterWait.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/AdapterWait.java
@@ -10,6 +10,6 @@
     NO_REPLICA,
     /** Each engine that has its model carries out an order, or its state is unknown. */
     ENGINES_BUSY,
-    /** All adapter slots of the chosen engine hold adapters that were used just now. */
+    /** All adapter slots hold adapters that were used just now, or only refused calls ask for this one. */
     SLOTS_IN_USE
 }
