--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Quotas of teams, shared by all entries. */
+package org.hawthornglade.core.quota;
--- a/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.quota.QuotaTolerance;
 
 /**
  * The validated settings of an entry.
@@ -19,6 +20,8 @@
  * @param graceMs the maximum duration of a stop
  * @param retryShare retries allowed per request, over all entries
  * @param retryBurst further retries allowed within the budget's window, over all entries
+ * @param quotaTolerance by how much the use of quotas may exceed them
+ * @param loadControl which decisions under load are enabled
  */
 public record GatewaySettings(
         String node,
@@ -32,7 +35,9 @@
         boolean enginesCheckTokens,
         long graceMs,
         double retryShare,
-        double retryBurst) {
+        double retryBurst,
+        QuotaTolerance quotaTolerance,
+        LoadControlSettings loadControl) {
     /** Makes an immutable copy of the seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
@@ -52,6 +57,8 @@
                 enginesCheckTokens,
                 other.graceMs,
                 other.retryShare,
-                other.retryBurst);
+                other.retryBurst,
+                quotaTolerance,
+                loadControl);
     }
 }
