--- a/gateway/src/test/java/org/hawthornglade/gateway/peer/PlacementTrafficTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PlacementTrafficTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -43,6 +45,55 @@
         }
     }
 
+    /**
+     * Guards against a leader that fills its own link while models are loaded, because the expected end of each load
+     * changes in each planning round. The seconds overlap, and the first one includes the frames with all placements.
+     */
+    @ParameterizedTest
+    @CsvSource({"30, 1", "30, 2", "30, 3", "300, 1", "300, 2", "300, 3", "2500, 1"})
+    void loadsInProgressLeaveRoomOnTheSmallestLinkInAnySecond(int entries, long seed) {
+        long mostBytes = mostBytesInASecond(entries, seed, true);
+        System.out.printf("entries=%d seed=%d most_bytes_in_a_second=%d%n", entries, seed, mostBytes);
+        assertWithMessage("most bytes in a second")
+                .that((double) mostBytes)
+                .isAtMost(LINK_SHARE * SMALLEST_LINK_BYTES_PER_S);
+    }
+
+    /** Guards against a leader with hundreds of followers that fills its link while only adapters are replaced. */
+    @ParameterizedTest
+    @CsvSource({"30, 1", "300, 1", "2500, 1"})
+    void changedAdaptersLeaveRoomOnTheSmallestLinkInAnySecond(int entries, long seed) {
+        assertWithMessage("most bytes in a second")
+                .that((double) mostBytesInASecond(entries, seed, false))
+                .isAtMost(LINK_SHARE * SMALLEST_LINK_BYTES_PER_S);
+    }
+
+    private static long mostBytesInASecond(int entries, long seed, boolean loads) {
+        PublishedEngines engines = new PublishedEngines(2 * entries, entries, seed);
+        PlacementPublisher publisher = new PlacementPublisher();
+        for (int i = 1; i < entries; i++) {
+            publisher.add(new ReadingFollower());
+        }
+        if (loads) {
+            engines.startLoads(DURATION_MS);
+        }
+        Deque<Long> lastSecond = new ArrayDeque<>();
+        lastSecond.add(publisher.publish(engines.update(), 0));
+        long bytesInSecond = lastSecond.peekFirst();
+        long mostBytes = bytesInSecond;
+        for (long nowMs = CHANGE_INTERVAL_MS; nowMs <= DURATION_MS; nowMs += CHANGE_INTERVAL_MS) {
+            engines.replanLoads();
+            long bytes = publishChange(engines, publisher, nowMs);
+            lastSecond.addLast(bytes);
+            bytesInSecond += bytes;
+            if (lastSecond.size() > 1_000 / CHANGE_INTERVAL_MS) {
+                bytesInSecond -= lastSecond.removeFirst();
+            }
+            mostBytes = Math.max(mostBytes, bytesInSecond);
+        }
+        return mostBytes;
+    }
+
     private static long publishChange(PublishedEngines engines, PlacementPublisher publisher, long nowMs) {
         long bytes = 0;
         engines.changeAdapter();
--- a/gateway/src/test/java/org/hawthornglade/gateway/peer/PublishedEngines.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PublishedEngines.java
@@ -22,11 +22,17 @@
 final class PublishedEngines {
     private static final int ADAPTER_SLOTS = 8;
     private static final int MAX_RUNNING = 30;
+    /** A planned load stays on its engine for so many rounds on average. */
+    private static final int PLANNED_STAY = 10;
+
+    private static final long PLANNED_LOAD_MS = 10_000;
 
     private final Random random;
     private final int entries;
     private final Map<InstanceId, InstancePlacement> placements = new LinkedHashMap<>();
     private final Map<InstanceId, Integer> running = new HashMap<>();
+    private final Map<InstanceId, Long> runningLoads = new LinkedHashMap<>();
+    private final Map<ModelName, InstanceId> plannedLoads = new LinkedHashMap<>();
 
     PublishedEngines(int engines, int entries, long seed) {
         this.random = new Random(seed);
@@ -64,11 +70,33 @@
         placements.keySet().forEach(id -> running.put(id, random.nextInt(MAX_RUNNING)));
     }
 
+    /**
+     * Begins a load on each third engine, and plans as many more.
+     *
+     * @param readyAtMs when the loads are expected to end
+     */
+    void startLoads(long readyAtMs) {
+        List<InstanceId> ids = new ArrayList<>(placements.keySet());
+        for (int i = 0; i < ids.size(); i += 3) {
+            runningLoads.put(ids.get(i), readyAtMs);
+            plannedLoads.put(ModelName.of("planned" + i), ids.get(random.nextInt(ids.size())));
+        }
+    }
+
+    /** Changes the expected end of each load a little, and plans some loads on other engines, as each round does. */
+    void replanLoads() {
+        List<InstanceId> ids = new ArrayList<>(placements.keySet());
+        runningLoads.replaceAll((id, readyAtMs) -> readyAtMs + random.nextInt(41) - 20);
+        plannedLoads.replaceAll(
+                (model, id) -> random.nextInt(PLANNED_STAY) > 0 ? id : ids.get(random.nextInt(ids.size())));
+    }
+
     /** Removes an engine. */
     void removeEngine() {
         InstanceId id = placements.keySet().iterator().next();
         placements.remove(id);
         running.remove(id);
+        runningLoads.remove(id);
     }
 
     /** Returns all placements, as the leader knows them. */
@@ -77,9 +105,31 @@
                 true,
                 new FencingToken(7),
                 new StoreRevision(new StoreEra(2), 3),
-                List.copyOf(placements.values()),
+                withLoads(),
                 running,
                 entries,
                 Map.of(ServiceName.of("drafts"), new LoadLimits(1, 1)));
     }
+
+    private List<InstancePlacement> withLoads() {
+        Map<InstanceId, Map<ModelName, ReplicaState>> loads = new HashMap<>();
+        runningLoads.forEach((id, readyAtMs) -> putLoad(loads, id, ModelName.of("loading"), readyAtMs));
+        plannedLoads.forEach((model, id) -> {
+            long startMs = runningLoads.getOrDefault(id, PLANNED_LOAD_MS);
+            putLoad(loads, id, model, startMs + PLANNED_LOAD_MS);
+        });
+        List<InstancePlacement> all = new ArrayList<>();
+        placements.forEach((id, placement) -> {
+            Map<ModelName, ReplicaState> models = new HashMap<>(placement.models());
+            models.putAll(loads.getOrDefault(id, Map.of()));
+            all.add(new InstancePlacement(id, placement.bornMs(), models));
+        });
+        return all;
+    }
+
+    private static void putLoad(
+            Map<InstanceId, Map<ModelName, ReplicaState>> loads, InstanceId id, ModelName model, long readyAtMs) {
+        loads.computeIfAbsent(id, absent -> new HashMap<>())
+                .put(model, new ReplicaState(ReplicaStatus.LOADING, readyAtMs, Map.of()));
+    }
 }
