Stop leading if neither the store nor an engine answers

Each failed renewal let a leader go on for 2.5 s, so that one that had filled its link led for ever. It asks an engine for a report each 300 ms while renewals fail, and goes on only if one has answered within 1,000 ms. LeadershipTest: a leader without the store continues only if engines answer, so the existing row answers probes now, and a new row without answers must stop within 3 s.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -19,7 +19,7 @@
  *
  * <p>There are two exceptions. A follower takes over immediately if the leader's host refuses connections, because its
  * process has ended. And where engines check fencing tokens, a leader that cannot reach the store continues beyond its
- * lease: if another entry has taken over, the engines refuse the older token.
+ * lease for as long as engines answer: if another entry has taken over, the engines refuse the older token.
  *
  * <p>A store that was restored from an older copy may have lost the row of a lease that is in force, and may show an
  * earlier one. A row that was not written since the restore therefore frees nothing: another entry waits for as long as
@@ -41,6 +41,13 @@
     private static final long MAX_CHECK_GAP_MS = 400;
     /** How long after a failed renewal the store counts as unreachable, in milliseconds. */
     private static final long STORE_UNREACHABLE_VALID_MS = 2_500;
+    /**
+     * A leader without the store stops leading if no engine has answered for this time, in milliseconds. An engine that
+     * is reachable answers within some 10 ms, and three are asked in this time.
+     */
+    private static final long ENGINE_SILENCE_MS = 1_000;
+    /** Interval at which a leader without the store asks an engine whether it is reachable, in milliseconds. */
+    private static final long ENGINE_PROBE_INTERVAL_MS = 300;
 
     private final String node;
     private final String address;
@@ -59,6 +66,9 @@
     private long checkedAtMs;
     private long runningSinceMs;
     private long storeUnreachableAtMs = Long.MIN_VALUE / 2;
+    private Optional<Long> withoutStoreSinceMs = Optional.empty();
+    private long engineAnsweredAtMs = Long.MIN_VALUE / 2;
+    private long engineProbedAtMs = Long.MIN_VALUE / 2;
     private boolean callInFlight;
 
     /**
@@ -199,6 +209,7 @@
             onWrittenAcrossRestore();
             return;
         }
+        withoutStoreSinceMs = Optional.empty();
         seen = new StoredLease(revision, Optional.of(write.row()));
         seenSinceMs = sentAtMs;
         if (write.row().renewals() == 0) {
@@ -222,6 +233,7 @@
     /** Handles the rejection of a write because the row had another revision than expected. */
     public void onConflict(StoredLease stored, LeaseWrite write, long nowMs) {
         callInFlight = false;
+        withoutStoreSinceMs = Optional.empty();
         onStoreEra(stored.revision().era(), nowMs);
         if (mustClaimAgain()) {
             return;
@@ -243,6 +255,7 @@
         boolean ranThroughout = sentAtMs >= runningSinceMs && nowMs - checkedAtMs <= MAX_CHECK_GAP_MS;
         if (ranThroughout) {
             storeUnreachableAtMs = nowMs;
+            withoutStoreSinceMs = withoutStoreSinceMs.or(() -> Optional.of(nowMs));
         }
         if (state.state() == LeadershipState.CLAIMING) {
             stepDown();
@@ -276,7 +289,33 @@
 
     private boolean continuesWithoutStore(long nowMs) {
         boolean ranThroughout = nowMs - checkedAtMs <= MAX_CHECK_GAP_MS && storeUnreachableAtMs >= runningSinceMs;
-        return enginesCheckTokens && ranThroughout && nowMs - storeUnreachableAtMs <= STORE_UNREACHABLE_VALID_MS;
+        return enginesCheckTokens
+                && ranThroughout
+                && nowMs - storeUnreachableAtMs <= STORE_UNREACHABLE_VALID_MS
+                && enginesReachable(nowMs);
+    }
+
+    /** Returns whether an engine has answered lately, or was not asked for long enough since the store is lost. */
+    private boolean enginesReachable(long nowMs) {
+        long withoutStoreSince = withoutStoreSinceMs.orElse(nowMs);
+        return nowMs - Math.max(engineAnsweredAtMs, withoutStoreSince) <= ENGINE_SILENCE_MS;
+    }
+
+    /** Records that an engine has answered an order or a request, or that there are no engines to be asked. */
+    public void onEngineAnswered(long nowMs) {
+        engineAnsweredAtMs = nowMs;
+    }
+
+    /** Returns whether an engine should be asked now whether it is reachable, because the store is not. */
+    public boolean shouldProbeEngine(long nowMs) {
+        return state.state() == LeadershipState.LEADING
+                && withoutStoreSinceMs.isPresent()
+                && nowMs - Math.max(engineAnsweredAtMs, engineProbedAtMs) >= ENGINE_PROBE_INTERVAL_MS;
+    }
+
+    /** Records that an engine was asked. */
+    public void onEngineProbed(long nowMs) {
+        engineProbedAtMs = nowMs;
     }
 
     /** Steps down if the lease has expired, and schedules a renewal if a suspension is suspected. */
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -129,12 +129,16 @@
         assertThat(leadership.mayOrder(lastMs + 50, WALL_MS + lastMs + 50)).isFalse();
     }
 
-    @ParameterizedTest
-    @CsvSource({"true, true", "false, false"})
-    void continuesWithoutTheStoreOnlyIfEnginesCheckTokens(boolean enginesCheckTokens, boolean orders) {
-        Leadership leadership = leader(enginesCheckTokens);
+    /** Runs a leader to a time, all of whose renewals time out. */
+    private static void runWithoutStore(Leadership leadership, long untilMs, boolean enginesAnswer) {
         long sentAtMs = -1;
-        for (long ms = 50; ms <= 10_000; ms += 50) {
+        for (long ms = 50; ms <= untilMs; ms += 50) {
+            if (leadership.shouldProbeEngine(ms)) {
+                leadership.onEngineProbed(ms);
+                if (enginesAnswer) {
+                    leadership.onEngineAnswered(ms);
+                }
+            }
             leadership.check(ms, WALL_MS + ms);
             if (leadership.renewal(ms).isPresent()) {
                 sentAtMs = ms;
@@ -143,9 +147,41 @@
                 leadership.onWriteOutcomeUnknown(sentAtMs, ms);
             }
         }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, true", "false, false"})
+    void continuesWithoutTheStoreOnlyIfEnginesCheckTokens(boolean enginesCheckTokens, boolean orders) {
+        Leadership leadership = leader(enginesCheckTokens);
+        runWithoutStore(leadership, 10_000, true);
         assertThat(leadership.mayOrder(10_000, WALL_MS + 10_000)).isEqualTo(orders);
     }
 
+    /** Guards against a leader that has filled its link, reaches nobody, and keeps all entries from another one. */
+    @Test
+    void stopsLeadingWithinThreeSecondsWithoutTheStoreAndWithoutAnswersOfEngines() {
+        Leadership leadership = leader(true);
+        runWithoutStore(leadership, 3_000, false);
+        assertThat(leadership.mayOrder(3_000, WALL_MS + 3_000)).isFalse();
+        assertThat(leadership.leading()).isFalse();
+    }
+
+    /** Guards against needless requests to engines, and against a leader that never asks them. */
+    @ParameterizedTest
+    @CsvSource({"false, false", "true, true"})
+    void enginesAreProbedOnlyIfTheStoreDoesNotAnswer(boolean storeLost, boolean probed) {
+        Leadership leadership = leader(true);
+        run(leadership, 50, 600);
+        LeaseWrite renewal = leadership.renewal(600).orElseThrow();
+        run(leadership, 650, 1_200);
+        if (storeLost) {
+            leadership.onWriteOutcomeUnknown(600, 1_200);
+        } else {
+            leadership.onWritten(renewal, revision(6), 600, WALL_MS + 600);
+        }
+        assertThat(leadership.shouldProbeEngine(1_200)).isEqualTo(probed);
+    }
+
     @Test
     void suspendedLeaderSendsNoOrdersBeforeItHasRenewed() {
         Leadership leadership = leader(true);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.lease.Leadership;
 import org.hawthornglade.core.replica.EngineReplicaTracker;
+import org.hawthornglade.core.replica.EngineReport;
 import org.hawthornglade.core.replica.EntryDemand;
 import org.hawthornglade.core.replica.EntryDemandAggregator;
 import org.hawthornglade.core.replica.LoadLimits;
@@ -67,6 +69,7 @@
     private long publishedAtMs;
     private long nextRoundMs;
     private long leadingSinceMs;
+    private int probes;
 
     PlacementLeader(
             String node,
@@ -157,6 +160,7 @@
 
     private void planRound(long nowMs) {
         updateLeadership();
+        probeEngine(nowMs);
         if (!lease.mayOrder()) {
             return;
         }
@@ -186,13 +190,29 @@
         }
     }
 
+    /** Asks an engine for a report if the store is lost, since a leader that reaches no engine either must stop. */
+    private void probeEngine(long nowMs) {
+        if (!leadership.shouldProbeEngine(nowMs)) {
+            return;
+        }
+        leadership.onEngineProbed(nowMs);
+        List<InstanceRecord> engines = new ArrayList<>();
+        pools.values().forEach(pool -> pool.trackers().forEach(tracker -> engines.add(tracker.listed())));
+        if (engines.isEmpty()) {
+            leadership.onEngineAnswered(nowMs);
+            return;
+        }
+        InstanceRecord next = engines.get(Math.floorMod(probes++, engines.size()));
+        control.report(next, result -> result.peek(report -> leadership.onEngineAnswered(clock.nowMs())));
+    }
+
     private void requestReports(EnginePool pool) {
         long nowMs = clock.nowMs();
         for (EngineReplicaTracker tracker : pool.trackers()) {
             if (tracker.needsReport(nowMs)) {
                 tracker.onReportRequested(nowMs);
                 control.report(tracker.listed(), result -> {
-                    result.peek(report -> tracker.onReport(report, clock.nowMs()));
+                    result.peek(report -> onReport(tracker, report));
                     result.peekLeft(failure -> onReportFailed(tracker, failure));
                     scheduleRound();
                 });
@@ -200,6 +220,11 @@
         }
     }
 
+    private void onReport(EngineReplicaTracker tracker, EngineReport report) {
+        leadership.onEngineAnswered(clock.nowMs());
+        tracker.onReport(report, clock.nowMs());
+    }
+
     private void onReportFailed(EngineReplicaTracker tracker, Failure failure) {
         activity.onReportFailed();
         tracker.onReportFailed();
@@ -245,6 +270,9 @@
             EngineReplicaTracker tracker, ReplicaOrder order, OrderOutcome outcome, OrderDuration duration) {
         tracker.onOrderAnswered(order, outcome, duration, clock.nowMs());
         activity.onOrderAnswered(outcome);
+        if (outcome != OrderOutcome.UNKNOWN) {
+            leadership.onEngineAnswered(clock.nowMs());
+        }
         if (outcome != OrderOutcome.ACCEPTED) {
             log.event("order-answer")
                     .with("instance", order.instance())
