Follow the leader with the newest fencing token

An entry that was connected to a leader stayed with it while it sent heartbeats, although another one had won the lease. It reads the lease row once a second if the leader's renewals stop, without claiming it, and does not apply placements with an older token than it knows.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -29,6 +29,8 @@
 public final class Leadership {
     /** Interval at which a follower without a leader reads the row, in milliseconds. */
     private static final long READ_INTERVAL_MS = 300;
+    /** Interval at which a follower reads the row if its leader is alive but does not renew, in milliseconds. */
+    private static final long LEADER_CHECK_INTERVAL_MS = 1_000;
     /** Number of renewals within the duration of a lease. */
     private static final long RENEWALS_PER_LEASE = 3;
     /** Maximum lease where engines check tokens: it has no drawback there and allows a faster takeover. */
@@ -60,6 +62,7 @@
     private StoreRevision claimed = new StoreRevision(StoreEra.NONE, 0);
     private long seenSinceMs;
     private long nextReadMs;
+    private long nextCheckOfLeaderMs;
     private long nextRenewalMs;
     private long leaseUntilMs;
     private long wallClockOffsetMs;
@@ -70,6 +73,8 @@
     private long engineAnsweredAtMs = Long.MIN_VALUE / 2;
     private long engineProbedAtMs = Long.MIN_VALUE / 2;
     private boolean callInFlight;
+    /** The newest fencing token that this entry has heard of; a claim in a row is a lower bound of one. */
+    private long newestToken;
 
     /**
      * Creates the leadership of an entry, which starts as a follower.
@@ -101,10 +106,39 @@
 
     /** Returns whether the row should be read now. */
     public boolean shouldRead(boolean leaderAlive, long nowMs) {
-        boolean wanted = state.state() == LeadershipState.FOLLOWING ? !leaderAlive : mustClaimAgain();
+        boolean wanted = state.state() == LeadershipState.FOLLOWING
+                ? !leaderAlive || leaderMayBeReplaced(nowMs)
+                : mustClaimAgain();
         return wanted && !callInFlight && nowMs >= nextReadMs;
     }
 
+    /** Returns whether the leader that this entry follows has not renewed its lease for so long that it may be lost. */
+    private boolean leaderMayBeReplaced(long nowMs) {
+        return enginesCheckTokens && nowMs - seenSinceMs > leaseMs && nowMs >= nextCheckOfLeaderMs;
+    }
+
+    /**
+     * Handles the row that was read while the leader is alive: it may name a newer leader, but is not claimed.
+     */
+    public void onReadWhileFollowing(StoredLease stored, long nowMs) {
+        callInFlight = false;
+        onStoreEra(stored.revision().era(), nowMs);
+        if (state.state() == LeadershipState.FOLLOWING
+                && !era.isAfter(stored.revision().era())) {
+            observe(stored, nowMs);
+        }
+    }
+
+    /**
+     * Handles the fencing token of a leader that this entry is connected to.
+     *
+     * @return whether to follow it: whether no newer token is known, where engines check tokens
+     */
+    public boolean onLeaderToken(FencingToken token) {
+        newestToken = Math.max(newestToken, token.value());
+        return !enginesCheckTokens || token.value() >= newestToken;
+    }
+
     /** Returns whether this entry leads by a lease whose row the store may have lost. */
     private boolean mustClaimAgain() {
         return state.state() == LeadershipState.LEADING && era.isAfter(claimed.era());
@@ -125,6 +159,7 @@
     public void onReadSent(long nowMs) {
         callInFlight = true;
         nextReadMs = nowMs + READ_INTERVAL_MS;
+        nextCheckOfLeaderMs = nowMs + LEADER_CHECK_INTERVAL_MS;
     }
 
     /** Records that a read failed; the row may have changed since the last read. */
@@ -180,6 +215,7 @@
             seenSinceMs = nowMs;
         }
         seen = stored;
+        newestToken = Math.max(newestToken, stored.row().map(LeaseRow::token).orElse(0L));
     }
 
     private boolean leaseFree(Optional<String> endedLeader, long nowMs) {
@@ -214,6 +250,7 @@
         seenSinceMs = sentAtMs;
         if (write.row().renewals() == 0) {
             claimed = revision;
+            newestToken = Math.max(newestToken, token().value());
         }
         if (state.state() == LeadershipState.CLAIMING) {
             fire(LeadershipEvent.WON);
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -204,6 +204,51 @@
         assertThat(leadership.mayOrder(310, wallAfterSuspensionMs + 10)).isTrue();
     }
 
+    /**
+     * Guards against an entry that stays with a leader that sends heartbeats but has lost the store, while another entry
+     * leads, and against reads of the row by all entries while the leader renews.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, true, false", "true, false, true", "false, false, false"})
+    void followerOfALeaderThatDoesNotRenewReadsTheRow(boolean enginesCheckTokens, boolean renews, boolean reads) {
+        Leadership leadership = entry(enginesCheckTokens);
+        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), Optional.empty(), 0);
+        boolean read = false;
+        for (long ms = 300; ms <= 6_000; ms += 300) {
+            leadership.onLeaderMessage(revision(renews ? 9 + ms : 9), ms);
+            read |= leadership.shouldRead(true, ms);
+        }
+        assertThat(read).isEqualTo(reads);
+    }
+
+    /** Guards against an entry that claims the lease of a living leader, or misses the newer leader that the row names. */
+    @Test
+    void rowThatIsReadWhileFollowingNamesTheNewerLeaderAndIsNotClaimed() {
+        Leadership leadership = entry(true);
+        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), Optional.empty(), 0);
+        leadership.onReadSent(4_000);
+        leadership.onReadWhileFollowing(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), 4_010);
+        assertThat(leadership.shouldRead(true, 4_900)).isFalse();
+        assertThat(leadership.shouldRead(true, 5_000)).isTrue();
+        LeaseRow newer = new LeaseRow("c", "10.0.0.3:7000", 12, "c-1", 1, false, StoreEra.NONE);
+        leadership.onReadSent(5_000);
+        leadership.onReadWhileFollowing(new StoredLease(revision(13), Optional.of(newer)), 5_010);
+        assertThat(leadership.seen().row()).isEqualTo(Optional.of(newer));
+        assertThat(leadership.leading()).isFalse();
+        assertThat(leadership.onLeaderToken(new FencingToken(7))).isFalse();
+        assertThat(leadership.onLeaderToken(new FencingToken(12))).isTrue();
+    }
+
+    /** Guards against entries that follow an older leader again, and against none to follow where tokens are not used. */
+    @ParameterizedTest
+    @CsvSource({"true, 7, 8, true", "true, 8, 8, true", "true, 8, 7, false", "false, 8, 7, true"})
+    void leaderIsFollowedUnlessANewerTokenIsKnown(
+            boolean enginesCheckTokens, long heard, long token, boolean followed) {
+        Leadership leadership = entry(enginesCheckTokens);
+        leadership.onLeaderToken(new FencingToken(heard));
+        assertThat(leadership.onLeaderToken(new FencingToken(token))).isEqualTo(followed);
+    }
+
     @Test
     void stepsDownWhenAnotherEntryHasTheLease() {
         Leadership leadership = leader(true);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
@@ -35,7 +35,7 @@
         leadership.check(nowMs, wallClock.nowMs());
         if (leadership.shouldRead(leaderAlive, nowMs)) {
             leadership.onReadSent(nowMs);
-            store.read(result -> onRead(result, endedLeader));
+            store.read(result -> onRead(result, leaderAlive, endedLeader));
             return;
         }
         leadership.renewal(nowMs).ifPresent(this::write);
@@ -50,12 +50,16 @@
         return leadership.leaseValid(clock.nowMs(), wallClock.nowMs());
     }
 
-    private void onRead(Either<Failure, StoredLease> result, Optional<String> endedLeader) {
+    private void onRead(Either<Failure, StoredLease> result, boolean leaderAlive, Optional<String> endedLeader) {
         if (result.isLeft()) {
             leadership.onReadFailed();
             logFaultChange("lease-read-failed", result.getLeft().message());
             return;
         }
+        if (leaderAlive) {
+            leadership.onReadWhileFollowing(result.get(), clock.nowMs());
+            return;
+        }
         Optional<LeaseWrite> claim = leadership.onRead(result.get(), endedLeader, clock.nowMs());
         claim.ifPresent(this::write);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -220,6 +220,13 @@
     @Override
     public void onPlacements(PlacementUpdate update) {
         long nowMs = clock.nowMs();
+        if (!leadership.onLeaderToken(update.token())) {
+            log.event("placements-of-older-leader")
+                    .with("token", update.token())
+                    .write();
+            leaderConnection.disconnect();
+            return;
+        }
         logToken(update.token());
         PlacementUpdate complete = followed.map(update::mergedInto).orElse(update);
         followed = Optional.of(complete);
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
@@ -72,6 +72,11 @@
         lastAttemptMs = 0;
     }
 
+    /** Closes the connection, as to a leader that another one has replaced. */
+    public void disconnect() {
+        open.ifPresent(PeerChannel::close);
+    }
+
     /** Returns whether the connection is open and the leader has not been silent too long. */
     public boolean leaderAlive() {
         return open.isPresent() && clock.nowMs() - receivedAtMs <= SILENCE_TIMEOUT_MS;
