Do not take a status outside 100 to 599 for a response

Netty reads any number, with a sign too, so that 000, 600 or +200 with the id of the request reached the caller. The call ends now as for any bytes that are not a response.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/ResponseDecoder.java
@@ -12,6 +12,7 @@
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 65_536;
+    private static final int STATUS_DIGITS = 3;
 
     private final SentRequests sentRequests;
     /** A status line was read, but not all headers. */
@@ -30,9 +31,25 @@
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         insideHead = true;
+        if (!isStatus(statusLine[1])) {
+            throw new IllegalArgumentException("status is not a number from 100 to 599");
+        }
         return super.createMessage(statusLine);
     }
 
+    /** Returns whether a text is three digits from 100 to 599; the superclass accepts any number, with a sign too. */
+    private static boolean isStatus(String text) {
+        return text.length() == STATUS_DIGITS
+                && text.charAt(0) >= '1'
+                && text.charAt(0) <= '5'
+                && isDigit(text.charAt(1))
+                && isDigit(text.charAt(2));
+    }
+
+    private static boolean isDigit(char character) {
+        return character >= '0' && character <= '9';
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
         super.decode(context, bytes, messages);
