Teams and API keys: who may call, for which team, and at which priority

Where the configuration names teams, a call needs the key of one of them unless its route is public. The key is looked up on arrival in the version in force; neither it nor a team that the caller names reaches a server. A team's priority replaces that of the route for the order of waiting calls, permit requests and servers. Deployments without teams are served as before.

--- a/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/CallView.java
@@ -11,6 +11,8 @@
 import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.resumption.StreamOrigin;
 import org.hawthornglade.core.serving.Route;
+import org.hawthornglade.core.team.CallerIdentity;
+import org.hawthornglade.core.team.Team;
 
 /** The state of one call that dispatch decisions depend on. */
 public final class CallView {
@@ -20,6 +22,7 @@
     private final long deadlineAtMs;
     private final Set<InstanceId> tried = new HashSet<>();
     private final Supplier<Optional<RequestDigest>> digest;
+    private final CallerIdentity caller;
     private ServiceName service;
     private Optional<SoftwareVersion> streamVersion = Optional.empty();
     private long lastProgressAtMs;
@@ -54,6 +57,28 @@
             long arrivedAtMs,
             long deadlineAtMs,
             Supplier<Optional<RequestDigest>> digest) {
+        this(service, route, demand, arrivedAtMs, deadlineAtMs, digest, CallerIdentity.NO_TEAMS);
+    }
+
+    /**
+     * Creates the view of a call of an identified caller.
+     *
+     * @param service the target chosen from the route's services
+     * @param demand present where the service runs models
+     * @param arrivedAtMs when the request was read
+     * @param deadlineAtMs when the call expires by its caller's or its route's timeout
+     * @param digest computes the digest, which is empty if the request is not held any more
+     * @param caller who sent the call
+     */
+    public CallView(
+            ServiceName service,
+            Route route,
+            Optional<ModelDemand> demand,
+            long arrivedAtMs,
+            long deadlineAtMs,
+            Supplier<Optional<RequestDigest>> digest,
+            CallerIdentity caller) {
+        this.caller = caller;
         this.digest = Suppliers.memoize(digest::get);
         this.service = service;
         this.route = route;
@@ -72,6 +97,23 @@
         return route;
     }
 
+    /** Returns who sent the call. */
+    public CallerIdentity caller() {
+        return caller;
+    }
+
+    /** Returns the team of the caller; empty without teams, or on a public route without a known key. */
+    public Optional<Team> team() {
+        return caller.team();
+    }
+
+    /** Returns the priority of the call, 0 is the highest: that of its team if it has one, else that of its route. */
+    public int priority() {
+        return caller.team()
+                .map(team -> team.priority().orElse(route.priority()))
+                .orElse(route.priority());
+    }
+
     public Optional<ModelDemand> demand() {
         return demand;
     }
--- a/core/src/main/java/org/hawthornglade/core/dispatch/PermitWaiter.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/PermitWaiter.java
@@ -18,7 +18,7 @@
         Permits requested = decision.endpoint().permits();
         permits = Optional.of(requested);
         briefly = decision.briefly();
-        priority = call.route().priority();
+        priority = call.priority();
         return briefly ? requested.joinBriefly(nowMs) : requested.join(priority, nowMs);
     }
 
--- a/core/src/main/java/org/hawthornglade/core/serving/Route.java
+++ b/core/src/main/java/org/hawthornglade/core/serving/Route.java
@@ -16,6 +16,7 @@
  * @param maxAttempts the maximum number of instances to which one call is sent
  * @param priority the priority; 0 is the highest
  * @param resumable whether a stream can be resumed at another instance
+ * @param isPublic whether its calls need no key where teams are configured
  * @param targets the services with their weights; not empty
  */
 public record Route(
@@ -30,12 +31,43 @@
         int maxAttempts,
         int priority,
         boolean resumable,
+        boolean isPublic,
         List<WeightedService> targets) {
     /** Copies the list. */
     public Route {
         targets = List.copyOf(targets);
     }
 
+    /** Creates a route that is not public. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            CallKind kind,
+            long timeoutMs,
+            long targetMs,
+            long gapTargetMs,
+            long abandonMs,
+            int maxAttempts,
+            int priority,
+            boolean resumable,
+            List<WeightedService> targets) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMs,
+                targetMs,
+                gapTargetMs,
+                abandonMs,
+                maxAttempts,
+                priority,
+                resumable,
+                false,
+                targets);
+    }
+
     /** Returns whether a call may run again, from the start or from its last event. */
     public boolean repeatable() {
         return kind == CallKind.SAFE || (kind == CallKind.STREAM && resumable);
--- a/core/src/main/java/org/hawthornglade/core/serving/ServingConfiguration.java
+++ b/core/src/main/java/org/hawthornglade/core/serving/ServingConfiguration.java
@@ -10,23 +10,40 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.team.TeamDirectory;
 
-/** An immutable version of the routes, services and request limits. */
+/** An immutable version of the routes, services, request limits and teams. */
 public final class ServingConfiguration {
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<ServiceName, ServiceDefinition> services;
     private final RequestLimits limits;
+    private final TeamDirectory teams;
 
     /**
-     * Creates a configuration and indexes its routes by host.
+     * Creates a configuration without teams.
      *
      * @param version the version number, which rises with each change
      */
     public ServingConfiguration(
             long version, Collection<Route> routes, Collection<ServiceDefinition> services, RequestLimits limits) {
+        this(version, routes, services, limits, TeamDirectory.NONE);
+    }
+
+    /**
+     * Creates a configuration and indexes its routes by host.
+     *
+     * @param version the version number, which rises with each change
+     */
+    public ServingConfiguration(
+            long version,
+            Collection<Route> routes,
+            Collection<ServiceDefinition> services,
+            RequestLimits limits,
+            TeamDirectory teams) {
         this.version = version;
         this.limits = limits;
+        this.teams = teams;
         this.routesByHost = byHost(routes);
         this.services = services.stream().collect(ImmutableMap.toImmutableMap(ServiceDefinition::name, s -> s));
     }
@@ -44,17 +61,23 @@
         return version;
     }
 
-    /** Returns whether another configuration has the same routes, services and limits. */
+    /** Returns whether another configuration has the same routes, services, limits and teams. */
     boolean sameContent(ServingConfiguration other) {
         return routesByHost.equals(other.routesByHost)
                 && services.equals(other.services)
-                && limits.equals(other.limits);
+                && limits.equals(other.limits)
+                && teams.equals(other.teams);
     }
 
     public RequestLimits limits() {
         return limits;
     }
 
+    /** Returns the teams and their keys; empty where no key is required. */
+    public TeamDirectory teams() {
+        return teams;
+    }
+
     public Collection<ServiceDefinition> services() {
         return services.values();
     }
--- a/core/src/test/java/org/hawthornglade/core/serving/ConfigurationInForceTest.java
+++ b/core/src/test/java/org/hawthornglade/core/serving/ConfigurationInForceTest.java
@@ -4,7 +4,15 @@
 
 import com.google.common.base.Splitter;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.stream.Stream;
+import org.hawthornglade.core.id.TeamName;
+import org.hawthornglade.core.team.ApiKey;
+import org.hawthornglade.core.team.Team;
+import org.hawthornglade.core.team.TeamDirectory;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -17,6 +25,27 @@
         return new ServingConfiguration(Integer.parseInt(parts.get(0)), List.of(), List.of(), limits);
     }
 
+    private static ServingConfiguration withKey(String key) {
+        Team team = new Team(TeamName.of("team"), OptionalInt.empty(), Optional.empty());
+        return new ServingConfiguration(
+                7,
+                List.of(),
+                List.of(),
+                RequestLimits.DEFAULT,
+                TeamDirectory.of(Map.of(team, List.of(new ApiKey(key)))));
+    }
+
+    /** A key that was replaced after a restore of the store, under a version that was in use, did not take effect. */
+    @Test
+    void versionWithOtherKeysReplacesTheOneInForce() {
+        ConfigurationInForce configurations = new ConfigurationInForce();
+        assertThat(configurations.onRead(withKey("k1"))).isTrue();
+        assertThat(configurations.onRead(withKey("k1"))).isFalse();
+        assertThat(configurations.onRead(withKey("k2"))).isTrue();
+        assertThat(configurations.current().orElseThrow().teams().holderOf(new ApiKey("k1")))
+                .isEqualTo(Optional.empty());
+    }
+
     private static String name(ServingConfiguration configuration) {
         return configuration.version() + "/" + configuration.limits().idleTimeoutMs();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -260,6 +260,7 @@
             return;
         }
         log.event("config").with("version", received.version()).write();
+        SharedKeyLog.write(log, received);
         placement.onConfiguration(received);
         resumption.onServices(
                 received.services().stream().map(ServiceDefinition::name).collect(Collectors.toSet()));
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -134,7 +134,11 @@
         long remainingMs =
                 Math.max(1, exchange.view().remainingMs(context.clock().nowMs()));
         AttemptParameters parameters = new AttemptParameters(
-                endpoint.id(), remainingMs, exchange.view().route().priority(), exchange.resumeFrom());
+                endpoint.id(),
+                remainingMs,
+                exchange.view().priority(),
+                exchange.resumeFrom(),
+                exchange.view().caller());
         HttpHeaders headers =
                 context.protocol().attemptHeaders(exchange.call().head().headers(), parameters);
         ByteBuf body = exchange.call().body().retainedDuplicate();
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -19,6 +19,7 @@
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.serving.WeightedService;
+import org.hawthornglade.core.team.CallerIdentity;
 import org.hawthornglade.gateway.http.CallHandler;
 import org.hawthornglade.gateway.http.IncomingCall;
 import org.hawthornglade.gateway.port.CallRequest;
@@ -101,7 +102,19 @@
                     "config " + known.get().version());
             return;
         }
-        start(call, request, route.get(), known.get());
+        Either<ResultCode, CallerIdentity> caller =
+                known.get().teams().identify(request.credential(), route.get().isPublic());
+        if (caller.isLeft()) {
+            context.metrics().count("calls_without_valid_key");
+            sendError(
+                    call,
+                    request.id(),
+                    caller.getLeft(),
+                    0,
+                    "config " + known.get().version());
+            return;
+        }
+        start(call, request, route.get(), known.get(), caller.get());
     }
 
     @Override
@@ -117,7 +130,8 @@
         }
     }
 
-    private void start(IncomingCall call, CallRequest request, Route route, ServingConfiguration known) {
+    private void start(
+            IncomingCall call, CallRequest request, Route route, ServingConfiguration known, CallerIdentity caller) {
         ServiceName service = pickTarget(route.targets());
         boolean runsModels =
                 known.service(service).flatMap(ServiceDefinition::engine).isPresent();
@@ -125,7 +139,7 @@
         long budgetMs = Math.min(request.remainingMs().orElse(route.timeoutMs()), route.timeoutMs());
         long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs - RESPONSE_RESERVE_MS);
         CallView view = new CallView(
-                service, route, demand, call.arrivedAtMs(), deadlineAtMs, () -> RequestDigester.digest(call));
+                service, route, demand, call.arrivedAtMs(), deadlineAtMs, () -> RequestDigester.digest(call), caller);
         // Computed now, since the body is released before the end of the call is handled.
         view.digest();
         if (!context.quarantine().quarantined(view)) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -127,6 +127,7 @@
                 .with("status", status)
                 .with("sends", sends)
                 .with("total_ms", nowMs - view.arrivedAtMs());
+        view.team().ifPresent(team -> line.with("team", team.name()));
         view.demand().ifPresent(demand -> line.with("model", demand.variant()).with("prompt", demand.promptTokens()));
         if (sends > 0) {
             line.with("instance", instance).with("waited_ms", sentAtMs - view.arrivedAtMs());
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
@@ -9,7 +9,7 @@
 /** The calls that wait at this entry, in the order of their urgency. */
 public final class WaitingCalls {
     private static final Comparator<Exchange> MOST_URGENT_FIRST = Comparator.comparingInt(
-                    (Exchange exchange) -> exchange.view().route().priority())
+                    (Exchange exchange) -> exchange.view().priority())
             .thenComparingLong(exchange -> exchange.view().arrivedAtMs())
             .thenComparingLong(Exchange::number);
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/CallRequest.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/CallRequest.java
@@ -5,6 +5,7 @@
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.resumption.TakeUp;
+import org.hawthornglade.core.team.Credential;
 
 /**
  * The information in a caller's headers.
@@ -14,10 +15,12 @@
  * @param demand the demand on a model engine
  * @param lastEventId the last event that the caller received, if it resumes a stream
  * @param takeUp the caller's wish to resume a stream that an earlier attempt began
+ * @param credential the caller's key; used only where teams are configured
  */
 public record CallRequest(
         RequestId id,
         OptionalLong remainingMs,
         Optional<ModelDemand> demand,
         Optional<String> lastEventId,
-        Optional<TakeUp> takeUp) {}
+        Optional<TakeUp> takeUp,
+        Credential credential) {}
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -36,6 +36,7 @@
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.serving.WeightedService;
+import org.hawthornglade.core.team.TeamDirectory;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.http.CallerServer;
 import org.hawthornglade.gateway.log.EventLog;
@@ -67,6 +68,8 @@
     private final CallReceiver receiver;
     private final RequestBodyBudget bodies;
     private final int port;
+    private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
+    private volatile ServingConfiguration configuration = configuration(1, TeamDirectory.NONE);
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
         this(endpoints, LIMITS, new RetryBudgets(0.1, 10));
@@ -113,7 +116,7 @@
             long bodyBytes)
             throws IOException {
         EventLoop loop = group.next();
-        EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+        EventLog log = new EventLog(clock, new PrintStream(logBytes, true, StandardCharsets.UTF_8));
         timers = new Timers(loop, log);
         fleet = new Fleet();
         List<InstanceRecord> records = new ArrayList<>();
@@ -146,7 +149,7 @@
                 log,
                 metrics);
         metrics.start();
-        receiver = new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
+        receiver = new CallReceiver(context, () -> Optional.of(configuration), view -> {}, new Random(1));
         bodies = new RequestBodyBudget(bodyBytes, clock, new BodyPressureLog(clock, log, metrics));
         server = new CallerServer(loop, timers, clock, () -> limits, receiver, bodies);
         port = server.listen(new InstanceAddress("127.0.0.1", 0));
@@ -194,17 +197,56 @@
                 Set.of());
     }
 
-    private static ServingConfiguration configuration() {
+    /** Puts a new version of the configuration with these teams into force. */
+    void onTeams(TeamDirectory teams) {
+        configuration = configuration(configuration.version() + 1, teams);
+    }
+
+    /** Returns the text that was logged so far. */
+    String log() {
+        return logBytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the teams of the waiting calls in the order in which these are decided; read on the event loop. */
+    List<String> teamsOfWaitingCalls() throws Exception {
+        return group.submit(() -> waitingCalls.all().stream()
+                        .map(exchange ->
+                                exchange.view().team().orElseThrow().name().value())
+                        .toList())
+                .get(5, TimeUnit.SECONDS);
+    }
+
+    private static ServingConfiguration configuration(long version, TeamDirectory teams) {
         return new ServingConfiguration(
-                1,
+                version,
                 List.of(
                         route("safe", CallKind.SAFE, 2, false),
                         route("unsafe", CallKind.UNSAFE, 1, false),
                         route("stream", CallKind.STREAM, 1, false),
                         route("resumable", CallKind.STREAM, 2, true),
-                        patientRoute("patient", CallKind.STREAM, 2, true)),
+                        patientRoute("patient", CallKind.STREAM, 2, true),
+                        publicRoute("public")),
                 List.of(new ServiceDefinition(SERVICE, 10, Optional.empty())),
-                LIMITS);
+                LIMITS,
+                teams);
+    }
+
+    private static Route publicRoute(String name) {
+        Route route = route(name, CallKind.SAFE, 2, false);
+        return new Route(
+                route.name(),
+                route.host(),
+                route.pathPrefix(),
+                route.kind(),
+                route.timeoutMs(),
+                route.targetMs(),
+                route.gapTargetMs(),
+                route.abandonMs(),
+                route.maxAttempts(),
+                route.priority(),
+                route.resumable(),
+                true,
+                route.targets());
     }
 
     private static Route route(String name, CallKind kind, int attempts, boolean resumable) {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -16,6 +17,8 @@
 import org.hawthornglade.core.resumption.TakeUp;
 import org.hawthornglade.core.stream.EventRule;
 import org.hawthornglade.core.stream.NumberedEventRule;
+import org.hawthornglade.core.team.ApiKey;
+import org.hawthornglade.core.team.Credential;
 import org.hawthornglade.gateway.port.AttemptParameters;
 import org.hawthornglade.gateway.port.CallProtocol;
 import org.hawthornglade.gateway.port.CallRequest;
@@ -33,6 +36,12 @@
     static final String RETRY_AFTER_MS = "X-Shut-Ms";
     /** Header for the requests per second that an endpoint accepts from all entries together. */
     static final String LIMIT = "X-Limit";
+    /** Header for the key of a caller; an empty key, or one with a space, cannot be read. */
+    static final String KEY = "X-Key";
+    /** Header for the name of the caller's team, in requests to endpoints. */
+    static final String TEAM = "X-Team";
+    /** Header for the priority of a call, in requests to endpoints. */
+    static final String PRIORITY = "X-Urgency";
     /** The numeric field that may be the first line of an event. */
     static final String WEIGHTS_FIELD = "x-weights";
 
@@ -51,7 +60,18 @@
         Optional<RequestId> origin =
                 Optional.ofNullable(head.headers().get(ORIGIN)).map(RequestId::of);
         Optional<TakeUp> takeUp = lastEvent.map(event -> new TakeUp(origin));
-        return Either.right(new CallRequest(RequestId.of(id), remainingMs, Optional.empty(), lastEvent, takeUp));
+        return Either.right(new CallRequest(
+                RequestId.of(id), remainingMs, Optional.empty(), lastEvent, takeUp, credential(head.headers())));
+    }
+
+    private static Credential credential(HttpHeaders headers) {
+        List<String> keys = headers.getAll(KEY);
+        if (keys.isEmpty()) {
+            return Credential.NONE;
+        }
+        boolean readable =
+                keys.size() == 1 && !keys.get(0).isEmpty() && !keys.get(0).contains(" ");
+        return readable ? Credential.of(new ApiKey(keys.get(0))) : Credential.UNREADABLE;
     }
 
     @Override
@@ -60,6 +80,8 @@
         headers.set("Host", callerHeaders.get("Host"));
         headers.set(ID, callerHeaders.get(ID));
         attempt.lastEventId().ifPresent(id -> headers.set(LAST_EVENT, id));
+        headers.set(PRIORITY, attempt.priority());
+        attempt.caller().team().ifPresent(team -> headers.set(TEAM, team.name().value()));
         return headers;
     }
 
