--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaTimes.java
@@ -0,0 +1,26 @@
+package org.hawthornglade.core.quota;
+
+/** The times after which shares of quotas change without a message. */
+final class QuotaTimes {
+    /** An entry that has sent no report for this long is considered silent by the leader, in milliseconds. */
+    static final long SILENT_MS = 500;
+    /** An entry that has received no answer for this long uses its share; longer than {@link #SILENT_MS}. */
+    static final long ALONE_MS = 600;
+    /** How long granted units can be used, from the report that the leader answered. */
+    static final long STOCK_VALID_MS = 1_000;
+    /** How long a share can be used, from the report that the leader answered; covers a change of the leader. */
+    static final long SHARE_VALID_MS = 4_000;
+    /** How long an entry without a leader uses an equal part of a reduced rate, as the leader holds it back. */
+    static final long EQUAL_SHARE_VALID_MS = 60_000;
+    /** How much longer the leader holds back a share than the entry can use it. */
+    static final long HOLD_MARGIN_MS = 500;
+    /** Part of the quota for all entries whose shares have expired; the usual demand is 1/1.8 of a quota. */
+    static final double EQUAL_SHARE = 0.6;
+    /** Part of the quota that is not held back for entries which have been without a leader for longer. */
+    static final double LAST_SHARE = 0.05;
+
+    /** An entry asks the leader again at most this often for units that it could not grant, in milliseconds. */
+    static final long ASK_AGAIN_MS = 250;
+
+    private QuotaTimes() {}
+}
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
@@ -0,0 +1,167 @@
+package org.hawthornglade.core.quota;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.hawthornglade.core.quota.QuotaSimulation.sum;
+
+import org.hawthornglade.core.team.QuotaUnit;
+import org.hawthornglade.core.team.TeamQuota;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The sharing of a quota by all entries, in virtual time.
+ *
+ * <p>The columns are the number of entries, the rate of the quota, and the share of requests that cost 9,250 tokens;
+ * the others cost 200.
+ */
+class QuotaSharingTest {
+    private static final QuotaTolerance TOLERANCE = new QuotaTolerance(8_000, 0.1, 110_000);
+    private static final double USUAL = 1 / 1.8;
+    private static final long START_MS = 6_000;
+
+    private static QuotaSimulation simulation(int entries, double rate, double large) {
+        TeamQuota quota = new TeamQuota(QuotaUnit.TOKEN, rate, rate, 200);
+        QuotaSimulation simulation = new QuotaSimulation(entries, quota, TOLERANCE, large, 7);
+        simulation.lead(0);
+        return simulation;
+    }
+
+    /** All entries have an equal part of a total demand. */
+    private static QuotaSimulation.Demand even(QuotaSimulation simulation, double unitsPerS) {
+        return (entry, nowMs) -> unitsPerS / simulation.entries();
+    }
+
+    private static void assertWithinLimit(QuotaSimulation simulation, double rate) {
+        double limit = (rate * 8 + rate) * 1.1 + 110_000;
+        assertWithMessage("units in a window, limit %s", limit)
+                .that(simulation.mostInWindow(8_000, 0))
+                .isAtMost(limit);
+    }
+
+    /** Guards against refusing a team that is within its quota, also one with requests larger than a share. */
+    @ParameterizedTest
+    @CsvSource({
+        "1, 29000, 0.5",
+        "4, 29000, 0.5",
+        "31, 29000, 0",
+        "31, 29000, 0.5",
+        "31, 29000, 1",
+        "300, 29000, 0.5",
+        "4, 299966, 0.05",
+        "31, 299966, 0.05",
+        "31, 299966, 1",
+        "300, 299966, 0.5"
+    })
+    void usualDemandIsServed(int entries, double rate, double large) {
+        QuotaSimulation simulation = simulation(entries, rate, large);
+        simulation.run(40_000, even(simulation, rate * USUAL));
+        double demand = sum(simulation.requested, START_MS, 40_000);
+        assertThat(sum(simulation.refused, START_MS, 40_000) / demand).isLessThan(0.02);
+        assertThat(simulation.longestRefusalMs(START_MS, 40_000)).isAtMost(300);
+        assertWithinLimit(simulation, rate);
+    }
+
+    /** Guards against exceeding the limit, or leaving it unused, while a team sends several times its quota. */
+    @ParameterizedTest
+    @CsvSource({
+        "1, 29000, 0.5",
+        "4, 29000, 0.5",
+        "31, 29000, 0",
+        "31, 29000, 0.5",
+        "31, 29000, 1",
+        "300, 29000, 0.5",
+        "4, 299966, 0.05",
+        "31, 299966, 0.05",
+        "31, 299966, 1",
+        "300, 299966, 0.5"
+    })
+    void hotTeamGetsItsQuotaAndNoMore(int entries, double rate, double large) {
+        QuotaSimulation simulation = simulation(entries, rate, large);
+        simulation.run(10_000, even(simulation, rate * USUAL));
+        simulation.run(21_000, even(simulation, rate * USUAL * 7.5));
+        simulation.run(30_000, even(simulation, rate * USUAL));
+        assertWithinLimit(simulation, rate);
+        assertThat(sum(simulation.admitted, 10_000, 21_000)).isAtLeast(0.8 * 11 * rate);
+        assertThat(simulation.longestRefusalMs(22_000, 30_000)).isAtMost(300);
+    }
+
+    /** Guards against refusing a team during a change of the leader, and against two leaders granting too much. */
+    @ParameterizedTest
+    @CsvSource({"4, 29000, 0", "31, 29000, 0", "4, 299966, 0.05", "31, 299966, 0.05", "300, 299966, 0"})
+    void lossOfTheLeader(int entries, double rate, double large) {
+        for (double factor : new double[] {1, 7.5}) {
+            QuotaSimulation simulation = simulation(entries, rate, large);
+            QuotaSimulation.Demand demand = even(simulation, rate * USUAL * factor);
+            simulation.run(12_000, demand);
+            simulation.noLeader();
+            simulation.run(14_800, demand);
+            simulation.lead(1);
+            simulation.run(30_000, demand);
+            assertWithinLimit(simulation, rate);
+            double expected = Math.min(rate, rate * USUAL * factor);
+            assertThat(sum(simulation.admitted, 12_000, 20_000)).isAtLeast(0.8 * 8 * expected);
+            if (factor == 1) {
+                assertThat(simulation.longestRefusalMs(START_MS, 30_000)).isAtMost(300);
+            }
+        }
+    }
+
+    /** Guards against exceeding the limit when some or all entries lose the leader and then get all the demand. */
+    @ParameterizedTest
+    @CsvSource({"4, 29000, 0.5", "31, 29000, 0.5", "31, 299966, 0.05", "300, 29000, 0", "300, 299966, 0.05"})
+    void partitionedEntries(int entries, double rate, double large) {
+        for (double part : new double[] {0.05, 0.33, 1}) {
+            for (int alone : new int[] {0, 1, 3}) {
+                QuotaSimulation simulation = simulation(entries, rate, large);
+                simulation.run(10_000, even(simulation, rate * USUAL));
+                int silent = (int) Math.max(1, part * entries);
+                simulation.cutOff = (entry, atMs) -> entry < silent && atMs > 12_000 && atMs < 40_000;
+                double hot = rate * USUAL * 7.5;
+                QuotaSimulation.Demand demand =
+                        alone == 0 ? even(simulation, hot) : (entry, nowMs) -> entry < alone ? hot / alone : hot / 100;
+                simulation.run(50_000, demand);
+                assertWithinLimit(simulation, rate);
+            }
+        }
+    }
+
+    /** Guards against admitting at the old rate after a lower limit is in force. */
+    @ParameterizedTest
+    @CsvSource({"1, 299966, 0.05", "31, 299966, 0.05", "300, 299966, 0"})
+    void lowerLimit(int entries, double rate, double large) {
+        QuotaSimulation simulation = simulation(entries, rate, large);
+        simulation.run(10_000, even(simulation, rate * USUAL));
+        double lower = rate / 10;
+        simulation.configure(new TeamQuota(QuotaUnit.TOKEN, lower, lower, 200));
+        simulation.run(40_000, even(simulation, rate * USUAL));
+        double limit = (lower * 8 + lower) * 1.1 + 110_000;
+        assertThat(simulation.mostInWindow(8_000, 13_000)).isAtMost(limit);
+        assertThat(sum(simulation.admitted, 13_000, 40_000)).isAtLeast(0.8 * 27 * lower);
+    }
+
+    /** Guards against granting a restarted entry anew what its former process has used. */
+    @ParameterizedTest
+    @CsvSource({"4, 29000, 0.5", "31, 299966, 0.05"})
+    void restarts(int entries, double rate, double large) {
+        QuotaSimulation simulation = simulation(entries, rate, large);
+        QuotaSimulation.Demand demand = even(simulation, rate * USUAL * 3.5);
+        for (int i = 0; i < 15; i++) {
+            simulation.run(10_000 + i * 2_000L, demand);
+            simulation.restart(1 + i % (entries - 1));
+        }
+        assertWithinLimit(simulation, rate);
+        assertThat(sum(simulation.admitted, 10_000, 37_000)).isAtLeast(0.8 * 27 * rate);
+    }
+
+    /** Guards against a message for each request of a team that is well below its limit. */
+    @ParameterizedTest
+    @CsvSource({"4, 299966, 0", "31, 299966, 0"})
+    void fewMessagesBelowTheLimit(int entries, double rate, double large) {
+        QuotaSimulation simulation = simulation(entries, rate, large);
+        simulation.run(10_000, even(simulation, rate * USUAL));
+        long before = simulation.reports;
+        simulation.run(20_000, even(simulation, rate * USUAL));
+        assertThat(simulation.reports - before).isAtMost(10 * 6 * entries);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -0,0 +1,228 @@
+package org.hawthornglade.core.quota;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import java.util.function.LongPredicate;
+import org.hawthornglade.core.id.TeamName;
+import org.hawthornglade.core.team.TeamQuota;
+
+/** One team's requests at several entries in virtual time, with messages that take a time and may be lost. */
+final class QuotaSimulation {
+    static final long STEP_MS = 5;
+    static final TeamName TEAM = TeamName.of("t");
+    private static final long ONE_WAY_MS = 3;
+    private static final long REPORT_MS = 250;
+    private static final long ASK_LIMIT_MS = 60;
+    private static final double LARGE_UNITS = 9_250;
+
+    /** Returns the team's demand in units per second at an entry. */
+    interface Demand {
+        double unitsPerS(int entry, long nowMs);
+    }
+
+    private record Message(long atMs, long order, Runnable action) {}
+
+    private record Ask(double units, long atMs) {}
+
+    /** An entry: its client and the requests that wait for an answer. */
+    private static final class Entry {
+        private QuotaClient client;
+        private long reportedAtMs;
+        private double requestsDue;
+        private double nextRequest;
+        private final Deque<Ask> asks = new ArrayDeque<>();
+    }
+
+    /** A leader. */
+    private record Leader(QuotaAllocator allocator, int entry, long reign) {}
+
+    private final Random random;
+    private final QuotaTolerance tolerance;
+    private final List<Entry> entries = new ArrayList<>();
+    private final PriorityQueue<Message> messages = new PriorityQueue<>(
+            Comparator.comparingLong(Message::atMs).thenComparingLong(Message::order));
+    private final double largeShare;
+    private TeamQuota quota;
+    private Leader leader;
+    private long nowMs;
+    private long order;
+    private long run;
+    /** Units admitted in each step. */
+    final List<Double> admitted = new ArrayList<>();
+    /** Units requested in each step. */
+    final List<Double> requested = new ArrayList<>();
+    /** Units refused in each step. */
+    final List<Double> refused = new ArrayList<>();
+    /** Messages of entries to the leader. */
+    long reports;
+
+    BiPredicate<Integer, Long> cutOff = (entry, atMs) -> false;
+    LongPredicate confirmed = atMs -> true;
+
+    QuotaSimulation(int count, TeamQuota quota, QuotaTolerance tolerance, double largeShare, long seed) {
+        this.random = new Random(seed);
+        this.tolerance = tolerance;
+        this.quota = quota;
+        this.largeShare = largeShare;
+        for (int i = 0; i < count; i++) {
+            entries.add(new Entry());
+            restart(i);
+            entries.get(i).nextRequest = -Math.log(1 - random.nextDouble());
+            entries.get(i).reportedAtMs = random.nextInt((int) REPORT_MS) - REPORT_MS;
+        }
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    int entries() {
+        return entries.size();
+    }
+
+    void restart(int index) {
+        Entry entry = entries.get(index);
+        entry.client = new QuotaClient(tolerance, ++run);
+        entry.client.onConfiguration(Map.of(TEAM, quota));
+        entry.asks.clear();
+    }
+
+    void lead(int index) {
+        QuotaAllocator allocator = new QuotaAllocator(tolerance);
+        allocator.onConfiguration(Map.of(TEAM, quota));
+        allocator.begin(++run, entries.get(index).client.entries(), nowMs);
+        leader = new Leader(allocator, index, run);
+    }
+
+    void noLeader() {
+        leader = null;
+    }
+
+    void configure(TeamQuota changed) {
+        quota = changed;
+        entries.forEach(entry -> entry.client.onConfiguration(Map.of(TEAM, changed)));
+        leader.allocator().onConfiguration(Map.of(TEAM, changed));
+    }
+
+    void run(long untilMs, Demand demand) {
+        while (nowMs < untilMs) {
+            nowMs += STEP_MS;
+            while (!messages.isEmpty() && messages.peek().atMs() <= nowMs) {
+                messages.poll().action().run();
+            }
+            admitted.add(0.0);
+            requested.add(0.0);
+            refused.add(0.0);
+            if (leader != null) {
+                leader.allocator().check(confirmed.test(nowMs), nowMs);
+            }
+            for (int i = 0; i < entries.size(); i++) {
+                step(i, demand.unitsPerS(i, nowMs));
+            }
+        }
+    }
+
+    private void step(int index, double unitsPerS) {
+        Entry entry = entries.get(index);
+        double meanUnits = largeShare * LARGE_UNITS + (1 - largeShare) * quota.defaultUnits();
+        entry.requestsDue += unitsPerS * STEP_MS / 1_000 / meanUnits;
+        while (entry.requestsDue >= entry.nextRequest) {
+            entry.nextRequest += -Math.log(1 - random.nextDouble());
+            double units = random.nextDouble() < largeShare ? LARGE_UNITS : quota.defaultUnits();
+            add(requested, units);
+            settle(entry, entry.client.decide(TEAM, units, nowMs), new Ask(units, nowMs), false);
+        }
+        decideAsks(entry);
+        boolean due = nowMs - entry.reportedAtMs >= REPORT_MS;
+        boolean urgent = entry.client.reportUrgent() && (!entry.asks.isEmpty() || nowMs - entry.reportedAtMs >= 50);
+        if (leader != null && (due || urgent)) {
+            entry.reportedAtMs = nowMs;
+            QuotaReport report = entry.client.report(nowMs);
+            Leader to = leader;
+            QuotaClient client = entry.client;
+            reports++;
+            deliver(index, to, () -> {
+                QuotaUpdate update = to.allocator().onReport("e" + index, report, confirmed.test(nowMs), nowMs);
+                deliver(index, to, () -> client.onUpdate(update, nowMs));
+            });
+        }
+    }
+
+    private void deliver(int index, Leader to, Runnable action) {
+        if (cutOff.test(index, nowMs)) {
+            return;
+        }
+        long delayMs = index == to.entry() ? 0 : ONE_WAY_MS;
+        messages.add(new Message(nowMs + delayMs, order++, () -> {
+            if (leader != null && leader.reign() == to.reign()) {
+                action.run();
+            }
+        }));
+    }
+
+    private void decideAsks(Entry entry) {
+        int count = entry.asks.size();
+        for (int i = 0; i < count; i++) {
+            Ask ask = entry.asks.poll();
+            settle(entry, entry.client.decideAgain(TEAM, ask.units(), nowMs), ask, nowMs - ask.atMs() > ASK_LIMIT_MS);
+        }
+    }
+
+    private void settle(Entry entry, QuotaDecision decision, Ask ask, boolean last) {
+        if (decision.kind() == QuotaDecision.Kind.ADMIT) {
+            add(admitted, ask.units());
+        } else if (decision.kind() == QuotaDecision.Kind.ASK && !last) {
+            entry.asks.add(ask);
+        } else {
+            add(refused, ask.units());
+        }
+    }
+
+    private static void add(List<Double> steps, double units) {
+        int last = steps.size() - 1;
+        steps.set(last, steps.get(last) + units);
+    }
+
+    /** Returns the most units admitted in any window of a length that begins at or after a time. */
+    double mostInWindow(long windowMs, long fromMs) {
+        int length = (int) (windowMs / STEP_MS);
+        double sum = 0;
+        double most = 0;
+        int first = (int) (fromMs / STEP_MS);
+        for (int i = first; i < admitted.size(); i++) {
+            sum += admitted.get(i) - (i - length >= first ? admitted.get(i - length) : 0);
+            most = Math.max(most, sum);
+        }
+        return most;
+    }
+
+    static double sum(List<Double> steps, long fromMs, long toMs) {
+        double sum = 0;
+        for (int i = (int) (fromMs / STEP_MS); i < Math.min(toMs / STEP_MS, steps.size()); i++) {
+            sum += steps.get(i);
+        }
+        return sum;
+    }
+
+    /** Returns the longest time in which the team was refused and nothing of it was admitted. */
+    long longestRefusalMs(long fromMs, long toMs) {
+        long longest = 0;
+        long since = -1;
+        for (int i = (int) (fromMs / STEP_MS); i < Math.min(toMs / STEP_MS, refused.size()); i++) {
+            if (admitted.get(i) > 0) {
+                since = -1;
+            } else if (refused.get(i) > 0) {
+                since = since < 0 ? i * STEP_MS : since;
+                longest = Math.max(longest, i * STEP_MS - since);
+            }
+        }
+        return longest;
+    }
+}
