--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
@@ -196,6 +196,16 @@
         return entries;
     }
 
+    /** Returns the rate of a team's quota, in units per second; 0 if it has none. */
+    public double limitPerS(TeamName team) {
+        return limited.contains(team) ? stocks.get(team).amounts().unitsPerS() : 0;
+    }
+
+    /** Returns the recent demand of a team at this entry, in units per second. */
+    public double demandPerS(TeamName team, long nowMs) {
+        return limited.contains(team) ? stocks.get(team).demandPerS(nowMs) : 0;
+    }
+
     /** Returns the age of the leader's last answer, in milliseconds. */
     public long answerAgeMs(long nowMs) {
         return nowMs - answeredAtMs;
--- a/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
@@ -25,6 +25,7 @@
 
     /** Time constant of the demand by which shares are divided, in milliseconds. */
     private static final double LONG_MEMORY_MS = 4_000;
+
     private static final double KEEP_S = QuotaTimes.STOCK_VALID_MS / 1_000.0;
 
     /** What one entry holds. */
--- a/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
+++ b/core/src/main/java/org/hawthornglade/core/result/ResultCode.java
@@ -45,6 +45,7 @@
     STREAM_ORIGIN_UNREADABLE(2015, Execution.NOT_RUN, 503, true),
     STREAM_ORIGIN_UNKNOWN(2016, Execution.NOT_RUN, 503, false),
     BODY_MEMORY_FULL(2017, Execution.NOT_RUN, 503, true),
+    TEAM_OVER_QUOTA(2018, Execution.NOT_RUN, 429, true),
 
     OUTCOME_UNKNOWN(3001, Execution.UNKNOWN, 504, false),
     ANSWER_INCOMPLETE(3002, Execution.UNKNOWN, 502, false),
--- a/core/src/main/java/org/hawthornglade/core/team/TeamDirectory.java
+++ b/core/src/main/java/org/hawthornglade/core/team/TeamDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hawthornglade.core.id.TeamName;
 import org.hawthornglade.core.result.ResultCode;
 
 /**
@@ -58,6 +59,13 @@
         return Optional.ofNullable(holders.get(key));
     }
 
+    /** Returns the quotas of the teams that have one. */
+    public Map<TeamName, TeamQuota> quotas() {
+        ImmutableMap.Builder<TeamName, TeamQuota> quotas = ImmutableMap.builder();
+        teams.forEach(team -> team.quota().ifPresent(quota -> quotas.put(team.name(), quota)));
+        return quotas.buildKeepingLast();
+    }
+
     /** Returns whether the configuration has no teams. */
     public boolean isEmpty() {
         return teams.isEmpty();
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
@@ -62,6 +62,21 @@
         assertWithinLimit(simulation, rate);
     }
 
+    /** Guards against refusing a team whose quota is in requests, of which an entry's share is less than one. */
+    @ParameterizedTest
+    @CsvSource({"1, 10", "4, 10", "31, 10", "31, 200", "300, 50"})
+    void quotaOfRequests(int entries, double rate) {
+        TeamQuota quota = new TeamQuota(QuotaUnit.REQUEST, rate, rate, 1);
+        QuotaSimulation simulation = new QuotaSimulation(entries, quota, TOLERANCE, 0, 7);
+        simulation.lead(0);
+        simulation.run(30_000, even(simulation, rate * USUAL));
+        double demand = sum(simulation.requested, START_MS, 30_000);
+        assertThat(sum(simulation.refused, START_MS, 30_000) / demand).isLessThan(0.02);
+        simulation.run(40_000, even(simulation, rate * USUAL * 7.5));
+        assertThat(simulation.mostInWindow(8_000, 0)).isAtMost(rate * 9 * 1.1);
+        assertThat(sum(simulation.admitted, 30_000, 40_000)).isAtLeast(0.8 * 10 * rate);
+    }
+
     /** Guards against exceeding the limit, or leaving it unused, while a team sends several times its quota. */
     @ParameterizedTest
     @CsvSource({
@@ -83,6 +98,8 @@
         simulation.run(30_000, even(simulation, rate * USUAL));
         assertWithinLimit(simulation, rate);
         assertThat(sum(simulation.admitted, 10_000, 21_000)).isAtLeast(0.8 * 11 * rate);
+        double later = sum(simulation.requested, 22_000, 30_000);
+        assertThat(sum(simulation.refused, 22_000, 30_000) / later).isLessThan(0.05);
         assertThat(simulation.longestRefusalMs(22_000, 30_000)).isAtMost(300);
     }
 
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -46,8 +46,8 @@
     private final Random random;
     private final QuotaTolerance tolerance;
     private final List<Entry> entries = new ArrayList<>();
-    private final PriorityQueue<Message> messages = new PriorityQueue<>(
-            Comparator.comparingLong(Message::atMs).thenComparingLong(Message::order));
+    private final PriorityQueue<Message> messages =
+            new PriorityQueue<>(Comparator.comparingLong(Message::atMs).thenComparingLong(Message::order));
     private final double largeShare;
     private TeamQuota quota;
     private Leader leader;
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.limit.EntryCount;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
+import org.hawthornglade.core.quota.QuotaClient;
 import org.hawthornglade.core.serving.ConfigurationInForce;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.RequestLimits;
@@ -35,6 +36,7 @@
 import org.hawthornglade.gateway.exchange.EngineStartCheck;
 import org.hawthornglade.gateway.exchange.ExchangeContext;
 import org.hawthornglade.gateway.exchange.QuarantineLog;
+import org.hawthornglade.gateway.exchange.QuotaGate;
 import org.hawthornglade.gateway.exchange.ResponseBufferBudget;
 import org.hawthornglade.gateway.exchange.RetryBudgets;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
@@ -108,8 +110,22 @@
         this.connections = connections;
         PromptQuarantine quarantine = new PromptQuarantine(settings.node(), new QuarantineLog(log, metrics));
         DemandCollector collector = new DemandCollector(settings.node(), fleet, waitingCalls);
+        QuotaClient quotaClient =
+                new QuotaClient(settings.quotaTolerance(), context.wallClock().nowMs());
+        QuotaGate quotaGate = new QuotaGate(quotaClient, timers, clock, log, metrics);
         this.placement = new PlacementCoordinator(
-                settings, context, fleet, waitingCalls, collector, leaseStore, control, quarantine, metrics);
+                settings,
+                context,
+                fleet,
+                waitingCalls,
+                collector,
+                leaseStore,
+                control,
+                quarantine,
+                quotaClient,
+                quotaGate::onAnswer,
+                metrics);
+        quotaGate.onAsk(placement::reportQuotas);
         waitingCalls.onDemandChanged(placement::demandChanged);
         placement.onEntryCount(this::onEntryCount);
         this.retryBudgets = new RetryBudgets(retryShare(settings), retryBurst(settings));
@@ -125,6 +141,7 @@
                 new ResponseBufferBudget(),
                 retryBudgets,
                 quarantine,
+                quotaGate,
                 resumption,
                 new EngineStartCheck(control, this::runsModels),
                 new CrashDetector(timers, clock, connections, quarantine),
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -7,12 +7,14 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.quota.QuotaClient;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.serving.Route;
@@ -20,6 +22,8 @@
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.serving.WeightedService;
 import org.hawthornglade.core.team.CallerIdentity;
+import org.hawthornglade.core.team.Team;
+import org.hawthornglade.core.team.TeamQuota;
 import org.hawthornglade.gateway.http.CallHandler;
 import org.hawthornglade.gateway.http.IncomingCall;
 import org.hawthornglade.gateway.port.CallRequest;
@@ -114,7 +118,39 @@
                     "config " + known.get().version());
             return;
         }
-        start(call, request, route.get(), known.get(), caller.get());
+        admit(
+                call,
+                request,
+                caller.get().team(),
+                hold -> start(call, request, route.get(), known.get(), caller.get(), hold));
+    }
+
+    /** Passes a call on if it is within the quota of its team; {@code next} receives what it has taken of it. */
+    private void admit(IncomingCall call, CallRequest request, Optional<Team> team, Consumer<QuotaHold> next) {
+        Optional<TeamQuota> quota = team.flatMap(Team::quota);
+        if (quota.isEmpty()) {
+            next.accept(QuotaHold.NONE);
+            return;
+        }
+        AtomicBoolean gone = new AtomicBoolean();
+        call.response().onGone(() -> gone.set(true));
+        context.quotaGate()
+                .admit(
+                        team.get().name(),
+                        QuotaClient.units(quota.get(), request.statedTokens()),
+                        hold -> {
+                            if (gone.get()) {
+                                hold.refund();
+                            } else {
+                                next.accept(hold);
+                            }
+                        },
+                        retryAfterMs -> sendError(
+                                call,
+                                request.id(),
+                                ResultCode.TEAM_OVER_QUOTA,
+                                retryAfterMs,
+                                "team " + team.get().name()));
     }
 
     @Override
@@ -131,7 +167,12 @@
     }
 
     private void start(
-            IncomingCall call, CallRequest request, Route route, ServingConfiguration known, CallerIdentity caller) {
+            IncomingCall call,
+            CallRequest request,
+            Route route,
+            ServingConfiguration known,
+            CallerIdentity caller,
+            QuotaHold quotaHold) {
         ServiceName service = pickTarget(route.targets());
         boolean runsModels =
                 known.service(service).flatMap(ServiceDefinition::engine).isPresent();
@@ -145,7 +186,8 @@
         if (!context.quarantine().quarantined(view)) {
             arrivals.accept(view);
         }
-        Exchange exchange = new Exchange(context, ++callCount, call, request, view, known.version(), open::remove);
+        Exchange exchange =
+                new Exchange(context, ++callCount, call, request, view, quotaHold, known.version(), open::remove);
         open.add(exchange);
         exchange.start();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -13,6 +13,7 @@
 import org.hawthornglade.core.fleet.Permits;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.SoftwareVersion;
+import org.hawthornglade.core.result.Execution;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.resumption.StreamOrigin;
 import org.hawthornglade.core.resumption.TakeUpDecision;
@@ -44,6 +45,7 @@
     private final IncomingCall call;
     private final CallRequest request;
     private final CallView view;
+    private final QuotaHold quotaHold;
     private final Consumer<Exchange> onEnded;
     private final ResponseWriter response;
     private final CallRecord record;
@@ -55,6 +57,7 @@
     private int rejections;
     private boolean hasWaited;
     private boolean streamBegun;
+    private boolean reachedEndpoint;
     private boolean ended;
 
     Exchange(
@@ -63,6 +66,7 @@
             IncomingCall call,
             CallRequest request,
             CallView view,
+            QuotaHold quotaHold,
             long configurationVersion,
             Consumer<Exchange> onEnded) {
         this.context = context;
@@ -71,6 +75,7 @@
         this.call = call;
         this.request = request;
         this.view = view;
+        this.quotaHold = quotaHold;
         this.response = new ResponseWriter(context.protocol(), call.response(), request);
         this.record = new CallRecord(request.id(), view, configurationVersion);
         this.keptResponse = new KeptResponse(context.bufferBudget());
@@ -252,6 +257,7 @@
     /** Handles a rejection: the endpoint has stated that it did not run the call. */
     void onRejected(Endpoint endpoint, ResponseHead head) {
         attempt = null;
+        reachedEndpoint = true;
         record.addNote("rejected-" + head.status() + ":" + endpoint.id());
         long nowMs = context.clock().nowMs();
         boolean misdirected =
@@ -414,6 +420,7 @@
 
     private void cancelAttempt() {
         if (attempt != null) {
+            reachedEndpoint |= attempt.sent();
             attempt.cancel();
             attempt = null;
         }
@@ -421,6 +428,9 @@
 
     private void end(ResultCode code, int status) {
         ended = true;
+        if (code.execution() == Execution.NOT_RUN && runs == 0 && !reachedEndpoint) {
+            quotaHold.refund();
+        }
         keptResponse.release();
         onEnded.accept(this);
         permitWaiter.leave();
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -22,6 +22,7 @@
  * @param bufferBudget the memory for buffered responses
  * @param retryBudgets limits retries
  * @param quarantine refuses calls with parts of prompts that crash instances
+ * @param quotaGate lets calls pass that are within the quotas of their teams
  * @param resumption decides where streams that callers take up go on
  * @param startCheck finds out whether instances have started again
  * @param crashDetector tells crashes from lost connections
@@ -39,6 +40,7 @@
         ResponseBufferBudget bufferBudget,
         RetryBudgets retryBudgets,
         PromptQuarantine quarantine,
+        QuotaGate quotaGate,
         StreamResumption resumption,
         StartCheck startCheck,
         CrashDetector crashDetector,
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -15,6 +15,9 @@
 import org.hawthornglade.core.quarantine.PromptQuarantine.Role;
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
+import org.hawthornglade.core.quota.QuotaClient;
+import org.hawthornglade.core.quota.QuotaReport;
+import org.hawthornglade.core.quota.QuotaUpdate;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.time.Clock;
@@ -52,9 +55,11 @@
     private final LeaderConnection leaderConnection;
     private final FollowerServer followers;
     private final SharedRateLimits rateLimits;
+    private final SharedQuotas quotas;
     private final SharedQuarantine quarantine;
     private final Timers timers;
     private final Clock clock;
+    private final Clock wallClock;
     private final EventLog log;
     private long fullDemandSentMs;
     private boolean demandPending;
@@ -76,6 +81,8 @@
             LeaseStore leaseStore,
             EngineControl control,
             PromptQuarantine promptQuarantine,
+            QuotaClient quotaClient,
+            Runnable onQuotaAnswer,
             GatewayMetrics metrics) {
         this.settings = settings;
         this.fleet = fleet;
@@ -83,6 +90,7 @@
         this.collector = collector;
         this.timers = context.timers();
         this.clock = context.clock();
+        this.wallClock = context.wallClock();
         this.log = context.log();
         String nonce = settings.node() + "-" + context.wallClock().nowMs();
         this.leadership = new Leadership(
@@ -98,6 +106,15 @@
         this.followers = new FollowerServer(context.loop(), clock, this);
         this.rateLimits = new SharedRateLimits(
                 settings.node(), fleet, clock, lease, metrics, followers::send, waitingCalls::reconsider);
+        this.quotas = new SharedQuotas(
+                settings.node(),
+                clock,
+                lease,
+                settings.quotaTolerance(),
+                quotaClient,
+                leaderConnection::send,
+                followers::send,
+                onQuotaAnswer);
         this.quarantine = new SharedQuarantine(
                 settings.node(),
                 clock,
@@ -149,6 +166,8 @@
         if (wasLeading != leading) {
             leadingListener.accept(leading);
             rateLimits.onLeadingChanged();
+            quotas.onLeadingChanged(
+                    leading, wallClock.nowMs() ^ ((long) settings.node().hashCode() << 48));
         }
         wasLeading = leading;
         leaderConnection.target(leading ? Optional.empty() : leaderAddress());
@@ -159,6 +178,7 @@
             sendDemand(false);
         }
         rateLimits.check();
+        quotas.check();
         quarantine.check(role());
         leader.scheduleRound();
     }
@@ -187,6 +207,11 @@
         }
     }
 
+    /** Reports on quotas to the leader now, since a call waits for its answer. */
+    public void reportQuotas() {
+        quotas.report();
+    }
+
     private void sendDemand(boolean withArrivals) {
         long nowMs = clock.nowMs();
         demandPending = false;
@@ -253,6 +278,16 @@
         rateLimits.onUpdate(update);
     }
 
+    @Override
+    public void onQuotas(QuotaUpdate update) {
+        quotas.onUpdate(update);
+    }
+
+    @Override
+    public void onQuotaReport(String entry, QuotaReport report) {
+        quotas.onReport(entry, report);
+    }
+
     @Override
     public void onQuarantine(QuarantineUpdate update) {
         quarantine.onUpdate(update);
--- a/gateway/src/main/java/org/hawthornglade/gateway/metrics/GatewayMetrics.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/metrics/GatewayMetrics.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.id.TeamName;
 import org.hawthornglade.core.result.ResultCode;
 
 /**
@@ -75,6 +76,13 @@
                 meterRegistry -> meterRegistry.counter("hawthornglade_" + name).increment((double) amount));
     }
 
+    /** Adds an amount to a counter of a team. */
+    public void addForTeam(String name, TeamName team, long amount) {
+        registry.ifPresent(meterRegistry -> meterRegistry
+                .counter("hawthornglade_" + name, "team", team.value())
+                .increment((double) amount));
+    }
+
     /** Sets a gauge, such as the number of engines that load a model. */
     public void set(String name, int value) {
         registry.ifPresent(meterRegistry -> gauges.computeIfAbsent(
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/FollowerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/FollowerServer.java
@@ -13,6 +13,8 @@
 import org.hawthornglade.core.limit.LimitUpdate;
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
+import org.hawthornglade.core.quota.QuotaReport;
+import org.hawthornglade.core.quota.QuotaUpdate;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.protocol.gen.peer.PeerMessage;
 
@@ -26,6 +28,9 @@
         /** Handles a follower's report on parts of prompts that may crash instances. */
         void onQuarantineReport(String entry, QuarantineReport report);
 
+        /** Handles a follower's report on quotas. */
+        void onQuotaReport(String entry, QuotaReport report);
+
         /** Handles a new connection; the follower has not been sent any placements yet. */
         void onFollowerConnected();
 
@@ -74,7 +79,15 @@
 
     /** Sends an update on rate-limited endpoints to one follower. */
     public void send(String entry, LimitUpdate update) {
-        byte[] frame = PeerCodec.encode(update);
+        send(entry, PeerCodec.encode(update));
+    }
+
+    /** Sends an answer on quotas to one follower. */
+    public void send(String entry, QuotaUpdate update) {
+        send(entry, PeerCodec.encode(update));
+    }
+
+    private void send(String entry, byte[] frame) {
         followers.forEach((channel, name) -> {
             if (name.equals(entry)) {
                 channel.send(frame);
@@ -109,6 +122,11 @@
                         message.getQuarantineReport().getEntry(),
                         QuarantineCodec.report(message.getQuarantineReport(), clock.nowMs()));
             }
+            String known = followers.getOrDefault(channel, "");
+            // The name comes with the first demand; a report before it is repeated.
+            if (message.isSetQuotaReport() && !known.isEmpty()) {
+                listener.onQuotaReport(known, QuotaCodec.report(message.getQuotaReport()));
+            }
             if (!message.isSetDemand()) {
                 return;
             }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
@@ -13,6 +13,8 @@
 import org.hawthornglade.core.limit.LimitUpdate;
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
+import org.hawthornglade.core.quota.QuotaReport;
+import org.hawthornglade.core.quota.QuotaUpdate;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.protocol.gen.peer.PeerMessage;
@@ -36,6 +38,9 @@
         /** Handles an update on parts of prompts in quarantine. */
         void onQuarantine(QuarantineUpdate update);
 
+        /** Handles the answer to a report on quotas. */
+        void onQuotas(QuotaUpdate update);
+
         /** Handles a new connection, on which the demand can be sent. */
         void onLeaderConnected();
 
@@ -112,6 +117,11 @@
         open.ifPresent(channel -> channel.send(PeerCodec.encode(entry, report, clock.nowMs())));
     }
 
+    /** Sends a report on quotas, if connected. */
+    public void send(QuotaReport report) {
+        open.ifPresent(channel -> channel.send(PeerCodec.encode(report)));
+    }
+
     private void connect(InstanceAddress address) {
         connecting = true;
         Bootstrap bootstrap = new Bootstrap()
@@ -158,6 +168,9 @@
             if (message.isSetLimits()) {
                 listener.onLimits(LimitCodec.limitUpdate(message.getLimits()));
             }
+            if (message.isSetQuotas()) {
+                listener.onQuotas(QuotaCodec.update(message.getQuotas()));
+            }
         }
 
         @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PeerCodec.java
@@ -23,6 +23,8 @@
 import org.hawthornglade.core.limit.LimitUpdate;
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
+import org.hawthornglade.core.quota.QuotaReport;
+import org.hawthornglade.core.quota.QuotaUpdate;
 import org.hawthornglade.core.replica.EntryDemand;
 import org.hawthornglade.core.replica.LoadLimits;
 import org.hawthornglade.core.replica.ModelArrivals;
@@ -109,6 +111,18 @@
         return bytes(message);
     }
 
+    static byte[] encode(QuotaReport report) {
+        PeerMessage message = new PeerMessage();
+        message.setQuotaReport(QuotaCodec.encode(report));
+        return bytes(message);
+    }
+
+    static byte[] encode(QuotaUpdate update) {
+        PeerMessage message = new PeerMessage();
+        message.setQuotas(QuotaCodec.encode(update));
+        return bytes(message);
+    }
+
     private static byte[] bytes(PeerMessage message) {
         try {
             return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -30,6 +30,8 @@
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
+import org.hawthornglade.core.quota.QuotaClient;
+import org.hawthornglade.core.quota.QuotaTolerance;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.serving.Route;
@@ -142,6 +144,7 @@
                 bufferBudget,
                 budgets,
                 quarantine,
+                new QuotaGate(new QuotaClient(QuotaTolerance.NONE, 1), timers, clock, log, metrics),
                 resumption,
                 startCheck,
                 new CrashDetector(timers, clock, connections, quarantine),
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PeerMessage.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PeerMessage.java
@@ -18,6 +18,8 @@
   private static final org.apache.thrift.protocol.TField LIMITS_FIELD_DESC = new org.apache.thrift.protocol.TField("limits", org.apache.thrift.protocol.TType.STRUCT, (short)3);
   private static final org.apache.thrift.protocol.TField QUARANTINE_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantineReport", org.apache.thrift.protocol.TType.STRUCT, (short)4);
   private static final org.apache.thrift.protocol.TField QUARANTINE_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantine", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField QUOTA_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("quotaReport", org.apache.thrift.protocol.TType.STRUCT, (short)6);
+  private static final org.apache.thrift.protocol.TField QUOTAS_FIELD_DESC = new org.apache.thrift.protocol.TField("quotas", org.apache.thrift.protocol.TType.STRUCT, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerMessageTupleSchemeFactory();
@@ -27,6 +29,8 @@
   private @org.apache.thrift.annotation.Nullable LimitNews limits; // optional
   private @org.apache.thrift.annotation.Nullable QuarantineReport quarantineReport; // optional
   private @org.apache.thrift.annotation.Nullable QuarantineNews quarantine; // optional
+  private @org.apache.thrift.annotation.Nullable QuotaReport quotaReport; // optional
+  private @org.apache.thrift.annotation.Nullable QuotaNews quotas; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +38,9 @@
     PLACEMENT((short)2, "placement"),
     LIMITS((short)3, "limits"),
     QUARANTINE_REPORT((short)4, "quarantineReport"),
-    QUARANTINE((short)5, "quarantine");
+    QUARANTINE((short)5, "quarantine"),
+    QUOTA_REPORT((short)6, "quotaReport"),
+    QUOTAS((short)7, "quotas");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +66,10 @@
           return QUARANTINE_REPORT;
         case 5: // QUARANTINE
           return QUARANTINE;
+        case 6: // QUOTA_REPORT
+          return QUOTA_REPORT;
+        case 7: // QUOTAS
+          return QUOTAS;
         default:
           return null;
       }
@@ -103,7 +113,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.DEMAND,_Fields.PLACEMENT,_Fields.LIMITS,_Fields.QUARANTINE_REPORT,_Fields.QUARANTINE};
+  private static final _Fields optionals[] = {_Fields.DEMAND,_Fields.PLACEMENT,_Fields.LIMITS,_Fields.QUARANTINE_REPORT,_Fields.QUARANTINE,_Fields.QUOTA_REPORT,_Fields.QUOTAS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -117,6 +127,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantineReport.class)));
     tmpMap.put(_Fields.QUARANTINE, new org.apache.thrift.meta_data.FieldMetaData("quarantine", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantineNews.class)));
+    tmpMap.put(_Fields.QUOTA_REPORT, new org.apache.thrift.meta_data.FieldMetaData("quotaReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuotaReport.class)));
+    tmpMap.put(_Fields.QUOTAS, new org.apache.thrift.meta_data.FieldMetaData("quotas", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuotaNews.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeerMessage.class, metaDataMap);
   }
@@ -143,6 +157,12 @@
     if (other.isSetQuarantine()) {
       this.quarantine = new QuarantineNews(other.quarantine);
     }
+    if (other.isSetQuotaReport()) {
+      this.quotaReport = new QuotaReport(other.quotaReport);
+    }
+    if (other.isSetQuotas()) {
+      this.quotas = new QuotaNews(other.quotas);
+    }
   }
 
   @Override
@@ -157,6 +177,8 @@
     this.limits = null;
     this.quarantineReport = null;
     this.quarantine = null;
+    this.quotaReport = null;
+    this.quotas = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -284,6 +306,56 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public QuotaReport getQuotaReport() {
+    return this.quotaReport;
+  }
+
+  public PeerMessage setQuotaReport(@org.apache.thrift.annotation.Nullable QuotaReport quotaReport) {
+    this.quotaReport = quotaReport;
+    return this;
+  }
+
+  public void unsetQuotaReport() {
+    this.quotaReport = null;
+  }
+
+  /** Returns true if field quotaReport is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuotaReport() {
+    return this.quotaReport != null;
+  }
+
+  public void setQuotaReportIsSet(boolean value) {
+    if (!value) {
+      this.quotaReport = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public QuotaNews getQuotas() {
+    return this.quotas;
+  }
+
+  public PeerMessage setQuotas(@org.apache.thrift.annotation.Nullable QuotaNews quotas) {
+    this.quotas = quotas;
+    return this;
+  }
+
+  public void unsetQuotas() {
+    this.quotas = null;
+  }
+
+  /** Returns true if field quotas is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuotas() {
+    return this.quotas != null;
+  }
+
+  public void setQuotasIsSet(boolean value) {
+    if (!value) {
+      this.quotas = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -327,6 +399,22 @@
       }
       break;
 
+    case QUOTA_REPORT:
+      if (value == null) {
+        unsetQuotaReport();
+      } else {
+        setQuotaReport((QuotaReport)value);
+      }
+      break;
+
+    case QUOTAS:
+      if (value == null) {
+        unsetQuotas();
+      } else {
+        setQuotas((QuotaNews)value);
+      }
+      break;
+
     }
   }
 
@@ -349,6 +437,12 @@
     case QUARANTINE:
       return getQuarantine();
 
+    case QUOTA_REPORT:
+      return getQuotaReport();
+
+    case QUOTAS:
+      return getQuotas();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -371,6 +465,10 @@
       return isSetQuarantineReport();
     case QUARANTINE:
       return isSetQuarantine();
+    case QUOTA_REPORT:
+      return isSetQuotaReport();
+    case QUOTAS:
+      return isSetQuotas();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -433,6 +531,24 @@
         return false;
     }
 
+    boolean this_present_quotaReport = true && this.isSetQuotaReport();
+    boolean that_present_quotaReport = true && that.isSetQuotaReport();
+    if (this_present_quotaReport || that_present_quotaReport) {
+      if (!(this_present_quotaReport && that_present_quotaReport))
+        return false;
+      if (!this.quotaReport.equals(that.quotaReport))
+        return false;
+    }
+
+    boolean this_present_quotas = true && this.isSetQuotas();
+    boolean that_present_quotas = true && that.isSetQuotas();
+    if (this_present_quotas || that_present_quotas) {
+      if (!(this_present_quotas && that_present_quotas))
+        return false;
+      if (!this.quotas.equals(that.quotas))
+        return false;
+    }
+
     return true;
   }
 
@@ -460,6 +576,14 @@
     if (isSetQuarantine())
       hashCode = hashCode * 8191 + quarantine.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetQuotaReport()) ? 131071 : 524287);
+    if (isSetQuotaReport())
+      hashCode = hashCode * 8191 + quotaReport.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetQuotas()) ? 131071 : 524287);
+    if (isSetQuotas())
+      hashCode = hashCode * 8191 + quotas.hashCode();
+
     return hashCode;
   }
 
@@ -521,6 +645,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQuotaReport(), other.isSetQuotaReport());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuotaReport()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quotaReport, other.quotaReport);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetQuotas(), other.isSetQuotas());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuotas()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quotas, other.quotas);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -594,6 +738,26 @@
       }
       first = false;
     }
+    if (isSetQuotaReport()) {
+      if (!first) sb.append(", ");
+      sb.append("quotaReport:");
+      if (this.quotaReport == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.quotaReport);
+      }
+      first = false;
+    }
+    if (isSetQuotas()) {
+      if (!first) sb.append(", ");
+      sb.append("quotas:");
+      if (this.quotas == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.quotas);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -616,6 +780,12 @@
     if (quarantine != null) {
       quarantine.validate();
     }
+    if (quotaReport != null) {
+      quotaReport.validate();
+    }
+    if (quotas != null) {
+      quotas.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -699,6 +869,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // QUOTA_REPORT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.quotaReport = new QuotaReport();
+              struct.quotaReport.read(iprot);
+              struct.setQuotaReportIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // QUOTAS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.quotas = new QuotaNews();
+              struct.quotas.read(iprot);
+              struct.setQuotasIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -750,6 +938,20 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.quotaReport != null) {
+        if (struct.isSetQuotaReport()) {
+          oprot.writeFieldBegin(QUOTA_REPORT_FIELD_DESC);
+          struct.quotaReport.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.quotas != null) {
+        if (struct.isSetQuotas()) {
+          oprot.writeFieldBegin(QUOTAS_FIELD_DESC);
+          struct.quotas.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -784,7 +986,13 @@
       if (struct.isSetQuarantine()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetQuotaReport()) {
+        optionals.set(5);
+      }
+      if (struct.isSetQuotas()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetDemand()) {
         struct.demand.write(oprot);
       }
@@ -800,12 +1008,18 @@
       if (struct.isSetQuarantine()) {
         struct.quarantine.write(oprot);
       }
+      if (struct.isSetQuotaReport()) {
+        struct.quotaReport.write(oprot);
+      }
+      if (struct.isSetQuotas()) {
+        struct.quotas.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PeerMessage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.demand = new DemandReport();
         struct.demand.read(iprot);
@@ -831,6 +1045,16 @@
         struct.quarantine.read(iprot);
         struct.setQuarantineIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.quotaReport = new QuotaReport();
+        struct.quotaReport.read(iprot);
+        struct.setQuotaReportIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.quotas = new QuotaNews();
+        struct.quotas.read(iprot);
+        struct.setQuotasIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -206,6 +206,56 @@
   2: list<Quarantine> quarantined
 }
 
+/** What an entry tells of the quota of a team. */
+struct QuotaUse {
+  1: string team
+  /** Units that were used of those granted since the reign began. */
+  2: i64 usedUnits
+  /** Units that are given back of those granted since the reign began. */
+  3: i64 returnedUnits
+  /** Units a second that were lately asked for, refused ones included. */
+  4: i64 demandPerS
+  /** Units of the calls that wait for this. */
+  5: i64 askedUnits
+  /** Units of the smallest of these calls. */
+  6: i64 smallestAskUnits
+  /** What the entry uses of the quota if it loses the leader, in millionths. */
+  7: i64 sharePpm
+}
+
+/** What an entry tells the leader of quotas. */
+struct QuotaReport {
+  1: i64 run
+  /** When this was sent, on the entry's steady clock in milliseconds. */
+  2: i64 sentAtMs
+  /** The reign of the leader whose grants are meant; 0 if none. */
+  3: i64 reign
+  4: list<QuotaUse> uses
+}
+
+/** What the leader grants an entry of the quota of a team. */
+struct QuotaGrant {
+  1: string team
+  /** All units granted to the entry since the reign began. */
+  2: i64 grantedUnits
+  /** Unused units beyond these are to be given back. */
+  3: i64 keepUnits
+  /** What the entry may use of the quota if it loses the leader, in millionths. */
+  4: i64 sharePpm
+  /** How long until units that were not granted can be; 0 if they were. */
+  5: i64 shortMs
+}
+
+/** What the leader answers to the quota report of an entry. */
+struct QuotaNews {
+  1: i64 reign
+  /** When the report was sent, on the entry's steady clock in milliseconds. */
+  2: i64 reportSentAtMs
+  /** Among how many entries quotas are divided. */
+  3: i64 entries
+  4: list<QuotaGrant> grants
+}
+
 /** One frame: exactly one field is set. */
 struct PeerMessage {
   1: optional DemandReport demand
@@ -213,4 +263,6 @@
   3: optional LimitNews limits
   4: optional QuarantineReport quarantineReport
   5: optional QuarantineNews quarantine
+  6: optional QuotaReport quotaReport
+  7: optional QuotaNews quotas
 }
