--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/QuotaGate.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/QuotaGate.java
@@ -40,6 +40,7 @@
     private final Set<Waiting> waiting = new LinkedHashSet<>();
     private final Map<TeamName, Long> refusedAtMs = new HashMap<>();
     private Runnable asker = () -> {};
+    private boolean asking;
 
     /** Creates a gate for the quotas of a client. */
     public QuotaGate(QuotaClient client, Timers timers, Clock clock, EventLog log, GatewayMetrics metrics) {
@@ -71,10 +72,22 @@
             return;
         }
         waiting.add(call);
-        timers.run(asker);
+        askSoon();
         timers.after(ANSWER_LIMIT_MS, () -> onTimeout(call));
     }
 
+    /** Asks once for all calls that arrive meanwhile. */
+    private void askSoon() {
+        if (asking) {
+            return;
+        }
+        asking = true;
+        timers.run(() -> {
+            asking = false;
+            asker.run();
+        });
+    }
+
     private void onTimeout(Waiting call) {
         if (waiting.remove(call)) {
             finish(call, client.decideAgain(call.team(), call.units(), clock.nowMs()));
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/QuotaCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/QuotaCodec.java
@@ -29,7 +29,7 @@
                     Math.round(use.demandUnitsPerS()),
                     (long) Math.ceil(use.askedUnits()),
                     (long) Math.ceil(use.smallestAskUnits()),
-                    (long) Math.ceil(use.share() * PPM)));
+                    Math.round(use.share() * PPM)));
         }
         return new org.hawthornglade.protocol.gen.peer.QuotaReport(
                 report.run(), report.sentAtMs(), report.reign(), uses);
@@ -57,7 +57,7 @@
                     grant.team().value(),
                     (long) Math.floor(grant.grantedUnits()),
                     (long) Math.ceil(grant.keepUnits()),
-                    (long) Math.floor(grant.share() * PPM),
+                    Math.round(grant.share() * PPM),
                     grant.shortMs()));
         }
         return new QuotaNews(update.reign(), update.reportSentAtMs(), update.entries(), grants);
