Quotas of teams across all entries

The leader grants units of one bucket per team before they are used, and each entry has a share that it uses while it hears no leader. A call over the quota is answered 429 with 2018 before it can reach an endpoint.

--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
@@ -111,7 +111,7 @@
             QuotaSimulation simulation = simulation(entries, rate, large);
             QuotaSimulation.Demand demand = even(simulation, rate * USUAL * factor);
             simulation.run(12_000, demand);
-            simulation.noLeader();
+            simulation.noLeader(0);
             simulation.run(14_800, demand);
             simulation.lead(1);
             simulation.run(30_000, demand);
@@ -124,6 +124,26 @@
         }
     }
 
+    /** Guards against granting the quota twice while a leader that has lost the store goes on beside its successor. */
+    @ParameterizedTest
+    @CsvSource({"4, 29000, 0.5", "31, 29000, 0.5", "31, 299966, 0.05", "300, 299966, 0"})
+    void twoLeaders(int entries, double rate, double large) {
+        for (double part : new double[] {0.1, 0.5, 0.9}) {
+            QuotaSimulation simulation = simulation(entries, rate, large);
+            QuotaSimulation.Demand demand = even(simulation, rate * USUAL * 7.5);
+            int former = (int) Math.max(1, part * entries);
+            simulation.run(10_000, even(simulation, rate * USUAL));
+            simulation.confirmed = (leader, atMs) -> leader != 0 || atMs < 10_000;
+            simulation.noLeader(former);
+            simulation.run(12_800, demand);
+            simulation.lead(former, former);
+            simulation.run(40_000, demand);
+            simulation.lead(former);
+            simulation.run(60_000, demand);
+            assertWithinLimit(simulation, rate);
+        }
+    }
+
     /** Guards against exceeding the limit when some or all entries lose the leader and then get all the demand. */
     @ParameterizedTest
     @CsvSource({"4, 29000, 0.5", "31, 29000, 0.5", "31, 299966, 0.05", "300, 29000, 0", "300, 299966, 0.05"})
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -6,10 +6,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.BiPredicate;
-import java.util.function.LongPredicate;
 import org.hawthornglade.core.id.TeamName;
 import org.hawthornglade.core.team.TeamQuota;
 
@@ -50,7 +50,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Message::atMs).thenComparingLong(Message::order));
     private final double largeShare;
     private TeamQuota quota;
-    private Leader leader;
+    private final List<Optional<Leader>> followed = new ArrayList<>();
     private long nowMs;
     private long order;
     private long run;
@@ -64,7 +64,7 @@
     long reports;
 
     BiPredicate<Integer, Long> cutOff = (entry, atMs) -> false;
-    LongPredicate confirmed = atMs -> true;
+    BiPredicate<Integer, Long> confirmed = (leader, atMs) -> true;
 
     QuotaSimulation(int count, TeamQuota quota, QuotaTolerance tolerance, double largeShare, long seed) {
         this.random = new Random(seed);
@@ -73,6 +73,7 @@
         this.largeShare = largeShare;
         for (int i = 0; i < count; i++) {
             entries.add(new Entry());
+            followed.add(Optional.empty());
             restart(i);
             entries.get(i).nextRequest = -Math.log(1 - random.nextDouble());
             entries.get(i).reportedAtMs = random.nextInt((int) REPORT_MS) - REPORT_MS;
@@ -94,21 +95,33 @@
         entry.asks.clear();
     }
 
+    /** Lets an entry lead all entries. */
     void lead(int index) {
+        lead(index, 0);
+    }
+
+    /** Lets an entry lead all entries from the given one on; the others follow their leader as before. */
+    void lead(int index, int from) {
         QuotaAllocator allocator = new QuotaAllocator(tolerance);
         allocator.onConfiguration(Map.of(TEAM, quota));
         allocator.begin(++run, entries.get(index).client.entries(), nowMs);
-        leader = new Leader(allocator, index, run);
+        Leader leader = new Leader(allocator, index, run);
+        for (int i = from; i < followed.size(); i++) {
+            followed.set(i, Optional.of(leader));
+        }
     }
 
-    void noLeader() {
-        leader = null;
+    /** Takes the leader from all entries from the given one on. */
+    void noLeader(int from) {
+        for (int i = from; i < followed.size(); i++) {
+            followed.set(i, Optional.empty());
+        }
     }
 
     void configure(TeamQuota changed) {
         quota = changed;
         entries.forEach(entry -> entry.client.onConfiguration(Map.of(TEAM, changed)));
-        leader.allocator().onConfiguration(Map.of(TEAM, changed));
+        followed.forEach(each -> each.ifPresent(leader -> leader.allocator().onConfiguration(Map.of(TEAM, changed))));
     }
 
     void run(long untilMs, Demand demand) {
@@ -120,10 +133,11 @@
             admitted.add(0.0);
             requested.add(0.0);
             refused.add(0.0);
-            if (leader != null) {
-                leader.allocator().check(confirmed.test(nowMs), nowMs);
-            }
             for (int i = 0; i < entries.size(); i++) {
+                int entry = i;
+                followed.get(i)
+                        .filter(leader -> leader.entry() == entry)
+                        .ifPresent(leader -> leader.allocator().check(confirmed.test(entry, nowMs), nowMs));
                 step(i, demand.unitsPerS(i, nowMs));
             }
         }
@@ -142,14 +156,15 @@
         decideAsks(entry);
         boolean due = nowMs - entry.reportedAtMs >= REPORT_MS;
         boolean urgent = entry.client.reportUrgent() && (!entry.asks.isEmpty() || nowMs - entry.reportedAtMs >= 50);
-        if (leader != null && (due || urgent)) {
+        if (followed.get(index).isPresent() && (due || urgent)) {
             entry.reportedAtMs = nowMs;
             QuotaReport report = entry.client.report(nowMs);
-            Leader to = leader;
+            Leader to = followed.get(index).get();
             QuotaClient client = entry.client;
             reports++;
             deliver(index, to, () -> {
-                QuotaUpdate update = to.allocator().onReport("e" + index, report, confirmed.test(nowMs), nowMs);
+                QuotaUpdate update =
+                        to.allocator().onReport("e" + index, report, confirmed.test(to.entry(), nowMs), nowMs);
                 deliver(index, to, () -> client.onUpdate(update, nowMs));
             });
         }
@@ -161,7 +176,9 @@
         }
         long delayMs = index == to.entry() ? 0 : ONE_WAY_MS;
         messages.add(new Message(nowMs + delayMs, order++, () -> {
-            if (leader != null && leader.reign() == to.reign()) {
+            if (followed.get(index)
+                    .filter(leader -> leader.reign() == to.reign())
+                    .isPresent()) {
                 action.run();
             }
         }));
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -227,6 +227,7 @@
     /** Applies the newest configuration. */
     public void onConfiguration(ServingConfiguration configuration) {
         leader.onConfiguration(configuration);
+        quotas.onConfiguration(configuration.teams().quotas());
     }
 
     /** Handles a change in the list of instances. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -71,6 +71,7 @@
     private final RequestBodyBudget bodies;
     private final int port;
     private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
+    private final QuotaClient quotaClient = new QuotaClient(new QuotaTolerance(8_000, 0.1, 0), 1);
     private volatile ServingConfiguration configuration = configuration(1, TeamDirectory.NONE);
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
@@ -144,7 +145,7 @@
                 bufferBudget,
                 budgets,
                 quarantine,
-                new QuotaGate(new QuotaClient(QuotaTolerance.NONE, 1), timers, clock, log, metrics),
+                new QuotaGate(quotaClient, timers, clock, log, metrics),
                 resumption,
                 startCheck,
                 new CrashDetector(timers, clock, connections, quarantine),
@@ -205,6 +206,11 @@
         configuration = configuration(configuration.version() + 1, teams);
     }
 
+    /** Acts on the quotas on the event loop, with the time of the entry's clock. */
+    void onQuotas(BiConsumer<QuotaClient, Long> action) throws Exception {
+        group.submit(() -> action.accept(quotaClient, clock.nowMs())).get(5, TimeUnit.SECONDS);
+    }
+
     /** Returns the text that was logged so far. */
     String log() {
         return logBytes.toString(StandardCharsets.UTF_8);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -61,7 +61,13 @@
                 Optional.ofNullable(head.headers().get(ORIGIN)).map(RequestId::of);
         Optional<TakeUp> takeUp = lastEvent.map(event -> new TakeUp(origin));
         return Either.right(new CallRequest(
-                RequestId.of(id), remainingMs, Optional.empty(), OptionalLong.empty(), lastEvent, takeUp, credential(head.headers())));
+                RequestId.of(id),
+                remainingMs,
+                Optional.empty(),
+                OptionalLong.empty(),
+                lastEvent,
+                takeUp,
+                credential(head.headers())));
     }
 
     private static Credential credential(HttpHeaders headers) {
