--- a/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
@@ -79,7 +79,11 @@
         aloneUnits = Math.min(amounts.capacityUnits() * part, aloneUnits + amounts.accrued(elapsedMs) * part);
     }
 
-    /** Starts the bucket of the share with a part of the tolerance, since requests do not come evenly; only once in a window. */
+    /**
+     * Starts the bucket of the share with a part of the tolerance, since requests do not come evenly.
+     *
+     * @param again whether this has happened in the current window, so that no more than what is left is given
+     */
     void startAlone(double part, boolean again) {
         double startUnits = amounts.reserveUnits() / 2 * part;
         aloneUnits = again ? Math.min(aloneUnits, startUnits) : startUnits;
