--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -7,18 +7,23 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.quota.QuotaClient;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.serving.WeightedService;
+import org.hawthornglade.core.team.CallerIdentity;
+import org.hawthornglade.core.team.Team;
+import org.hawthornglade.core.team.TeamQuota;
 import org.hawthornglade.gateway.http.CallHandler;
 import org.hawthornglade.gateway.http.IncomingCall;
 import org.hawthornglade.gateway.port.CallRequest;
@@ -101,7 +106,51 @@
                     "config " + known.get().version());
             return;
         }
-        start(call, request, route.get(), known.get());
+        Either<ResultCode, CallerIdentity> caller =
+                known.get().teams().identify(request.credential(), route.get().isPublic());
+        if (caller.isLeft()) {
+            context.metrics().count("calls_without_valid_key");
+            sendError(
+                    call,
+                    request.id(),
+                    caller.getLeft(),
+                    0,
+                    "config " + known.get().version());
+            return;
+        }
+        admit(
+                call,
+                request,
+                caller.get().team(),
+                hold -> start(call, request, route.get(), known.get(), caller.get(), hold));
+    }
+
+    /** Passes a call on if it is within the quota of its team; {@code next} receives what it has taken of it. */
+    private void admit(IncomingCall call, CallRequest request, Optional<Team> team, Consumer<QuotaHold> next) {
+        Optional<TeamQuota> quota = team.flatMap(Team::quota);
+        if (quota.isEmpty()) {
+            next.accept(QuotaHold.NONE);
+            return;
+        }
+        AtomicBoolean gone = new AtomicBoolean();
+        call.response().onGone(() -> gone.set(true));
+        context.quotaGate()
+                .admit(
+                        team.get().name(),
+                        QuotaClient.units(quota.get(), request.statedTokens()),
+                        hold -> {
+                            if (gone.get()) {
+                                hold.refund();
+                            } else {
+                                next.accept(hold);
+                            }
+                        },
+                        retryAfterMs -> sendError(
+                                call,
+                                request.id(),
+                                ResultCode.TEAM_OVER_QUOTA,
+                                retryAfterMs,
+                                "team " + team.get().name()));
     }
 
     @Override
@@ -117,7 +166,13 @@
         }
     }
 
-    private void start(IncomingCall call, CallRequest request, Route route, ServingConfiguration known) {
+    private void start(
+            IncomingCall call,
+            CallRequest request,
+            Route route,
+            ServingConfiguration known,
+            CallerIdentity caller,
+            QuotaHold quotaHold) {
         ServiceName service = pickTarget(route.targets());
         boolean runsModels =
                 known.service(service).flatMap(ServiceDefinition::engine).isPresent();
@@ -125,13 +180,14 @@
         long budgetMs = Math.min(request.remainingMs().orElse(route.timeoutMs()), route.timeoutMs());
         long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs - RESPONSE_RESERVE_MS);
         CallView view = new CallView(
-                service, route, demand, call.arrivedAtMs(), deadlineAtMs, () -> RequestDigester.digest(call));
+                service, route, demand, call.arrivedAtMs(), deadlineAtMs, () -> RequestDigester.digest(call), caller);
         // Computed now, since the body is released before the end of the call is handled.
         view.digest();
         if (!context.quarantine().quarantined(view)) {
             arrivals.accept(view);
         }
-        Exchange exchange = new Exchange(context, ++callCount, call, request, view, known.version(), open::remove);
+        Exchange exchange =
+                new Exchange(context, ++callCount, call, request, view, quotaHold, known.version(), open::remove);
         open.add(exchange);
         exchange.start();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -13,6 +13,8 @@
 import org.hawthornglade.core.fleet.Permits;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.SoftwareVersion;
+import org.hawthornglade.core.overload.StartPrediction;
+import org.hawthornglade.core.result.Execution;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.resumption.StreamOrigin;
 import org.hawthornglade.core.resumption.TakeUpDecision;
@@ -44,6 +46,7 @@
     private final IncomingCall call;
     private final CallRequest request;
     private final CallView view;
+    private final QuotaHold quotaHold;
     private final Consumer<Exchange> onEnded;
     private final ResponseWriter response;
     private final CallRecord record;
@@ -55,6 +58,7 @@
     private int rejections;
     private boolean hasWaited;
     private boolean streamBegun;
+    private boolean reachedEndpoint;
     private boolean ended;
 
     Exchange(
@@ -63,6 +67,7 @@
             IncomingCall call,
             CallRequest request,
             CallView view,
+            QuotaHold quotaHold,
             long configurationVersion,
             Consumer<Exchange> onEnded) {
         this.context = context;
@@ -71,6 +76,7 @@
         this.call = call;
         this.request = request;
         this.view = view;
+        this.quotaHold = quotaHold;
         this.response = new ResponseWriter(context.protocol(), call.response(), request);
         this.record = new CallRecord(request.id(), view, configurationVersion);
         this.keptResponse = new KeptResponse(context.bufferBudget());
@@ -143,12 +149,52 @@
             requestPermit(awaitPermit);
         } else if (decision instanceof Decision.Wait wait) {
             record.onWait(wait);
-            enqueue();
+            if (!refuseIfLate(wait)) {
+                enqueue();
+            }
         } else if (decision instanceof Decision.Refuse refusal) {
             refuse(refusal.code(), refusal.retryAfterMs());
         }
     }
 
+    /** Refuses a call that has not run if no endpoint is expected to have room for it in time. */
+    private boolean refuseIfLate(Decision.Wait wait) {
+        long nowMs = context.clock().nowMs();
+        Optional<StartPrediction> predicted = context.waitingCalls()
+                .overloadControl()
+                .predict(view, wait, context.waitingCalls(), context.fleet(), nowMs);
+        if (predicted.isEmpty()) {
+            return false;
+        }
+        record.onStartPredicted(nowMs + predicted.get().startInMs());
+        boolean mayRefuse = runs == 0 && !response.started() && !keptResponse.present();
+        long leftMs = view.abandonAtMs() - nowMs;
+        if (!mayRefuse || !predicted.get().tooLate(leftMs, hasWaited)) {
+            return false;
+        }
+        logLate(predicted.get(), leftMs);
+        refuse(ResultCode.DEADLINE_NOT_REACHABLE, Math.max(1, predicted.get().startInMs()));
+        return true;
+    }
+
+    private void logLate(StartPrediction predicted, long leftMs) {
+        context.metrics().count("calls_refused_as_late");
+        context.log()
+                .event("call-late")
+                .with("request", request.id())
+                .with("service", view.service())
+                .with("ahead", predicted.ahead())
+                .with("endpoints", predicted.supply().endpoints())
+                .with("own_in_flight", predicted.supply().ownInFlight())
+                .with("in_flight", predicted.supply().inFlight())
+                .with("call_ms", Math.round(predicted.time().totalMs()))
+                .with("first_ms", Math.round(predicted.time().firstMs()))
+                .with("age_ms", predicted.time().ageMs())
+                .with("start_ms", predicted.startInMs())
+                .with("left_ms", leftMs)
+                .write();
+    }
+
     private void requestPermit(Decision.AwaitPermit awaitPermit) {
         record.onWait(new Decision.Wait("limit", awaitPermit.expectedAtMs()));
         if (permitWaiter.join(awaitPermit, view, context.clock().nowMs())) {
@@ -252,6 +298,7 @@
     /** Handles a rejection: the endpoint has stated that it did not run the call. */
     void onRejected(Endpoint endpoint, ResponseHead head) {
         attempt = null;
+        reachedEndpoint = true;
         record.addNote("rejected-" + head.status() + ":" + endpoint.id());
         long nowMs = context.clock().nowMs();
         boolean misdirected =
@@ -347,7 +394,11 @@
     void onCompleted(int status) {
         attempt = null;
         if (HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS) {
-            context.quarantine().onCompleted(view, context.clock().nowMs());
+            long nowMs = context.clock().nowMs();
+            context.quarantine().onCompleted(view, nowMs);
+            context.waitingCalls()
+                    .overloadControl()
+                    .onCompleted(view, record.firstMs(nowMs), record.totalMs(nowMs), nowMs);
         }
         if (streamBegun) {
             context.resumption().onCompleted(request.id());
@@ -414,6 +465,7 @@
 
     private void cancelAttempt() {
         if (attempt != null) {
+            reachedEndpoint |= attempt.sent();
             attempt.cancel();
             attempt = null;
         }
@@ -421,6 +473,9 @@
 
     private void end(ResultCode code, int status) {
         ended = true;
+        if (code.execution() == Execution.NOT_RUN && runs == 0 && !reachedEndpoint) {
+            quotaHold.refund();
+        }
         keptResponse.release();
         onEnded.accept(this);
         permitWaiter.leave();
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.dispatch.LeastLoadedSelector;
 import org.hawthornglade.core.fleet.Fleet;
@@ -30,12 +31,15 @@
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
+import org.hawthornglade.core.quota.QuotaClient;
+import org.hawthornglade.core.quota.QuotaTolerance;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.serving.WeightedService;
+import org.hawthornglade.core.team.TeamDirectory;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.http.CallerServer;
 import org.hawthornglade.gateway.log.EventLog;
@@ -53,6 +57,7 @@
     private static final int READ_TIMEOUT_MS = 5_000;
     private static final long PATIENT_TARGET_MS = 60_000;
     private static final long BODY_BYTES = 40_000_000;
+    private static final int KNOWN_CALLS = 20;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final ResponseBufferBudget bufferBudget = new ResponseBufferBudget();
@@ -67,6 +72,9 @@
     private final CallReceiver receiver;
     private final RequestBodyBudget bodies;
     private final int port;
+    private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
+    private final QuotaClient quotaClient = new QuotaClient(new QuotaTolerance(8_000, 0.1, 0), 1);
+    private volatile ServingConfiguration configuration = configuration(1, TeamDirectory.NONE);
 
     TestEntry(List<ScriptedEndpoint> endpoints) throws IOException {
         this(endpoints, LIMITS, new RetryBudgets(0.1, 10));
@@ -113,7 +121,7 @@
             long bodyBytes)
             throws IOException {
         EventLoop loop = group.next();
-        EventLog log = new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+        EventLog log = new EventLog(clock, new PrintStream(logBytes, true, StandardCharsets.UTF_8));
         timers = new Timers(loop, log);
         fleet = new Fleet();
         List<InstanceRecord> records = new ArrayList<>();
@@ -139,6 +147,7 @@
                 bufferBudget,
                 budgets,
                 quarantine,
+                new QuotaGate(quotaClient, timers, clock, log, metrics),
                 resumption,
                 startCheck,
                 new CrashDetector(timers, clock, connections, quarantine),
@@ -146,7 +155,7 @@
                 log,
                 metrics);
         metrics.start();
-        receiver = new CallReceiver(context, () -> Optional.of(configuration()), view -> {}, new Random(1));
+        receiver = new CallReceiver(context, () -> Optional.of(configuration), view -> {}, new Random(1));
         bodies = new RequestBodyBudget(bodyBytes, clock, new BodyPressureLog(clock, log, metrics));
         server = new CallerServer(loop, timers, clock, () -> limits, receiver, bodies);
         port = server.listen(new InstanceAddress("127.0.0.1", 0));
@@ -194,17 +203,84 @@
                 Set.of());
     }
 
-    private static ServingConfiguration configuration() {
+    /** Puts a new version of the configuration with these teams into force. */
+    void onTeams(TeamDirectory teams) {
+        configuration = configuration(configuration.version() + 1, teams);
+    }
+
+    /** Acts on the quotas on the event loop, with the time of the entry's clock. */
+    void onQuotas(BiConsumer<QuotaClient, Long> action) throws Exception {
+        group.submit(() -> action.accept(quotaClient, clock.nowMs())).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Returns the text that was logged so far. */
+    String log() {
+        return logBytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Enables early refusals, with the time that calls of each kind have taken so far, in milliseconds. */
+    void enableOverloadControl(long callMs) throws Exception {
+        group.submit(() -> {
+                    OverloadControl control = new OverloadControl(true, () -> 1);
+                    waitingCalls.setOverloadControl(control);
+                    recordCalls(control, callMs);
+                })
+                .get(5, TimeUnit.SECONDS);
+    }
+
+    private void recordCalls(OverloadControl control, long callMs) {
+        Route route = route("safe", CallKind.SAFE, 2, false);
+        CallView call = new CallView(SERVICE, route, Optional.empty(), clock.nowMs(), clock.nowMs() + callMs);
+        for (int i = 0; i < KNOWN_CALLS; i++) {
+            control.onCompleted(call, callMs, callMs, clock.nowMs());
+        }
+    }
+
+    /** Returns how many calls wait; read on the event loop. */
+    int waiting() throws Exception {
+        return group.submit(() -> waitingCalls.all().size()).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Returns the teams of the waiting calls in the order in which these are decided; read on the event loop. */
+    List<String> teamsOfWaitingCalls() throws Exception {
+        return group.submit(() -> waitingCalls.all().stream()
+                        .map(exchange ->
+                                exchange.view().team().orElseThrow().name().value())
+                        .toList())
+                .get(5, TimeUnit.SECONDS);
+    }
+
+    private static ServingConfiguration configuration(long version, TeamDirectory teams) {
         return new ServingConfiguration(
-                1,
+                version,
                 List.of(
                         route("safe", CallKind.SAFE, 2, false),
                         route("unsafe", CallKind.UNSAFE, 1, false),
                         route("stream", CallKind.STREAM, 1, false),
                         route("resumable", CallKind.STREAM, 2, true),
-                        patientRoute("patient", CallKind.STREAM, 2, true)),
+                        patientRoute("patient", CallKind.STREAM, 2, true),
+                        publicRoute("public")),
                 List.of(new ServiceDefinition(SERVICE, 10, Optional.empty())),
-                LIMITS);
+                LIMITS,
+                teams);
+    }
+
+    private static Route publicRoute(String name) {
+        Route route = route(name, CallKind.SAFE, 2, false);
+        return new Route(
+                route.name(),
+                route.host(),
+                route.pathPrefix(),
+                route.kind(),
+                route.timeoutMs(),
+                route.targetMs(),
+                route.gapTargetMs(),
+                route.abandonMs(),
+                route.maxAttempts(),
+                route.priority(),
+                route.resumable(),
+                true,
+                route.targets());
     }
 
     private static Route route(String name, CallKind kind, int attempts, boolean resumable) {
