--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -205,7 +205,7 @@
     }
 
     /**
-     * Guards against an entry that stays with a leader that sends heartbeats but has lost the store, while another entry
+     * Guards against an entry that stays with a leader which sends heartbeats but has lost the store, while another one
      * leads, and against reads of the row by all entries while the leader renews.
      */
     @ParameterizedTest
@@ -221,7 +221,7 @@
         assertThat(read).isEqualTo(reads);
     }
 
-    /** Guards against an entry that claims the lease of a living leader, or misses the newer leader that the row names. */
+    /** Guards against an entry that claims the lease of a living leader, or misses a newer one that the row names. */
     @Test
     void rowThatIsReadWhileFollowingNamesTheNewerLeaderAndIsNotClaimed() {
         Leadership leadership = entry(true);
@@ -239,7 +239,7 @@
         assertThat(leadership.onLeaderToken(new FencingToken(12))).isTrue();
     }
 
-    /** Guards against entries that follow an older leader again, and against none to follow where tokens are not used. */
+    /** Guards against entries that follow an older leader again, or none where tokens are not used. */
     @ParameterizedTest
     @CsvSource({"true, 7, 8, true", "true, 8, 8, true", "true, 8, 7, false", "false, 8, 7, true"})
     void leaderIsFollowedUnlessANewerTokenIsKnown(
