--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -172,6 +172,12 @@
                 BODY_BYTES);
     }
 
+    /** Creates an entry with one endpoint at a port, of which nothing else is known. */
+    static TestEntry ofPort(int port, RequestLimits limits) throws IOException {
+        StartCheck same = (record, done) -> done.accept(StartCheck.Result.SAME);
+        return new TestEntry(limits, new RetryBudgets(0.1, 10), List.of(port), List.of("v1"), same, BODY_BYTES);
+    }
+
     /** Creates an entry with one endpoint and a limit for the bodies of all requests together. */
     static TestEntry ofBodyBytes(ScriptedEndpoint endpoint, RequestLimits limits, long bodyBytes) throws IOException {
         return new TestEntry(
