--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementPublisher.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementPublisher.java
@@ -9,12 +9,12 @@
 /**
  * Sends the placements of the leader to its followers.
  *
- * <p>A new follower is sent all placements, and later what has changed since its last frame. Expected times of loads and
- * numbers of running calls change all the time and are sent with a heartbeat. In each such interval one follower in turn
- * is sent everything again, so that none keeps instances that are gone.
+ * <p>A new follower is sent all placements, and later what has changed since its last frame. Expected times of loads
+ * and numbers of running calls change all the time and are sent with a heartbeat. In each such interval one follower in
+ * turn is sent everything again, so that none keeps instances that are gone.
  *
- * <p>The bytes of any second are bounded. If they do not suffice, heartbeats are sent without content, and the followers
- * are sent content in turn.
+ * <p>The bytes of any second are bounded. If they do not suffice, heartbeats are sent without content, and the
+ * followers are sent content in turn.
  */
 final class PlacementPublisher {
     /** A follower that nothing else is sent to is sent a frame in this interval, as a sign of life. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/peer/PeerCodecTest.java
@@ -58,7 +58,7 @@
         assertThat(decoded(PeerCodec.encode(update, NOW_MS))).isEqualTo(update);
     }
 
-    /** Guards against followers that go by former times of loads, or that take what loads for all that an instance holds. */
+    /** Guards against followers that go by former times of loads, or that drop the models that do not load. */
     @Test
     void loadsAreDecodedAsEncodedAndLeaveTheOtherModelsAsTheyWere() {
         InstanceId id = InstanceId.of("i-1");
