--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/SharedQuotasTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/SharedQuotasTest.java
@@ -26,7 +26,6 @@
 import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.lease.LeaseRow;
 import org.hawthornglade.core.lease.LeaseWrite;
-
 import org.hawthornglade.core.lease.StoredLease;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.quota.QuotaClient;
@@ -55,7 +54,6 @@
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.hawthornglade.gateway.port.EngineControl;
-
 import org.hawthornglade.gateway.port.LeaseStore;
 import org.hawthornglade.gateway.port.LeaseWriteResult;
 import org.junit.jupiter.api.AfterEach;
@@ -82,8 +80,8 @@
                 done.accept(new LeaseWriteResult.Conflict(stored));
                 return;
             }
-            StoreRevision next = new StoreRevision(
-                    stored.revision().era(), stored.revision().number() + 1);
+            StoreRevision next =
+                    new StoreRevision(stored.revision().era(), stored.revision().number() + 1);
             LeaseRow row = write.row();
             stored = new StoredLease(next, Optional.of(row));
             done.accept(new LeaseWriteResult.Written(next));
