--- a/app/src/test/java/org/hawthornglade/app/process/GatewayDeployment.java
+++ b/app/src/test/java/org/hawthornglade/app/process/GatewayDeployment.java
@@ -19,9 +19,9 @@
 import org.hawthornglade.platform.SettingsFile;
 import org.hawthornglade.platform.standin.StandinPlatform;
 
-/** Two gateway processes that use a stand-in platform in the test JVM. */
+/** Gateway processes, two unless stated otherwise, that use a stand-in platform in the test JVM. */
 final class GatewayDeployment implements AutoCloseable {
-    private static final int ENTRIES = 2;
+    private static final int DEFAULT_ENTRIES = 2;
     private static final int PORTS_PER_ENTRY = 10;
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
     private static final long WAIT_TIMEOUT_MS = 60_000;
@@ -31,29 +31,46 @@
     private final List<NodeProcess> entries = new ArrayList<>();
     private final List<Path> logs = new ArrayList<>();
     private final List<Path> settings = new ArrayList<>();
-    private final int firstPort = Ports.freeRange(ENTRIES * PORTS_PER_ENTRY + 3);
-    private final int storePort = firstPort + ENTRIES * PORTS_PER_ENTRY;
+    private final int firstPort;
+    private final int storePort;
 
     GatewayDeployment(Path directory) throws IOException, InterruptedException {
+        this(directory, DEFAULT_ENTRIES, NodeProcess.JVM_FLAGS, "{}");
+    }
+
+    /**
+     * Starts the processes and waits until they are ready.
+     *
+     * @param jvmFlags the flags of their JVMs
+     * @param callerLimits the limits for callers' connections in their settings, as JSON
+     */
+    GatewayDeployment(Path directory, int entryCount, List<String> jvmFlags, String callerLimits)
+            throws IOException, InterruptedException {
+        firstPort = Ports.freeRange(entryCount * PORTS_PER_ENTRY + 3);
+        storePort = firstPort + entryCount * PORTS_PER_ENTRY;
         EventLoop loop = group.next();
         Clock clock = Clock.system();
         standin = new StandinPlatform(loop, new Timers(loop, new EventLog(clock, System.out)), clock, storePort);
         standin.start();
-        for (int entry = 0; entry < ENTRIES; entry++) {
+        for (int entry = 0; entry < entryCount; entry++) {
             settings.add(directory.resolve("settings-" + entry + ".json"));
             logs.add(directory.resolve("entry-" + entry + ".log"));
-            Files.writeString(settings.get(entry), StandinPlatform.settings(port(entry), storePort));
+            String text = StandinPlatform.settings(port(entry), storePort);
+            String limited = text.substring(0, text.lastIndexOf('}')) + ", \"callerLimits\": " + callerLimits + "}";
+            Files.writeString(settings.get(entry), limited);
             entries.add(new NodeProcess(
+                    jvmFlags,
                     List.of("gateway"),
                     Map.of(SettingsFile.PATH_VARIABLE, settings.get(entry).toString()),
                     logs.get(entry).toFile()));
         }
-        for (int entry = 0; entry < ENTRIES; entry++) {
+        for (int entry = 0; entry < entryCount; entry++) {
             awaitReady(entry);
         }
     }
 
-    private int port(int entry) {
+    /** Returns the port for callers; the readiness address has the next one. */
+    int port(int entry) {
         return firstPort + entry * PORTS_PER_ENTRY;
     }
 
@@ -82,10 +99,11 @@
         Polling.until("entry " + entry + " is ready", WAIT_TIMEOUT_MS, () -> ready(entry));
     }
 
-    private boolean ready(int entry) throws InterruptedException {
+    /** Returns whether the entry is ready; asks on a new connection, which is closed after the response. */
+    boolean ready(int entry) throws InterruptedException {
         try {
-            return get(HttpRequest.newBuilder(
-                            URI.create("http://127.0.0.1:" + (port(entry) + 1) + StandinPlatform.READINESS_PATH)))
+            return OneRequest.get(port(entry) + 1, StandinPlatform.READINESS_PATH)
+                            .status()
                     == 200;
         } catch (IOException e) {
             return false;
--- a/app/src/test/java/org/hawthornglade/app/process/NodeProcess.java
+++ b/app/src/test/java/org/hawthornglade/app/process/NodeProcess.java
@@ -9,8 +9,7 @@
 
 /** A process of the system, started by a test and signalled by its process id. */
 final class NodeProcess implements AutoCloseable {
-    private static final List<String> JVM_FLAGS =
-            List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss512k");
+    static final List<String> JVM_FLAGS = List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss512k");
     private static final int EXIT_TIMEOUT_S = 60;
 
     private final ProcessBuilder builder;
@@ -36,10 +35,23 @@
      * @param log the file that the output is appended to
      */
     NodeProcess(List<String> arguments, Map<String, String> environment, File log) throws IOException {
+        this(JVM_FLAGS, arguments, environment, log);
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param jvmFlags the flags of its JVM
+     * @param arguments the command and its arguments
+     * @param environment the environment variables that the settings refer to
+     * @param log the file that the output is appended to
+     */
+    NodeProcess(List<String> jvmFlags, List<String> arguments, Map<String, String> environment, File log)
+            throws IOException {
         String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         List<String> command = new java.util.ArrayList<>(List.of(java));
-        command.addAll(JVM_FLAGS);
+        command.addAll(jvmFlags);
         command.addAll(List.of("-cp", classPath, "org.hawthornglade.app.Main"));
         command.addAll(arguments);
         builder = new ProcessBuilder(command)
@@ -97,6 +109,10 @@
         }
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
