--- a/app/src/test/java/org/hawthornglade/app/process/MisbehavingClientsTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/MisbehavingClientsTest.java
@@ -36,7 +36,7 @@
             "-XX:+ExitOnOutOfMemoryError");
     /** The smallest machine of an entry has 290 MB; this heap and direct memory are 128 MB smaller than usual. */
     private static final long MAX_RESIDENT_KB = 200_000;
-    /** Connections that the settings of the test allow, and the rest: 165 are open at rest, mostly for the class path. */
+    /** Connections that the settings of the test allow; 165 descriptors are open at rest, mostly for the class path. */
     private static final int MAX_CONNECTIONS = 200;
 
     private static final int OTHER_DESCRIPTORS = 250;
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/CutOffCall.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/CutOffCall.java
@@ -709,13 +709,13 @@
           case 4: // PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
-                struct.parts = new java.util.ArrayList<java.lang.String>(_list120.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem121;
-                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
+                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
+                struct.parts = new java.util.ArrayList<java.lang.String>(_list128.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
+                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
                 {
-                  _elem121 = iprot.readString();
-                  struct.parts.add(_elem121);
+                  _elem129 = iprot.readString();
+                  struct.parts.add(_elem129);
                 }
                 iprot.readListEnd();
               }
@@ -763,9 +763,9 @@
         oprot.writeFieldBegin(PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.parts.size()));
-          for (java.lang.String _iter123 : struct.parts)
+          for (java.lang.String _iter131 : struct.parts)
           {
-            oprot.writeString(_iter123);
+            oprot.writeString(_iter131);
           }
           oprot.writeListEnd();
         }
@@ -823,9 +823,9 @@
       if (struct.isSetParts()) {
         {
           oprot.writeI32(struct.parts.size());
-          for (java.lang.String _iter124 : struct.parts)
+          for (java.lang.String _iter132 : struct.parts)
           {
-            oprot.writeString(_iter124);
+            oprot.writeString(_iter132);
           }
         }
       }
@@ -852,13 +852,13 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.parts = new java.util.ArrayList<java.lang.String>(_list125.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem126;
-          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
+          org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.parts = new java.util.ArrayList<java.lang.String>(_list133.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem134;
+          for (int _i135 = 0; _i135 < _list133.size; ++_i135)
           {
-            _elem126 = iprot.readString();
-            struct.parts.add(_elem126);
+            _elem134 = iprot.readString();
+            struct.parts.add(_elem134);
           }
         }
         struct.setPartsIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/LimitNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/LimitNews.java
@@ -610,14 +610,14 @@
           case 4: // STATUSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list112 = iprot.readListBegin();
-                struct.statuses = new java.util.ArrayList<LimitStatus>(_list112.size);
-                @org.apache.thrift.annotation.Nullable LimitStatus _elem113;
-                for (int _i114 = 0; _i114 < _list112.size; ++_i114)
+                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
+                struct.statuses = new java.util.ArrayList<LimitStatus>(_list120.size);
+                @org.apache.thrift.annotation.Nullable LimitStatus _elem121;
+                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
                 {
-                  _elem113 = new LimitStatus();
-                  _elem113.read(iprot);
-                  struct.statuses.add(_elem113);
+                  _elem121 = new LimitStatus();
+                  _elem121.read(iprot);
+                  struct.statuses.add(_elem121);
                 }
                 iprot.readListEnd();
               }
@@ -655,9 +655,9 @@
         oprot.writeFieldBegin(STATUSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.statuses.size()));
-          for (LimitStatus _iter115 : struct.statuses)
+          for (LimitStatus _iter123 : struct.statuses)
           {
-            _iter115.write(oprot);
+            _iter123.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -707,9 +707,9 @@
       if (struct.isSetStatuses()) {
         {
           oprot.writeI32(struct.statuses.size());
-          for (LimitStatus _iter116 : struct.statuses)
+          for (LimitStatus _iter124 : struct.statuses)
           {
-            _iter116.write(oprot);
+            _iter124.write(oprot);
           }
         }
       }
@@ -733,14 +733,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list117 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.statuses = new java.util.ArrayList<LimitStatus>(_list117.size);
-          @org.apache.thrift.annotation.Nullable LimitStatus _elem118;
-          for (int _i119 = 0; _i119 < _list117.size; ++_i119)
+          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.statuses = new java.util.ArrayList<LimitStatus>(_list125.size);
+          @org.apache.thrift.annotation.Nullable LimitStatus _elem126;
+          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
           {
-            _elem118 = new LimitStatus();
-            _elem118.read(iprot);
-            struct.statuses.add(_elem118);
+            _elem126 = new LimitStatus();
+            _elem126.read(iprot);
+            struct.statuses.add(_elem126);
           }
         }
         struct.setStatusesIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/PlacementNews.java
@@ -1175,14 +1175,14 @@
           case 9: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list97 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<PlacedInstance>(_list97.size);
-                @org.apache.thrift.annotation.Nullable PlacedInstance _elem98;
-                for (int _i99 = 0; _i99 < _list97.size; ++_i99)
+                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<PlacedInstance>(_list96.size);
+                @org.apache.thrift.annotation.Nullable PlacedInstance _elem97;
+                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
                 {
-                  _elem98 = new PlacedInstance();
-                  _elem98.read(iprot);
-                  struct.loads.add(_elem98);
+                  _elem97 = new PlacedInstance();
+                  _elem97.read(iprot);
+                  struct.loads.add(_elem97);
                 }
                 iprot.readListEnd();
               }
@@ -1214,9 +1214,9 @@
         oprot.writeFieldBegin(INSTANCES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.instances.size()));
-          for (PlacedInstance _iter96 : struct.instances)
+          for (PlacedInstance _iter99 : struct.instances)
           {
-            _iter96.write(oprot);
+            _iter99.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1233,9 +1233,9 @@
           oprot.writeFieldBegin(STORE_LIMITS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.storeLimits.size()));
-            for (StoreLimits _iter97 : struct.storeLimits)
+            for (StoreLimits _iter100 : struct.storeLimits)
             {
-              _iter97.write(oprot);
+              _iter100.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1257,10 +1257,10 @@
           oprot.writeFieldBegin(RUNNING_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32, struct.running.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter98 : struct.running.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter101 : struct.running.entrySet())
             {
-              oprot.writeString(_iter98.getKey());
-              oprot.writeI32(_iter98.getValue());
+              oprot.writeString(_iter101.getKey());
+              oprot.writeI32(_iter101.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1272,9 +1272,9 @@
           oprot.writeFieldBegin(LOADS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-            for (PlacedInstance _iter103 : struct.loads)
+            for (PlacedInstance _iter102 : struct.loads)
             {
-              _iter103.write(oprot);
+              _iter102.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1334,9 +1334,9 @@
       if (struct.isSetInstances()) {
         {
           oprot.writeI32(struct.instances.size());
-          for (PlacedInstance _iter99 : struct.instances)
+          for (PlacedInstance _iter103 : struct.instances)
           {
-            _iter99.write(oprot);
+            _iter103.write(oprot);
           }
         }
       }
@@ -1349,9 +1349,9 @@
       if (struct.isSetStoreLimits()) {
         {
           oprot.writeI32(struct.storeLimits.size());
-          for (StoreLimits _iter100 : struct.storeLimits)
+          for (StoreLimits _iter104 : struct.storeLimits)
           {
-            _iter100.write(oprot);
+            _iter104.write(oprot);
           }
         }
       }
@@ -1364,19 +1364,19 @@
       if (struct.isSetRunning()) {
         {
           oprot.writeI32(struct.running.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter101 : struct.running.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter105 : struct.running.entrySet())
           {
-            oprot.writeString(_iter101.getKey());
-            oprot.writeI32(_iter101.getValue());
+            oprot.writeString(_iter105.getKey());
+            oprot.writeI32(_iter105.getValue());
           }
         }
       }
       if (struct.isSetLoads()) {
         {
           oprot.writeI32(struct.loads.size());
-          for (PlacedInstance _iter104 : struct.loads)
+          for (PlacedInstance _iter106 : struct.loads)
           {
-            _iter104.write(oprot);
+            _iter106.write(oprot);
           }
         }
       }
@@ -1392,14 +1392,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list102 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.instances = new java.util.ArrayList<PlacedInstance>(_list102.size);
-          @org.apache.thrift.annotation.Nullable PlacedInstance _elem103;
-          for (int _i104 = 0; _i104 < _list102.size; ++_i104)
+          org.apache.thrift.protocol.TList _list107 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.instances = new java.util.ArrayList<PlacedInstance>(_list107.size);
+          @org.apache.thrift.annotation.Nullable PlacedInstance _elem108;
+          for (int _i109 = 0; _i109 < _list107.size; ++_i109)
           {
-            _elem103 = new PlacedInstance();
-            _elem103.read(iprot);
-            struct.instances.add(_elem103);
+            _elem108 = new PlacedInstance();
+            _elem108.read(iprot);
+            struct.instances.add(_elem108);
           }
         }
         struct.setInstancesIsSet(true);
@@ -1414,14 +1414,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list105 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list105.size);
-          @org.apache.thrift.annotation.Nullable StoreLimits _elem106;
-          for (int _i107 = 0; _i107 < _list105.size; ++_i107)
+          org.apache.thrift.protocol.TList _list110 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.storeLimits = new java.util.ArrayList<StoreLimits>(_list110.size);
+          @org.apache.thrift.annotation.Nullable StoreLimits _elem111;
+          for (int _i112 = 0; _i112 < _list110.size; ++_i112)
           {
-            _elem106 = new StoreLimits();
-            _elem106.read(iprot);
-            struct.storeLimits.add(_elem106);
+            _elem111 = new StoreLimits();
+            _elem111.read(iprot);
+            struct.storeLimits.add(_elem111);
           }
         }
         struct.setStoreLimitsIsSet(true);
@@ -1436,29 +1436,29 @@
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TMap _map108 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32); 
-          struct.running = new java.util.HashMap<java.lang.String,java.lang.Integer>(2*_map108.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key109;
-          int _val110;
-          for (int _i111 = 0; _i111 < _map108.size; ++_i111)
+          org.apache.thrift.protocol.TMap _map113 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32); 
+          struct.running = new java.util.HashMap<java.lang.String,java.lang.Integer>(2*_map113.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key114;
+          int _val115;
+          for (int _i116 = 0; _i116 < _map113.size; ++_i116)
           {
-            _key109 = iprot.readString();
-            _val110 = iprot.readI32();
-            struct.running.put(_key109, _val110);
+            _key114 = iprot.readString();
+            _val115 = iprot.readI32();
+            struct.running.put(_key114, _val115);
           }
         }
         struct.setRunningIsSet(true);
       }
       if (incoming.get(8)) {
         {
-          org.apache.thrift.protocol.TList _list115 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.loads = new java.util.ArrayList<PlacedInstance>(_list115.size);
-          @org.apache.thrift.annotation.Nullable PlacedInstance _elem116;
-          for (int _i117 = 0; _i117 < _list115.size; ++_i117)
+          org.apache.thrift.protocol.TList _list117 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.loads = new java.util.ArrayList<PlacedInstance>(_list117.size);
+          @org.apache.thrift.annotation.Nullable PlacedInstance _elem118;
+          for (int _i119 = 0; _i119 < _list117.size; ++_i119)
           {
-            _elem116 = new PlacedInstance();
-            _elem116.read(iprot);
-            struct.loads.add(_elem116);
+            _elem118 = new PlacedInstance();
+            _elem118.read(iprot);
+            struct.loads.add(_elem118);
           }
         }
         struct.setLoadsIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Quarantine.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/Quarantine.java
@@ -816,13 +816,13 @@
           case 5: // MEMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
-                struct.members = new java.util.ArrayList<java.lang.String>(_list128.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
-                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
+                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
+                struct.members = new java.util.ArrayList<java.lang.String>(_list136.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem137;
+                for (int _i138 = 0; _i138 < _list136.size; ++_i138)
                 {
-                  _elem129 = iprot.readString();
-                  struct.members.add(_elem129);
+                  _elem137 = iprot.readString();
+                  struct.members.add(_elem137);
                 }
                 iprot.readListEnd();
               }
@@ -877,9 +877,9 @@
         oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.members.size()));
-          for (java.lang.String _iter131 : struct.members)
+          for (java.lang.String _iter139 : struct.members)
           {
-            oprot.writeString(_iter131);
+            oprot.writeString(_iter139);
           }
           oprot.writeListEnd();
         }
@@ -941,9 +941,9 @@
       if (struct.isSetMembers()) {
         {
           oprot.writeI32(struct.members.size());
-          for (java.lang.String _iter132 : struct.members)
+          for (java.lang.String _iter140 : struct.members)
           {
-            oprot.writeString(_iter132);
+            oprot.writeString(_iter140);
           }
         }
       }
@@ -974,13 +974,13 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.members = new java.util.ArrayList<java.lang.String>(_list133.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem134;
-          for (int _i135 = 0; _i135 < _list133.size; ++_i135)
+          org.apache.thrift.protocol.TList _list141 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.members = new java.util.ArrayList<java.lang.String>(_list141.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem142;
+          for (int _i143 = 0; _i143 < _list141.size; ++_i143)
           {
-            _elem134 = iprot.readString();
-            struct.members.add(_elem134);
+            _elem142 = iprot.readString();
+            struct.members.add(_elem142);
           }
         }
         struct.setMembersIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineNews.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineNews.java
@@ -439,13 +439,13 @@
           case 1: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list170 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<java.lang.String>(_list170.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem171;
-                for (int _i172 = 0; _i172 < _list170.size; ++_i172)
+                org.apache.thrift.protocol.TList _list178 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<java.lang.String>(_list178.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem179;
+                for (int _i180 = 0; _i180 < _list178.size; ++_i180)
                 {
-                  _elem171 = iprot.readString();
-                  struct.suspects.add(_elem171);
+                  _elem179 = iprot.readString();
+                  struct.suspects.add(_elem179);
                 }
                 iprot.readListEnd();
               }
@@ -457,14 +457,14 @@
           case 2: // QUARANTINED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list173 = iprot.readListBegin();
-                struct.quarantined = new java.util.ArrayList<Quarantine>(_list173.size);
-                @org.apache.thrift.annotation.Nullable Quarantine _elem174;
-                for (int _i175 = 0; _i175 < _list173.size; ++_i175)
+                org.apache.thrift.protocol.TList _list181 = iprot.readListBegin();
+                struct.quarantined = new java.util.ArrayList<Quarantine>(_list181.size);
+                @org.apache.thrift.annotation.Nullable Quarantine _elem182;
+                for (int _i183 = 0; _i183 < _list181.size; ++_i183)
                 {
-                  _elem174 = new Quarantine();
-                  _elem174.read(iprot);
-                  struct.quarantined.add(_elem174);
+                  _elem182 = new Quarantine();
+                  _elem182.read(iprot);
+                  struct.quarantined.add(_elem182);
                 }
                 iprot.readListEnd();
               }
@@ -493,9 +493,9 @@
         oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.suspects.size()));
-          for (java.lang.String _iter176 : struct.suspects)
+          for (java.lang.String _iter184 : struct.suspects)
           {
-            oprot.writeString(_iter176);
+            oprot.writeString(_iter184);
           }
           oprot.writeListEnd();
         }
@@ -505,9 +505,9 @@
         oprot.writeFieldBegin(QUARANTINED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantined.size()));
-          for (Quarantine _iter177 : struct.quarantined)
+          for (Quarantine _iter185 : struct.quarantined)
           {
-            _iter177.write(oprot);
+            _iter185.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -542,18 +542,18 @@
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (java.lang.String _iter178 : struct.suspects)
+          for (java.lang.String _iter186 : struct.suspects)
           {
-            oprot.writeString(_iter178);
+            oprot.writeString(_iter186);
           }
         }
       }
       if (struct.isSetQuarantined()) {
         {
           oprot.writeI32(struct.quarantined.size());
-          for (Quarantine _iter179 : struct.quarantined)
+          for (Quarantine _iter187 : struct.quarantined)
           {
-            _iter179.write(oprot);
+            _iter187.write(oprot);
           }
         }
       }
@@ -565,27 +565,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list180 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.suspects = new java.util.ArrayList<java.lang.String>(_list180.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem181;
-          for (int _i182 = 0; _i182 < _list180.size; ++_i182)
+          org.apache.thrift.protocol.TList _list188 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.suspects = new java.util.ArrayList<java.lang.String>(_list188.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem189;
+          for (int _i190 = 0; _i190 < _list188.size; ++_i190)
           {
-            _elem181 = iprot.readString();
-            struct.suspects.add(_elem181);
+            _elem189 = iprot.readString();
+            struct.suspects.add(_elem189);
           }
         }
         struct.setSuspectsIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list183 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantined = new java.util.ArrayList<Quarantine>(_list183.size);
-          @org.apache.thrift.annotation.Nullable Quarantine _elem184;
-          for (int _i185 = 0; _i185 < _list183.size; ++_i185)
+          org.apache.thrift.protocol.TList _list191 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantined = new java.util.ArrayList<Quarantine>(_list191.size);
+          @org.apache.thrift.annotation.Nullable Quarantine _elem192;
+          for (int _i193 = 0; _i193 < _list191.size; ++_i193)
           {
-            _elem184 = new Quarantine();
-            _elem184.read(iprot);
-            struct.quarantined.add(_elem184);
+            _elem192 = new Quarantine();
+            _elem192.read(iprot);
+            struct.quarantined.add(_elem192);
           }
         }
         struct.setQuarantinedIsSet(true);
--- a/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineReport.java
+++ b/protocol/src/main/java/org/hawthornglade/protocol/gen/peer/QuarantineReport.java
@@ -746,14 +746,14 @@
           case 2: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
-                struct.crashes = new java.util.ArrayList<CutOffCall>(_list136.size);
-                @org.apache.thrift.annotation.Nullable CutOffCall _elem137;
-                for (int _i138 = 0; _i138 < _list136.size; ++_i138)
+                org.apache.thrift.protocol.TList _list144 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<CutOffCall>(_list144.size);
+                @org.apache.thrift.annotation.Nullable CutOffCall _elem145;
+                for (int _i146 = 0; _i146 < _list144.size; ++_i146)
                 {
-                  _elem137 = new CutOffCall();
-                  _elem137.read(iprot);
-                  struct.crashes.add(_elem137);
+                  _elem145 = new CutOffCall();
+                  _elem145.read(iprot);
+                  struct.crashes.add(_elem145);
                 }
                 iprot.readListEnd();
               }
@@ -765,15 +765,15 @@
           case 3: // COMPLETED_AGO_MS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map139 = iprot.readMapBegin();
-                struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map139.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key140;
-                long _val141;
-                for (int _i142 = 0; _i142 < _map139.size; ++_i142)
+                org.apache.thrift.protocol.TMap _map147 = iprot.readMapBegin();
+                struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map147.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key148;
+                long _val149;
+                for (int _i150 = 0; _i150 < _map147.size; ++_i150)
                 {
-                  _key140 = iprot.readString();
-                  _val141 = iprot.readI64();
-                  struct.completedAgoMs.put(_key140, _val141);
+                  _key148 = iprot.readString();
+                  _val149 = iprot.readI64();
+                  struct.completedAgoMs.put(_key148, _val149);
                 }
                 iprot.readMapEnd();
               }
@@ -785,14 +785,14 @@
           case 4: // QUARANTINED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list143 = iprot.readListBegin();
-                struct.quarantined = new java.util.ArrayList<Quarantine>(_list143.size);
-                @org.apache.thrift.annotation.Nullable Quarantine _elem144;
-                for (int _i145 = 0; _i145 < _list143.size; ++_i145)
+                org.apache.thrift.protocol.TList _list151 = iprot.readListBegin();
+                struct.quarantined = new java.util.ArrayList<Quarantine>(_list151.size);
+                @org.apache.thrift.annotation.Nullable Quarantine _elem152;
+                for (int _i153 = 0; _i153 < _list151.size; ++_i153)
                 {
-                  _elem144 = new Quarantine();
-                  _elem144.read(iprot);
-                  struct.quarantined.add(_elem144);
+                  _elem152 = new Quarantine();
+                  _elem152.read(iprot);
+                  struct.quarantined.add(_elem152);
                 }
                 iprot.readListEnd();
               }
@@ -804,13 +804,13 @@
           case 5: // REFUSED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list146 = iprot.readListBegin();
-                struct.refused = new java.util.ArrayList<java.lang.String>(_list146.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem147;
-                for (int _i148 = 0; _i148 < _list146.size; ++_i148)
+                org.apache.thrift.protocol.TList _list154 = iprot.readListBegin();
+                struct.refused = new java.util.ArrayList<java.lang.String>(_list154.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem155;
+                for (int _i156 = 0; _i156 < _list154.size; ++_i156)
                 {
-                  _elem147 = iprot.readString();
-                  struct.refused.add(_elem147);
+                  _elem155 = iprot.readString();
+                  struct.refused.add(_elem155);
                 }
                 iprot.readListEnd();
               }
@@ -844,9 +844,9 @@
         oprot.writeFieldBegin(CRASHES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-          for (CutOffCall _iter149 : struct.crashes)
+          for (CutOffCall _iter157 : struct.crashes)
           {
-            _iter149.write(oprot);
+            _iter157.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -856,10 +856,10 @@
         oprot.writeFieldBegin(COMPLETED_AGO_MS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.completedAgoMs.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter150 : struct.completedAgoMs.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter158 : struct.completedAgoMs.entrySet())
           {
-            oprot.writeString(_iter150.getKey());
-            oprot.writeI64(_iter150.getValue());
+            oprot.writeString(_iter158.getKey());
+            oprot.writeI64(_iter158.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -869,9 +869,9 @@
         oprot.writeFieldBegin(QUARANTINED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.quarantined.size()));
-          for (Quarantine _iter151 : struct.quarantined)
+          for (Quarantine _iter159 : struct.quarantined)
           {
-            _iter151.write(oprot);
+            _iter159.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -881,9 +881,9 @@
         oprot.writeFieldBegin(REFUSED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.refused.size()));
-          for (java.lang.String _iter152 : struct.refused)
+          for (java.lang.String _iter160 : struct.refused)
           {
-            oprot.writeString(_iter152);
+            oprot.writeString(_iter160);
           }
           oprot.writeListEnd();
         }
@@ -930,37 +930,37 @@
       if (struct.isSetCrashes()) {
         {
           oprot.writeI32(struct.crashes.size());
-          for (CutOffCall _iter153 : struct.crashes)
+          for (CutOffCall _iter161 : struct.crashes)
           {
-            _iter153.write(oprot);
+            _iter161.write(oprot);
           }
         }
       }
       if (struct.isSetCompletedAgoMs()) {
         {
           oprot.writeI32(struct.completedAgoMs.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter154 : struct.completedAgoMs.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter162 : struct.completedAgoMs.entrySet())
           {
-            oprot.writeString(_iter154.getKey());
-            oprot.writeI64(_iter154.getValue());
+            oprot.writeString(_iter162.getKey());
+            oprot.writeI64(_iter162.getValue());
           }
         }
       }
       if (struct.isSetQuarantined()) {
         {
           oprot.writeI32(struct.quarantined.size());
-          for (Quarantine _iter155 : struct.quarantined)
+          for (Quarantine _iter163 : struct.quarantined)
           {
-            _iter155.write(oprot);
+            _iter163.write(oprot);
           }
         }
       }
       if (struct.isSetRefused()) {
         {
           oprot.writeI32(struct.refused.size());
-          for (java.lang.String _iter156 : struct.refused)
+          for (java.lang.String _iter164 : struct.refused)
           {
-            oprot.writeString(_iter156);
+            oprot.writeString(_iter164);
           }
         }
       }
@@ -976,56 +976,56 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashes = new java.util.ArrayList<CutOffCall>(_list157.size);
-          @org.apache.thrift.annotation.Nullable CutOffCall _elem158;
-          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
+          org.apache.thrift.protocol.TList _list165 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<CutOffCall>(_list165.size);
+          @org.apache.thrift.annotation.Nullable CutOffCall _elem166;
+          for (int _i167 = 0; _i167 < _list165.size; ++_i167)
           {
-            _elem158 = new CutOffCall();
-            _elem158.read(iprot);
-            struct.crashes.add(_elem158);
+            _elem166 = new CutOffCall();
+            _elem166.read(iprot);
+            struct.crashes.add(_elem166);
           }
         }
         struct.setCrashesIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TMap _map160 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map160.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key161;
-          long _val162;
-          for (int _i163 = 0; _i163 < _map160.size; ++_i163)
+          org.apache.thrift.protocol.TMap _map168 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.completedAgoMs = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map168.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key169;
+          long _val170;
+          for (int _i171 = 0; _i171 < _map168.size; ++_i171)
           {
-            _key161 = iprot.readString();
-            _val162 = iprot.readI64();
-            struct.completedAgoMs.put(_key161, _val162);
+            _key169 = iprot.readString();
+            _val170 = iprot.readI64();
+            struct.completedAgoMs.put(_key169, _val170);
           }
         }
         struct.setCompletedAgoMsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list164 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.quarantined = new java.util.ArrayList<Quarantine>(_list164.size);
-          @org.apache.thrift.annotation.Nullable Quarantine _elem165;
-          for (int _i166 = 0; _i166 < _list164.size; ++_i166)
+          org.apache.thrift.protocol.TList _list172 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.quarantined = new java.util.ArrayList<Quarantine>(_list172.size);
+          @org.apache.thrift.annotation.Nullable Quarantine _elem173;
+          for (int _i174 = 0; _i174 < _list172.size; ++_i174)
           {
-            _elem165 = new Quarantine();
-            _elem165.read(iprot);
-            struct.quarantined.add(_elem165);
+            _elem173 = new Quarantine();
+            _elem173.read(iprot);
+            struct.quarantined.add(_elem173);
           }
         }
         struct.setQuarantinedIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list167 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.refused = new java.util.ArrayList<java.lang.String>(_list167.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem168;
-          for (int _i169 = 0; _i169 < _list167.size; ++_i169)
+          org.apache.thrift.protocol.TList _list175 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.refused = new java.util.ArrayList<java.lang.String>(_list175.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem176;
+          for (int _i177 = 0; _i177 < _list175.size; ++_i177)
           {
-            _elem168 = iprot.readString();
-            struct.refused.add(_elem168);
+            _elem176 = iprot.readString();
+            struct.refused.add(_elem176);
           }
         }
         struct.setRefusedIsSet(true);
