--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -35,10 +35,6 @@
 public final class PlacementLeader {
     /** Updates are published at least this often, so that followers know that the leader is alive. */
     private static final long PUBLISH_INTERVAL_MS = 300;
-    /** Shortest pause between two planning rounds, however many entries send updates. */
-    private static final long MIN_ROUND_PAUSE_MS = 10;
-    /** The pause after a planning round is this many times its duration, which leaves time for all other work. */
-    private static final long ROUND_PAUSE_FACTOR = 9;
     /** A new leader sends no orders for this time, in which the entries report their demand. */
     private static final long DEMAND_COLLECTION_MS = 500;
 
@@ -155,7 +151,7 @@
         long startMs = clock.nowMs();
         planRound(startMs);
         long endMs = clock.nowMs();
-        nextRoundMs = endMs + Math.max(MIN_ROUND_PAUSE_MS, ROUND_PAUSE_FACTOR * (endMs - startMs));
+        nextRoundMs = endMs + RoundPause.afterMs(endMs - startMs);
     }
 
     private void planRound(long nowMs) {
--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/SharedQuotasTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/SharedQuotasTest.java
@@ -49,6 +49,7 @@
 import org.hawthornglade.gateway.LoadControlSettings;
 import org.hawthornglade.gateway.exchange.QuarantineLog;
 import org.hawthornglade.gateway.exchange.WaitingCalls;
+import org.hawthornglade.gateway.http.CallerLimits;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
@@ -139,7 +140,8 @@
                 0.1,
                 1,
                 tolerance,
-                LoadControlSettings.NONE);
+                LoadControlSettings.NONE,
+                CallerLimits.DEFAULT);
         LoopContext context = new LoopContext(loop, new Timers(loop, log), clock, System::currentTimeMillis, log);
         Fleet fleet = new Fleet();
         WaitingCalls waitingCalls = new WaitingCalls();
