--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/RoundPauseTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/RoundPauseTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -19,7 +18,6 @@
      * 700 ms, and calls whose model was on the engine's disk were refused during the 6.4 s that followed.
      */
     @ParameterizedTest
-    @Tag("known-red")
     @CsvSource({"50", "700", "5000"})
     void slowRoundDoesNotStopPlanningForLongerThanAHeartbeat(long roundMs) {
         assertThat(RoundPause.afterMs(roundMs)).isAtMost(300);
