Pace servers: service-rate estimates, a concurrency limit over all entries, memory of engines

The fourth number of X-Server-Load is read. Without adaptivePacing, and for servers that do not send that number, the selectors choose as before.

--- a/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.function.Function;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.ServiceName;
+import org.hawthornglade.core.pace.Pacing;
 import org.hawthornglade.core.serving.EngineDefinition;
 
 /** Sends generations to the instance that is expected to produce the first token earliest. */
@@ -26,16 +28,45 @@
 
     private final FailureDomain localDomain;
     private final Function<ServiceName, EngineDefinition> engines;
+    private final Pacing pacing;
+    private final PacedChoice pacedChoice;
+    private final EngineMemory memory;
 
     /**
-     * Creates a selector.
+     * Creates a selector that paces only engines which state their slowdown.
      *
      * @param localDomain the failure domain of this entry
      * @param engines returns the engine definition of a service that runs models
      */
     public FirstTokenSelector(FailureDomain localDomain, Function<ServiceName, EngineDefinition> engines) {
+        this(localDomain, engines, Pacing.onlyStated(new Random(0)));
+    }
+
+    /**
+     * Creates a selector.
+     *
+     * @param localDomain the failure domain of this entry
+     * @param engines returns the engine definition of a service that runs models
+     * @param pacing what is known of the service rates of engines
+     */
+    public FirstTokenSelector(
+            FailureDomain localDomain, Function<ServiceName, EngineDefinition> engines, Pacing pacing) {
         this.localDomain = localDomain;
         this.engines = engines;
+        this.pacing = pacing;
+        this.pacedChoice = new PacedChoice(pacing);
+        this.memory = new EngineMemory(pacing);
+    }
+
+    /**
+     * Returns how long the first token of a request is expected to take at an engine at its usual service rate before
+     * anything is learned, in milliseconds.
+     *
+     * @param prefillTokens the prompt tokens to be read before it
+     * @param requests the requests in flight at the engine
+     */
+    public static double startMs(long prefillTokens, int requests) {
+        return prefillTokens / PREFILL_TOKENS_PER_MS + requests * MS_PER_RUNNING_REQUEST;
     }
 
     @Override
@@ -74,10 +105,13 @@
 
     private Endpoint earliest(CallView call, ModelDemand demand, List<Endpoint> holders, long nowMs) {
         EngineDefinition engine = engines.apply(call.service());
+        if (pacedChoice.applies(holders)) {
+            return earliestPaced(call, demand, engine, Candidates.preferred(call, holders, nowMs), nowMs);
+        }
         Endpoint best = null;
         double bestMs = Double.MAX_VALUE;
         for (Endpoint endpoint : Candidates.preferred(call, holders, nowMs)) {
-            if (!hasRoom(endpoint, demand, engine, nowMs)) {
+            if (!hasRoom(endpoint, call, demand, engine, nowMs)) {
                 continue;
             }
             double expectedMs = expectedMs(endpoint, demand, nowMs);
@@ -89,23 +123,60 @@
         return best;
     }
 
-    private static boolean hasRoom(Endpoint endpoint, ModelDemand demand, EngineDefinition engine, long nowMs) {
+    private Endpoint earliestPaced(
+            CallView call, ModelDemand demand, EngineDefinition engine, List<Endpoint> holders, long nowMs) {
+        List<Endpoint> open = new ArrayList<>();
+        double[] costs = new double[holders.size()];
+        for (Endpoint endpoint : holders) {
+            if (hasRoom(endpoint, call, demand, engine, nowMs)) {
+                costs[open.size()] = pacedMs(endpoint, call, demand, nowMs);
+                open.add(endpoint);
+            }
+        }
+        int chosen = pacedChoice.spread(costs, open.size());
+        return chosen < 0 ? null : open.get(chosen);
+    }
+
+    private double pacedMs(Endpoint endpoint, CallView call, ModelDemand demand, long nowMs) {
+        if (!pacing.appliesTo(endpoint.pace())) {
+            return expectedMs(endpoint, demand, nowMs);
+        }
+        WorkKind kind = WorkKind.firstToken(call);
+        double factor = pacing.usualTimes().factor(kind) * endpoint.pace().slowdown(kind, nowMs);
+        return factor * readMs(endpoint, demand, nowMs) + addedMs(endpoint, nowMs);
+    }
+
+    private boolean hasRoom(Endpoint endpoint, CallView call, ModelDemand demand, EngineDefinition engine, long nowMs) {
         if (endpoint.load().requests(nowMs) >= MAX_BATCH_FILL * engine.batchSlots()) {
             return false;
         }
+        double freeCalls = pacedChoice.freeCalls(endpoint, nowMs);
+        if (pacing.enginesCrashWhenFull()) {
+            double usableTokens = MAX_KV_FILL * engine.kvCapacityTokens();
+            double fitting =
+                    memory.freeCalls(endpoint, call.service(), demand, engine.kvCapacityTokens(), usableTokens);
+            return pacedChoice.mayStart(endpoint, call, Math.min(freeCalls, fitting), nowMs);
+        }
         long tokens = endpoint.load().ownTokens();
-        return tokens == 0 || tokens + demand.kvTokens() <= MAX_KV_FILL * engine.kvCapacityTokens();
+        boolean fits = tokens == 0 || tokens + demand.kvTokens() <= MAX_KV_FILL * engine.kvCapacityTokens();
+        return fits && pacedChoice.mayStart(endpoint, call, freeCalls, nowMs);
     }
 
     private double expectedMs(Endpoint endpoint, ModelDemand demand, long nowMs) {
+        return readMs(endpoint, demand, nowMs) + addedMs(endpoint, nowMs);
+    }
+
+    /** Returns the time until the first token at the usual service rate. */
+    private static double readMs(Endpoint endpoint, ModelDemand demand, long nowMs) {
         int cached = endpoint.prefixCache().cachedTokens(demand.variant(), demand.prefix());
         long toRead = endpoint.load().ownPrefillTokens() + demand.promptTokens() - cached;
+        return startMs(toRead, endpoint.load().requests(nowMs));
+    }
+
+    /** Returns the expected delays that do not depend on the service rate. */
+    private double addedMs(Endpoint endpoint, long nowMs) {
         double crossDomainMs = endpoint.record().failureDomain().equals(localDomain) ? 0 : CROSS_DOMAIN_MS;
         double permitMs = RateLimitWait.sendable(endpoint, nowMs) ? 0 : RateLimitWait.PERMIT_REQUEST_MS;
-        return permitMs
-                + toRead / PREFILL_TOKENS_PER_MS
-                + endpoint.load().requests(nowMs) * MS_PER_RUNNING_REQUEST
-                + crossDomainMs
-                + FAILURE_PENALTY_MS * endpoint.health().failureRate(nowMs);
+        return permitMs + crossDomainMs + FAILURE_PENALTY_MS * endpoint.health().failureRate(nowMs);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/dispatch/LeastLoadedSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/LeastLoadedSelector.java
@@ -1,9 +1,12 @@
 package org.hawthornglade.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Random;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.id.FailureDomain;
+import org.hawthornglade.core.pace.Pacing;
 
 /** Sends calls of plain services to the instance with the largest share of free slots. */
 public final class LeastLoadedSelector implements EndpointSelector {
@@ -13,14 +16,28 @@
     private static final double CROSS_DOMAIN_COST = 0.1;
 
     private final FailureDomain localDomain;
+    private final Pacing pacing;
+    private final PacedChoice pacedChoice;
 
     /**
-     * Creates a selector.
+     * Creates a selector that paces only instances which state their slowdown.
      *
      * @param localDomain the failure domain of this entry
      */
     public LeastLoadedSelector(FailureDomain localDomain) {
+        this(localDomain, Pacing.onlyStated(new Random(0)));
+    }
+
+    /**
+     * Creates a selector.
+     *
+     * @param localDomain the failure domain of this entry
+     * @param pacing what is known of the service rates of instances
+     */
+    public LeastLoadedSelector(FailureDomain localDomain, Pacing pacing) {
         this.localDomain = localDomain;
+        this.pacing = pacing;
+        this.pacedChoice = new PacedChoice(pacing);
     }
 
     @Override
@@ -42,6 +59,9 @@
     }
 
     private Endpoint cheapest(CallView call, List<Endpoint> unpaused, long nowMs) {
+        if (pacedChoice.applies(unpaused)) {
+            return cheapestPaced(call, Candidates.preferred(call, unpaused, nowMs), nowMs);
+        }
         Endpoint best = null;
         double bestCost = Double.MAX_VALUE;
         for (Endpoint endpoint : Candidates.preferred(call, unpaused, nowMs)) {
@@ -58,6 +78,32 @@
         return best;
     }
 
+    private Endpoint cheapestPaced(CallView call, List<Endpoint> unpaused, long nowMs) {
+        List<Endpoint> open = new ArrayList<>();
+        double[] costs = new double[unpaused.size()];
+        for (Endpoint endpoint : unpaused) {
+            int requests = endpoint.load().requests(nowMs);
+            double freeCalls = pacedChoice.freeCalls(endpoint, nowMs);
+            boolean full = requests >= endpoint.record().slots();
+            if (!full && pacedChoice.mayStart(endpoint, call, freeCalls, nowMs)) {
+                costs[open.size()] = pacedCost(endpoint, call, requests, nowMs);
+                open.add(endpoint);
+            }
+        }
+        int chosen = pacedChoice.spread(costs, open.size());
+        return chosen < 0 ? null : open.get(chosen);
+    }
+
+    /** Returns the cost of a call, in which the instance's service rate counts like the load. */
+    private double pacedCost(Endpoint endpoint, CallView call, int requests, long nowMs) {
+        double added = cost(endpoint, 0, nowMs);
+        if (!pacing.appliesTo(endpoint.pace())) {
+            return 1 + cost(endpoint, requests, nowMs);
+        }
+        double load = (double) requests / endpoint.record().slots();
+        return endpoint.pace().slowdown(WorkKind.plain(call), nowMs) * (1 + load) + added;
+    }
+
     private double cost(Endpoint endpoint, int requests, long nowMs) {
         double load = (double) requests / endpoint.record().slots();
         double crossDomain = endpoint.record().failureDomain().equals(localDomain) ? 0 : CROSS_DOMAIN_COST;
--- a/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
@@ -7,12 +7,14 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.notice.EndpointNotices;
+import org.hawthornglade.core.pace.ServerPace;
 
 /** Tracks one instance as known to an entry: its record on the platform's list, its models, its load and its health. */
 public final class Endpoint {
     private EndpointHealth health = new EndpointHealth();
     private EndpointNotices notices = new EndpointNotices();
     private Permits permits = new Permits();
+    private ServerPace pace;
     private final EndpointLoad load = new EndpointLoad();
     private final PrefixCache prefixCache = new PrefixCache();
     private final Map<ModelName, Long> excludedUntilMs = new HashMap<>();
@@ -22,6 +24,7 @@
 
     Endpoint(InstanceRecord listed) {
         this.record = listed;
+        this.pace = new ServerPace(listed.slots());
     }
 
     public InstanceId id() {
@@ -47,6 +50,11 @@
         return permits;
     }
 
+    /** Returns the service rate and the concurrency limit of this run of the instance. */
+    public ServerPace pace() {
+        return pace;
+    }
+
     /** Returns whether the instance is leaving, according to the list or to its own notice. */
     public boolean leaving() {
         return record.leaving() || notices.leaving().received();
@@ -68,6 +76,7 @@
             health = new EndpointHealth();
             notices = new EndpointNotices();
             permits = new Permits();
+            pace = new ServerPace(newer.slots());
         }
         record = newer;
     }
@@ -75,11 +84,19 @@
     /** Applies a placement reported by the leader, unless it refers to another run of the instance. */
     void onPlacement(InstancePlacement reported) {
         if (reported.bornMs() == record.bornMs()) {
+            boolean firstModel = lastPlacement != null && !hasReadyModel(lastPlacement) && hasReadyModel(reported);
+            if (firstModel) {
+                pace.restart();
+            }
             placement = reported;
             lastPlacement = reported;
         }
     }
 
+    private static boolean hasReadyModel(InstancePlacement of) {
+        return of.models().values().stream().anyMatch(state -> state.status() == ReplicaStatus.READY);
+    }
+
     /** Returns the placement that a leader reported last, even if that leader has been lost since. */
     public Optional<InstancePlacement> lastPlacement() {
         return Optional.ofNullable(lastPlacement);
--- a/core/src/main/java/org/hawthornglade/core/fleet/EndpointLoad.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/EndpointLoad.java
@@ -16,6 +16,7 @@
     private long ownPrefillTokens;
     private int othersRequests;
     private long othersAtMs = -OTHERS_VALID_MS;
+    private int ownAtReport;
 
     /** Adds an attempt that is sent. */
     public void begin(Optional<Variant> variant, long tokens, long prefillTokens) {
@@ -41,6 +42,22 @@
     public void updateOthers(int requests, long nowMs) {
         othersRequests = Math.max(0, requests);
         othersAtMs = nowMs;
+        ownAtReport = ownRequests;
+    }
+
+    /** Returns the requests of other entries as last reported, however long ago. */
+    public int lastOthers() {
+        return othersRequests;
+    }
+
+    /** Returns this entry's requests when those of others were last reported. */
+    public int ownAtReport() {
+        return ownAtReport;
+    }
+
+    /** Returns the age of the last report of the requests of other entries, in milliseconds. */
+    public long reportAgeMs(long nowMs) {
+        return nowMs - othersAtMs;
     }
 
     public int ownRequests() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import org.hawthornglade.core.dispatch.CallScreen;
+import org.hawthornglade.core.dispatch.CallView;
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.dispatch.FirstTokenSelector;
 import org.hawthornglade.core.dispatch.LeastLoadedSelector;
@@ -21,6 +22,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.limit.EntryCount;
+import org.hawthornglade.core.pace.Pacing;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.quota.QuotaClient;
 import org.hawthornglade.core.serving.ConfigurationInForce;
@@ -81,6 +83,7 @@
     private final WaitingCalls waitingCalls = new WaitingCalls();
     private final EndpointConnections connections;
     private final PlacementCoordinator placement;
+    private final Pacing pacing;
     private final StreamResumption resumption;
     private final CallReceiver receiver;
     private final RequestBodyBudget bodies;
@@ -134,6 +137,11 @@
         this.retryBudgets = new RetryBudgets(retryShare(settings), retryBurst(settings));
         this.resumption = new StreamResumption(
                 fleet, streamStore, timers, clock, log, metrics, new Random(), waitingCalls::reconsider);
+        this.pacing = new Pacing(
+                settings.loadControl().adaptivePacing(),
+                settings.loadControl().enginesCrashWhenFull(),
+                entryCount::entries,
+                new Random());
         ExchangeContext exchanges = new ExchangeContext(
                 timers,
                 clock,
@@ -148,21 +156,28 @@
                 resumption,
                 new EngineStartCheck(control, this::runsModels),
                 new CrashDetector(timers, clock, connections, quarantine),
+                pacing,
                 protocol,
                 log,
                 metrics);
-        this.receiver = new CallReceiver(exchanges, configuration::current, collector::onCall, new Random());
+        this.receiver =
+                new CallReceiver(exchanges, configuration::current, call -> onCall(collector, call), new Random());
         this.bodies = RequestBodyBudget.ofEntry(clock, new BodyPressureLog(clock, log, metrics));
         this.callers = new CallerServer(context.loop(), timers, clock, this::limits, receiver, bodies);
         this.readiness =
                 new CallerServer(context.loop(), timers, clock, () -> RequestLimits.DEFAULT, this::answerReadiness);
     }
 
+    private void onCall(DemandCollector collector, CallView call) {
+        collector.onCall(call);
+        call.demand().ifPresent(demand -> pacing.onCall(call.service(), demand.kvTokens()));
+    }
+
     private Dispatcher dispatcher(GatewaySettings source, CallScreen screen, StreamGate streamGate) {
         return new Dispatcher(
                 fleet,
-                new LeastLoadedSelector(source.failureDomain()),
-                new FirstTokenSelector(source.failureDomain(), this::engine),
+                new LeastLoadedSelector(source.failureDomain(), pacing),
+                new FirstTokenSelector(source.failureDomain(), this::engine, pacing),
                 screen,
                 streamGate);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -40,6 +40,7 @@
     private final int prefillTokens;
     private final SilenceLimit silenceLimit;
     private SendPermission sendPermission;
+    private PaceMeasurement pace;
     private OutboundConnection connection;
     private HttpResponse head;
     private long sentAtMs;
@@ -69,6 +70,8 @@
     void start() {
         sendPermission = new SendPermission(endpoint, context.clock().nowMs());
         endpoint.load().begin(variant, kvTokens, prefillTokens);
+        pace = new PaceMeasurement(
+                context, exchange.view(), endpoint, context.clock().nowMs());
         boolean sendOnce = !exchange.view().route().repeatable();
         context.connections()
                 .pool(chosen)
@@ -90,6 +93,7 @@
         }
         finish();
         endpoint.health().onUnreachable(context.clock().nowMs());
+        pace.onUnreachable(context.clock().nowMs());
         exchange.onConnectFailed(endpoint);
     }
 
@@ -152,6 +156,7 @@
                         exchange.request().id().value())));
         silenceLimit.startBeforeResponse();
         sentAtMs = context.clock().nowMs();
+        pace.onSent(sentAtMs);
         notices = endpoint.notices();
         opened.send(request, this);
     }
@@ -195,6 +200,7 @@
         responseHead = context.protocol().readResponse(received);
         long nowMs = context.clock().nowMs();
         handleNotices(nowMs);
+        pace.onHead(responseHead, nowMs);
         responseHead
                 .load()
                 .ifPresent(load -> endpoint.load()
@@ -270,6 +276,7 @@
 
     private void forwardComplete(ByteBuf complete) {
         onPrefillDone();
+        pace.onEvents(context.clock().nowMs());
         exchange.onEvents(chosen.softwareVersion());
         silenceLimit.startBetweenEvents();
         forward(complete);
@@ -365,6 +372,7 @@
     private void complete() {
         finish();
         long nowMs = context.clock().nowMs();
+        pace.onCompleted(responseHead, nowMs);
         if (responseHead.notRun()) {
             exchange.onRejected(endpoint, responseHead);
             return;
@@ -431,6 +439,7 @@
         }
         finish();
         long nowMs = context.clock().nowMs();
+        pace.onFailed(failure, nowMs);
         if (failure == OutboundFailure.TIMED_OUT || failure == OutboundFailure.CLOSED) {
             endpoint.health().onResponseLost(nowMs);
         } else {
@@ -451,5 +460,6 @@
         context.bufferBudget().release(reservedBytes);
         reservedBytes = 0;
         endpoint.load().end(variant, kvTokens);
+        pace.onEnded();
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ExchangeContext.java
@@ -2,6 +2,7 @@
 
 import org.hawthornglade.core.dispatch.Dispatcher;
 import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.pace.Pacing;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.log.EventLog;
@@ -26,6 +27,7 @@
  * @param resumption decides where streams that callers take up go on
  * @param startCheck finds out whether instances have started again
  * @param crashDetector tells crashes from lost connections
+ * @param pacing learns the service rates of endpoints
  * @param protocol translates headers between callers and endpoints
  * @param log receives one line for each call
  * @param metrics counts calls
@@ -44,6 +46,7 @@
         StreamResumption resumption,
         StartCheck startCheck,
         CrashDetector crashDetector,
+        Pacing pacing,
         CallProtocol protocol,
         EventLog log,
         GatewayMetrics metrics) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/NoticeHandler.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/NoticeHandler.java
@@ -57,6 +57,7 @@
         if (pause.untilMs() == previousUntilMs) {
             return;
         }
+        endpoint.pace().restart();
         metrics.count("endpoints_shut");
         log.event("endpoint-shut")
                 .with("instance", endpoint.id())
--- a/gateway/src/main/java/org/hawthornglade/gateway/port/ResponseHead.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/port/ResponseHead.java
@@ -36,8 +36,9 @@
      * @param running requests in progress
      * @param waiting queued requests
      * @param slots the number of requests that can run concurrently
+     * @param slowdown how long work takes at this moment relative to 1 as usual, if stated
      */
-    public record ReportedLoad(int running, int waiting, int slots) {
+    public record ReportedLoad(int running, int waiting, int slots, OptionalDouble slowdown) {
         /** Returns the requests in flight from all entries. */
         public int requests() {
             return running + waiting;
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -30,6 +30,7 @@
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.id.SoftwareVersion;
+import org.hawthornglade.core.pace.Pacing;
 import org.hawthornglade.core.quarantine.PromptQuarantine;
 import org.hawthornglade.core.quota.QuotaClient;
 import org.hawthornglade.core.quota.QuotaTolerance;
@@ -151,6 +152,7 @@
                 resumption,
                 startCheck,
                 new CrashDetector(timers, clock, connections, quarantine),
+                Pacing.onlyStated(new Random(1)),
                 new TestProtocol(),
                 log,
                 metrics);
