--- a/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
@@ -155,11 +155,11 @@
             double usableTokens = MAX_KV_FILL * engine.kvCapacityTokens();
             double fitting =
                     memory.freeCalls(endpoint, call.service(), demand, engine.kvCapacityTokens(), usableTokens);
-            return pacedChoice.mayStart(endpoint, call, Math.min(freeCalls, fitting), nowMs);
+            return pacedChoice.mayStart(endpoint, call, Math.min(freeCalls, fitting), true, nowMs);
         }
         long tokens = endpoint.load().ownTokens();
         boolean fits = tokens == 0 || tokens + demand.kvTokens() <= MAX_KV_FILL * engine.kvCapacityTokens();
-        return fits && pacedChoice.mayStart(endpoint, call, freeCalls, nowMs);
+        return fits && pacedChoice.mayStart(endpoint, call, freeCalls, false, nowMs);
     }
 
     private double expectedMs(Endpoint endpoint, ModelDemand demand, long nowMs) {
--- a/core/src/main/java/org/hawthornglade/core/dispatch/LeastLoadedSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/LeastLoadedSelector.java
@@ -85,7 +85,7 @@
             int requests = endpoint.load().requests(nowMs);
             double freeCalls = pacedChoice.freeCalls(endpoint, nowMs);
             boolean full = requests >= endpoint.record().slots();
-            if (!full && pacedChoice.mayStart(endpoint, call, freeCalls, nowMs)) {
+            if (!full && pacedChoice.mayStart(endpoint, call, freeCalls, false, nowMs)) {
                 costs[open.size()] = pacedCost(endpoint, call, requests, nowMs);
                 open.add(endpoint);
             }
--- a/core/src/main/java/org/hawthornglade/core/dispatch/PacedChoice.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/PacedChoice.java
@@ -11,6 +11,9 @@
     /** A call that is decided on later than this after its last progress has waited. */
     private static final long WAITED_MS = 10;
 
+    /** Room below which new calls contend too, since several may come within the age of a report. */
+    private static final double CRASH_FREE_CALLS = 3;
+
     private final Pacing pacing;
 
     PacedChoice(Pacing pacing) {
@@ -47,8 +50,9 @@
      * entries for the same room.
      *
      * @param freeCalls the calls for which there is room; {@link Double#MAX_VALUE} if it is not limited
+     * @param crashes whether the endpoint crashes if more calls are started
      */
-    boolean mayStart(Endpoint endpoint, CallView call, double freeCalls, long nowMs) {
+    boolean mayStart(Endpoint endpoint, CallView call, double freeCalls, boolean crashes, long nowMs) {
         if (freeCalls == Double.MAX_VALUE) {
             return true;
         }
@@ -56,10 +60,14 @@
             return false;
         }
         boolean waited = nowMs - call.lastProgressAtMs() > WAITED_MS;
+        if (!waited && (!crashes || freeCalls >= CRASH_FREE_CALLS)) {
+            return true;
+        }
         int own = endpoint.load().ownRequests();
         int others = endpoint.load().requests(nowMs) - own;
-        return !waited
-                || endpoint.pace().share().mayStart(freeCalls, own, others, pacing.entries(), pacing.random(), nowMs);
+        return endpoint.pace()
+                .share()
+                .mayStart(freeCalls, own, others, pacing.entries(), crashes, pacing.random(), nowMs);
     }
 
     /** Returns a random index among the costs that are within a small share of the least, or -1 if there are none. */
--- a/core/src/main/java/org/hawthornglade/core/pace/EntryShare.java
+++ b/core/src/main/java/org/hawthornglade/core/pace/EntryShare.java
@@ -12,6 +12,16 @@
 public final class EntryShare {
     /** Time after which an entry draws again although no report has arrived; the leader's heartbeat interval. */
     static final long DRAW_INTERVAL_MS = 300;
+    /** The same where too many calls crash a server: all calls of the last drawing are in the next report by then. */
+    static final long CRASH_DRAW_INTERVAL_MS = 600;
+    /** Share of the free room that is drawn for where too many calls crash a server, as the sum varies. */
+    private static final double CRASH_ROOM_SHARE = 0.75;
+    /** Calls that are not drawn for where too many calls crash a server: the sum varies most relative to little room. */
+    private static final double CRASH_ROOM_MARGIN = 0.5;
+    /** Least share of the entries that is assumed to contend where too many calls crash a server. */
+    private static final double CRASH_MIN_CONTENDERS = 0.5;
+    /** Part of the drawn room whose use shows that the entries still contend, where too many calls crash a server. */
+    private static final double CRASH_USED_SHARE = 0.25;
 
     private static final double MAX_CHANGE = 2;
     /** One place in this many goes to any entry when its call ends, so that entries without a place get one. */
@@ -54,35 +64,48 @@
      * @param own this entry's calls in flight
      * @param others the known calls of other entries
      * @param entries the number of entries, including this one
+     * @param crashes whether the server crashes if too many calls are started
      * @param random differs between entries
      */
-    public boolean mayStart(double freeCalls, int own, int others, int entries, RandomGenerator random, long nowMs) {
+    public boolean mayStart(
+            double freeCalls, int own, int others, int entries, boolean crashes, RandomGenerator random, long nowMs) {
         if (freeCalls < 1) {
             return false;
         }
-        if (nowMs - drawnAtMs >= DRAW_INTERVAL_MS) {
-            draw(freeCalls, own, others, Math.max(1, entries), random, nowMs);
+        if (nowMs - drawnAtMs >= intervalMs(crashes)) {
+            updateContenders(own, others, Math.max(1, entries), crashes, nowMs);
+            boolean cautious = crashes && entries > 1;
+            draw(cautious ? CRASH_ROOM_SHARE * freeCalls - CRASH_ROOM_MARGIN : freeCalls, random);
+            ownAtDraw = own;
+            othersAtDraw = others;
+            drawnAtMs = nowMs;
         }
         return started < granted;
     }
 
-    private void draw(double freeCalls, int own, int others, int entries, RandomGenerator random, long nowMs) {
-        boolean recent = nowMs - drawnAtMs < 2 * DRAW_INTERVAL_MS;
-        if (contenders < 0) {
-            contenders = Math.max(1, START_SHARE * entries);
-        } else if (recent && freeAtDraw >= 1) {
+    private static long intervalMs(boolean crashes) {
+        return crashes ? CRASH_DRAW_INTERVAL_MS : DRAW_INTERVAL_MS;
+    }
+
+    private void updateContenders(int own, int others, int entries, boolean crashes, long nowMs) {
+        boolean recent = nowMs - drawnAtMs < 2 * intervalMs(crashes);
+        if (contenders < 0 || (crashes && !recent)) {
+            contenders = crashes ? entries : START_SHARE * entries;
+        } else if (recent && freeAtDraw > 0) {
             double used = (others - othersAtDraw + own - ownAtDraw) / freeAtDraw;
-            contenders *= Math.max(1 / MAX_CHANGE, Math.min(MAX_CHANGE, used));
+            double counted = crashes && used >= CRASH_USED_SHARE ? Math.max(1, used) : used;
+            contenders *= Math.max(1 / MAX_CHANGE, Math.min(MAX_CHANGE, counted));
         }
         // Calls that end and start between reports do not change their number, so that it tells nothing of contenders.
         double active = 1 + others / (double) Math.max(1, own);
-        contenders = Math.min(entries, Math.max(active, contenders));
-        double share = freeCalls / contenders;
+        double least = crashes ? Math.max(active, CRASH_MIN_CONTENDERS * entries) : active;
+        contenders = Math.min(entries, Math.max(least, contenders));
+    }
+
+    private void draw(double room, RandomGenerator random) {
+        double share = room / contenders;
         granted = (int) share + (random.nextDouble() < share - (int) share ? 1 : 0);
         started = 0;
-        freeAtDraw = freeCalls;
-        ownAtDraw = own;
-        othersAtDraw = others;
-        drawnAtMs = nowMs;
+        freeAtDraw = room;
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/pace/PaceEstimator.java
+++ b/core/src/main/java/org/hawthornglade/core/pace/PaceEstimator.java
@@ -6,8 +6,8 @@
     static final long HALF_LIFE_MS = 20_000;
     /** Weight of the newest response; a burst of noise of a few responses moves the estimate by less than its size. */
     private static final double NEWEST_WEIGHT = 0.1;
-    /** Weight of a response that is slower than the base, so that the base does not follow an overload. */
-    private static final double SLOWER_WEIGHT = 0.01;
+    /** Time in which the base follows slower responses, however many there are, so that it lags behind an overload. */
+    private static final double SLOWER_TIME_MS = 10_000;
     /** The first responses are averaged, so that the speed of a new server is known early. */
     private static final int AVERAGED_RESPONSES = 8;
 
@@ -36,7 +36,8 @@
         responses++;
         double averaged = responses <= AVERAGED_RESPONSES ? 1.0 / (responses + 1) : 0;
         meanLog += Math.max(averaged, NEWEST_WEIGHT) * (sample - meanLog);
-        double baseWeight = sample > baseLog ? SLOWER_WEIGHT : NEWEST_WEIGHT;
+        double slowerWeight = 1 - Math.exp(-Math.max(0, ageMs(nowMs)) / SLOWER_TIME_MS);
+        double baseWeight = sample > baseLog ? Math.min(NEWEST_WEIGHT, slowerWeight) : NEWEST_WEIGHT;
         baseLog += Math.max(averaged, baseWeight) * (sample - baseLog);
         newestAtMs = nowMs;
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/PaceMeasurement.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/PaceMeasurement.java
@@ -130,6 +130,7 @@
                     .with("in_flight", endpoint.load().requests(nowMs))
                     .with("report_age_ms", endpoint.load().reportAgeMs(nowMs))
                     .with("slowdown", Math.round(100 * pace.slowdown(kind, nowMs)))
+                    .with("slowdown_age_ms", pace.ageMs(kind, nowMs))
                     .write();
         }
     }
