--- a/core/src/main/java/org/hawthornglade/core/pace/ConcurrencyLimit.java
+++ b/core/src/main/java/org/hawthornglade/core/pace/ConcurrencyLimit.java
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Follows the calls in flight over all entries, which other entries' limits allow, while this entry has no responses
-     * of its own.
+     * Follows the calls in flight over all entries, which other entries' limits allow, while this entry has no
+     * responses of its own.
      */
     public void onReport(int inFlight, long nowMs) {
         double followed = Math.min(slots, FOLLOW_MARGIN * inFlight + 1);
--- a/core/src/main/java/org/hawthornglade/core/pace/EntryShare.java
+++ b/core/src/main/java/org/hawthornglade/core/pace/EntryShare.java
@@ -12,7 +12,7 @@
 public final class EntryShare {
     /** Time after which an entry draws again although no report has arrived; the leader's heartbeat interval. */
     static final long DRAW_INTERVAL_MS = 300;
-    /** The same where too many calls crash a server: all calls of the last drawing are in the next report by then. */
+    /** The same where too many calls crash a server: the last drawing's calls are in a report by then. */
     static final long CRASH_DRAW_INTERVAL_MS = 600;
     /** Share of the free room that is drawn for where too many calls crash a server, as the sum varies. */
     private static final double CRASH_ROOM_SHARE = 0.75;
--- a/core/src/main/java/org/hawthornglade/core/pace/ServerPace.java
+++ b/core/src/main/java/org/hawthornglade/core/pace/ServerPace.java
@@ -89,8 +89,8 @@
     /**
      * Returns the calls that this entry may have in flight, apart from the limit over all entries.
      *
-     * <p>There is no such bound while the calls of other entries are known. Afterwards the last share decays to an equal
-     * share of the limit, but not below one call.
+     * <p>There is no such bound while the calls of other entries are known. Afterwards the last share decays to an
+     * equal share of the limit, but not below one call.
      *
      * @param ownAtReport this entry's calls when those of others were last reported
      * @param reportAgeMs the age of that report
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestProtocol.java
@@ -45,6 +45,9 @@
     /** The numeric field that may be the first line of an event. */
     static final String WEIGHTS_FIELD = "x-weights";
 
+    /** How long work takes at the endpoint, relative to 1 as usual. */
+    static final String SLOWDOWN = "X-Slowdown";
+
     private static final EventRule EVENT_RULE = new NumberedEventRule(Set.of(WEIGHTS_FIELD));
 
     @Override
@@ -101,7 +104,9 @@
                 head.status().code() == 421,
                 headers.contains("X-Signature"),
                 Optional.ofNullable(headers.get("X-Instance")).map(InstanceId::of),
-                Optional.empty(),
+                Optional.ofNullable(headers.get(SLOWDOWN))
+                        .map(slowdown -> new ResponseHead.ReportedLoad(
+                                1, 0, 8, OptionalDouble.of(Double.parseDouble(slowdown)))),
                 headers.contains("X-Leaves"),
                 headers.contains(RETRY_AFTER_MS)
                         ? OptionalLong.of(Long.parseLong(headers.get(RETRY_AFTER_MS)))
