--- a/core/src/main/java/org/hawthornglade/core/pace/EntryShare.java
+++ b/core/src/main/java/org/hawthornglade/core/pace/EntryShare.java
@@ -16,7 +16,7 @@
     static final long CRASH_DRAW_INTERVAL_MS = 600;
     /** Share of the free room that is drawn for where too many calls crash a server, as the sum varies. */
     private static final double CRASH_ROOM_SHARE = 0.75;
-    /** Calls that are not drawn for where too many calls crash a server: the sum varies most relative to little room. */
+    /** Calls that are not drawn for where too many calls crash a server: the sum varies most where room is little. */
     private static final double CRASH_ROOM_MARGIN = 0.5;
     /** Least share of the entries that is assumed to contend where too many calls crash a server. */
     private static final double CRASH_MIN_CONTENDERS = 0.5;
