--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/RoundPauseTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/RoundPauseTest.java
@@ -14,7 +14,7 @@
     }
 
     /**
-     * Guards against a leader that orders nothing for seconds after one slow round: the first one on a busy machine took
+     * Guards against a leader that orders nothing for seconds after a slow round: the first one on a busy machine took
      * 700 ms, and calls whose model was on the engine's disk were refused during the 6.4 s that followed.
      */
     @ParameterizedTest
