--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithOpenCallsTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithOpenCallsTest.java
@@ -3,7 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.Socket;
+import java.time.Duration;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.gateway.exchange.ScriptedEndpoint.ConnectionAction;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -37,4 +41,47 @@
             assertThat(remote.unreadRequests()).isEqualTo(0);
         }
     }
+
+    private static final String STREAM_HEAD =
+            HEAD + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String FIRST_EVENT = "13\r\nid: 1\ndata: first\n\n\r\n";
+    private static final String SECOND_EVENT = "14\r\nid: 2\ndata: second\n\n\r\n0\r\n\r\n";
+    private static final int SLOTS = 8;
+    /** Longer than the test takes, so that the endpoint stays full until it is given room. */
+    private static final long FULL_FOR_MS = 60_000;
+
+    /**
+     * Guards against a stop that breaks off a stream which has begun and waits for room to go on: it was refused with the
+     * calls that have not begun, which closes its connection in the middle of the response.
+     */
+    @Test
+    @Tag("known-red")
+    void streamThatWaitsToBeResumedIsNotBrokenOff() throws Exception {
+        fillRemote(SLOTS);
+        local.respond(STREAM_HEAD + FIRST_EVENT, ConnectionAction.WAIT_FOR_CLOSE);
+        remote.respond(STREAM_HEAD + SECOND_EVENT, ConnectionAction.KEEP_OPEN);
+        try (Socket socket = entry.connect()) {
+            TestEntry.send(socket, TestEntry.post("/resumable/x", "r-1", "a"));
+            assertThat(TestEntry.read(socket, "first")).startsWith("HTTP/1.1 200");
+            awaitWaiting();
+            entry.startRefusing();
+            assertThat(entry.waiting()).isEqualTo(1);
+            fillRemote(0);
+            entry.reconsider();
+            assertThat(TestEntry.read(socket, "0\r\n\r\n")).contains("second");
+        }
+    }
+
+    private void fillRemote(int requests) throws Exception {
+        entry.onFleet((fleet, nowMs) ->
+                fleet.endpoint(InstanceId.of("i-1")).orElseThrow().load().updateOthers(requests, nowMs + FULL_FOR_MS));
+    }
+
+    private void awaitWaiting() throws Exception {
+        long endNs = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (entry.waiting() == 0 && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        assertThat(entry.waiting()).isEqualTo(1);
+    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -315,6 +315,11 @@
                 List.of(new WeightedService(SERVICE, 1)));
     }
 
+    /** Decides again on the waiting calls, on the event loop. */
+    void reconsider() throws Exception {
+        group.submit(waitingCalls::reconsider).get(5, TimeUnit.SECONDS);
+    }
+
     /** Refuses waiting and new calls, as late in a stop. */
     void startRefusing() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
