--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
@@ -24,7 +24,7 @@
     private final Set<TeamName> limited = new HashSet<>();
     private final Map<String, Long> runs = new HashMap<>();
     private QuotaEntries entries = new QuotaEntries(0, 0);
-    private long reign;
+    private long term;
     private long refreshedAtMs;
 
     /** Creates an allocator without quotas. */
@@ -35,11 +35,11 @@
     /**
      * Starts anew, after this entry has started to lead.
      *
-     * @param newReign identifies the time for which it leads; not 0, and different for each leader
+     * @param newTerm identifies the time for which it leads; not 0, and different for each leader
      * @param knownEntries the number of entries that the previous leader reported; 0 if unknown
      */
-    public void begin(long newReign, int knownEntries, long nowMs) {
-        reign = newReign;
+    public void begin(long newTerm, int knownEntries, long nowMs) {
+        term = newTerm;
         entries = new QuotaEntries(knownEntries, nowMs);
         runs.clear();
         ledgers.replaceAll((team, ledger) -> ledger.emptied());
@@ -80,7 +80,7 @@
         }
         check(confirmed, nowMs);
         entries.onReport(entry, nowMs);
-        boolean known = report.reign() == reign && previousRun != null;
+        boolean known = report.term() == term && previousRun != null;
         List<QuotaGrant> grants = new ArrayList<>();
         Set<TeamName> named = new HashSet<>();
         for (QuotaUse use : report.uses()) {
@@ -95,6 +95,6 @@
                 ledger.shareChange(entry, entries).ifPresent(grants::add);
             }
         });
-        return new QuotaUpdate(reign, report.sentAtMs(), entries.count(), grants);
+        return new QuotaUpdate(term, report.sentAtMs(), entries.count(), grants);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
@@ -22,7 +22,7 @@
     private final long run;
     private final Map<TeamName, TeamStock> stocks = new HashMap<>();
     private final Set<TeamName> limited = new HashSet<>();
-    private long reign;
+    private long term;
     private int entries;
     private long answeredAtMs;
     private long aloneRefilledAtMs;
@@ -166,7 +166,7 @@
                 uses.add(stock.report(nowMs));
             }
         }
-        return new QuotaReport(run, nowMs, reign, uses);
+        return new QuotaReport(run, nowMs, term, uses);
     }
 
     /** Applies an answer of the leader; requests that have asked should be decided again afterwards. */
@@ -174,9 +174,9 @@
         if (nowMs - update.reportSentAtMs() >= QuotaTimes.ALONE_MS) {
             return;
         }
-        if (update.reign() != reign) {
-            reign = update.reign();
-            stocks.values().forEach(TeamStock::onReign);
+        if (update.term() != term) {
+            term = update.term();
+            stocks.values().forEach(TeamStock::onTerm);
         }
         aloneEndedAtMs = alone ? nowMs : aloneEndedAtMs;
         answered = true;
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaReport.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaReport.java
@@ -7,10 +7,10 @@
  *
  * @param run identifies the run of the entry's process
  * @param sentAtMs when the report was sent, on the entry's steady clock
- * @param reign the reign of the leader whose grants {@code uses} refers to; 0 if none
+ * @param term the term of the leader whose grants {@code uses} refers to; 0 if none
  * @param uses one for each team that is in use at the entry
  */
-public record QuotaReport(long run, long sentAtMs, long reign, List<QuotaUse> uses) {
+public record QuotaReport(long run, long sentAtMs, long term, List<QuotaUse> uses) {
     /** The report of an entry that knows of no quota. */
     public static final QuotaReport NONE = new QuotaReport(0, 0, 0, List.of());
 
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaUse.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaUse.java
@@ -6,8 +6,8 @@
  * What an entry reports to the leader on the quota of one team.
  *
  * @param team the team
- * @param usedUnits the granted units that were used since the reign of the leader began
- * @param returnedUnits the granted units that the entry gives back, since the reign began
+ * @param usedUnits the granted units that were used since the term of the leader began
+ * @param returnedUnits the granted units that the entry gives back, since the term began
  * @param demandUnitsPerS the recent demand, refused requests included
  * @param askedUnits the units of the requests that wait for an answer
  * @param smallestAskUnits the units of the smallest of these requests
--- a/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
@@ -132,7 +132,7 @@
         return Math.max(0, 1 - heldBack);
     }
 
-    /** Takes over what an entry reports; {@code known} if it refers to grants of this reign. */
+    /** Takes over what an entry reports; {@code known} if it refers to grants of this term. */
     void onUse(String entry, QuotaUse use, boolean known, long nowMs) {
         Holding holding = holdings.get(entry);
         if (holding == null) {
--- a/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
@@ -156,7 +156,7 @@
     }
 
     /** Starts to count anew, since another leader grants. */
-    void onReign() {
+    void onTerm() {
         grantedUnits = 0;
         usedUnits = 0;
         returnedUnits = 0;
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -41,7 +41,7 @@
     }
 
     /** A leader. */
-    private record Leader(QuotaAllocator allocator, int entry, long reign) {}
+    private record Leader(QuotaAllocator allocator, int entry, long term) {}
 
     private final Random random;
     private final QuotaTolerance tolerance;
@@ -177,7 +177,7 @@
         long delayMs = index == to.entry() ? 0 : ONE_WAY_MS;
         messages.add(new Message(nowMs + delayMs, order++, () -> {
             if (followed.get(index)
-                    .filter(leader -> leader.reign() == to.reign())
+                    .filter(leader -> leader.term() == to.term())
                     .isPresent()) {
                 action.run();
             }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/SharedQuotas.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/SharedQuotas.java
@@ -120,12 +120,12 @@
     /**
      * Handles the start or the end of leading.
      *
-     * @param reign identifies the time for which this entry leads, if it does
+     * @param term identifies the time for which this entry leads, if it does
      */
-    void onLeadingChanged(boolean nowLeading, long reign) {
+    void onLeadingChanged(boolean nowLeading, long term) {
         leading = nowLeading;
         if (nowLeading) {
-            allocator.begin(reign, client.entries(), clock.nowMs());
+            allocator.begin(term, client.entries(), clock.nowMs());
         }
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/QuotaCodec.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/QuotaCodec.java
@@ -32,7 +32,7 @@
                     Math.round(use.share() * PPM)));
         }
         return new org.hawthornglade.protocol.gen.peer.QuotaReport(
-                report.run(), report.sentAtMs(), report.reign(), uses);
+                report.run(), report.sentAtMs(), report.term(), uses);
     }
 
     static QuotaReport report(org.hawthornglade.protocol.gen.peer.QuotaReport coded) {
@@ -47,7 +47,7 @@
                     use.getSmallestAskUnits(),
                     use.getSharePpm() / PPM));
         }
-        return new QuotaReport(coded.getRun(), coded.getSentAtMs(), coded.getReign(), uses);
+        return new QuotaReport(coded.getRun(), coded.getSentAtMs(), coded.getTerm(), uses);
     }
 
     static QuotaNews encode(QuotaUpdate update) {
@@ -60,7 +60,7 @@
                     Math.round(grant.share() * PPM),
                     grant.shortMs()));
         }
-        return new QuotaNews(update.reign(), update.reportSentAtMs(), update.entries(), grants);
+        return new QuotaNews(update.term(), update.reportSentAtMs(), update.entries(), grants);
     }
 
     static QuotaUpdate update(QuotaNews coded) {
@@ -73,6 +73,6 @@
                     grant.getSharePpm() / PPM,
                     grant.getShortMs()));
         }
-        return new QuotaUpdate(coded.getReign(), coded.getReportSentAtMs(), (int) coded.getEntries(), grants);
+        return new QuotaUpdate(coded.getTerm(), coded.getReportSentAtMs(), (int) coded.getEntries(), grants);
     }
 }
--- a/protocol/src/main/thrift/peer.thrift
+++ b/protocol/src/main/thrift/peer.thrift
@@ -209,9 +209,9 @@
 /** What an entry tells of the quota of a team. */
 struct QuotaUse {
   1: string team
-  /** Units that were used of those granted since the reign began. */
+  /** Units that were used of those granted since the term began. */
   2: i64 usedUnits
-  /** Units that are given back of those granted since the reign began. */
+  /** Units that are given back of those granted since the term began. */
   3: i64 returnedUnits
   /** Units a second that were lately asked for, refused ones included. */
   4: i64 demandPerS
@@ -228,15 +228,15 @@
   1: i64 run
   /** When this was sent, on the entry's steady clock in milliseconds. */
   2: i64 sentAtMs
-  /** The reign of the leader whose grants are meant; 0 if none. */
-  3: i64 reign
+  /** The term of the leader whose grants are meant; 0 if none. */
+  3: i64 term
   4: list<QuotaUse> uses
 }
 
 /** What the leader grants an entry of the quota of a team. */
 struct QuotaGrant {
   1: string team
-  /** All units granted to the entry since the reign began. */
+  /** All units granted to the entry since the term began. */
   2: i64 grantedUnits
   /** Unused units beyond these are to be given back. */
   3: i64 keepUnits
@@ -248,7 +248,7 @@
 
 /** What the leader answers to the quota report of an entry. */
 struct QuotaNews {
-  1: i64 reign
+  1: i64 term
   /** When the report was sent, on the entry's steady clock in milliseconds. */
   2: i64 reportSentAtMs
   /** Among how many entries quotas are divided. */
