--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -176,9 +176,7 @@
         }
         long delayMs = index == to.entry() ? 0 : ONE_WAY_MS;
         messages.add(new Message(nowMs + delayMs, order++, () -> {
-            if (followed.get(index)
-                    .filter(leader -> leader.term() == to.term())
-                    .isPresent()) {
+            if (followed.get(index).filter(leader -> leader.term() == to.term()).isPresent()) {
                 action.run();
             }
         }));
--- a/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
@@ -63,6 +63,20 @@
                 (long) JsonFields.number(json, "unreadTimeoutMs", (double) defaults.unreadTimeoutMs()));
     }
 
+    /**
+     * Reads which decisions under load are enabled.
+     *
+     * @param overloadAdmission whether early refusals are enabled if the settings do not say so
+     * @throws IllegalArgumentException if a setting is not true or false
+     */
+    public static LoadControlSettings loadControl(JsonNode json, boolean overloadAdmission) {
+        LoadControlSettings defaults = LoadControlSettings.NONE;
+        return new LoadControlSettings(
+                JsonFields.bool(json, "adaptivePacing", defaults.adaptivePacing()),
+                JsonFields.bool(json, "overloadAdmission", overloadAdmission),
+                JsonFields.bool(json, "enginesCrashWhenFull", defaults.enginesCrashWhenFull()));
+    }
+
     /** Returns these settings with the limits of others, which a running entry can apply. */
     public GatewaySettings withLimitsOf(GatewaySettings other) {
         return new GatewaySettings(
