--- a/core/src/main/java/org/hawthornglade/core/pace/Pacing.java
+++ b/core/src/main/java/org/hawthornglade/core/pace/Pacing.java
@@ -12,6 +12,7 @@
     private static final double NEWEST_WEIGHT = 0.02;
 
     private final boolean adaptive;
+    private final boolean statedServers;
     private final boolean enginesCrashWhenFull;
     private final IntSupplier entries;
     private final RandomGenerator random;
@@ -21,13 +22,23 @@
     /**
      * Creates the pacing of one entry.
      *
-     * @param adaptive whether servers are paced that do not state their slowdown
+     * @param adaptive whether servers are paced
      * @param enginesCrashWhenFull whether an engine crashes if its requests need more memory than it has
      * @param entries returns the number of entries
      * @param random differs between entries
      */
     public Pacing(boolean adaptive, boolean enginesCrashWhenFull, IntSupplier entries, RandomGenerator random) {
+        this(adaptive, false, enginesCrashWhenFull, entries, random);
+    }
+
+    private Pacing(
+            boolean adaptive,
+            boolean statedServers,
+            boolean enginesCrashWhenFull,
+            IntSupplier entries,
+            RandomGenerator random) {
         this.adaptive = adaptive;
+        this.statedServers = statedServers;
         this.enginesCrashWhenFull = enginesCrashWhenFull;
         this.entries = entries;
         this.random = random;
@@ -35,12 +46,12 @@
 
     /** Returns a pacing that applies only to servers that state their slowdown. */
     public static Pacing onlyStated(RandomGenerator random) {
-        return new Pacing(false, false, () -> 1, random);
+        return new Pacing(false, true, false, () -> 1, random);
     }
 
     /** Returns whether a server's service rate and concurrency limit are used. */
     public boolean appliesTo(ServerPace server) {
-        return adaptive || server.stated().ever();
+        return adaptive || (statedServers && server.stated().ever());
     }
 
     public boolean enginesCrashWhenFull() {
