--- a/gateway/src/test/java/org/hawthornglade/gateway/memory/RequestBodyBudgetTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/memory/RequestBodyBudgetTest.java
@@ -5,15 +5,18 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The memory of all bodies stays bounded, small bodies are always read, and large ones never block each other. */
 class RequestBodyBudgetTest {
@@ -23,6 +26,7 @@
     private static final int BODIES = 60;
     private static final int SEEDS = 20;
     private static final int MAX_STEPS = 100_000;
+    private static final int CHECK_INTERVAL_MS = 10;
 
     private long nowMs = 1_000;
     private int heldBack;
@@ -187,6 +191,31 @@
         assertThat(budget.reservedBytes()).isAtMost(MAX_BYTES);
     }
 
+    /** A body whose length is not known waits before each of its reads, and could wait for several seconds in all. */
+    @ParameterizedTest
+    @Tag("known-red")
+    @ValueSource(booleans = {true, false})
+    void noBodyWaitsLongerInAllThanTheLimit(boolean sized) {
+        List<Sender> senders = new ArrayList<>();
+        long[] waitedMs = new long[40];
+        for (int i = 0; i < waitedMs.length; i++) {
+            senders.add(new Sender(LARGEST_BYTES, sized));
+        }
+        for (int step = 0; step < 2_000; step++) {
+            for (int i = 0; i < waitedMs.length; i++) {
+                Sender sender = senders.get(i);
+                if (sender.reading && sender.sentBytes < LARGEST_BYTES * 9 / 10) {
+                    sender.send(10_000);
+                }
+                waitedMs[i] += sender.reservation.waiting() ? CHECK_INTERVAL_MS : 0;
+            }
+            nowMs += CHECK_INTERVAL_MS;
+            budget.refuseOverdue();
+        }
+        assertThat(budget.waiting()).isEqualTo(0);
+        assertThat(Arrays.stream(waitedMs).max().getAsLong()).isAtMost(RequestBodyBudget.MAX_WAIT_MS);
+    }
+
     @Test
     void newcomersDoNotOvertakeThoseThatWait() {
         fillWithHalfReadBodies();
