--- a/core/src/test/java/org/hawthornglade/core/dispatch/AdapterOfAReadyModelTest.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/AdapterOfAReadyModelTest.java
@@ -16,9 +16,6 @@
 import org.hawthornglade.core.id.AdapterName;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
-import org.hawthornglade.core.serving.CallKind;
-import org.hawthornglade.core.serving.Route;
-import org.hawthornglade.core.serving.WeightedService;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -26,7 +23,6 @@
 class AdapterOfAReadyModelTest {
     private static final long NOW_MS = 10_000;
     private static final long LOAD_MS = 13_200;
-    private static final long ABANDON_MS = 4_000;
     private static final ModelName MODEL = ModelName.of("m0");
     private static final AdapterName ADAPTER = AdapterName.of("a1");
 
@@ -69,20 +65,6 @@
     }
 
     private static CallView call() {
-        Route route = new Route(
-                "r",
-                "h.example",
-                "/r/",
-                CallKind.STREAM,
-                15_000,
-                800,
-                500,
-                ABANDON_MS,
-                1,
-                0,
-                true,
-                List.of(new WeightedService(Records.SERVICE, 1)));
-        ModelDemand demand = new ModelDemand(MODEL, Optional.of(ADAPTER), 3_000, 50, List.of());
-        return new CallView(Records.SERVICE, route, Optional.of(demand), NOW_MS, NOW_MS + 15_000);
+        return ReplicaWaitTest.call(new ModelDemand(MODEL, Optional.of(ADAPTER), 3_000, 50, List.of()), NOW_MS);
     }
 }
--- a/core/src/test/java/org/hawthornglade/core/dispatch/ReplicaWaitTest.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/ReplicaWaitTest.java
@@ -90,6 +90,11 @@
     }
 
     private static CallView call(ModelName model, long arrivedAtMs) {
+        return call(new ModelDemand(model, Optional.empty(), 3_000, 50, List.of()), arrivedAtMs);
+    }
+
+    /** Returns a call of a caller that waits for {@link #ABANDON_MS} for the first event. */
+    static CallView call(ModelDemand demand, long arrivedAtMs) {
         Route route = new Route(
                 "r",
                 "h.example",
@@ -103,7 +108,6 @@
                 0,
                 true,
                 List.of(new WeightedService(Records.SERVICE, 1)));
-        ModelDemand demand = new ModelDemand(model, Optional.empty(), 3_000, 50, List.of());
         return new CallView(Records.SERVICE, route, Optional.of(demand), arrivedAtMs, arrivedAtMs + 15_000);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementPublisher.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/PlacementPublisher.java
@@ -17,7 +17,7 @@
  * followers are sent content in turn.
  */
 final class PlacementPublisher {
-    /** A follower that nothing else is sent to is sent a frame in this interval, as a sign of life. */
+    /** A follower that nothing else is sent to is sent a frame in this interval, to show that the leader lives. */
     private static final long HEARTBEAT_MS = 300;
     /** Half of the smallest link, which carries 10 Mbit/s: calls, orders, reports and the lease need the rest. */
     private static final long MAX_BYTES_PER_S = 625_000;
@@ -81,9 +81,9 @@
      */
     long publish(PlacementUpdate update, long nowMs) {
         history.record(update, nowMs);
-        Frame sign = frame(history.nothing(PlacementMarks.NONE), nowMs);
+        Frame heartbeat = frame(history.nothing(PlacementMarks.NONE), nowMs);
         long contentBytes =
-                MAX_BYTES_PER_S - followers.size() * HEARTBEATS_PER_S * sign.length() - budget.sentBytes(nowMs);
+                MAX_BYTES_PER_S - followers.size() * HEARTBEATS_PER_S * heartbeat.length() - budget.sentBytes(nowMs);
         Follower refreshed = nextRefreshed(nowMs);
         Map<Content, Frame> frames = new HashMap<>();
         List<Follower> served = new ArrayList<>();
@@ -91,7 +91,8 @@
         for (Map.Entry<Follower, Sent> each : followers.entrySet()) {
             Sent sent = each.getValue();
             Content content = content(sent, each.getKey() == refreshed, nowMs);
-            Frame frame = contentBytes > 0 ? frames.computeIfAbsent(content, wanted -> frame(wanted, nowMs)) : sign;
+            Frame frame =
+                    contentBytes > 0 ? frames.computeIfAbsent(content, wanted -> frame(wanted, nowMs)) : heartbeat;
             boolean fits = frame.length() <= contentBytes;
             if (fits && frame.length() > 0 && each.getKey().send(frame.bytes)) {
                 onSent(sent, content, frame, nowMs);
@@ -102,10 +103,10 @@
             } else if (!fits) {
                 // The rest waits for its turn, so that large frames are not passed over for small ones.
                 contentBytes = 0;
-                if (content.heartbeat() && each.getKey().send(sign.bytes)) {
+                if (content.heartbeat() && each.getKey().send(heartbeat.bytes)) {
                     sent.heartbeatAtMs = nowMs;
                     sent.anything = true;
-                    bytes += sign.length();
+                    bytes += heartbeat.length();
                 }
             }
         }
