--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
@@ -97,6 +97,21 @@
         return stock.knownShort(units, nowMs) ? QuotaDecision.refused(stock.msUntilRoom(nowMs)) : QuotaDecision.ASK;
     }
 
+    /** Decides on a request that is held, and asks the leader again with the next report if that may help. */
+    public QuotaDecision askAgain(TeamName team, double units, long nowMs) {
+        QuotaDecision decision = decideAgain(team, units, nowMs);
+        if (decision.kind() == QuotaDecision.Kind.ASK) {
+            stocks.get(team).ask(units);
+        }
+        return decision;
+    }
+
+    /** Returns whether no leader answers, so that this entry uses its share only. */
+    public boolean leaderless(long nowMs) {
+        check(nowMs);
+        return alone;
+    }
+
     /** Gives back the units of a request that has not reached any endpoint. */
     public void refund(TeamName team, double units, long nowMs) {
         TeamStock stock = stocks.get(team);
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -84,6 +84,7 @@
     private final GatewayMetrics metrics;
     private final WaitingCalls waitingCalls = new WaitingCalls();
     private final EndpointConnections connections;
+    private final QuotaGate quotaGate;
     private final PlacementCoordinator placement;
     private final Pacing pacing;
     private final StreamResumption resumption;
@@ -119,7 +120,7 @@
         DemandCollector collector = new DemandCollector(settings.node(), fleet, waitingCalls);
         QuotaClient quotaClient =
                 new QuotaClient(settings.quotaTolerance(), context.wallClock().nowMs());
-        QuotaGate quotaGate = new QuotaGate(quotaClient, timers, clock, log, metrics);
+        this.quotaGate = new QuotaGate(quotaClient, timers, clock, log, metrics);
         this.placement = new PlacementCoordinator(
                 settings,
                 context,
@@ -377,6 +378,7 @@
         @Override
         public void startRefusing() {
             timers.run(() -> {
+                quotaGate.refuseHeld();
                 waitingCalls.refuseAll();
                 callers.closeIdle();
             });
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -15,6 +15,7 @@
 import org.hawthornglade.core.id.RequestId;
 import org.hawthornglade.core.id.ServiceName;
 import org.hawthornglade.core.quota.QuotaClient;
+import org.hawthornglade.core.quota.QuotaPatience;
 import org.hawthornglade.core.result.Failure;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.serving.Route;
@@ -121,12 +122,18 @@
         admit(
                 call,
                 request,
+                route.get(),
                 caller.get().team(),
                 hold -> start(call, request, route.get(), known.get(), caller.get(), hold));
     }
 
+    private static long budgetMs(CallRequest request, Route route) {
+        return Math.min(request.remainingMs().orElse(route.timeoutMs()), route.timeoutMs());
+    }
+
     /** Passes a call on if it is within the quota of its team; {@code next} receives what it has taken of it. */
-    private void admit(IncomingCall call, CallRequest request, Optional<Team> team, Consumer<QuotaHold> next) {
+    private void admit(
+            IncomingCall call, CallRequest request, Route route, Optional<Team> team, Consumer<QuotaHold> next) {
         Optional<TeamQuota> quota = team.flatMap(Team::quota);
         if (quota.isEmpty()) {
             next.accept(QuotaHold.NONE);
@@ -138,6 +145,7 @@
                 .admit(
                         team.get().name(),
                         QuotaClient.units(quota.get(), request.statedTokens()),
+                        QuotaPatience.of(route.targetMs(), Math.min(budgetMs(request, route), route.abandonMs())),
                         hold -> {
                             if (gone.get()) {
                                 hold.refund();
@@ -177,8 +185,7 @@
         boolean runsModels =
                 known.service(service).flatMap(ServiceDefinition::engine).isPresent();
         Optional<ModelDemand> demand = runsModels ? request.demand() : Optional.empty();
-        long budgetMs = Math.min(request.remainingMs().orElse(route.timeoutMs()), route.timeoutMs());
-        long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs - RESPONSE_RESERVE_MS);
+        long deadlineAtMs = call.arrivedAtMs() + Math.max(1, budgetMs(request, route) - RESPONSE_RESERVE_MS);
         CallView view = new CallView(
                 service, route, demand, call.arrivedAtMs(), deadlineAtMs, () -> RequestDigester.digest(call), caller);
         // Computed now, since the body is released before the end of the call is handled.
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/QuotaGateTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/QuotaGateTest.java
@@ -13,6 +13,7 @@
 import org.hawthornglade.core.id.TeamName;
 import org.hawthornglade.core.quota.QuotaClient;
 import org.hawthornglade.core.quota.QuotaGrant;
+import org.hawthornglade.core.quota.QuotaPatience;
 import org.hawthornglade.core.quota.QuotaTolerance;
 import org.hawthornglade.core.quota.QuotaUpdate;
 import org.hawthornglade.core.team.QuotaUnit;
@@ -22,6 +23,8 @@
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What happens to a call before it is sent, depending on the quota of its team. */
 class QuotaGateTest {
@@ -58,7 +61,11 @@
     }
 
     private void call(double units) {
-        gate.admit(TEAM, units, admitted::add, refused::add);
+        call(units, QuotaPatience.NONE);
+    }
+
+    private void call(double units, QuotaPatience patience) {
+        gate.admit(TEAM, units, patience, admitted::add, refused::add);
         channel.runPendingTasks();
     }
 
@@ -126,4 +133,74 @@
         assertThat(admitted).isEmpty();
         assertThat(refused).hasSize(1);
     }
+
+    /** Guards against refusing patient calls while the leader is replaced, which takes some seconds. */
+    @Test
+    void patientCallWaitsForTheNextLeader() {
+        answer(100, 0);
+        call(200, new QuotaPatience(0, 4_000));
+        for (int i = 0; i < 35; i++) {
+            advance(100);
+        }
+        assertThat(refused).isEmpty();
+        answer(300, 0);
+        assertThat(admitted).hasSize(1);
+    }
+
+    /** Guards against refusing a patient call for which there is room soon. */
+    @Test
+    void patientCallWaitsForRoomThatComesSoon() {
+        answer(100, 0);
+        call(200, new QuotaPatience(500, 0));
+        client.report(clock.nowMs());
+        answer(100, 300);
+        for (int i = 0; i < 3; i++) {
+            assertThat(client.reportUrgent()).isFalse();
+            advance(100);
+        }
+        assertThat(refused).isEmpty();
+        assertThat(client.reportUrgent()).isTrue();
+        client.report(clock.nowMs());
+        answer(300, 0);
+        assertThat(admitted).hasSize(1);
+    }
+
+    /** Guards against holding a call whose room comes too late, or that is in vain. */
+    @ParameterizedTest
+    @CsvSource({"500, 4000, 600", "100, 0, 200"})
+    void callIsRefusedAtOnceIfRoomComesTooLate(long shortMs, long leaderlessMs, long roomInMs) {
+        answer(100, 0);
+        call(200, new QuotaPatience(shortMs, leaderlessMs));
+        client.report(clock.nowMs());
+        answer(100, roomInMs);
+        assertThat(refused).hasSize(1);
+    }
+
+    /** Guards against a call that is held without an end, and against answering it twice. */
+    @Test
+    void patientCallIsRefusedWhenItsTimeHasPassed() {
+        answer(100, 0);
+        // More than the share of this entry ever has.
+        call(2_000, new QuotaPatience(0, 1_000));
+        for (int i = 0; i < 11; i++) {
+            advance(100);
+        }
+        assertThat(refused).hasSize(1);
+        answer(1_000, 0);
+        assertThat(admitted).isEmpty();
+    }
+
+    /** Guards against calls that are held while the entry stops. */
+    @Test
+    void heldCallsAreRefusedWhenTheEntryStops() {
+        answer(100, 0);
+        call(200, new QuotaPatience(0, 4_000));
+        advance(QuotaGate.ANSWER_LIMIT_MS);
+        assertThat(refused).isEmpty();
+        gate.refuseHeld();
+        assertThat(refused).hasSize(1);
+        call(200, new QuotaPatience(0, 4_000));
+        advance(QuotaGate.ANSWER_LIMIT_MS);
+        assertThat(refused).hasSize(2);
+    }
 }
