Pipelined requests wait for their turn, and connections to a server that cannot carry an id are replaced

20 clients with 5,000 pipelined requests each and one id kept all 8 slots of a service: the slot that a request freed went to the next one on its connection before the waiting calls were decided again. Each call also left an idle connection behind, since a call that may run once needs one that has not carried its id; 1,114 descriptors were open after 9 s. A pipelined request now joins the waiting calls, ordered by when it became the first of its connection, and an idle connection that is not suitable is closed when another is opened in its place.

--- a/app/src/test/java/org/hawthornglade/app/process/MisbehavingClientsTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/MisbehavingClientsTest.java
@@ -198,7 +198,6 @@
     /** Guards against responses that are kept without a bound for clients that do not read them. */
     @ParameterizedTest
     @EnumSource(Framing.class)
-    @Tag("known-red")
     void holdsBesidePipelinedRequestsWhoseResponsesAreNotReadAtARoute(Framing framing) throws Exception {
         holdsBesidePipelinedRequestsWhoseResponsesAreNotRead(Target.ROUTE, framing);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -51,6 +51,9 @@
     private final ResponseWriter response;
     private final CallRecord record;
     private final KeptResponse keptResponse;
+    /** When the call was passed on: a pipelined one does not count the time behind others of its connection. */
+    private final long turnAtMs;
+
     private final PermitWaiter permitWaiter = new PermitWaiter();
     private Timers.Timeout deadline;
     private Attempt attempt;
@@ -80,6 +83,7 @@
         this.response = new ResponseWriter(context.protocol(), call.response(), request);
         this.record = new CallRecord(request.id(), view, configurationVersion);
         this.keptResponse = new KeptResponse(context.bufferBudget());
+        this.turnAtMs = call.pipelined() ? context.clock().nowMs() : view.arrivedAtMs();
     }
 
     public CallView view() {
@@ -90,6 +94,11 @@
         return number;
     }
 
+    /** Returns the time by which waiting calls of one priority are ordered. */
+    long turnAtMs() {
+        return turnAtMs;
+    }
+
     IncomingCall call() {
         return call;
     }
@@ -115,9 +124,24 @@
             context.resumption().decide(request.id(), request.takeUp().get(), view.service(), this::onTakeUp);
             return;
         }
+        if (call.pipelined() && !context.waitingCalls().isEmpty()) {
+            takeTurn();
+            return;
+        }
         decide();
     }
 
+    /**
+     * Decides on the call in its turn among the waiting ones.
+     *
+     * <p>The call before it on its connection has just freed a slot. The connection would keep that slot for as long as
+     * it has requests, while waiting calls are offered none until their deadline.
+     */
+    private void takeTurn() {
+        context.waitingCalls().add(this);
+        context.timers().run(context.waitingCalls()::reconsider);
+    }
+
     /** Handles the decision on a stream that an earlier attempt of the caller began. */
     private void onTakeUp(TakeUpDecision decision) {
         if (ended) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/WaitingCalls.java
@@ -11,7 +11,7 @@
 public final class WaitingCalls {
     private static final Comparator<Exchange> MOST_URGENT_FIRST = Comparator.comparingInt(
                     (Exchange exchange) -> exchange.view().priority())
-            .thenComparingLong(exchange -> exchange.view().arrivedAtMs())
+            .thenComparingLong(Exchange::turnAtMs)
             .thenComparingLong(Exchange::number);
 
     private final TreeSet<Exchange> calls = new TreeSet<>(MOST_URGENT_FIRST);
@@ -40,7 +40,7 @@
         for (Exchange exchange : calls) {
             CallView other = exchange.view();
             if (other.priority() > call.priority()
-                    || (other.priority() == call.priority() && other.arrivedAtMs() > call.arrivedAtMs())) {
+                    || (other.priority() == call.priority() && exchange.turnAtMs() > call.arrivedAtMs())) {
                 break;
             }
             boolean sameQueue = other.service().equals(call.service())
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -223,7 +223,7 @@
         PendingResponse response = new PendingResponse(this, context.channel(), head.method(), true);
         enqueue(new ReceivedCall(
                 new IncomingCall(
-                        head, Unpooled.EMPTY_BUFFER, response, server.clock().nowMs()),
+                        head, Unpooled.EMPTY_BUFFER, response, server.clock().nowMs(), !hasNoCall()),
                 Optional.empty(),
                 0));
     }
@@ -281,7 +281,7 @@
                 new PendingResponse(this, context.channel(), head.method(), !HttpUtil.isKeepAlive(head));
         BodyReservation reservation = body.reservation();
         IncomingCall call =
-                new IncomingCall(head, body.complete(), response, server.clock().nowMs());
+                new IncomingCall(head, body.complete(), response, server.clock().nowMs(), !hasNoCall());
         body = null;
         enqueue(new ReceivedCall(call, Optional.of(reservation), 0));
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/ConnectionPool.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/ConnectionPool.java
@@ -25,6 +25,10 @@
 /**
  * Pools the connections to one address; used on the event loop only.
  *
+ * <p>An idle connection that is not suitable for a request is replaced, so that the pool grows with the number of
+ * requests that are open at once only. Without this, callers that use one id for many requests have left 1,000 idle
+ * connections, and their descriptors, behind within 2 s.
+ *
  * <p>TCP keep-alive detects dead connections within {@link #KEEP_ALIVE_IDLE_S} plus {@link #KEEP_ALIVE_PROBES} seconds.
  */
 public final class ConnectionPool {
@@ -93,6 +97,7 @@
 
     private OutboundConnection pollIdle(double shareOfLimit, Predicate<OutboundConnection> suitable) {
         long nowMs = clock.nowMs();
+        OutboundConnection longestIdle = null;
         for (OutboundConnection connection : List.copyOf(idle)) {
             if (!connection.isOpen() || connection.idleTooLong(nowMs, shareOfLimit)) {
                 idle.remove(connection);
@@ -100,8 +105,14 @@
             } else if (suitable.test(connection)) {
                 idle.remove(connection);
                 return connection;
+            } else {
+                longestIdle = connection;
             }
         }
+        if (longestIdle != null) {
+            idle.remove(longestIdle);
+            longestIdle.close();
+        }
         return null;
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/IncomingCall.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/IncomingCall.java
@@ -10,5 +10,7 @@
  * @param body the complete body; released by the connection when the call has ended
  * @param response sends the response
  * @param arrivedAtMs the time at which its last byte was read
+ * @param pipelined whether it was read before the response to the request before it on its connection
  */
-public record IncomingCall(HttpRequest head, ByteBuf body, CallerResponse response, long arrivedAtMs) {}
+public record IncomingCall(
+        HttpRequest head, ByteBuf body, CallerResponse response, long arrivedAtMs, boolean pipelined) {}
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/RepeatedIdTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/RepeatedIdTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against callers that pipeline requests with one id, and so take all slots and descriptors of an entry. */
@@ -34,7 +33,6 @@
 
     /** A freed slot went to the next request on the same connection, before the waiting calls were decided again. */
     @Test
-    @Tag("known-red")
     void pipelinedRequestDoesNotOvertakeWaitingCall() throws Exception {
         List<Socket> sockets = new ArrayList<>();
         try {
@@ -71,7 +69,6 @@
 
     /** Each request with an id that was sent before left another idle connection to the endpoint. */
     @Test
-    @Tag("known-red")
     void connectionsThatHaveSentTheIdAreReplaced() throws Exception {
         for (int i = 0; i < 2; i++) {
             endpoint.respond(RESPONSE, ScriptedEndpoint.ConnectionAction.KEEP_OPEN);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/RequestDigesterTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/RequestDigesterTest.java
@@ -21,7 +21,7 @@
     private static IncomingCall call(String method, String host, String uri, String body, String id) {
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri);
         head.headers().set("Host", host).set("X-Request-Id", id);
-        return new IncomingCall(head, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8), null, 0);
+        return new IncomingCall(head, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8), null, 0, false);
     }
 
     private static RequestDigest digest(String method, String host, String uri, String body, String id) {
