--- a/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
@@ -60,7 +60,8 @@
                 (int) JsonFields.number(json, "maxHeaderFields", defaults.maxHeaderFields()),
                 (int) JsonFields.number(json, "maxPipelinedRequests", defaults.maxPipelinedRequests()),
                 (long) JsonFields.number(json, "maxHeadsBytes", (double) defaults.maxHeadsBytes()),
-                (long) JsonFields.number(json, "unreadTimeoutMs", (double) defaults.unreadTimeoutMs()));
+                (long) JsonFields.number(json, "unreadTimeoutMs", (double) defaults.unreadTimeoutMs()),
+                (long) JsonFields.number(json, "minBodyBytesPerS", (double) defaults.minBodyBytesPerS()));
     }
 
     /**
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -20,13 +21,14 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.hawthornglade.core.caller.TransferRate;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.gateway.memory.BodyReader;
 import org.hawthornglade.gateway.memory.BodyReservation;
 import org.hawthornglade.gateway.memory.RequestBodyBudget;
 
 /** A connection from a caller: reads requests, handles them one at a time and keeps the responses in order. */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyReader {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyReader, HeadBudget.Holder {
     /** The decoder gets this much at a time outside of bodies: few requests follow the last that may be queued. */
     private static final int SLICE_BYTES = 1_024;
     /** The decoder gets this much at a time in a body without a length. */
@@ -47,6 +49,9 @@
     private ChannelHandlerContext context;
     private HttpRequest head;
     private RequestBody body;
+    /** The rate of the body that is being read. */
+    private Optional<TransferRate> rate = Optional.empty();
+
     private boolean continueExpected;
     private long heldBackAtMs;
     private boolean refusing;
@@ -129,8 +134,8 @@
         server.heads().set(this, (long) partialHeadBytes * HEAP_PER_HEAD_BYTE + headHeapBytes + queuedHeapBytes);
     }
 
-    /** Closes the connection because it holds more than others while memory is short. */
-    void closeForMemory() {
+    @Override
+    public void closeForMemory() {
         Channels.close(context.channel());
     }
 
@@ -158,6 +163,7 @@
         Optional<HttpResponseStatus> fault =
                 RequestValidator.fault(request, server.limits().maxBodyBytes());
         if (fault.isPresent()) {
+            reportTooLong(request);
             refuse(fault.get());
             return;
         }
@@ -166,6 +172,10 @@
         headHeapBytes = HeadBudget.bytesOf(request);
         head = request;
         body = openBody(request);
+        rate = Optional.of(new TransferRate(
+                server.callerLimits().minBodyBytesPerS(),
+                HttpUtil.getContentLength(request, 0L),
+                server.clock().nowMs()));
         if (!server.bodies().fits(HttpUtil.getContentLength(request, 0L))) {
             refuseForMemory();
             return;
@@ -175,6 +185,16 @@
         sendContinue();
     }
 
+    private void reportTooLong(HttpRequest request) {
+        int status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code();
+        Throwable cause = request.decoderResult().cause();
+        if (cause instanceof CountedHeaders.TooManyFieldsException) {
+            server.listener().onRefused("fields", status, server.callerLimits().maxHeaderFields());
+        } else if (cause instanceof TooLongFrameException) {
+            server.listener().onRefused("head_bytes", status, server.limits().maxHeaderBytes());
+        }
+    }
+
     private RequestBody openBody(HttpRequest request) {
         if (!server.keepsBodies()) {
             return new RequestBody(
@@ -202,8 +222,10 @@
     public void readOn() {
         if (heldBackAtMs != 0) {
             // The caller could not send meanwhile, so that this time does not count against it.
-            requestStartedMs += server.clock().nowMs() - heldBackAtMs;
+            long nowMs = server.clock().nowMs();
+            requestStartedMs += nowMs - heldBackAtMs;
             heldBackAtMs = 0;
+            rate.ifPresent(measured -> measured.startWindow(nowMs));
         }
         updateReading();
         sendContinue();
@@ -256,6 +278,8 @@
             return;
         }
         int bytes = content.content().readableBytes();
+        long nowMs = server.clock().nowMs();
+        rate.ifPresent(measured -> measured.onReceived(bytes, nowMs));
         if (body.bytes() + bytes > server.limits().maxBodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
@@ -376,8 +400,18 @@
             scheduleTimeoutCheck();
             return;
         }
+        boolean slowRate = head != null
+                && heldBackAtMs == 0
+                && rate.filter(measured -> measured.tooSlow(nowMs)).isPresent();
         if (slowHead || slowBody) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (slowRate) {
+            server.listener()
+                    .onRefused(
+                            "body_rate",
+                            HttpResponseStatus.REQUEST_TIMEOUT.code(),
+                            server.callerLimits().minBodyBytesPerS());
+            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (idle) {
             Channels.close(context.channel());
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerLimits.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerLimits.java
@@ -9,14 +9,20 @@
  * @param maxHeadsBytes the estimated heap for the heads of all requests that are incomplete or queued; 0 derives it
  *     from the maximum heap
  * @param unreadTimeoutMs the time after which a connection is closed whose caller reads no byte of its responses
+ * @param minBodyBytesPerS the rate at which a body above 64 KiB must arrive; 0 for none
  */
 public record CallerLimits(
-        int maxConnections, int maxHeaderFields, int maxPipelinedRequests, long maxHeadsBytes, long unreadTimeoutMs) {
+        int maxConnections,
+        int maxHeaderFields,
+        int maxPipelinedRequests,
+        long maxHeadsBytes,
+        long unreadTimeoutMs,
+        long minBodyBytesPerS) {
     /** The most fields, of one letter and no value, that a head of 16,384 bytes can hold. */
     private static final int MOST_LEGAL_HEADER_FIELDS = 4_096;
 
     /** The limits of settings that state none. */
-    public static final CallerLimits DEFAULT = new CallerLimits(0, MOST_LEGAL_HEADER_FIELDS, 8, 0, 15_000);
+    public static final CallerLimits DEFAULT = new CallerLimits(0, MOST_LEGAL_HEADER_FIELDS, 8, 0, 15_000, 1_024);
 
     /** The share of the heap that heads may take. */
     private static final int HEADS_HEAP_DIVISOR = 6;
@@ -32,6 +38,7 @@
         requireRange("maxPipelinedRequests", maxPipelinedRequests, 1, 1_000);
         requireRange("maxHeadsBytes", maxHeadsBytes, 0, Long.MAX_VALUE);
         requireRange("unreadTimeoutMs", unreadTimeoutMs, 1_000, 600_000);
+        requireRange("minBodyBytesPerS", minBodyBytesPerS, 0, 1_000_000_000);
     }
 
     private static void requireRange(String name, long value, long min, long max) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerPressureLog.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerPressureLog.java
@@ -6,9 +6,9 @@
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 
-/** Counts the connections that are closed because they hold too much, and logs them. */
+/** Counts the connections that are closed and the requests that are refused for limits of callers, and logs them. */
 public final class CallerPressureLog implements CallerPressureListener {
-    /** A line for each cause is written at most this often. */
+    /** A line for each event and cause is written at most this often. */
     private static final long MIN_INTERVAL_MS = 1_000;
 
     private final Clock clock;
@@ -26,15 +26,33 @@
     @Override
     public void onClosed(String cause, long held, long limit) {
         metrics.count("callers_closed_" + cause);
+        if (mayWrite("closed " + cause)) {
+            log.event("caller-closed")
+                    .with("cause", cause)
+                    .with("held", held)
+                    .with("limit", limit)
+                    .write();
+        }
+    }
+
+    @Override
+    public void onRefused(String cause, int status, long limit) {
+        metrics.count("callers_refused_" + cause);
+        if (mayWrite("refused " + cause)) {
+            log.event("caller-refused")
+                    .with("cause", cause)
+                    .with("status", status)
+                    .with("limit", limit)
+                    .write();
+        }
+    }
+
+    private boolean mayWrite(String line) {
         long nowMs = clock.nowMs();
-        if (nowMs < nextLineMs.getOrDefault(cause, 0L)) {
-            return;
+        if (nowMs < nextLineMs.getOrDefault(line, 0L)) {
+            return false;
         }
-        nextLineMs.put(cause, nowMs + MIN_INTERVAL_MS);
-        log.event("caller-closed")
-                .with("cause", cause)
-                .with("held", held)
-                .with("limit", limit)
-                .write();
+        nextLineMs.put(line, nowMs + MIN_INTERVAL_MS);
+        return true;
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -15,6 +15,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.hawthornglade.core.caller.UnreadResponses;
+import org.hawthornglade.core.caller.UnreadResponses.Dropped;
+import org.hawthornglade.core.caller.UnreadResponses.Unread;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.time.Clock;
@@ -240,6 +243,10 @@
         return resources.heads();
     }
 
+    CallerPressureListener listener() {
+        return resources.listener();
+    }
+
     /** Returns whether bodies are kept until the end of their calls. */
     boolean keepsBodies() {
         return keepsBodies;
@@ -264,28 +271,19 @@
         connections.add(connection);
     }
 
-    /** Closes the connections whose callers do not read their responses, the one that is unread for longest first. */
+    /** Closes the connections whose callers do not read their responses. */
     private void closeUnread() {
         long nowMs = clock.nowMs();
-        long unreadBytes = 0;
-        List<CallerConnection> unread = new ArrayList<>();
+        List<Unread<CallerConnection>> unread = new ArrayList<>();
         for (CallerConnection connection : connections) {
             long bytes = connection.checkUnread(nowMs);
-            unreadBytes += bytes;
-            if (bytes > 0 && nowMs - connection.unreadSinceMs() >= UNREAD_GRACE_MS) {
-                unread.add(connection);
-            }
+            unread.add(new Unread<>(connection, bytes, connection.unreadSinceMs()));
         }
-        unread.sort(Comparator.comparingLong(CallerConnection::unreadSinceMs));
-        for (CallerConnection connection : unread) {
-            boolean overdue =
-                    nowMs - connection.unreadSinceMs() >= callerLimits().unreadTimeoutMs();
-            if (!overdue && unreadBytes <= resources.maxUnreadBytes()) {
-                return;
-            }
-            resources.listener().onClosed("unread", unreadBytes, resources.maxUnreadBytes());
-            unreadBytes -= connection.unreadBytes();
-            connection.closeForMemory();
+        UnreadResponses responses = new UnreadResponses(
+                resources.maxUnreadBytes(), UNREAD_GRACE_MS, callerLimits().unreadTimeoutMs());
+        for (Dropped<CallerConnection> dropped : responses.choose(unread, nowMs)) {
+            resources.listener().onClosed("unread", dropped.totalBytes(), resources.maxUnreadBytes());
+            dropped.connection().closeForMemory();
         }
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CountedHeaders.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CountedHeaders.java
@@ -8,6 +8,15 @@
 
 /** Headers of a request that is being decoded; a field over the limit makes the request invalid. */
 final class CountedHeaders extends DefaultHttpHeaders {
+    /** A request has more header fields than it may. */
+    static final class TooManyFieldsException extends TooLongFrameException {
+        private static final long serialVersionUID = 1L;
+
+        private TooManyFieldsException(int maxFields) {
+            super("more than " + maxFields + " header fields");
+        }
+    }
+
     private final int maxFields;
 
     private CountedHeaders(int maxFields) {
@@ -46,7 +55,7 @@
 
     private void requireRoom() {
         if (size() >= maxFields) {
-            throw new TooLongFrameException("more than " + maxFields + " header fields");
+            throw new TooManyFieldsException(maxFields);
         }
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/CompliantCallersTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/CompliantCallersTest.java
@@ -48,7 +48,7 @@
                 () -> LIMITS,
                 CompliantCallersTest::respondWithLength,
                 RequestBodyBudget.ofEntry(clock, BodyPressureListener.NONE),
-                new CallerResources(CallerLimits.DEFAULT, (cause, held, limit) -> closed.add(cause)));
+                new CallerResources(CallerLimits.DEFAULT, new RecordedPressure(closed)));
         int port = server.listen(new InstanceAddress("127.0.0.1", 0));
         socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(READ_TIMEOUT_MS);
@@ -99,6 +99,22 @@
         assertThat(response()).contains("200 OK");
     }
 
+    /** The largest body takes the whole time that a request may take. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void slowestBodyIsRead(boolean chunked) throws IOException {
+        int pieces = 100;
+        String piece = "x".repeat(LIMITS.maxBodyBytes() / pieces);
+        String length = "Content-Length: " + piece.length() * pieces + "\r\n";
+        send(head(chunked ? "Transfer-Encoding: chunked\r\n" : length));
+        for (int i = 0; i < pieces; i++) {
+            clock.advance(LIMITS.idleTimeoutMs() / pieces);
+            send(chunked ? Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n" : piece);
+        }
+        send(chunked ? "0\r\n\r\n" : "");
+        assertThat(response()).contains("bytes=" + piece.length() * pieces + " ");
+    }
+
     @Test
     void connectionIsReusedAfterFourFifthsOfTheIdleLimit() throws IOException {
         for (int i = 0; i < 3; i++) {
