--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
@@ -6,6 +6,7 @@
 
 import org.hawthornglade.core.team.QuotaUnit;
 import org.hawthornglade.core.team.TeamQuota;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -191,6 +192,50 @@
         assertThat(sum(simulation.admitted, 10_000, 37_000)).isAtLeast(0.8 * 27 * rate);
     }
 
+    /** Ends all entries at 20 s and starts them 0.2 to 3 s later, except for the given number; returns the last start. */
+    private static long restartAll(QuotaSimulation simulation, QuotaSimulation.Demand demand, int never) {
+        int entries = simulation.entries();
+        simulation.run(20_000, demand);
+        for (int i = 0; i < entries; i++) {
+            simulation.stop(i);
+        }
+        int back = entries - never;
+        long startedAtMs = 20_000;
+        for (int i = 0; i < back; i++) {
+            startedAtMs = 20_200 + 2_800L * i / Math.max(1, back - 1);
+            simulation.run(startedAtMs, demand);
+            simulation.start(i, i == 0 ? -1 : 0);
+            if (i == 0) {
+                simulation.lead(0, 0, 1);
+            }
+        }
+        return startedAtMs;
+    }
+
+    /** Guards against refusing a team within its quota for seconds after all entries have lost power at once. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({
+        "1, 29000, 0.05, 0",
+        "4, 29000, 0.05, 0",
+        "27, 29000, 0.05, 0",
+        "27, 299966, 0.05, 0",
+        "27, 299966, 0.05, 3",
+        "300, 299966, 0.05, 0"
+    })
+    void restartOfAllEntries(int entries, double rate, double large, int never) {
+        QuotaSimulation simulation = simulation(entries, rate, large);
+        QuotaSimulation.Demand demand =
+                (entry, nowMs) -> nowMs < 20_000 ? rate * USUAL / entries : rate * USUAL / simulation.running();
+        long knownAtMs = restartAll(simulation, demand, never) + 250;
+        simulation.run(40_000, demand);
+        assertWithinLimit(simulation, rate);
+        assertThat(simulation.longestRefusalMs(knownAtMs, 40_000)).isAtMost(300);
+        double requested = sum(simulation.requested, knownAtMs + 300, knownAtMs + 4_000);
+        assertThat(sum(simulation.refused, knownAtMs + 300, knownAtMs + 4_000) / requested)
+                .isLessThan(0.05);
+    }
+
     /** Guards against a message for each request of a team that is well below its limit. */
     @ParameterizedTest
     @CsvSource({"4, 299966, 0", "31, 299966, 0"})
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -34,6 +34,8 @@
     /** An entry: its client and the requests that wait for an answer. */
     private static final class Entry {
         private QuotaClient client;
+        private String name;
+        private boolean running = true;
         private long reportedAtMs;
         private double requestsDue;
         private double nextRequest;
@@ -73,6 +75,7 @@
         this.largeShare = largeShare;
         for (int i = 0; i < count; i++) {
             entries.add(new Entry());
+            entries.get(i).name = "e" + i;
             followed.add(Optional.empty());
             restart(i);
             entries.get(i).nextRequest = -Math.log(1 - random.nextDouble());
@@ -88,6 +91,11 @@
         return entries.size();
     }
 
+    /** Returns the number of entries whose processes run; at least 1. */
+    int running() {
+        return (int) Math.max(1, entries.stream().filter(entry -> entry.running).count());
+    }
+
     void restart(int index) {
         Entry entry = entries.get(index);
         entry.client = new QuotaClient(tolerance, ++run);
@@ -95,6 +103,24 @@
         entry.asks.clear();
     }
 
+    /** Ends an entry's process. */
+    void stop(int index) {
+        entries.get(index).running = false;
+        followed.set(index, Optional.empty());
+    }
+
+    /** Starts a process at an entry that has ended; it follows the given leader, or none if that is negative. */
+    void start(int index, int leader) {
+        restart(index);
+        entries.get(index).running = true;
+        followed.set(index, leader < 0 ? Optional.empty() : followed.get(leader));
+    }
+
+    /** Replaces the machine of an entry by one of another name. */
+    void rename(int index) {
+        entries.get(index).name += "n";
+    }
+
     /** Lets an entry lead all entries. */
     void lead(int index) {
         lead(index, 0);
@@ -102,11 +128,16 @@
 
     /** Lets an entry lead all entries from the given one on; the others follow their leader as before. */
     void lead(int index, int from) {
+        lead(index, from, followed.size());
+    }
+
+    /** Lets an entry lead the entries from one on and up to, but without, another. */
+    void lead(int index, int from, int to) {
         QuotaAllocator allocator = new QuotaAllocator(tolerance);
         allocator.onConfiguration(Map.of(TEAM, quota));
         allocator.begin(++run, entries.get(index).client.entries(), nowMs);
         Leader leader = new Leader(allocator, index, run);
-        for (int i = from; i < followed.size(); i++) {
+        for (int i = from; i < to; i++) {
             followed.set(i, Optional.of(leader));
         }
     }
@@ -138,7 +169,9 @@
                 followed.get(i)
                         .filter(leader -> leader.entry() == entry)
                         .ifPresent(leader -> leader.allocator().check(confirmed.test(entry, nowMs), nowMs));
-                step(i, demand.unitsPerS(i, nowMs));
+                if (entries.get(i).running) {
+                    step(i, demand.unitsPerS(i, nowMs));
+                }
             }
         }
     }
@@ -164,7 +197,7 @@
             reports++;
             deliver(index, to, () -> {
                 QuotaUpdate update =
-                        to.allocator().onReport("e" + index, report, confirmed.test(to.entry(), nowMs), nowMs);
+                        to.allocator().onReport(entry.name, report, confirmed.test(to.entry(), nowMs), nowMs);
                 deliver(index, to, () -> client.onUpdate(update, nowMs));
             });
         }
