A new leader knows from the lease row which entries may hold shares of quotas

Without it the first leader after a restart of all entries used 0.05 of each quota for 4.5 s. An entry's share is now bounded by 2 / entries, so that few missing entries hold little back.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -207,7 +207,12 @@
         // The version of the write is not known yet, but it is higher than that of the row.
         long least = FencingToken.of(stored.revision()).value() + 1;
         long token = Math.max(least, stored.row().map(LeaseRow::token).orElse(0L) + 1);
-        return new LeaseWrite(stored.revision(), new LeaseRow(node, address, token, nonce, 0, false, era));
+        // A row that was written before a restore may be older than the last one, so what it tells is not taken over.
+        String holders = stored.row()
+                .filter(row -> row.era().equals(era))
+                .map(LeaseRow::quotaHolders)
+                .orElse("");
+        return new LeaseWrite(stored.revision(), new LeaseRow(node, address, token, nonce, 0, false, era, holders));
     }
 
     private void observe(StoredLease stored, long nowMs) {
--- a/core/src/main/java/org/hawthornglade/core/lease/LeaseRow.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseRow.java
@@ -13,16 +13,35 @@
  * @param renewals the number of renewals, so that each renewal changes the row
  * @param released whether the holder has released the lease
  * @param era the era of the store in which the holder has claimed the lease
+ * @param quotaHolders which entries may use quotas without a leader; empty if unknown
  */
 public record LeaseRow(
-        String holder, String address, long token, String nonce, long renewals, boolean released, StoreEra era) {
+        String holder,
+        String address,
+        long token,
+        String nonce,
+        long renewals,
+        boolean released,
+        StoreEra era,
+        String quotaHolders) {
+    /** Creates a row that does not tell which entries may use quotas. */
+    public LeaseRow(
+            String holder, String address, long token, String nonce, long renewals, boolean released, StoreEra era) {
+        this(holder, address, token, nonce, renewals, released, era, "");
+    }
+
+    /** Returns the row with other entries that may use quotas. */
+    public LeaseRow withQuotaHolders(String holders) {
+        return new LeaseRow(holder, address, token, nonce, renewals, released, era, holders);
+    }
+
     /** Returns the row after another renewal, with the holder's token. */
     LeaseRow renewed(FencingToken holderToken) {
-        return new LeaseRow(holder, address, holderToken.value(), nonce, renewals + 1, false, era);
+        return new LeaseRow(holder, address, holderToken.value(), nonce, renewals + 1, false, era, quotaHolders);
     }
 
     /** Returns the row after its release by the holder. */
     LeaseRow release() {
-        return new LeaseRow(holder, address, token, nonce, renewals + 1, true, era);
+        return new LeaseRow(holder, address, token, nonce, renewals + 1, true, era, quotaHolders);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.hawthornglade.core.id.TeamName;
 import org.hawthornglade.core.team.TeamQuota;
@@ -23,7 +24,7 @@
     private final Map<TeamName, TeamLedger> ledgers = new HashMap<>();
     private final Set<TeamName> limited = new HashSet<>();
     private final Map<String, Long> runs = new HashMap<>();
-    private QuotaEntries entries = new QuotaEntries(0, 0);
+    private QuotaEntries entries = new QuotaEntries(0, Optional.empty(), 0);
     private long term;
     private long refreshedAtMs;
 
@@ -37,15 +38,26 @@
      *
      * @param newTerm identifies the time for which it leads; not 0, and different for each leader
      * @param knownEntries the number of entries that the previous leader reported; 0 if unknown
+     * @param formerHolders what the lease row has on the entries that may hold shares; empty if nothing
      */
-    public void begin(long newTerm, int knownEntries, long nowMs) {
+    public void begin(long newTerm, int knownEntries, String formerHolders, long nowMs) {
         term = newTerm;
-        entries = new QuotaEntries(knownEntries, nowMs);
+        entries = new QuotaEntries(knownEntries, QuotaHolders.decode(formerHolders), nowMs);
         runs.clear();
         ledgers.replaceAll((team, ledger) -> ledger.emptied());
         refreshedAtMs = nowMs;
     }
 
+    /** Returns what the next write of the lease row should have on the entries that may hold shares. */
+    public String holders() {
+        return limited.isEmpty() ? QuotaHolders.UNKNOWN : entries.holders();
+    }
+
+    /** Takes over what the lease row has on the entries that may hold shares, after a write or a conflict. */
+    public void onHoldersStored(String holders) {
+        entries.onHoldersStored(holders);
+    }
+
     /** Applies the quotas of a configuration; the ledger of a team without a quota stays, as grants are counted on. */
     public void onConfiguration(Map<TeamName, TeamQuota> quotas) {
         limited.clear();
@@ -95,6 +107,6 @@
                 ledger.shareChange(entry, entries).ifPresent(grants::add);
             }
         });
-        return new QuotaUpdate(term, report.sentAtMs(), entries.count(), grants);
+        return new QuotaUpdate(term, report.sentAtMs(), entries.mayHold(entry) ? entries.count() : 0, grants);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaTimes.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaTimes.java
@@ -16,6 +16,11 @@
     static final long HOLD_MARGIN_MS = 500;
     /** Part of the quota for all entries whose shares have expired; the usual demand is 1/1.8 of a quota. */
     static final double EQUAL_SHARE = 0.6;
+    /**
+     * Largest share of one entry, as a multiple of an even one. It bounds what must be held back for entries that have
+     * not been heard, and is enough for 3.6 times the mean of the usual demand.
+     */
+    static final double MAX_EVEN_SHARES = 2;
     /** Part of the quota that is not held back for entries which have been without a leader for longer. */
     static final double LAST_SHARE = 0.05;
 
--- a/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
@@ -94,7 +94,7 @@
         demandPerS = 0;
         longDemandPerS = 0;
         sharesHeld = 0;
-        double heldBack = entries.missing() * entries.equalShare();
+        double heldBack = 0;
         for (String entry : entries.names()) {
             Holding holding = holdings.get(entry);
             double share = holding == null ? 0 : holding.share();
@@ -126,10 +126,12 @@
             double equal = entries.connected() * entries.equalShare();
             return entries.confirmedSharesValid() ? Math.min(equal, unconfirmedShares) : equal;
         }
+        double free = 1 - heldBack - entries.unheardEqualShares();
         if (entries.formerSharesValid()) {
-            return Math.max(QuotaTimes.LAST_SHARE, Math.min(inheritedShares, 1 - heldBack));
+            double known = 1 - heldBack - entries.unheardShares();
+            return Math.max(QuotaTimes.LAST_SHARE, Math.max(known, Math.min(inheritedShares, free)));
         }
-        return Math.max(0, 1 - heldBack);
+        return Math.max(0, free);
     }
 
     /** Takes over what an entry reports; {@code known} if it refers to grants of this term. */
@@ -178,7 +180,7 @@
         holding.granted += units;
         double lacking = use.askedUnits() - held - units;
         long shortMs = lacking <= 0 ? 0 : (long) Math.ceil(Math.max(1, (missing - level) / refillPerS * 1_000));
-        updateShare(holding, entries);
+        updateShare(entry, holding, entries);
         return new QuotaGrant(team, holding.granted, keep, holding.sentShare, shortMs);
     }
 
@@ -195,14 +197,15 @@
     }
 
     /** Changes an entry's share towards its part of the demand, without exceeding the sum of all shares. */
-    private void updateShare(Holding holding, QuotaEntries entries) {
+    private void updateShare(String entry, Holding holding, QuotaEntries entries) {
         double even = 1.0 / entries.count();
         double byDemand = longDemandPerS > 0 ? holding.longDemandPerS / longDemandPerS : even;
         double target = EVEN_SHARE * even + (1 - EVEN_SHARE) * byDemand;
         double others = sharesHeld - holding.share();
         double limit = entries.confirmed() ? sharePool - others : Math.min(holding.share(), entries.equalShare());
         sharesHeld -= holding.share();
-        holding.sentShare = Math.max(0, Math.min(target, limit));
+        double most = entries.mayHold(entry) ? entries.maxShare() : 0;
+        holding.sentShare = Math.max(0, Math.min(Math.min(target, most), limit));
         sharesHeld += holding.share();
     }
 
@@ -216,7 +219,7 @@
         if (holding.share() - target < SHARE_STEP) {
             return Optional.empty();
         }
-        updateShare(holding, entries);
+        updateShare(entry, holding, entries);
         return Optional.of(new QuotaGrant(team, holding.granted, 0, holding.sentShare, 0));
     }
 
--- a/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
@@ -161,6 +161,8 @@
         usedUnits = 0;
         returnedUnits = 0;
         keepUnits = 0;
+        // The new leader does not know of the share of a team that was not in the report; it names all others.
+        share = 0;
     }
 
     void onGrant(QuotaGrant grant, long nowMs) {
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -87,6 +87,21 @@
                 .isEqualTo(claims);
     }
 
+    /** Guards against granting quotas by a list of entries from before a restore of the store: it may be too short. */
+    @ParameterizedTest
+    @CsvSource({"1, 27:0000000a", "2, ''"})
+    void claimKeepsWhichEntriesMayUseQuotasUnlessTheStoreWasRestored(long era, String kept) {
+        Leadership leadership = entry(true);
+        LeaseRow row = new LeaseRow("b", "10.0.0.2:7000", 7, "b-1", 4, true, new StoreEra(1), "27:0000000a");
+        StoredLease stored = new StoredLease(new StoreRevision(new StoreEra(era), 9), Optional.of(row));
+        LeaseWrite claim = leadership
+                .onRead(stored, Optional.empty(), 0)
+                .or(() -> leadership.onRead(stored, Optional.empty(), LEASE_MS + 1_000))
+                .orElseThrow();
+        assertThat(claim.row().quotaHolders()).isEqualTo(kept);
+        assertThat(claim.row().renewed(new FencingToken(9)).quotaHolders()).isEqualTo(kept);
+    }
+
     @Test
     void renewalRestartsTheWait() {
         Leadership leadership = entry(false);
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
@@ -6,7 +6,6 @@
 
 import org.hawthornglade.core.team.QuotaUnit;
 import org.hawthornglade.core.team.TeamQuota;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -192,10 +191,17 @@
         assertThat(sum(simulation.admitted, 10_000, 37_000)).isAtLeast(0.8 * 27 * rate);
     }
 
-    /** Ends all entries at 20 s and starts them 0.2 to 3 s later, except for the given number; returns the last start. */
+    /** Ends all entries at 20 s, starts all but some of them 0.2 to 3 s later, and returns the last start. */
     private static long restartAll(QuotaSimulation simulation, QuotaSimulation.Demand demand, int never) {
-        int entries = simulation.entries();
+        return restartAll(simulation, demand, never, 0);
+    }
+
+    /** Does so beside entries, the last ones, that run on but lose all connections. */
+    private static long restartAll(
+            QuotaSimulation simulation, QuotaSimulation.Demand demand, int never, int partitioned) {
+        int entries = simulation.entries() - partitioned;
         simulation.run(20_000, demand);
+        simulation.cutOff = (entry, atMs) -> entry >= entries && atMs >= 20_000;
         for (int i = 0; i < entries; i++) {
             simulation.stop(i);
         }
@@ -213,7 +219,6 @@
     }
 
     /** Guards against refusing a team within its quota for seconds after all entries have lost power at once. */
-    @Tag("known-red")
     @ParameterizedTest
     @CsvSource({
         "1, 29000, 0.05, 0",
@@ -236,6 +241,64 @@
                 .isLessThan(0.05);
     }
 
+    /**
+     * Guards against exceeding the limit when the new leader takes an entry's share for ended while it is in use.
+     *
+     * <p>The last columns: entries that never come back, that are partitioned and run on, whose machines are replaced;
+     * and whether the store has lost the row, or has an older one that does not count.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "27, 29000, 0.05, 0, 0, 0, false",
+        "27, 29000, 0.05, 9, 0, 0, false",
+        "27, 29000, 0.5, 0, 9, 0, false",
+        "27, 299966, 0.05, 0, 1, 0, false",
+        "27, 299966, 0.05, 0, 13, 0, false",
+        "27, 299966, 0.05, 0, 25, 0, false",
+        "27, 299966, 0.05, 0, 13, 13, false",
+        "27, 299966, 0.05, 3, 3, 21, false",
+        "4, 299966, 0.05, 0, 2, 1, false",
+        "27, 299966, 0.05, 0, 9, 5, true",
+        "27, 29000, 0.5, 0, 13, 0, true"
+    })
+    void limitHoldsInARestart(
+            int entries, double rate, double large, int never, int partitioned, int replaced, boolean lost) {
+        for (double hotAlone : new double[] {0.1, 0.5, 0.9}) {
+            QuotaSimulation simulation = simulation(entries, rate, large);
+            double hot = rate * USUAL * 7.5;
+            int others = entries - partitioned;
+            QuotaSimulation.Demand demand = (entry, nowMs) -> nowMs < 19_000
+                    ? rate * USUAL / entries
+                    : entry >= others ? hot * hotAlone / partitioned : hot * (1 - hotAlone) / others;
+            simulation.run(19_990, demand);
+            simulation.record = lost ? "" : simulation.record;
+            for (int i = 0; i < replaced; i++) {
+                simulation.renameAtStop(i);
+            }
+            restartAll(simulation, demand, never, partitioned);
+            simulation.run(50_000, demand);
+            assertWithinLimit(simulation, rate);
+        }
+    }
+
+    /**
+     * Guards against holding back the quota for a few slow machines after all entries have restarted.
+     *
+     * <p>0.78 and 0.56 of it are not held back, of which entries use somewhat less at first, as they build up what they
+     * keep.
+     */
+    @ParameterizedTest
+    @CsvSource({"27, 299966, 0.05, 3, 0.56", "27, 299966, 0.05, 6, 0.4"})
+    void mostOfTheQuotaIsUsableWhileAFewEntriesAreMissing(
+            int entries, double rate, double large, int never, double usable) {
+        QuotaSimulation simulation = simulation(entries, rate, large);
+        QuotaSimulation.Demand demand = (entry, nowMs) -> rate * (nowMs < 20_000 ? USUAL : 2) / entries;
+        long knownAtMs = restartAll(simulation, demand, never) + 250;
+        simulation.run(knownAtMs + 1_000, demand);
+        assertThat(sum(simulation.admitted, knownAtMs, knownAtMs + 1_000)).isAtLeast(usable * rate);
+        assertWithinLimit(simulation, rate);
+    }
+
     /** Guards against a message for each request of a team that is well below its limit. */
     @ParameterizedTest
     @CsvSource({"4, 299966, 0", "31, 299966, 0"})
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -19,6 +19,8 @@
     static final TeamName TEAM = TeamName.of("t");
     private static final long ONE_WAY_MS = 3;
     private static final long REPORT_MS = 250;
+    private static final long RENEWAL_MS = 600;
+    private static final long WRITE_MS = 10;
     private static final long ASK_LIMIT_MS = 60;
     private static final double LARGE_UNITS = 9_250;
 
@@ -35,6 +37,7 @@
     private static final class Entry {
         private QuotaClient client;
         private String name;
+        private String nextName;
         private boolean running = true;
         private long reportedAtMs;
         private double requestsDue;
@@ -62,6 +65,10 @@
     final List<Double> requested = new ArrayList<>();
     /** Units refused in each step. */
     final List<Double> refused = new ArrayList<>();
+    /** What the lease row has on the entries that may hold shares. */
+    String record = "";
+
+    private Optional<Leader> writer = Optional.empty();
     /** Messages of entries to the leader. */
     long reports;
 
@@ -76,6 +83,7 @@
         for (int i = 0; i < count; i++) {
             entries.add(new Entry());
             entries.get(i).name = "e" + i;
+            entries.get(i).nextName = "e" + i;
             followed.add(Optional.empty());
             restart(i);
             entries.get(i).nextRequest = -Math.log(1 - random.nextDouble());
@@ -106,6 +114,7 @@
     /** Ends an entry's process. */
     void stop(int index) {
         entries.get(index).running = false;
+        entries.get(index).name = entries.get(index).nextName;
         followed.set(index, Optional.empty());
     }
 
@@ -116,9 +125,9 @@
         followed.set(index, leader < 0 ? Optional.empty() : followed.get(leader));
     }
 
-    /** Replaces the machine of an entry by one of another name. */
-    void rename(int index) {
-        entries.get(index).name += "n";
+    /** Lets the machine of an entry be replaced by one of another name when its process ends. */
+    void renameAtStop(int index) {
+        entries.get(index).nextName = entries.get(index).name + "n";
     }
 
     /** Lets an entry lead all entries. */
@@ -135,8 +144,9 @@
     void lead(int index, int from, int to) {
         QuotaAllocator allocator = new QuotaAllocator(tolerance);
         allocator.onConfiguration(Map.of(TEAM, quota));
-        allocator.begin(++run, entries.get(index).client.entries(), nowMs);
+        allocator.begin(++run, entries.get(index).client.entries(), record, nowMs);
         Leader leader = new Leader(allocator, index, run);
+        writer = Optional.of(leader);
         for (int i = from; i < to; i++) {
             followed.set(i, Optional.of(leader));
         }
@@ -155,9 +165,27 @@
         followed.forEach(each -> each.ifPresent(leader -> leader.allocator().onConfiguration(Map.of(TEAM, changed))));
     }
 
+    /** Writes the lease row as the leader with the newest lease does, if its entry runs and reaches the store. */
+    private void renewLease() {
+        if (nowMs % RENEWAL_MS != 0) {
+            return;
+        }
+        writer.filter(leader -> entries.get(leader.entry()).running && confirmed.test(leader.entry(), nowMs))
+                .ifPresent(leader -> {
+                    String written = leader.allocator().holders();
+                    messages.add(new Message(nowMs + WRITE_MS, order++, () -> {
+                        if (writer.equals(Optional.of(leader))) {
+                            record = written;
+                            leader.allocator().onHoldersStored(written);
+                        }
+                    }));
+                });
+    }
+
     void run(long untilMs, Demand demand) {
         while (nowMs < untilMs) {
             nowMs += STEP_MS;
+            renewLease();
             while (!messages.isEmpty() && messages.peek().atMs() <= nowMs) {
                 messages.poll().action().run();
             }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
@@ -2,7 +2,10 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hawthornglade.core.lease.Leadership;
+import org.hawthornglade.core.lease.LeaseRow;
 import org.hawthornglade.core.lease.LeaseWrite;
 import org.hawthornglade.core.lease.StoredLease;
 import org.hawthornglade.core.result.Failure;
@@ -19,6 +22,8 @@
     private final Clock clock;
     private final Clock wallClock;
     private final EventLog log;
+    private Supplier<String> quotaHolders = () -> "";
+    private Consumer<String> onQuotaHoldersStored = stored -> {};
     private String lastLoggedFault = "";
 
     LeaseManager(Leadership leadership, LeaseStore store, Clock clock, Clock wallClock, EventLog log) {
@@ -29,6 +34,22 @@
         this.log = log;
     }
 
+    /**
+     * Sets what renewals write on the entries that may use quotas.
+     *
+     * @param holders returns what to write
+     * @param onStored receives what the row has after a write whose outcome is known
+     */
+    void recordQuotaHolders(Supplier<String> holders, Consumer<String> onStored) {
+        quotaHolders = holders;
+        onQuotaHoldersStored = onStored;
+    }
+
+    /** Returns what the row has on the entries that may use quotas, as last read or written. */
+    String quotaHolders() {
+        return leadership.seen().row().map(LeaseRow::quotaHolders).orElse("");
+    }
+
     /** Reads, claims or renews the lease as needed; to be called periodically. */
     void check(boolean leaderAlive, Optional<String> endedLeader) {
         long nowMs = clock.nowMs();
@@ -38,7 +59,10 @@
             store.read(result -> onRead(result, leaderAlive, endedLeader));
             return;
         }
-        leadership.renewal(nowMs).ifPresent(this::write);
+        leadership
+                .renewal(nowMs)
+                .map(write -> new LeaseWrite(write.expected(), write.row().withQuotaHolders(quotaHolders.get())))
+                .ifPresent(this::write);
     }
 
     boolean mayOrder() {
@@ -74,8 +98,10 @@
         if (result instanceof LeaseWriteResult.Written written) {
             lastLoggedFault = "";
             leadership.onWritten(write, written.revision(), sentAtMs, wallSentMs);
+            onQuotaHoldersStored.accept(write.row().quotaHolders());
         } else if (result instanceof LeaseWriteResult.Conflict conflict) {
             leadership.onConflict(conflict.stored(), write, clock.nowMs());
+            onQuotaHoldersStored.accept(quotaHolders());
         } else if (result instanceof LeaseWriteResult.Unknown unknown) {
             logFaultChange("lease-write-unknown", unknown.reason());
             leadership.onWriteOutcomeUnknown(sentAtMs, clock.nowMs());
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/SharedQuotas.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/SharedQuotas.java
@@ -61,6 +61,7 @@
         this.leaderSender = leaderSender;
         this.followerSender = followerSender;
         this.onAnswer = onAnswer;
+        lease.recordQuotaHolders(allocator::holders, allocator::onHoldersStored);
     }
 
     /** Applies the quotas of a configuration. */
@@ -125,7 +126,7 @@
     void onLeadingChanged(boolean nowLeading, long term) {
         leading = nowLeading;
         if (nowLeading) {
-            allocator.begin(term, client.entries(), clock.nowMs());
+            allocator.begin(term, client.entries(), lease.quotaHolders(), clock.nowMs());
         }
     }
 }
