--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
@@ -21,6 +21,7 @@
     private static final long MAX_ACCRUAL_MS = 500;
 
     private final QuotaTolerance tolerance;
+    private final boolean countsRefused;
     private final Map<TeamName, TeamLedger> ledgers = new HashMap<>();
     private final Set<TeamName> limited = new HashSet<>();
     private final Map<String, Long> runs = new HashMap<>();
@@ -30,7 +31,13 @@
 
     /** Creates an allocator without quotas. */
     public QuotaAllocator(QuotaTolerance tolerance) {
+        this(tolerance, true);
+    }
+
+    /** Creates an allocator that may tell refused callers when the next request fits, for comparisons in tests. */
+    QuotaAllocator(QuotaTolerance tolerance, boolean countsRefused) {
         this.tolerance = tolerance;
+        this.countsRefused = countsRefused;
     }
 
     /**
@@ -64,7 +71,8 @@
         limited.addAll(quotas.keySet());
         quotas.forEach((team, quota) -> {
             QuotaAmounts amounts = QuotaAmounts.of(quota, tolerance);
-            ledgers.computeIfAbsent(team, name -> new TeamLedger(name, amounts)).amounts(amounts);
+            ledgers.computeIfAbsent(team, name -> new TeamLedger(name, amounts, countsRefused))
+                    .amounts(amounts);
         });
     }
 
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaClient.java
@@ -92,7 +92,10 @@
             double part = part(stock, nowMs);
             return stock.tryTakeAlone(units, part)
                     ? QuotaDecision.ADMITTED
-                    : QuotaDecision.refused(part > 0 ? stock.msUntilAlone(units, part) : QuotaTimes.ALONE_MS);
+                    : QuotaDecision.refused(
+                            part > 0
+                                    ? Math.min(QuotaTimes.MAX_ALONE_RETRY_AFTER_MS, stock.msUntilAlone(units, part))
+                                    : QuotaTimes.ALONE_MS);
         }
         return stock.knownShort(units, nowMs) ? QuotaDecision.refused(stock.msUntilRoom(nowMs)) : QuotaDecision.ASK;
     }
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaDecision.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaDecision.java
@@ -21,6 +21,7 @@
     static final QuotaDecision ASK = new QuotaDecision(Kind.ASK, 0);
 
     static QuotaDecision refused(double retryAfterMs) {
-        return new QuotaDecision(Kind.REFUSE, (long) Math.ceil(Math.max(50, Math.min(8_000, retryAfterMs))));
+        return new QuotaDecision(Kind.REFUSE, (long)
+                Math.ceil(Math.max(50, Math.min(QuotaTimes.MAX_RETRY_AFTER_MS, retryAfterMs))));
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaTimes.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaTimes.java
@@ -27,5 +27,10 @@
     /** An entry asks the leader again at most this often for units that it could not grant, in milliseconds. */
     static final long ASK_AGAIN_MS = 250;
 
+    /** Longest time that a refused caller is told, in milliseconds: longer than callers wait for their calls. */
+    static final long MAX_RETRY_AFTER_MS = 60_000;
+    /** Longest time that it is told by an entry without a leader, since there may be one sooner, in milliseconds. */
+    static final long MAX_ALONE_RETRY_AFTER_MS = 8_000;
+
     private QuotaTimes() {}
 }
--- a/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamLedger.java
@@ -26,6 +26,11 @@
     /** Time constant of the demand by which shares are divided, in milliseconds. */
     private static final double LONG_MEMORY_MS = 4_000;
 
+    /** Part of the quota by which refused units are expected to be served later, beside the usual demand. */
+    private static final double SPARE_SHARE = 1 - QuotaTimes.EQUAL_SHARE;
+
+    private static final double MS_PER_S = 1_000;
+
     private static final double KEEP_S = QuotaTimes.STOCK_VALID_MS / 1_000.0;
 
     /** What one entry holds. */
@@ -71,10 +76,21 @@
     private double capacity;
     private double refillPerS;
     private double sharePool;
+    private final boolean countsRefused;
+    /** Units that were refused and whose callers have been told to come back. */
+    private double refusedUnits;
 
-    TeamLedger(TeamName team, QuotaAmounts amounts) {
+    private long shortForMs;
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param countsRefused whether refused callers are told a time that takes into account those refused before
+     */
+    TeamLedger(TeamName team, QuotaAmounts amounts, boolean countsRefused) {
         this.team = team;
         this.amounts = amounts;
+        this.countsRefused = countsRefused;
     }
 
     void amounts(QuotaAmounts changed) {
@@ -84,7 +100,7 @@
 
     /** Returns an empty ledger for the same quota. */
     TeamLedger emptied() {
-        return new TeamLedger(team, amounts);
+        return new TeamLedger(team, amounts, countsRefused);
     }
 
     /** Recomputes the sums over all entries, and adds what has accrued since the last call. */
@@ -118,6 +134,24 @@
         refillPerS = amounts.unitsPerS() * part;
         sharePool = part;
         level = Math.min(level + amounts.accrued(elapsedMs) * part, Math.max(0, capacity - outstanding));
+        countRefused(elapsedMs);
+    }
+
+    /** Estimates the refused units by the demand above the quota, less what is served of them later. */
+    private void countRefused(long elapsedMs) {
+        double excessPerS = demandPerS - refillPerS;
+        double changePerS = excessPerS > 0 && shortForMs > 0 ? excessPerS : -SPARE_SHARE * refillPerS;
+        shortForMs = Math.max(0, shortForMs - elapsedMs);
+        double most = SPARE_SHARE * refillPerS * QuotaTimes.MAX_RETRY_AFTER_MS / MS_PER_S;
+        refusedUnits = Math.max(0, Math.min(most, refusedUnits + changePerS * elapsedMs / MS_PER_S));
+    }
+
+    /** Returns when a request that cannot be granted should come back, from now. */
+    private long msUntilRoom(double missing) {
+        shortForMs = QuotaTimes.ASK_AGAIN_MS;
+        double roomMs = (missing - level) / refillPerS * MS_PER_S;
+        double queuedMs = countsRefused ? refusedUnits / (SPARE_SHARE * refillPerS) * MS_PER_S : 0;
+        return (long) Math.ceil(Math.max(1, Math.max(roomMs, queuedMs)));
     }
 
     /** Returns the part of the quota that the entries connected to this leader may use together. */
@@ -179,7 +213,7 @@
         outstanding += units;
         holding.granted += units;
         double lacking = use.askedUnits() - held - units;
-        long shortMs = lacking <= 0 ? 0 : (long) Math.ceil(Math.max(1, (missing - level) / refillPerS * 1_000));
+        long shortMs = lacking <= 0 ? 0 : msUntilRoom(missing);
         updateShare(entry, holding, entries);
         return new QuotaGrant(team, holding.granted, keep, holding.sentShare, shortMs);
     }
--- a/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/TeamStock.java
@@ -4,6 +4,9 @@
 
 /** What an entry may use of the quota of one team: units that the leader granted, or its share without a leader. */
 final class TeamStock {
+    /** How long after an answer the next one tells how the time until there is room grows, in milliseconds. */
+    private static final double SLOPE_VALID_MS = 1_000;
+
     private final TeamName team;
     private final DemandRate demand = new DemandRate(1_000);
     private QuotaAmounts amounts;
@@ -16,6 +19,8 @@
     private double smallestAskUnits = Double.MAX_VALUE;
     private double shortUnits = Double.MAX_VALUE;
     private long roomAtMs;
+    private long toldAtMs = Long.MIN_VALUE / 2;
+    private double roomGrowth;
     private long askAgainAtMs;
     private double aloneUnits;
     private boolean reported;
@@ -125,8 +130,9 @@
         return units >= shortUnits && nowMs < askAgainAtMs;
     }
 
+    /** Returns when a refused request should come back; the time grows on between answers as it did before. */
     double msUntilRoom(long nowMs) {
-        return roomAtMs - nowMs;
+        return roomAtMs - nowMs + roomGrowth * (nowMs - toldAtMs);
     }
 
     /** Returns whether less than half of the units that the entry should have are left. */
@@ -170,6 +176,10 @@
         keepUnits = grant.keepUnits();
         share = grant.share();
         if (grant.shortMs() > 0) {
+            double elapsedMs = nowMs - toldAtMs;
+            boolean lately = elapsedMs > 0 && elapsedMs <= SLOPE_VALID_MS && grant.shortMs() > SLOPE_VALID_MS;
+            roomGrowth = lately ? Math.max(0, (nowMs + grant.shortMs() - roomAtMs) / elapsedMs) : 0;
+            toldAtMs = nowMs;
             roomAtMs = nowMs + grant.shortMs();
             askAgainAtMs = nowMs + Math.min(grant.shortMs(), QuotaTimes.ASK_AGAIN_MS);
         } else {
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
@@ -77,6 +77,77 @@
         assertThat(sum(simulation.admitted, 30_000, 40_000)).isAtLeast(0.8 * 10 * rate);
     }
 
+    /**
+     * Guards against units that stay idle at entries or in the bucket while requests of many sizes exceed the quota.
+     *
+     * <p>The columns are the multiple of the quota that is sent, the share of requests of 9,250 tokens on average beside
+     * those of 830, and the part of the entries that get nine tenths of the demand.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "2, 0.1, 1",
+        "3, 0.1, 1",
+        "4, 0.1, 1",
+        "2, 0.5, 1",
+        "3, 0.5, 1",
+        "4, 0.5, 1",
+        "2, 1, 1",
+        "4, 1, 1",
+        "2, 0.1, 0.1",
+        "4, 0.1, 0.1",
+        "2, 0.5, 0.1",
+        "4, 0.5, 0.1",
+        "2, 0.5, 0.01",
+        "4, 1, 0.1"
+    })
+    void nearlyAllOfTheLimitIsUsedBySizesThatDiffer(double factor, double large, double part) {
+        double rate = 29_000;
+        QuotaSimulation simulation = simulation(27, rate, large);
+        simulation.spread = true;
+        simulation.smallUnits = 830;
+        simulation.run(10_000, even(simulation, rate * USUAL));
+        int hotEntries = (int) Math.ceil(27 * part);
+        simulation.run(60_000, (entry, nowMs) -> rate * factor * (entry < hotEntries ? 0.9 / hotEntries : 0.1 / 27));
+        assertWithinLimit(simulation, rate);
+        double used = sum(simulation.admitted, 12_000, 60_000) / (48 * rate);
+        assertThat(used).isAtLeast(0.95);
+    }
+
+    /**
+     * Guards against telling all refused callers of a hot team the same time, so that they are refused together again.
+     *
+     * <p>Compares with a leader that tells each when the next request fits. The last columns are the multiple of the
+     * usual demand and for how many seconds it is sent.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "4, 299966, 0.05, 5, 11",
+        "27, 29000, 0.05, 3.5, 5",
+        "27, 29000, 0.5, 5, 8",
+        "27, 299966, 0.05, 3.5, 5",
+        "27, 299966, 0.5, 7.5, 11",
+        "300, 299966, 0.05, 5, 8"
+    })
+    void refusedCallersComeBackWhenThereIsRoom(int entries, double rate, double large, double factor, int hotS) {
+        double again = refusedAgain(entries, rate, large, factor, hotS, true);
+        double before = refusedAgain(entries, rate, large, factor, hotS, false);
+        assertThat(again).isAtMost(0.6 * before);
+    }
+
+    private static double refusedAgain(
+            int entries, double rate, double large, double factor, int hotS, boolean countsRefused) {
+        TeamQuota quota = new TeamQuota(QuotaUnit.TOKEN, rate, rate, 200);
+        QuotaSimulation simulation = new QuotaSimulation(entries, quota, TOLERANCE, large, 7);
+        simulation.countsRefused = countsRefused;
+        simulation.callersReturn = true;
+        simulation.lead(0);
+        simulation.run(10_000, even(simulation, rate * USUAL));
+        simulation.run(10_000 + hotS * 1_000L, even(simulation, rate * USUAL * factor));
+        simulation.run(100_000, even(simulation, rate * USUAL));
+        assertWithinLimit(simulation, rate);
+        return (double) simulation.refusedAgain / simulation.returns;
+    }
+
     /** Guards against exceeding the limit, or leaving it unused, while a team sends several times its quota. */
     @ParameterizedTest
     @CsvSource({
--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSimulation.java
@@ -23,6 +23,9 @@
     private static final long WRITE_MS = 10;
     private static final long ASK_LIMIT_MS = 60;
     private static final double LARGE_UNITS = 9_250;
+    private static final double MAX_UNITS = 39_000;
+    private static final double SPREAD = 0.6;
+    private static final long NO_ANSWER_MS = 300;
 
     /** Returns the team's demand in units per second at an entry. */
     interface Demand {
@@ -31,7 +34,7 @@
 
     private record Message(long atMs, long order, Runnable action) {}
 
-    private record Ask(double units, long atMs) {}
+    private record Ask(double units, long atMs, boolean again) {}
 
     /** An entry: its client and the requests that wait for an answer. */
     private static final class Entry {
@@ -65,6 +68,22 @@
     final List<Double> requested = new ArrayList<>();
     /** Units refused in each step. */
     final List<Double> refused = new ArrayList<>();
+    /** Whether a caller that was refused sends the request once more after the time that it was told. */
+    boolean callersReturn;
+    /** Whether leaders take into account the callers that they have told to come back. */
+    boolean countsRefused = true;
+    /** Requests that were sent once more. */
+    long returns;
+    /** Requests that were sent once more and refused again. */
+    long refusedAgain;
+    /** The sum of the times that refused callers were told. */
+    long toldMsSum;
+
+    /** Whether the sizes of large requests differ. */
+    boolean spread;
+
+    double smallUnits;
+
     /** What the lease row has on the entries that may hold shares. */
     String record = "";
 
@@ -80,6 +99,7 @@
         this.tolerance = tolerance;
         this.quota = quota;
         this.largeShare = largeShare;
+        this.smallUnits = quota.defaultUnits();
         for (int i = 0; i < count; i++) {
             entries.add(new Entry());
             entries.get(i).name = "e" + i;
@@ -142,7 +162,7 @@
 
     /** Lets an entry lead the entries from one on and up to, but without, another. */
     void lead(int index, int from, int to) {
-        QuotaAllocator allocator = new QuotaAllocator(tolerance);
+        QuotaAllocator allocator = new QuotaAllocator(tolerance, countsRefused);
         allocator.onConfiguration(Map.of(TEAM, quota));
         allocator.begin(++run, entries.get(index).client.entries(), record, nowMs);
         Leader leader = new Leader(allocator, index, run);
@@ -186,12 +206,12 @@
         while (nowMs < untilMs) {
             nowMs += STEP_MS;
             renewLease();
-            while (!messages.isEmpty() && messages.peek().atMs() <= nowMs) {
-                messages.poll().action().run();
-            }
             admitted.add(0.0);
             requested.add(0.0);
             refused.add(0.0);
+            while (!messages.isEmpty() && messages.peek().atMs() <= nowMs) {
+                messages.poll().action().run();
+            }
             for (int i = 0; i < entries.size(); i++) {
                 int entry = i;
                 followed.get(i)
@@ -206,13 +226,13 @@
 
     private void step(int index, double unitsPerS) {
         Entry entry = entries.get(index);
-        double meanUnits = largeShare * LARGE_UNITS + (1 - largeShare) * quota.defaultUnits();
+        double meanUnits = largeShare * LARGE_UNITS + (1 - largeShare) * smallUnits;
         entry.requestsDue += unitsPerS * STEP_MS / 1_000 / meanUnits;
         while (entry.requestsDue >= entry.nextRequest) {
             entry.nextRequest += -Math.log(1 - random.nextDouble());
-            double units = random.nextDouble() < largeShare ? LARGE_UNITS : quota.defaultUnits();
+            double units = random.nextDouble() < largeShare ? largeUnits() : smallUnits;
             add(requested, units);
-            settle(entry, entry.client.decide(TEAM, units, nowMs), new Ask(units, nowMs), false);
+            settle(entry, entry.client.decide(TEAM, units, nowMs), new Ask(units, nowMs, false), false);
         }
         decideAsks(entry);
         boolean due = nowMs - entry.reportedAtMs >= REPORT_MS;
@@ -231,6 +251,14 @@
         }
     }
 
+    private double largeUnits() {
+        if (!spread) {
+            return LARGE_UNITS;
+        }
+        double factor = Math.exp(random.nextGaussian() * SPREAD - SPREAD * SPREAD / 2);
+        return Math.min(MAX_UNITS, LARGE_UNITS * factor);
+    }
+
     private void deliver(int index, Leader to, Runnable action) {
         if (cutOff.test(index, nowMs)) {
             return;
@@ -258,7 +286,25 @@
             entry.asks.add(ask);
         } else {
             add(refused, ask.units());
+            onRefused(entry, decision, ask);
+        }
+    }
+
+    private void onRefused(Entry entry, QuotaDecision decision, Ask ask) {
+        if (ask.again()) {
+            refusedAgain++;
+            return;
+        }
+        if (!callersReturn) {
+            return;
         }
+        long toldMs = decision.kind() == QuotaDecision.Kind.REFUSE ? decision.retryAfterMs() : NO_ANSWER_MS;
+        toldMsSum += toldMs;
+        messages.add(new Message(nowMs + toldMs, order++, () -> {
+            returns++;
+            Ask again = new Ask(ask.units(), nowMs, true);
+            settle(entry, entry.client.decide(TEAM, ask.units(), nowMs), again, false);
+        }));
     }
 
     private static void add(List<Double> steps, double units) {
