--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaAllocator.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.hawthornglade.core.id.TeamName;
 import org.hawthornglade.core.team.TeamQuota;
@@ -20,16 +21,23 @@
     private static final long MAX_ACCRUAL_MS = 500;
 
     private final QuotaTolerance tolerance;
+    private final boolean countsRefused;
     private final Map<TeamName, TeamLedger> ledgers = new HashMap<>();
     private final Set<TeamName> limited = new HashSet<>();
     private final Map<String, Long> runs = new HashMap<>();
-    private QuotaEntries entries = new QuotaEntries(0, 0);
+    private QuotaEntries entries = new QuotaEntries(0, Optional.empty(), 0);
     private long term;
     private long refreshedAtMs;
 
     /** Creates an allocator without quotas. */
     public QuotaAllocator(QuotaTolerance tolerance) {
+        this(tolerance, true);
+    }
+
+    /** Creates an allocator that may tell refused callers when the next request fits, for comparisons in tests. */
+    QuotaAllocator(QuotaTolerance tolerance, boolean countsRefused) {
         this.tolerance = tolerance;
+        this.countsRefused = countsRefused;
     }
 
     /**
@@ -37,22 +45,34 @@
      *
      * @param newTerm identifies the time for which it leads; not 0, and different for each leader
      * @param knownEntries the number of entries that the previous leader reported; 0 if unknown
+     * @param formerHolders what the lease row has on the entries that may hold shares; empty if nothing
      */
-    public void begin(long newTerm, int knownEntries, long nowMs) {
+    public void begin(long newTerm, int knownEntries, String formerHolders, long nowMs) {
         term = newTerm;
-        entries = new QuotaEntries(knownEntries, nowMs);
+        entries = new QuotaEntries(knownEntries, QuotaHolders.decode(formerHolders), nowMs);
         runs.clear();
         ledgers.replaceAll((team, ledger) -> ledger.emptied());
         refreshedAtMs = nowMs;
     }
 
+    /** Returns what the next write of the lease row should have on the entries that may hold shares. */
+    public String holders() {
+        return limited.isEmpty() ? QuotaHolders.UNKNOWN : entries.holders();
+    }
+
+    /** Takes over what the lease row has on the entries that may hold shares, after a write or a conflict. */
+    public void onHoldersStored(String holders) {
+        entries.onHoldersStored(holders);
+    }
+
     /** Applies the quotas of a configuration; the ledger of a team without a quota stays, as grants are counted on. */
     public void onConfiguration(Map<TeamName, TeamQuota> quotas) {
         limited.clear();
         limited.addAll(quotas.keySet());
         quotas.forEach((team, quota) -> {
             QuotaAmounts amounts = QuotaAmounts.of(quota, tolerance);
-            ledgers.computeIfAbsent(team, name -> new TeamLedger(name, amounts)).amounts(amounts);
+            ledgers.computeIfAbsent(team, name -> new TeamLedger(name, amounts, countsRefused))
+                    .amounts(amounts);
         });
     }
 
@@ -95,6 +115,6 @@
                 ledger.shareChange(entry, entries).ifPresent(grants::add);
             }
         });
-        return new QuotaUpdate(term, report.sentAtMs(), entries.count(), grants);
+        return new QuotaUpdate(term, report.sentAtMs(), entries.mayHold(entry) ? entries.count() : 0, grants);
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/quota/QuotaTimes.java
+++ b/core/src/main/java/org/hawthornglade/core/quota/QuotaTimes.java
@@ -16,11 +16,21 @@
     static final long HOLD_MARGIN_MS = 500;
     /** Part of the quota for all entries whose shares have expired; the usual demand is 1/1.8 of a quota. */
     static final double EQUAL_SHARE = 0.6;
+    /**
+     * Largest share of one entry, as a multiple of an even one. It bounds what must be held back for entries that have
+     * not been heard, and is enough for 3.6 times the mean of the usual demand.
+     */
+    static final double MAX_EVEN_SHARES = 2;
     /** Part of the quota that is not held back for entries which have been without a leader for longer. */
     static final double LAST_SHARE = 0.05;
 
     /** An entry asks the leader again at most this often for units that it could not grant, in milliseconds. */
     static final long ASK_AGAIN_MS = 250;
 
+    /** Longest time that a refused caller is told, in milliseconds: longer than callers wait for their calls. */
+    static final long MAX_RETRY_AFTER_MS = 60_000;
+    /** Longest time that it is told by an entry without a leader, since there may be one sooner, in milliseconds. */
+    static final long MAX_ALONE_RETRY_AFTER_MS = 8_000;
+
     private QuotaTimes() {}
 }
