--- a/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
+++ b/core/src/test/java/org/hawthornglade/core/quota/QuotaSharingTest.java
@@ -80,8 +80,8 @@
     /**
      * Guards against units that stay idle at entries or in the bucket while requests of many sizes exceed the quota.
      *
-     * <p>The columns are the multiple of the quota that is sent, the share of requests of 9,250 tokens on average beside
-     * those of 830, and the part of the entries that get nine tenths of the demand.
+     * <p>The columns are the multiple of the quota that is sent, the share of requests of 9,250 tokens on average
+     * beside those of 830, and the part of the entries that get nine tenths of the demand.
      */
     @ParameterizedTest
     @CsvSource({
