--- a/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/FirstTokenSelector.java
@@ -18,9 +18,8 @@
     /** Expected delay of the first token by each running request. */
     private static final double MS_PER_RUNNING_REQUEST = 0.5;
     /**
-     * Expected delay of the first token by prompts of other entries that an engine has not read yet, for each request in
-     * flight, where the service rate is used. In PacedDeployment calls were served earlier with 4 and with 12 than with
-     * 0.
+     * Expected delay of the first token by prompts of other entries that an engine has not read yet, for each request
+     * in flight, where the service rate is used. In PacedDeployment 4 and 12 served calls earlier than 0.
      */
     private static final double QUEUED_MS_PER_REQUEST = 8;
     /** Expected delay of a call to another failure domain. */
--- a/core/src/main/java/org/hawthornglade/core/dispatch/PacedChoice.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/PacedChoice.java
@@ -124,7 +124,7 @@
         return hasher.hash().asLong();
     }
 
-    /** Returns a random index among the costs of plain servers that are within a small share of the least, or -1 if there are none. */
+    /** Returns a random index among the costs of plain servers within a small share of the least, or -1 if none. */
     int spread(double[] costs, int count) {
         double least = Double.MAX_VALUE;
         for (int i = 0; i < count; i++) {
--- a/core/src/test/java/org/hawthornglade/core/dispatch/PacedDeployment.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/PacedDeployment.java
@@ -29,15 +29,13 @@
 import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.pace.Pacing;
 import org.hawthornglade.core.pace.PacingRules;
-import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.ModelDefinition;
-import org.hawthornglade.core.serving.Route;
 
 /**
  * Plays entries and engines of a deployment in virtual time, each entry with the selector of the product.
  *
- * <p>Engines read prompts one after another and generate for all calls together. They differ in speed, are disturbed
+ * <p>Engines read prompts one after another and generate for all figures.calls together. They differ in speed, are disturbed
  * by other workloads, cache prefixes of prompts, load and unload models, and restart.
  */
 final class PacedDeployment {
@@ -45,7 +43,7 @@
     static final int ENGINES = 35;
     static final int SLOTS = 64;
     static final long KV_TOKENS = 234_408;
-    /** Time after a start of an engine over which the calls are counted separately. */
+    /** Time after a start of an engine over which the figures.calls are counted separately. */
     static final long FIRST_MS = 10_000;
 
     private static final int MODELS = 60;
@@ -53,7 +51,7 @@
     private static final int RESIDENT = 3;
     private static final int STEP_MS = 5;
     private static final long REPORT_MS = 300;
-    /** Age of the counts of calls in a report of the leader. */
+    /** Age of the counts of figures.calls in a report of the leader. */
     private static final long REPORT_AGE_MS = 100;
 
     private static final long RECONSIDER_MS = 50;
@@ -66,66 +64,24 @@
     private static final List<FailureDomain> DOMAINS =
             List.of(FailureDomain.of("zone-a"), FailureDomain.of("zone-b"), FailureDomain.of("zone-c"));
 
-    /** A kind of call, with its rate and its sizes in tokens. */
-    private record Kind(Route route, double perS, int sharedTokens, int prefixes, int ownTokens, int outputTokens) {}
-
-    private static final List<Kind> KINDS = List.of(
-            new Kind(route("audit-digest", 815, 5_094, 1), 21.1, 6_300, 4, 2_890, 60),
-            new Kind(route("audit-premium", 5_015, 17_051, 2), 15.7, 6_300, 4, 2_890, 100),
-            new Kind(route("fault-explain", 407, 15_244, 0), 27, 1_200, 3, 500, 80));
-
-    /** What happens in a play. */
-    enum Day {
-        /** Noise, and models that are loaded and unloaded. */
-        USUAL(1, false),
-        /** As usual, with bursts of twice the load. */
-        BURSTS(2, false),
-        /** Single engines restart every 2.5 s. */
-        RESTARTS(1, false),
-        /** All engines have just started, and calls have waited for them. */
-        COLD_START(1.5, false),
-        /** A quarter of the engines crash together, twice. */
-        RECOVERY(1.5, false),
-        /** Bursts, at engines that crash when their memory is full. */
-        PRESSURE(2, true);
-
-        private final double burst;
-        private final boolean crashWhenFull;
-
-        Day(double burst, boolean crashWhenFull) {
-            this.burst = burst;
-            this.crashWhenFull = crashWhenFull;
-        }
-    }
-
-    private final Day day;
+    private final PacedLoad.Day day;
     private final Random site;
     private final Random loads;
     private final EngineDefinition definition;
     private final List<Entry> entries = new ArrayList<>();
     private final List<Engine> engines = new ArrayList<>();
-    private final Map<String, Integer> offeredByKind = new HashMap<>();
-    private final Map<String, Integer> inTimeByKind = new HashMap<>();
+    private final PacedFigures figures = new PacedFigures();
     private long nowMs;
-    private int calls;
-    private int inTime;
-    private int firstCalls;
-    private int firstInTime;
-    private int heldBack;
-    private int crashes;
-    private long cachedTokens;
-    private long promptTokens;
-    private double limitSum;
-    private int limitCount;
-
-    /** Creates a deployment whose calls and faults depend only on the day and the seed. */
-    PacedDeployment(Day day, PacingRules rules, long seed) {
+
+    /** Creates a deployment whose figures.calls and faults depend only on the day and the seed. */
+    PacedDeployment(PacedLoad.Day day, PacingRules rules, long seed) {
         this.day = day;
         this.site = new Random(seed);
         this.loads = new Random(seed + 1);
         Map<ModelName, ModelDefinition> models = new LinkedHashMap<>();
         for (int i = 0; i < MODELS; i++) {
-            models.put(model(i), new ModelDefinition(model(i), 70_000, 10_200, 400, DISK_LOAD_MS, 50));
+            models.put(
+                    PacedLoad.model(i), new ModelDefinition(PacedLoad.model(i), 70_000, 10_200, 400, DISK_LOAD_MS, 50));
         }
         this.definition = new EngineDefinition(SLOTS, KV_TOKENS, 220_000, 8, 11, models);
         for (int i = 0; i < ENGINES; i++) {
@@ -138,46 +94,21 @@
         }
     }
 
-    private static Route route(String name, long targetMs, long deadlineMs, int priority) {
-        return new Route(
-                name,
-                "h.example",
-                "/" + name + "/",
-                CallKind.STREAM,
-                deadlineMs,
-                targetMs,
-                500,
-                deadlineMs,
-                3,
-                priority,
-                true,
-                List.of());
-    }
-
-    private static ModelName model(int index) {
-        return ModelName.of("m" + index);
-    }
-
-    /** Every third model is large and runs at 0.3 of the speed. */
-    private static double modelSpeed(ModelName model) {
-        return Integer.parseInt(model.value().substring(1)) % 3 == 2 ? 0.3 : 1;
-    }
-
     private void placeAtStart() {
         int next = 0;
         for (int place = 0; place < ENGINES * RESIDENT; place++) {
             Engine engine = engines.get(place % ENGINES);
-            ModelName model = place < MODELS ? model(place) : model(next++ % BUSY_MODELS);
+            ModelName model = place < MODELS ? PacedLoad.model(place) : PacedLoad.model(next++ % BUSY_MODELS);
             engine.readyAtMs.put(model, 0L);
         }
     }
 
     private final class Call {
-        private final Kind kind;
+        private final PacedLoad.Kind kind;
         private final CallView view;
         private final ModelDemand demand;
         private final boolean first;
-        private final int number = calls;
+        private final int number = figures.calls;
         private Engine engine;
         private Entry entry;
         private long sentAtMs;
@@ -190,12 +121,12 @@
         private double leftOutput;
         private boolean counted;
 
-        Call(Kind kind, CallView view, boolean first) {
+        Call(PacedLoad.Kind kind, CallView view, boolean first) {
             this.kind = kind;
             this.view = view;
             this.demand = view.demand().orElseThrow();
             this.first = first;
-            this.leftOutput = kind.outputTokens;
+            this.leftOutput = kind.outputTokens();
         }
 
         private void onFirst() {
@@ -203,10 +134,10 @@
                 return;
             }
             counted = true;
-            if (nowMs - view.arrivedAtMs() <= kind.route.targetMs()) {
-                inTime++;
-                firstInTime += first ? 1 : 0;
-                inTimeByKind.merge(kind.route.name(), 1, Integer::sum);
+            if (nowMs - view.arrivedAtMs() <= kind.route().targetMs()) {
+                figures.inTime++;
+                figures.firstInTime += first ? 1 : 0;
+                figures.inTimeByKind.merge(kind.route().name(), 1, Integer::sum);
             }
         }
     }
@@ -230,7 +161,7 @@
             domain = DOMAINS.get(index % DOMAINS.size());
             speed = 0.55 + 0.65 * site.nextDouble();
             noisePhaseMs = site.nextInt(4_000);
-            if (day == Day.COLD_START) {
+            if (day == PacedLoad.Day.COLD_START) {
                 startedAtMs = 0;
             }
         }
@@ -300,11 +231,11 @@
                     break;
                 }
                 if (!fits && day.crashWhenFull) {
-                    crashes++;
+                    figures.crashes++;
                     crash(this, 2_000);
                     return;
                 }
-                double modelMs = modelSpeed(call.demand.model());
+                double modelMs = PacedLoad.modelSpeed(call.demand.model());
                 if (call.firstAtMs >= 0) {
                     call.leftOutput -= doneMs * modelMs / (DECODE_MS * batch);
                 } else if (readMs > 0) {
@@ -324,8 +255,8 @@
                 boolean cached = cache.remove(prefixKey(call));
                 int shared = call.demand.prefix().get(0).tokens();
                 call.leftPrefill = call.demand.promptTokens() - (cached ? shared : 0);
-                cachedTokens += cached ? shared : 0;
-                promptTokens += call.demand.promptTokens();
+                figures.cachedTokens += cached ? shared : 0;
+                figures.promptTokens += call.demand.promptTokens();
                 cache.add(prefixKey(call));
                 if (cache.size() > CACHED_PREFIXES) {
                     cache.remove(cache.iterator().next());
@@ -378,7 +309,7 @@
                 return true;
             }
             if (decision instanceof Decision.Wait wait && wait.reason().equals("capacity")) {
-                heldBack += farBelowItsSlots(call) ? 1 : 0;
+                figures.heldBack += farBelowItsSlots(call) ? 1 : 0;
             }
             return decision instanceof Decision.Refuse;
         }
@@ -430,7 +361,7 @@
             endpoint(call).ifPresent(endpoint -> {
                 release(endpoint, call);
                 if (call.firstAtMs >= 0 && call.leftOutput <= 0) {
-                    double intervalMs = (double) (nowMs - call.firstAtMs) / call.kind.outputTokens;
+                    double intervalMs = (double) (nowMs - call.firstAtMs) / call.kind.outputTokens();
                     recordInterval(endpoint, call, intervalMs);
                 }
             });
@@ -537,7 +468,7 @@
         int changes = all ? RESIDENT : 1;
         List<ModelName> old = new ArrayList<>(engine.readyAtMs.keySet());
         for (int i = 0; i < changes && i < old.size(); i++) {
-            ModelName newer = model((firstModel + i) % MODELS);
+            ModelName newer = PacedLoad.model((firstModel + i) % MODELS);
             if (!engine.readyAtMs.containsKey(newer) && (all || replicas(old.get(i)) > 1)) {
                 engine.readyAtMs.remove(old.get(i));
                 engine.readyAtMs.put(newer, nowMs + DISK_LOAD_MS);
@@ -550,7 +481,7 @@
         Set<ModelName> wanted = new HashSet<>();
         entries.forEach(entry -> entry.waiting.forEach(call -> wanted.add(call.demand.model())));
         for (int i = 0; i < MODELS; i++) {
-            if (wanted.contains(model(i)) && replicas(model(i)) == 0) {
+            if (wanted.contains(PacedLoad.model(i)) && replicas(PacedLoad.model(i)) == 0) {
                 changeModels(loads.nextInt(ENGINES), false, i);
             }
         }
@@ -567,13 +498,13 @@
         if (everyMs(400)) {
             changeModels(engine, all, model);
         }
-        if (day == Day.RESTARTS
+        if (day == PacedLoad.Day.RESTARTS
                 && everyMs(2_500)
                 && nowMs > 0
                 && engines.get(engine).up()) {
             crash(engines.get(engine), 2_000);
         }
-        if (day == Day.RECOVERY && (nowMs == 5_000 || nowMs == 18_000)) {
+        if (day == PacedLoad.Day.RECOVERY && (nowMs == 5_000 || nowMs == 18_000)) {
             engines.stream()
                     .filter(each ->
                             each.id.value().endsWith("1") || each.id.value().endsWith("2"))
@@ -582,13 +513,13 @@
     }
 
     private double loadFactor() {
-        boolean burst = nowMs % 10_000 >= 5_000 || day == Day.COLD_START || day == Day.RECOVERY;
+        boolean burst = nowMs % 10_000 >= 5_000 || day == PacedLoad.Day.COLD_START || day == PacedLoad.Day.RECOVERY;
         return burst ? day.burst : 1;
     }
 
     private void arrivals(double factor) {
-        for (Kind kind : KINDS) {
-            double expected = factor * kind.perS * STEP_MS / 1_000;
+        for (PacedLoad.Kind kind : PacedLoad.KINDS) {
+            double expected = factor * kind.perS() * STEP_MS / 1_000;
             while (expected > 0) {
                 if (site.nextDouble() < expected) {
                     arrive(kind);
@@ -598,24 +529,28 @@
         }
     }
 
-    private void arrive(Kind kind) {
-        boolean busy = kind.route.priority() != 2 && site.nextDouble() < 0.8;
-        ModelName model = model(busy ? site.nextInt(BUSY_MODELS) : site.nextInt(MODELS));
-        String shared = kind.route.name() + site.nextInt(kind.prefixes);
+    private void arrive(PacedLoad.Kind kind) {
+        boolean busy = kind.route().priority() != 2 && site.nextDouble() < 0.8;
+        ModelName model = PacedLoad.model(busy ? site.nextInt(BUSY_MODELS) : site.nextInt(MODELS));
+        String shared = kind.route().name() + site.nextInt(kind.prefixes());
         int entry = site.nextInt(ENTRIES);
-        int number = calls++;
+        int number = figures.calls++;
         List<PromptPart> prefix = List.of(
-                new PromptPart(PromptPartId.of(shared), kind.sharedTokens),
-                new PromptPart(PromptPartId.of("own" + number), kind.ownTokens));
-        ModelDemand demand =
-                new ModelDemand(model, Optional.empty(), kind.sharedTokens + kind.ownTokens, kind.outputTokens, prefix);
-        CallView view =
-                new CallView(Records.SERVICE, kind.route, Optional.of(demand), nowMs, nowMs + kind.route.timeoutMs());
+                new PromptPart(PromptPartId.of(shared), kind.sharedTokens()),
+                new PromptPart(PromptPartId.of("own" + number), kind.ownTokens()));
+        ModelDemand demand = new ModelDemand(
+                model, Optional.empty(), kind.sharedTokens() + kind.ownTokens(), kind.outputTokens(), prefix);
+        CallView view = new CallView(
+                Records.SERVICE,
+                kind.route(),
+                Optional.of(demand),
+                nowMs,
+                nowMs + kind.route().timeoutMs());
         boolean first = engines.stream()
                 .anyMatch(engine ->
                         engine.up() && nowMs - engine.startedAtMs < FIRST_MS && engine.readyAtMs.containsKey(model));
-        firstCalls += first ? 1 : 0;
-        offeredByKind.merge(kind.route.name(), 1, Integer::sum);
+        figures.firstCalls += first ? 1 : 0;
+        figures.offeredByKind.merge(kind.route().name(), 1, Integer::sum);
         entries.get(entry).arrive(new Call(kind, view, first));
     }
 
@@ -637,17 +572,17 @@
             for (Entry entry : entries) {
                 Endpoint endpoint = entry.fleet.endpoint(engine.id).orElseThrow();
                 endpoint.load().updateOthers(total - entry.sampled.getOrDefault(engine.id, 0), nowMs);
-                limitSum += endpoint.pace().limit().calls();
-                limitCount++;
+                figures.limitSum += endpoint.pace().limit().calls();
+                figures.limitCount++;
             }
         }
         loadMissingModels();
         entries.forEach(Entry::decideWaiting);
     }
 
-    /** Plays the deployment; a cold start begins with the calls of one second that have waited. */
+    /** Plays the deployment; a cold start begins with the figures.calls of one second that have waited. */
     PacedDeployment play(long durationMs) {
-        if (day == Day.COLD_START) {
+        if (day == PacedLoad.Day.COLD_START) {
             arrivals(1_000 / (double) STEP_MS);
         }
         for (nowMs = 0; nowMs < durationMs; nowMs += STEP_MS) {
@@ -663,47 +598,8 @@
         return this;
     }
 
-    int calls() {
-        return calls;
-    }
-
-    int inTime() {
-        return inTime;
-    }
-
-    /** Returns the calls for models of an engine that had started less than {@link #FIRST_MS} before. */
-    int firstCalls() {
-        return firstCalls;
-    }
-
-    int firstInTime() {
-        return firstInTime;
-    }
-
-    /** Returns how often a call was held back while an engine with its model had few calls. */
-    int heldBack() {
-        return heldBack;
-    }
-
-    /** Returns the figures of the play as one line. */
-    String figures() {
-        StringBuilder kinds = new StringBuilder();
-        for (Kind kind : KINDS) {
-            String name = kind.route.name();
-            kinds.append(String.format(
-                    " %s=%.1f",
-                    name, 100.0 * inTimeByKind.getOrDefault(name, 0) / Math.max(1, offeredByKind.get(name))));
-        }
-        return String.format(
-                "calls=%d in_time=%.2f first=%d first_in_time=%.2f held_back=%d crashes=%d cached=%.2f limit=%.0f%s",
-                calls,
-                100.0 * inTime / Math.max(1, calls),
-                firstCalls,
-                100.0 * firstInTime / Math.max(1, firstCalls),
-                heldBack,
-                crashes,
-                (double) cachedTokens / Math.max(1, promptTokens),
-                limitSum / Math.max(1, limitCount),
-                kinds);
+    /** Returns what has been counted. */
+    PacedFigures figures() {
+        return figures;
     }
 }
--- a/core/src/test/java/org/hawthornglade/core/dispatch/PacedDeploymentTest.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/PacedDeploymentTest.java
@@ -4,7 +4,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
-import org.hawthornglade.core.dispatch.PacedDeployment.Day;
+import org.hawthornglade.core.dispatch.PacedLoad.Day;
 import org.hawthornglade.core.pace.PacingRules;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,9 +31,10 @@
         int inTime = 0;
         for (int seed = 0; seed < SEEDS; seed++) {
             PacedDeployment deployment = new PacedDeployment(day, rules, seed).play(DURATION_MS);
-            calls += deployment.calls();
-            inTime += deployment.inTime();
-            figures.append(String.format("%n%s seed=%d %s", rules, seed, deployment.figures()));
+            calls += deployment.figures().calls();
+            inTime += deployment.figures().inTime();
+            figures.append(String.format(
+                    "%n%s seed=%d %s", rules, seed, deployment.figures().line()));
         }
         return 100.0 * inTime / calls;
     }
@@ -89,6 +90,6 @@
     @CsvSource({"USUAL", "BURSTS", "RESTARTS", "COLD_START", "RECOVERY"})
     void limitHoldsNoCallBackAtEnginesFarBelowTheirSlots(Day day) {
         PacedDeployment deployment = new PacedDeployment(day, LIMIT, 0).play(DURATION_MS);
-        assertWithMessage("held back").that(deployment.heldBack()).isEqualTo(0);
+        assertWithMessage("held back").that(deployment.figures().heldBack()).isEqualTo(0);
     }
 }
