--- a/core/src/test/java/org/hawthornglade/core/dispatch/PacedDeployment.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/PacedDeployment.java
@@ -35,7 +35,7 @@
 /**
  * Plays entries and engines of a deployment in virtual time, each entry with the selector of the product.
  *
- * <p>Engines read prompts one after another and generate for all figures.calls together. They differ in speed, are disturbed
+ * <p>Engines read prompts one after another and generate for all calls together. They differ in speed, are disturbed
  * by other workloads, cache prefixes of prompts, load and unload models, and restart.
  */
 final class PacedDeployment {
@@ -43,7 +43,7 @@
     static final int ENGINES = 35;
     static final int SLOTS = 64;
     static final long KV_TOKENS = 234_408;
-    /** Time after a start of an engine over which the figures.calls are counted separately. */
+    /** Time after a start of an engine over which the calls are counted separately. */
     static final long FIRST_MS = 10_000;
 
     private static final int MODELS = 60;
@@ -51,7 +51,7 @@
     private static final int RESIDENT = 3;
     private static final int STEP_MS = 5;
     private static final long REPORT_MS = 300;
-    /** Age of the counts of figures.calls in a report of the leader. */
+    /** Age of the counts of calls in a report of the leader. */
     private static final long REPORT_AGE_MS = 100;
 
     private static final long RECONSIDER_MS = 50;
@@ -73,7 +73,7 @@
     private final PacedFigures figures = new PacedFigures();
     private long nowMs;
 
-    /** Creates a deployment whose figures.calls and faults depend only on the day and the seed. */
+    /** Creates a deployment whose calls and faults depend only on the day and the seed. */
     PacedDeployment(PacedLoad.Day day, PacingRules rules, long seed) {
         this.day = day;
         this.site = new Random(seed);
@@ -204,10 +204,6 @@
             return new InstancePlacement(id, bornMs, states);
         }
 
-        void accept(Call call) {
-            running.add(call);
-        }
-
         private String prefixKey(Call call) {
             return call.demand.variant() + "|" + call.demand.prefix().get(0).id();
         }
@@ -341,7 +337,7 @@
             call.own = endpoint.load().ownRequests();
             call.startMs = FirstTokenSelector.startMs(endpoint.load().ownPrefillTokens(), call.inFlight);
             endpoint.pace().onStarted();
-            engine.accept(call);
+            engine.running.add(call);
         }
 
         private Optional<Endpoint> endpoint(Call call) {
@@ -465,9 +461,8 @@
         if (!engine.up() || !engine.listed) {
             return;
         }
-        int changes = all ? RESIDENT : 1;
         List<ModelName> old = new ArrayList<>(engine.readyAtMs.keySet());
-        for (int i = 0; i < changes && i < old.size(); i++) {
+        for (int i = 0; i < (all ? RESIDENT : 1) && i < old.size(); i++) {
             ModelName newer = PacedLoad.model((firstModel + i) % MODELS);
             if (!engine.readyAtMs.containsKey(newer) && (all || replicas(old.get(i)) > 1)) {
                 engine.readyAtMs.remove(old.get(i));
@@ -580,7 +575,7 @@
         entries.forEach(Entry::decideWaiting);
     }
 
-    /** Plays the deployment; a cold start begins with the figures.calls of one second that have waited. */
+    /** Plays the deployment; a cold start begins with the calls of one second that have waited. */
     PacedDeployment play(long durationMs) {
         if (day == PacedLoad.Day.COLD_START) {
             arrivals(1_000 / (double) STEP_MS);
