--- a/core/src/test/java/org/hawthornglade/core/dispatch/PacedSite.java
+++ b/core/src/test/java/org/hawthornglade/core/dispatch/PacedSite.java
@@ -12,6 +12,7 @@
 import org.hawthornglade.core.fleet.Records;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.pace.Pacing;
+import org.hawthornglade.core.pace.PacingRules;
 import org.hawthornglade.core.serving.CallKind;
 import org.hawthornglade.core.serving.Route;
 import org.hawthornglade.core.time.ManualClock;
@@ -59,7 +60,10 @@
 
         Entry(int entries) {
             fleet.onSnapshot(List.of(Records.ready("a", List.of(), List.of())), 0);
-            pacing = new Pacing(rule == Rule.ADAPTIVE, false, () -> entries, new Random(random.nextLong()));
+            pacing = new Pacing(
+                    new PacingRules(rule == Rule.ADAPTIVE, rule == Rule.ADAPTIVE, false),
+                    () -> entries,
+                    new Random(random.nextLong()));
             selector = new LeastLoadedSelector(Records.DOMAIN, pacing);
         }
 
@@ -77,7 +81,7 @@
                 return;
             }
             endpoint().load().begin(Optional.empty(), 0, 0);
-            endpoint().pace().share().onStarted();
+            endpoint().pace().onStarted();
             running.add(new RunningCall(
                     this,
                     view,
@@ -107,7 +111,7 @@
             }
             endpoint().pace().onResponse(kind, measuredMs, usualMs, call.inFlight, call.own, nowMs);
             endpoint().load().end(Optional.empty(), 0);
-            endpoint().pace().share().onEnded();
+            endpoint().pace().onEnded();
             endpoint().load().updateOthers(running.size() - endpoint().load().ownRequests(), nowMs);
         }
     }
--- a/core/src/test/java/org/hawthornglade/core/pace/ServerPaceTest.java
+++ b/core/src/test/java/org/hawthornglade/core/pace/ServerPaceTest.java
@@ -78,6 +78,18 @@
         assertThat(pace.limit().calls() == SLOTS).isEqualTo(kept);
     }
 
+    /** Slowness at a server with few calls comes from other workloads or long prompts; it lowered the limit. */
+    @ParameterizedTest
+    @ValueSource(doubles = {2.5, 6})
+    void limitIsKeptIfTheServerIsSlowWithFewCalls(double slowdown) {
+        double start = pace.limit().calls();
+        for (int i = 0; i < 300; i++) {
+            clock.advance(20);
+            pace.onResponse(KIND, (i < 20 ? 1 : slowdown) * USUAL_MS, USUAL_MS, 3, 1, clock.nowMs());
+        }
+        assertThat(pace.limit().calls()).isAtLeast(start);
+    }
+
     /** A server that refuses or does not answer was sent as many calls as before. */
     @Test
     void limitFallsOnRefusalsAndTimeoutsButNotToZero() {
@@ -121,7 +133,7 @@
         int taken = 0;
         EntryShare[] shares = new EntryShare[entries];
         for (int i = 0; i < entries; i++) {
-            shares[i] = new EntryShare();
+            shares[i] = new EntryShare(SLOTS);
         }
         for (long nowMs = 0; nowMs < 6_000; nowMs += 300) {
             int known = taken;
