--- a/core/src/test/java/org/hawthornglade/core/fleet/Records.java
+++ b/core/src/test/java/org/hawthornglade/core/fleet/Records.java
@@ -32,6 +32,19 @@
     /** Creates a record. */
     public static InstanceRecord record(
             String id, boolean leaving, long bornMs, long sequence, List<String> models, List<String> onDisk) {
+        return record(id, DOMAIN, leaving, bornMs, sequence, models, List.of(), onDisk);
+    }
+
+    /** Creates a record of an instance in a given failure domain, with weights cached in memory and on disk. */
+    public static InstanceRecord record(
+            String id,
+            FailureDomain domain,
+            boolean leaving,
+            long bornMs,
+            long sequence,
+            List<String> models,
+            List<String> inMemory,
+            List<String> onDisk) {
         Map<ModelName, Set<AdapterName>> loaded = new LinkedHashMap<>();
         models.forEach(model -> loaded.put(ModelName.of(model), Set.of()));
         return new InstanceRecord(
@@ -39,14 +52,18 @@
                 SERVICE,
                 SoftwareVersion.of("v1"),
                 new InstanceAddress("10.0.0.1", 8_000),
-                DOMAIN,
+                domain,
                 64,
                 leaving,
                 OptionalLong.empty(),
                 bornMs,
                 sequence,
                 loaded,
-                Set.of(),
-                Set.copyOf(onDisk.stream().map(ModelName::of).toList()));
+                names(inMemory),
+                names(onDisk));
+    }
+
+    private static Set<ModelName> names(List<String> models) {
+        return Set.copyOf(models.stream().map(ModelName::of).toList());
     }
 }
--- a/core/src/test/java/org/hawthornglade/core/replica/ReplicaFixture.java
+++ b/core/src/test/java/org/hawthornglade/core/replica/ReplicaFixture.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.core.replica;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.hawthornglade.core.fleet.Records;
 import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.id.AdapterName;
+import org.hawthornglade.core.id.FailureDomain;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.serving.EngineDefinition;
@@ -21,6 +23,7 @@
 final class ReplicaFixture {
     static final long REMOTE_MS = 6_000;
     static final long DISK_MS = 800;
+    static final double MODEL_MB = 70_000;
 
     final List<EngineReplicaTracker> trackers = new ArrayList<>();
     final List<String> orders = new ArrayList<>();
@@ -29,13 +32,20 @@
     final LoadPacer pacer;
     final ReplicaPlanner planner;
     long nowMs = 10_000;
+    /** Whether the engines list the copies that loads leave on their disks. */
+    boolean reportsCopies = true;
 
     /** Creates an engine definition with memory for two models an engine; engines are added by {@link #engine}. */
     ReplicaFixture(int models, double remoteLoadsPerS) {
+        this(remoteLoadsPerS, Collections.nCopies(models, MODEL_MB));
+    }
+
+    /** Creates an engine definition with models of given sizes; an engine has memory for two models of 70 GB. */
+    ReplicaFixture(double remoteLoadsPerS, List<Double> modelMb) {
         Map<ModelName, ModelDefinition> definitions = new LinkedHashMap<>();
-        for (int i = 0; i < models; i++) {
+        for (int i = 0; i < modelMb.size(); i++) {
             ModelName name = ModelName.of("m" + i);
-            definitions.put(name, new ModelDefinition(name, 70_000, REMOTE_MS, DISK_MS, DISK_MS, 50));
+            definitions.put(name, new ModelDefinition(name, modelMb.get(i), REMOTE_MS, DISK_MS, DISK_MS, 50));
         }
         engine = new EngineDefinition(64, 200_000, 142_000, 4, remoteLoadsPerS, definitions);
         pacer = new LoadPacer();
@@ -43,7 +53,13 @@
     }
 
     ReplicaFixture engine(String id, List<String> models, List<String> onDisk) {
-        EngineReplicaTracker tracker = new EngineReplicaTracker(Records.ready(id, models, onDisk));
+        return engine(id, Records.DOMAIN, models, onDisk);
+    }
+
+    /** Adds an engine in a given failure domain. */
+    ReplicaFixture engine(String id, FailureDomain domain, List<String> models, List<String> onDisk) {
+        EngineReplicaTracker tracker =
+                new EngineReplicaTracker(Records.record(id, domain, false, 1, 1, models, List.of(), onDisk));
         tracker.onReport(report(tracker, 0), nowMs);
         trackers.add(tracker);
         return this;
@@ -58,6 +74,15 @@
                 tracker.listed().onDisk());
     }
 
+    /** Lets the engines report whose state is not known. */
+    void reportWhereNeeded() {
+        for (EngineReplicaTracker tracker : trackers) {
+            if (tracker.needsReport(nowMs)) {
+                tracker.onReport(report(tracker, tracker.version().orderSequence()), nowMs);
+            }
+        }
+    }
+
     /** Lists an engine as leaving. */
     void markLeaving(String id) {
         for (EngineReplicaTracker tracker : trackers) {
@@ -164,9 +189,19 @@
                     held.add(entry.getKey().value());
                 }
             }
-            Set<String> disk = new TreeSet<>(held);
+            Set<String> disk = new TreeSet<>(reportsCopies ? held : List.of());
             tracker.listed().onDisk().forEach(model -> disk.add(model.value()));
-            tracker.onListed(Records.record(tracker.id().value(), false, 1, nowMs, held, List.copyOf(disk)), nowMs);
+            tracker.onListed(
+                    Records.record(
+                            tracker.id().value(),
+                            tracker.listed().failureDomain(),
+                            false,
+                            1,
+                            nowMs,
+                            held,
+                            List.of(),
+                            List.copyOf(disk)),
+                    nowMs);
         }
     }
 }
