--- a/core/src/main/java/org/hawthornglade/core/replica/DiskCopyPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/DiskCopyPlanner.java
@@ -120,21 +120,34 @@
         CopyIndex copies = new CopyIndex(round.trackers());
         List<ModelDefinition> absent = absent(copies, round);
         List<ModelDefinition> candidates = absent.isEmpty() ? onOneDisk(copies, round) : absent;
-        double absentCallsPerS = callsPerSecond(absent, round);
         for (ModelDefinition model : candidates) {
             if (!mayFetch(awaitedFromStore, round)) {
                 return;
             }
-            double othersPerS =
-                    absentCallsPerS - (absent.isEmpty() ? 0 : demand.callsPerSecond(model.name(), round.nowMs()));
-            boolean delaysCalls =
-                    round.loadsAtFullSpeed() == 1 && othersPerS * model.remoteLoadMs() / MS_PER_S > MAX_DELAYED_CALLS;
-            if (!delaysCalls && !awaited.contains(model.name())) {
+            if (!delaysCalls(model, absent, round) && !awaited.contains(model.name())) {
                 fetch(model, reason(model, copies), awaited, copies, round);
             }
         }
     }
 
+    /**
+     * Returns whether a fetch takes the only load at full speed, which calls for other models on no disk are more
+     * likely to need.
+     *
+     * <p>A model that is called itself is fetched all the same: it would be awaited soon, and the store would be idle
+     * until then.
+     */
+    private boolean delaysCalls(ModelDefinition model, List<ModelDefinition> absent, PlanningRound round) {
+        if (round.loadsAtFullSpeed() > 1 || isUsed(model, round)) {
+            return false;
+        }
+        return callsPerSecond(absent, round) * model.remoteLoadMs() / MS_PER_S > MAX_DELAYED_CALLS;
+    }
+
+    private boolean isUsed(ModelDefinition model, PlanningRound round) {
+        return demand.callsPerSecond(model.name(), round.nowMs()) >= CopyEvictionChooser.MIN_CALLS_PER_S;
+    }
+
     private boolean mayFetch(int awaitedFromStore, PlanningRound round) {
         if (!round.mayLoadRemotely()) {
             return false;
@@ -180,10 +193,12 @@
     /** Returns the models that one engine has and whose callers cannot wait for the store, by what they would lose. */
     private List<ModelDefinition> onOneDisk(CopyIndex copies, PlanningRound round) {
         List<ModelDefinition> single = new ArrayList<>();
+        if (round.loadsAtFullSpeed() == 1) {
+            return single;
+        }
         for (ModelDefinition model : engine.models().values()) {
-            boolean used = demand.callsPerSecond(model.name(), round.nowMs()) >= CopyEvictionChooser.MIN_CALLS_PER_S;
             boolean oneCopy = copies.copies(model.name()) == 1 && !round.loadOrdered(model.name());
-            if (oneCopy && used && lateCallsPerFetch(model, round.nowMs()) > 0) {
+            if (oneCopy && isUsed(model, round) && lateCallsPerFetch(model, round.nowMs()) > 0) {
                 single.add(model);
             }
         }
