--- a/core/src/main/java/org/hawthornglade/core/replica/CopyEvictionChooser.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/CopyEvictionChooser.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.serving.EngineDefinition;
@@ -19,9 +21,12 @@
     /** A model with fewer calls a second than this, one in 50 s, is not in use. */
     static final double MIN_CALLS_PER_S = 0.02;
 
+    private record Eviction(ModelName model, double costMs) {}
+
     private final EngineDefinition engine;
     private final EntryDemandAggregator demand;
     private final EvictionChooser evictions;
+    private final Map<EngineReplicaTracker, List<Eviction>> cheapestFirst = new HashMap<>();
 
     CopyEvictionChooser(EngineDefinition engine, EntryDemandAggregator demand, EvictionChooser evictions) {
         this.engine = engine;
@@ -29,10 +34,15 @@
         this.evictions = evictions;
     }
 
+    /** Forgets the costs of evictions, as when a round begins or an order has been added. */
+    void forgetCosts() {
+        cheapestFirst.clear();
+    }
+
     /** Returns the model that is cheapest to load again among those not in use; empty if there is none. */
     Optional<ModelName> nextEviction(
             EngineReplicaTracker tracker, Collection<EngineReplicaTracker> trackers, long nowMs) {
-        return cheapestFirst(tracker, trackers, nowMs).stream().findFirst();
+        return cheapestFirst(tracker, trackers, nowMs).stream().findFirst().map(Eviction::model);
     }
 
     /** Returns the cost of making room for a model, in milliseconds of waiting; infinite if that is not possible. */
@@ -46,9 +56,10 @@
             return 0;
         }
         double costMs = 0;
-        for (ModelName evicted : cheapestFirst(tracker, trackers, nowMs)) {
-            missingMb -= engine.models().get(evicted).sizeMb();
-            costMs += reloadCostMs(tracker, evicted, trackers, nowMs);
+        // The cost is the same for all models of a round, which may be hundreds.
+        for (Eviction evicted : cheapestFirst.computeIfAbsent(tracker, key -> cheapestFirst(key, trackers, nowMs))) {
+            missingMb -= engine.models().get(evicted.model()).sizeMb();
+            costMs += evicted.costMs();
             if (missingMb <= 0) {
                 return costMs;
             }
@@ -56,17 +67,16 @@
         return Double.POSITIVE_INFINITY;
     }
 
-    private List<ModelName> cheapestFirst(
+    private List<Eviction> cheapestFirst(
             EngineReplicaTracker tracker, Collection<EngineReplicaTracker> trackers, long nowMs) {
-        List<ModelName> models = new ArrayList<>();
+        List<Eviction> sorted = new ArrayList<>();
         for (ModelName model : tracker.models().keySet()) {
             if (engine.models().containsKey(model) && !isInUse(tracker, model, trackers, nowMs)) {
-                models.add(model);
+                sorted.add(new Eviction(model, reloadCostMs(tracker, model, trackers, nowMs)));
             }
         }
-        models.sort(Comparator.comparingDouble((ModelName model) -> reloadCostMs(tracker, model, trackers, nowMs))
-                .thenComparing(model -> model));
-        return models;
+        sorted.sort(Comparator.comparingDouble(Eviction::costMs).thenComparing(Eviction::model));
+        return sorted;
     }
 
     private boolean isInUse(
--- a/core/src/main/java/org/hawthornglade/core/replica/DiskCopyPlanner.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/DiskCopyPlanner.java
@@ -117,6 +117,7 @@
         if (!mayFetch(awaitedFromStore, round)) {
             return;
         }
+        evictions.forgetCosts();
         CopyIndex copies = new CopyIndex(round.trackers());
         List<ModelDefinition> absent = absent(copies, round);
         List<ModelDefinition> candidates = absent.isEmpty() ? onOneDisk(copies, round) : absent;
@@ -173,6 +174,7 @@
             pending.put(target.id(), fetch);
         }
         if (round.orders().size() > ordered) {
+            evictions.forgetCosts();
             listener.onCopyOrder(round.orders().get(ordered), fetch.model(), fetch.reason());
         }
     }
--- a/core/src/main/java/org/hawthornglade/core/replica/DiskCopyTargets.java
+++ b/core/src/main/java/org/hawthornglade/core/replica/DiskCopyTargets.java
@@ -74,9 +74,10 @@
             PlanningRound round) {
         long nowMs = round.nowMs();
         double fetchMs = (double) model.remoteLoadMs();
-        double costMs = evictions.makeRoomCostMs(tracker, model, round.trackers(), nowMs)
-                + targets.adapterDelayMs(tracker, fetchMs, nowMs)
-                + blockedCallsMs(tracker, fetchMs, copies, nowMs);
+        double costMs = evictions.makeRoomCostMs(tracker, model, round.trackers(), nowMs);
+        if (costMs < Double.POSITIVE_INFINITY) {
+            costMs += targets.adapterDelayMs(tracker, fetchMs, nowMs) + blockedCallsMs(tracker, fetchMs, copies, nowMs);
+        }
         boolean domainTaken = taken.contains(tracker.listed().failureDomain());
         return new Candidate(tracker, domainTaken, costMs, tracker.localModels().size());
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/RemoteLoadLog.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/RemoteLoadLog.java
@@ -1,9 +1,13 @@
 package org.hawthornglade.gateway.leader;
 
+import java.util.Locale;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.id.ModelName;
+import org.hawthornglade.core.replica.CopyReason;
 import org.hawthornglade.core.replica.LoadLimits;
+import org.hawthornglade.core.replica.OrderAction;
 import org.hawthornglade.core.replica.RemoteLoadListener;
+import org.hawthornglade.core.replica.ReplicaOrder;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 
@@ -41,6 +45,19 @@
                 .write();
     }
 
+    @Override
+    public void onCopyOrder(ReplicaOrder order, ModelName fetched, CopyReason reason) {
+        String name = reason.name().toLowerCase(Locale.ROOT);
+        metrics.count((order.action() == OrderAction.LOAD ? "copy_loads_" : "copy_evictions_") + name);
+        log.event("copy-order")
+                .with("instance", order.instance())
+                .with("action", order.action())
+                .with("model", order.model())
+                .with("fetched", fetched)
+                .with("reason", name)
+                .write();
+    }
+
     @Override
     public void onLimitsChanged(LoadLimits limits, String cause) {
         metrics.set("store_loads_proven", limits.proven());
