--- a/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
@@ -77,6 +77,7 @@
                 JsonFields.bool(json, "concurrencyLimit", both || defaults.concurrencyLimit()),
                 JsonFields.bool(json, "expectedTimeChoice", both || defaults.expectedTimeChoice()),
                 JsonFields.bool(json, "overloadAdmission", overloadAdmission),
+                JsonFields.bool(json, "diskCopies", defaults.diskCopies()),
                 JsonFields.bool(json, "enginesCrashWhenFull", defaults.enginesCrashWhenFull()));
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePool.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/EnginePool.java
@@ -25,21 +25,23 @@
     private final LoadPacer pacer = new LoadPacer();
     private final RemoteLoadListener listener;
     private final Map<InstanceId, EngineReplicaTracker> trackers = new HashMap<>();
+    private final boolean plansDiskCopies;
     private EngineDefinition definition;
     private ReplicaPlanner planner;
 
-    EnginePool(ServiceName service, EngineDefinition definition, RemoteLoadListener listener) {
+    EnginePool(ServiceName service, EngineDefinition definition, RemoteLoadListener listener, boolean plansDiskCopies) {
         this.service = service;
         this.definition = definition;
         this.listener = listener;
-        this.planner = new ReplicaPlanner(definition, demand, pacer, listener);
+        this.plansDiskCopies = plansDiskCopies;
+        this.planner = new ReplicaPlanner(definition, demand, pacer, listener, plansDiskCopies);
     }
 
     /** Applies the definition of the newest configuration. */
     void updateDefinition(EngineDefinition newest) {
         if (!newest.equals(definition)) {
             definition = newest;
-            planner = new ReplicaPlanner(newest, demand, pacer, listener);
+            planner = new ReplicaPlanner(newest, demand, pacer, listener, plansDiskCopies);
         }
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -101,7 +101,17 @@
                 settings.enginesCheckTokens());
         this.lease = new LeaseManager(leadership, leaseStore, clock, context.wallClock(), context.log());
         this.leader = new PlacementLeader(
-                settings.node(), fleet, leadership, lease, control, this, timers, clock, context.log(), metrics);
+                settings.node(),
+                fleet,
+                leadership,
+                lease,
+                control,
+                this,
+                timers,
+                clock,
+                context.log(),
+                metrics,
+                settings.loadControl().diskCopies());
         this.leaderConnection = new LeaderConnection(context.loop(), clock, context.log(), this);
         this.followers = new FollowerServer(context.loop(), clock, this);
         this.rateLimits = new SharedRateLimits(
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementLeader.java
@@ -21,6 +21,7 @@
 import org.hawthornglade.core.replica.OrderOutcome;
 import org.hawthornglade.core.replica.ReplicaOrder;
 import org.hawthornglade.core.result.Failure;
+import org.hawthornglade.core.serving.EngineDefinition;
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.time.Clock;
@@ -58,6 +59,7 @@
     private final Clock clock;
     private final EventLog log;
     private final GatewayMetrics metrics;
+    private final boolean plansDiskCopies;
     private final LeaderActivity activity;
     private final Map<ServiceName, EnginePool> pools = new HashMap<>();
     private boolean wasLeading;
@@ -77,7 +79,8 @@
             Timers timers,
             Clock clock,
             EventLog log,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            boolean plansDiskCopies) {
         this.node = node;
         this.fleet = fleet;
         this.leadership = leadership;
@@ -88,6 +91,7 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
+        this.plansDiskCopies = plansDiskCopies;
         this.activity = new LeaderActivity(clock, log, metrics);
     }
 
@@ -97,13 +101,17 @@
             if (service.engine().isPresent()) {
                 pools.computeIfAbsent(
                                 service.name(),
-                                name -> new EnginePool(name, service.engine().get(), new RemoteLoadLog(log, metrics)))
+                                name -> newPool(name, service.engine().get()))
                         .updateDefinition(service.engine().get());
             }
         }
         scheduleRound();
     }
 
+    private EnginePool newPool(ServiceName service, EngineDefinition definition) {
+        return new EnginePool(service, definition, new RemoteLoadLog(log, metrics), plansDiskCopies);
+    }
+
     /** Records an entry's demand, including that of this entry. */
     public void onDemand(DemandUpdate update) {
         update.services().forEach((service, demand) -> {
