--- a/core/src/main/java/org/hawthornglade/core/overload/StartPrediction.java
+++ b/core/src/main/java/org/hawthornglade/core/overload/StartPrediction.java
@@ -26,13 +26,24 @@
      * @param entries the number of entries
      */
     public static StartPrediction of(int ahead, SlotSupply supply, int entries, ServiceTime time, long nowMs) {
-        double shareOfSlots = Math.max(supply.ownInFlight(), (double) supply.inFlight() / Math.max(1, entries));
-        double slotsPerMs = Math.max(1, shareOfSlots) / Math.max(1, time.totalMs());
+        double slotsPerMs = startsPerMs(supply.ownInFlight(), supply.inFlight(), entries, time);
         double queueMs = (ahead + 1) / slotsPerMs;
         long loadedInMs = Math.max(0, supply.loadedAtMs().orElse(Long.MAX_VALUE) - nowMs);
         return new StartPrediction(ahead, supply, time, Math.min(Math.round(queueMs), loadedInMs));
     }
 
+    /**
+     * Returns the rate at which slots become free for this entry.
+     *
+     * @param ownInFlight the calls of this entry in flight
+     * @param inFlight the calls of all entries in flight
+     * @param entries the number of entries
+     */
+    public static double startsPerMs(int ownInFlight, int inFlight, int entries, ServiceTime time) {
+        double shareOfSlots = Math.max(ownInFlight, (double) inFlight / Math.max(1, entries));
+        return Math.max(1, shareOfSlots) / Math.max(1, time.totalMs());
+    }
+
     /**
      * Returns whether the response would come too late, while no endpoint has room.
      *
