--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -135,7 +135,7 @@
         quotaGate.onAsk(placement::reportQuotas);
         waitingCalls.onDemandChanged(placement::demandChanged);
         waitingCalls.setOverloadControl(
-                new OverloadControl(settings.loadControl().overloadAdmission(), entryCount::entries));
+                new OverloadControl(settings.loadControl().overloadAdmission(), entryCount::entries, fleet, clock));
         placement.onEntryCount(this::onEntryCount);
         this.retryBudgets = new RetryBudgets(retryShare(settings), retryBurst(settings));
         this.resumption = new StreamResumption(
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -13,7 +13,9 @@
 import org.hawthornglade.core.fleet.Permits;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.SoftwareVersion;
+import org.hawthornglade.core.overload.RetryNotice;
 import org.hawthornglade.core.overload.StartPrediction;
+import org.hawthornglade.core.overload.Urgency;
 import org.hawthornglade.core.result.Execution;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.resumption.StreamOrigin;
@@ -54,6 +56,8 @@
     private final PermitWaiter permitWaiter = new PermitWaiter();
     private Timers.Timeout deadline;
     private Attempt attempt;
+    private Optional<Endpoint> lastEndpoint = Optional.empty();
+    private long yieldsUntilMs;
     private int runs;
     private int rejections;
     private boolean hasWaited;
@@ -111,11 +115,46 @@
         long remainingMs = Math.max(0, view.remainingMs(context.clock().nowMs()));
         deadline = context.timers().after(remainingMs, this::onDeadline);
         context.retryBudgets().of(view.service()).onRequest();
+        if (ordered()) {
+            context.waitingCalls().onArrived(view);
+            yieldsUntilMs = call.response()
+                    .retryNotice()
+                    .map(notice -> notice.yieldsUntilMs(view.service(), OverloadControl.model(view)))
+                    .orElse(0L);
+        }
         if (view.route().kind() == CallKind.STREAM && request.takeUp().isPresent()) {
             context.resumption().decide(request.id(), request.takeUp().get(), view.service(), this::onTakeUp);
             return;
         }
-        decide();
+        decideNew();
+    }
+
+    /** Returns whether the call waits in the order of its urgency, and its start is predicted. */
+    private boolean ordered() {
+        return context.waitingCalls().overloadControl().appliesTo(view);
+    }
+
+    private Optional<Urgency> urgency() {
+        return ordered()
+                ? Optional.of(context.waitingCalls().overloadControl().urgency(view, yieldsUntilMs, number))
+                : Optional.empty();
+    }
+
+    /** Decides on a call that has arrived; after the waiting ones if its caller was to come back later. */
+    private void decideNew() {
+        boolean yields = yieldsUntilMs > context.clock().nowMs();
+        if (!yields) {
+            decide();
+            return;
+        }
+        context.metrics().count("calls_before_retry_after");
+        if (!context.waitingCalls().anyWaitingFor(view)) {
+            decide();
+            return;
+        }
+        record.onWait(new Decision.Wait("early-retry"));
+        enqueue();
+        context.timers().run(() -> context.waitingCalls().reconsiderBehind(view));
     }
 
     /** Handles the decision on a stream that an earlier attempt of the caller began. */
@@ -125,7 +164,7 @@
         }
         if (decision instanceof TakeUpDecision.GoOn goOn) {
             view.onTakenUp(goOn.origin());
-            decide();
+            decideNew();
         } else if (decision instanceof TakeUpDecision.Refuse refusal) {
             refuse(refusal.code(), refusal.retryAfterMs());
         }
@@ -160,9 +199,8 @@
     /** Refuses a call that has not run if no endpoint is expected to have room for it in time. */
     private boolean refuseIfLate(Decision.Wait wait) {
         long nowMs = context.clock().nowMs();
-        Optional<StartPrediction> predicted = context.waitingCalls()
-                .overloadControl()
-                .predict(view, wait, context.waitingCalls(), context.fleet(), nowMs);
+        Optional<StartPrediction> predicted =
+                context.waitingCalls().overloadControl().predict(view, urgency(), wait, context.waitingCalls(), nowMs);
         if (predicted.isEmpty()) {
             return false;
         }
@@ -235,12 +273,12 @@
             return;
         }
         if (hasWaited) {
-            context.waitingCalls().add(this);
+            context.waitingCalls().add(this, urgency());
             return;
         }
         hasWaited = true;
         recordShortage();
-        context.waitingCalls().addNew(this);
+        context.waitingCalls().addNew(this, urgency());
     }
 
     private void recordShortage() {
@@ -253,10 +291,24 @@
 
     private void send(Decision.Send decision) {
         record.onSent(decision, context.clock().nowMs());
+        onSentInOrder(decision.endpoint());
         attempt = new Attempt(context, this, decision.endpoint(), decision.cachedTokens());
         attempt.start();
     }
 
+    private void onSentInOrder(Endpoint endpoint) {
+        Optional<Endpoint> previous = lastEndpoint;
+        lastEndpoint = Optional.of(endpoint);
+        if (!ordered()) {
+            return;
+        }
+        if (previous.isEmpty()) {
+            context.waitingCalls().onStarted(view);
+        } else if (!previous.get().equals(endpoint)) {
+            context.timers().run(() -> context.waitingCalls().reconsiderAt(previous.get()));
+        }
+    }
+
     /** Handles events of a stream, written by an instance with this version of its software. */
     void onEvents(SoftwareVersion version) {
         record.onFirstByte(context.clock().nowMs());
@@ -433,6 +485,10 @@
         recordShortage();
         record.onRetryAfter(retryAfterMs);
         ResultCode reported = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
+        if (reported.hasRetryAfter() && retryAfterMs > 0 && ordered()) {
+            long untilMs = context.clock().nowMs() + retryAfterMs;
+            call.response().onRetryAfter(new RetryNotice(view.service(), OverloadControl.model(view), untilMs));
+        }
         fail(reported, reported.hasRetryAfter() ? retryAfterMs : 0);
     }
 
@@ -487,7 +543,18 @@
         context.waitingCalls().remove(this);
         record.write(
                 context.log(), context.metrics(), code, status, context.clock().nowMs());
-        context.timers().run(context.waitingCalls()::reconsider);
+        context.timers().run(this::reconsiderOthers);
+    }
+
+    private void reconsiderOthers() {
+        if (lastEndpoint.isPresent()) {
+            context.waitingCalls().reconsiderAt(lastEndpoint.get());
+        } else if (hasWaited) {
+            context.waitingCalls().reconsiderBehind(view);
+        } else {
+            // A call that was refused on its arrival has changed nothing for calls with an urgency.
+            context.waitingCalls().reconsiderWithoutUrgency();
+        }
     }
 
     Optional<String> resumeFrom() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -20,6 +20,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.hawthornglade.core.overload.RetryNotice;
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.gateway.memory.BodyReader;
 import org.hawthornglade.gateway.memory.BodyReservation;
@@ -51,6 +52,7 @@
     private long heldBackAtMs;
     private boolean refusing;
     private Optional<HttpResponseStatus> refusal = Optional.empty();
+    private Optional<RetryNotice> retryNotice = Optional.empty();
     private boolean closing;
     private long lastActiveMs;
     private long requestStartedMs;
@@ -276,6 +278,14 @@
         }
     }
 
+    void onRetryAfter(RetryNotice notice) {
+        retryNotice = Optional.of(notice);
+    }
+
+    Optional<RetryNotice> retryNotice() {
+        return retryNotice;
+    }
+
     private void finishRequest() {
         PendingResponse response =
                 new PendingResponse(this, context.channel(), head.method(), !HttpUtil.isKeepAlive(head));
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerResponse.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import org.hawthornglade.core.overload.RetryNotice;
 
 /** Sends the response to one call; used on the event loop only. */
 public interface CallerResponse {
@@ -35,4 +37,10 @@
 
     /** Handles a change of {@link #writable()}; called by its connection. */
     void writabilityChanged();
+
+    /** Records on the connection that its caller is told when to come back; replaces an earlier record. */
+    void onRetryAfter(RetryNotice notice);
+
+    /** Returns what the caller was last told on this connection on when to come back. */
+    Optional<RetryNotice> retryNotice();
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
+import org.hawthornglade.core.overload.RetryNotice;
 
 /** The response to one request on a caller's connection. */
 final class PendingResponse implements CallerResponse {
@@ -129,4 +131,14 @@
         }
         connection.onResponseWritten(last);
     }
+
+    @Override
+    public void onRetryAfter(RetryNotice notice) {
+        connection.onRetryAfter(notice);
+    }
+
+    @Override
+    public Optional<RetryNotice> retryNotice() {
+        return connection.retryNotice();
+    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -130,6 +130,7 @@
             records.add(record("i-" + i, ports.get(i), i, versions.get(i), ScriptedEndpoint.FIRST_BORN_MS));
         }
         fleet.onSnapshot(records, clock.nowMs());
+        waitingCalls.setOverloadControl(new OverloadControl(false, () -> 1, fleet, clock));
         LeastLoadedSelector selector = new LeastLoadedSelector(LOCAL_DOMAIN);
         PromptQuarantine quarantine = new PromptQuarantine("entry", new QuarantineLog(log, new GatewayMetrics()));
         EndpointConnections connections =
@@ -228,8 +229,13 @@
 
     /** Enables early refusals, with the time that calls of each kind have taken so far, in milliseconds. */
     void enableOverloadControl(long callMs) throws Exception {
+        setOverloadControl(true, callMs);
+    }
+
+    /** Sets whether early refusals are enabled by the settings, and the time that calls have taken so far. */
+    void setOverloadControl(boolean always, long callMs) throws Exception {
         group.submit(() -> {
-                    OverloadControl control = new OverloadControl(true, () -> 1);
+                    OverloadControl control = new OverloadControl(always, () -> 1, fleet, clock);
                     waitingCalls.setOverloadControl(control);
                     recordCalls(control, callMs);
                 })
@@ -249,6 +255,14 @@
         return group.submit(() -> waitingCalls.all().size()).get(5, TimeUnit.SECONDS);
     }
 
+    /** Returns the ids of the waiting calls in the order in which these are decided; read on the event loop. */
+    List<String> idsOfWaitingCalls() throws Exception {
+        return group.submit(() -> waitingCalls.all().stream()
+                        .map(exchange -> exchange.request().id().value())
+                        .toList())
+                .get(5, TimeUnit.SECONDS);
+    }
+
     /** Returns the teams of the waiting calls in the order in which these are decided; read on the event loop. */
     List<String> teamsOfWaitingCalls() throws Exception {
         return group.submit(() -> waitingCalls.all().stream()
