--- a/core/src/main/java/org/hawthornglade/core/overload/WaitingOrder.java
+++ b/core/src/main/java/org/hawthornglade/core/overload/WaitingOrder.java
@@ -139,9 +139,9 @@
     public List<C> order(double startsPerMs, StartShares shares, long nowMs) {
         advance(nowMs);
         List<C> ordered = new ArrayList<>();
-        List<Cursor<C>> cursors = cursors(startsPerMs, nowMs);
+        List<Cursor<C>> cursors = cursors(startsPerMs, shares, nowMs);
         while (!cursors.isEmpty()) {
-            int chosen = choose(cursors, shares, nowMs);
+            int chosen = choose(cursors, nowMs);
             for (Cursor<C> passed : cursors.subList(0, chosen)) {
                 passed.startsToSpare--;
             }
@@ -156,12 +156,14 @@
         return ordered;
     }
 
-    private List<Cursor<C>> cursors(double startsPerMs, long nowMs) {
+    private List<Cursor<C>> cursors(double startsPerMs, StartShares shares, long nowMs) {
         List<Cursor<C>> cursors = new ArrayList<>();
         int higher = 0;
         for (var entry : levels.entrySet()) {
             Level<C> level = entry.getValue();
-            cursors.add(new Cursor<>(entry.getKey(), level, startsToSpare(level, higher, startsPerMs, nowMs)));
+            Cursor<C> cursor = new Cursor<>(entry.getKey(), level, startsToSpare(level, higher, startsPerMs, nowMs));
+            cursor.compare(cursors, shares, nowMs);
+            cursors.add(cursor);
             higher += level.onTarget.size();
         }
         return cursors;
@@ -181,25 +183,25 @@
     }
 
     /** Returns the index of the priority whose first call is next. */
-    private static <C> int choose(List<Cursor<C>> cursors, StartShares shares, long nowMs) {
+    private static <C> int choose(List<Cursor<C>> cursors, long nowMs) {
         int chosen = 0;
         for (int lower = 1; lower < cursors.size(); lower++) {
             long latestStartMs = cursors.get(lower).peek().urgency().latestStartMs(nowMs);
             boolean sooner =
                     latestStartMs < cursors.get(chosen).peek().urgency().latestStartMs(nowMs);
-            if (sooner && mayPass(cursors, lower, shares, nowMs)) {
+            if (sooner && mayPass(cursors, lower, nowMs)) {
                 chosen = lower;
             }
         }
         return chosen;
     }
 
-    private static <C> boolean mayPass(List<Cursor<C>> cursors, int lower, StartShares shares, long nowMs) {
+    private static <C> boolean mayPass(List<Cursor<C>> cursors, int lower, long nowMs) {
         Cursor<C> passing = cursors.get(lower);
-        // A late call loses all of its value after its deadline, those that it passes only part of theirs.
-        double lead = passing.peek().urgency().meetsTarget(nowMs) ? 0 : LATE_LEAD;
-        for (Cursor<C> higher : cursors.subList(0, lower)) {
-            if (higher.startsToSpare < 1 && !shares.servedLess(passing.priority, higher.priority, lead, nowMs)) {
+        boolean onTarget = passing.peek().urgency().meetsTarget(nowMs);
+        List<Integer> servedMore = onTarget ? passing.servedMore : passing.servedMoreThanLate;
+        for (int i = 0; i < lower; i++) {
+            if (cursors.get(i).startsToSpare < 1 && !servedMore.contains(cursors.get(i).priority)) {
                 return false;
             }
         }
@@ -210,6 +212,10 @@
     private static final class Cursor<C> {
         private final int priority;
         private final Level<C> level;
+        /** The higher priorities that have been served more than this one, before its calls on target or late. */
+        private final List<Integer> servedMore = new ArrayList<>();
+
+        private final List<Integer> servedMoreThanLate = new ArrayList<>();
         private double startsToSpare;
         private int onTarget;
         private int late;
@@ -220,6 +226,19 @@
             this.startsToSpare = startsToSpare;
         }
 
+        /** Compares the shares once, as they do not change while the calls are put in order. */
+        void compare(List<Cursor<C>> higher, StartShares shares, long nowMs) {
+            for (Cursor<C> other : higher) {
+                if (shares.servedLess(priority, other.priority, 0, nowMs)) {
+                    servedMore.add(other.priority);
+                }
+                // A late call loses all of its value after its deadline, those that it passes only part of theirs.
+                if (shares.servedLess(priority, other.priority, LATE_LEAD, nowMs)) {
+                    servedMoreThanLate.add(other.priority);
+                }
+            }
+        }
+
         boolean hasNext() {
             return onTarget < level.onTarget.size() || late < level.late.size();
         }
