--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerLimits.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerLimits.java
@@ -22,7 +22,7 @@
     private static final int MOST_LEGAL_HEADER_FIELDS = 4_096;
 
     /** The limits of settings that state none. */
-    public static final CallerLimits DEFAULT = new CallerLimits(0, MOST_LEGAL_HEADER_FIELDS, 8, 0, 15_000, 1_024);
+    public static final CallerLimits DEFAULT = new CallerLimits(0, MOST_LEGAL_HEADER_FIELDS, 8, 0, 15_000, 0);
 
     /** The share of the heap that heads may take. */
     private static final int HEADS_HEAP_DIVISOR = 6;
