--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -8,13 +8,14 @@
 import org.hawthornglade.core.dispatch.ReplicaShortage;
 import org.hawthornglade.core.id.RequestDigest;
 import org.hawthornglade.core.id.RequestId;
+import org.hawthornglade.core.overload.StartPrediction;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.gateway.http.BodyFraming;
 import org.hawthornglade.gateway.log.EventLog;
 import org.hawthornglade.gateway.log.LogLine;
 import org.hawthornglade.gateway.metrics.GatewayMetrics;
 
-/** Collects the events of a call and logs them as one line when the call ends. */
+/** Collects the events of a call and logs them as one line when the call ends; an early refusal has its own line. */
 final class CallRecord {
     private static final int MAX_NOTES_LENGTH = 300;
     private static final int MAX_EVENT_ID_LENGTH = 40;
@@ -52,6 +53,24 @@
         }
     }
 
+    /** Logs that the call is refused because no endpoint is expected to have room for it in time. */
+    void logLate(EventLog log, GatewayMetrics metrics, StartPrediction predicted, long leftMs) {
+        metrics.count("calls_refused_as_late");
+        log.event("call-late")
+                .with("request", id)
+                .with("service", view.service())
+                .with("ahead", predicted.ahead())
+                .with("endpoints", predicted.supply().endpoints())
+                .with("own_in_flight", predicted.supply().ownInFlight())
+                .with("in_flight", predicted.supply().inFlight())
+                .with("call_ms", Math.round(predicted.time().totalMs()))
+                .with("first_ms", Math.round(predicted.time().firstMs()))
+                .with("age_ms", predicted.time().ageMs())
+                .with("start_ms", predicted.startInMs())
+                .with("left_ms", leftMs)
+                .write();
+    }
+
     /** Records what no endpoint had ready when the call was made to wait or refused; the last one counts. */
     void onShortage(ReplicaShortage found) {
         shortage = Optional.of(found);
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -13,9 +13,7 @@
 import org.hawthornglade.core.fleet.Permits;
 import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.SoftwareVersion;
-import org.hawthornglade.core.overload.RetryNotice;
 import org.hawthornglade.core.overload.StartPrediction;
-import org.hawthornglade.core.overload.Urgency;
 import org.hawthornglade.core.result.Execution;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.resumption.StreamOrigin;
@@ -53,17 +51,12 @@
     private final ResponseWriter response;
     private final CallRecord record;
     private final KeptResponse keptResponse;
-    /** When the call was passed on: a pipelined one does not count the time behind others of its connection. */
-    private final long turnAtMs;
-
+    private final WaitingPlace place;
     private final PermitWaiter permitWaiter = new PermitWaiter();
     private Timers.Timeout deadline;
     private Attempt attempt;
-    private Optional<Endpoint> lastEndpoint = Optional.empty();
-    private long yieldsUntilMs;
     private int runs;
     private int rejections;
-    private boolean hasWaited;
     private boolean streamBegun;
     private boolean reachedEndpoint;
     private boolean ended;
@@ -87,7 +80,7 @@
         this.response = new ResponseWriter(context.protocol(), call.response(), request);
         this.record = new CallRecord(request.id(), view, configurationVersion);
         this.keptResponse = new KeptResponse(context.bufferBudget());
-        this.turnAtMs = call.pipelined() ? context.clock().nowMs() : view.arrivedAtMs();
+        this.place = new WaitingPlace(context, this);
     }
 
     public CallView view() {
@@ -100,7 +93,7 @@
 
     /** Returns the time by which waiting calls of one priority are ordered. */
     long turnAtMs() {
-        return turnAtMs;
+        return place.turnAtMs();
     }
 
     IncomingCall call() {
@@ -124,61 +117,27 @@
         long remainingMs = Math.max(0, view.remainingMs(context.clock().nowMs()));
         deadline = context.timers().after(remainingMs, this::onDeadline);
         context.retryBudgets().of(view.service()).onRequest();
-        if (ordered()) {
-            context.waitingCalls().onArrived(view);
-            yieldsUntilMs = call.response()
-                    .retryNotice()
-                    .map(notice -> notice.yieldsUntilMs(view.service(), OverloadControl.model(view)))
-                    .orElse(0L);
-        }
+        place.onArrived();
         if (view.route().kind() == CallKind.STREAM && request.takeUp().isPresent()) {
             context.resumption().decide(request.id(), request.takeUp().get(), view.service(), this::onTakeUp);
             return;
         }
         if (call.pipelined() && !context.waitingCalls().isEmpty()) {
-            takeTurn();
+            place.takeTurn();
             return;
         }
         decideNew();
     }
 
-    /** Returns whether the call waits in the order of its urgency, and its start is predicted. */
-    private boolean ordered() {
-        return context.waitingCalls().overloadControl().appliesTo(view);
-    }
-
-    private Optional<Urgency> urgency() {
-        return ordered()
-                ? Optional.of(context.waitingCalls().overloadControl().urgency(view, yieldsUntilMs, number))
-                : Optional.empty();
-    }
-
     /** Decides on a call that has arrived; after the waiting ones if its caller was to come back later. */
     private void decideNew() {
-        boolean yields = yieldsUntilMs > context.clock().nowMs();
-        if (!yields) {
-            decide();
-            return;
-        }
-        context.metrics().count("calls_before_retry_after");
-        if (!context.waitingCalls().anyWaitingFor(view)) {
+        if (!place.yields()) {
             decide();
             return;
         }
         record.onWait(new Decision.Wait("early-retry"));
         enqueue();
-        context.timers().run(() -> context.waitingCalls().reconsiderBehind(view));
-    }
-
-    /**
-     * Decides on the call in its turn among the waiting ones.
-     *
-     * <p>The call before it on its connection has just freed a slot. The connection would keep that slot for as long as
-     * it has requests, while waiting calls are offered none until their deadline.
-     */
-    private void takeTurn() {
-        context.waitingCalls().add(this, urgency());
-        context.timers().run(context.waitingCalls()::reconsider);
+        place.reconsiderQueue();
     }
 
     /** Handles the decision on a stream that an earlier attempt of the caller began. */
@@ -223,40 +182,23 @@
     /** Refuses a call that has not run if no endpoint is expected to have room for it in time. */
     private boolean refuseIfLate(Decision.Wait wait) {
         long nowMs = context.clock().nowMs();
-        Optional<StartPrediction> predicted =
-                context.waitingCalls().overloadControl().predict(view, urgency(), wait, context.waitingCalls(), nowMs);
+        Optional<StartPrediction> predicted = context.waitingCalls()
+                .overloadControl()
+                .predict(view, place.urgency(), wait, context.waitingCalls(), nowMs);
         if (predicted.isEmpty()) {
             return false;
         }
         record.onStartPredicted(nowMs + predicted.get().startInMs());
         boolean mayRefuse = runs == 0 && !response.started() && !keptResponse.present();
         long leftMs = view.abandonAtMs() - nowMs;
-        if (!mayRefuse || !predicted.get().tooLate(leftMs, hasWaited)) {
+        if (!mayRefuse || !predicted.get().tooLate(leftMs, place.hasWaited())) {
             return false;
         }
-        logLate(predicted.get(), leftMs);
+        record.logLate(context.log(), context.metrics(), predicted.get(), leftMs);
         refuse(ResultCode.DEADLINE_NOT_REACHABLE, Math.max(1, predicted.get().startInMs()));
         return true;
     }
 
-    private void logLate(StartPrediction predicted, long leftMs) {
-        context.metrics().count("calls_refused_as_late");
-        context.log()
-                .event("call-late")
-                .with("request", request.id())
-                .with("service", view.service())
-                .with("ahead", predicted.ahead())
-                .with("endpoints", predicted.supply().endpoints())
-                .with("own_in_flight", predicted.supply().ownInFlight())
-                .with("in_flight", predicted.supply().inFlight())
-                .with("call_ms", Math.round(predicted.time().totalMs()))
-                .with("first_ms", Math.round(predicted.time().firstMs()))
-                .with("age_ms", predicted.time().ageMs())
-                .with("start_ms", predicted.startInMs())
-                .with("left_ms", leftMs)
-                .write();
-    }
-
     private void requestPermit(Decision.AwaitPermit awaitPermit) {
         record.onWait(new Decision.Wait("limit", awaitPermit.expectedAtMs()));
         if (permitWaiter.join(awaitPermit, view, context.clock().nowMs())) {
@@ -296,13 +238,10 @@
             refuseAtStop();
             return;
         }
-        if (hasWaited) {
-            context.waitingCalls().add(this, urgency());
-            return;
+        if (!place.hasWaited()) {
+            recordShortage();
         }
-        hasWaited = true;
-        recordShortage();
-        context.waitingCalls().addNew(this, urgency());
+        place.enqueue();
     }
 
     private void recordShortage() {
@@ -315,24 +254,11 @@
 
     private void send(Decision.Send decision) {
         record.onSent(decision, context.clock().nowMs());
-        onSentInOrder(decision.endpoint());
+        place.onSent(decision.endpoint());
         attempt = new Attempt(context, this, decision.endpoint(), decision.cachedTokens());
         attempt.start();
     }
 
-    private void onSentInOrder(Endpoint endpoint) {
-        Optional<Endpoint> previous = lastEndpoint;
-        lastEndpoint = Optional.of(endpoint);
-        if (!ordered()) {
-            return;
-        }
-        if (previous.isEmpty()) {
-            context.waitingCalls().onStarted(view);
-        } else if (!previous.get().equals(endpoint)) {
-            context.timers().run(() -> context.waitingCalls().reconsiderAt(previous.get()));
-        }
-    }
-
     /** Handles events of a stream, written by an instance with this version of its software. */
     void onEvents(SoftwareVersion version) {
         record.onFirstByte(context.clock().nowMs());
@@ -509,11 +435,9 @@
         recordShortage();
         record.onRetryAfter(retryAfterMs);
         ResultCode reported = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
-        if (reported.hasRetryAfter() && retryAfterMs > 0 && ordered()) {
-            long untilMs = context.clock().nowMs() + retryAfterMs;
-            call.response().onRetryAfter(new RetryNotice(view.service(), OverloadControl.model(view), untilMs));
-        }
-        fail(reported, reported.hasRetryAfter() ? retryAfterMs : 0);
+        long statedMs = reported.hasRetryAfter() ? retryAfterMs : 0;
+        place.onRefused(statedMs);
+        fail(reported, statedMs);
     }
 
     private void onDeadline() {
@@ -567,18 +491,7 @@
         context.waitingCalls().remove(this);
         record.write(
                 context.log(), context.metrics(), code, status, context.clock().nowMs());
-        context.timers().run(this::reconsiderOthers);
-    }
-
-    private void reconsiderOthers() {
-        if (lastEndpoint.isPresent()) {
-            context.waitingCalls().reconsiderAt(lastEndpoint.get());
-        } else if (hasWaited) {
-            context.waitingCalls().reconsiderBehind(view);
-        } else {
-            // A call that was refused on its arrival has changed nothing for calls with an urgency.
-            context.waitingCalls().reconsiderWithoutUrgency();
-        }
+        context.timers().run(place::reconsiderOthers);
     }
 
     Optional<String> resumeFrom() {
