--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -50,17 +50,14 @@
     private ChannelHandlerContext context;
     private HttpRequest head;
     private RequestBody body;
-    /** The rate of the body that is being read. */
-    private Optional<TransferRate> rate = Optional.empty();
-
+    private final RequestProgress progress = new RequestProgress();
+    private final UnreadBytes unread = new UnreadBytes();
     private boolean continueExpected;
-    private long heldBackAtMs;
     private boolean refusing;
     private Optional<HttpResponseStatus> refusal = Optional.empty();
     private Optional<RetryNotice> retryNotice = Optional.empty();
     private boolean closing;
     private long lastActiveMs;
-    private long requestStartedMs;
     private boolean receivedBytes;
     /** The bytes of a head that is not complete. */
     private int partialHeadBytes;
@@ -68,10 +65,6 @@
     private int headHeapBytes;
 
     private int queuedHeapBytes;
-    /** Response bytes that the caller had not read when this was checked last, and since when it has read none. */
-    private long unreadBytes;
-
-    private long unreadSinceMs;
 
     CallerConnection(CallerServer server) {
         this.server = server;
@@ -147,9 +140,7 @@
         if (head == null && !refusing) {
             partialHeadBytes += bytes;
         }
-        if (requestStartedMs == 0) {
-            requestStartedMs = server.clock().nowMs();
-        }
+        progress.onBytes(server.clock().nowMs());
     }
 
     private void read(HttpObject message) {
@@ -174,7 +165,7 @@
         headHeapBytes = HeadBudget.bytesOf(request);
         head = request;
         body = openBody(request);
-        rate = Optional.of(new TransferRate(
+        progress.onHead(new TransferRate(
                 server.callerLimits().minBodyBytesPerS(),
                 HttpUtil.getContentLength(request, 0L),
                 server.clock().nowMs()));
@@ -214,21 +205,14 @@
 
     /** Reads on if memory is reserved for the next bytes; else the connection is not read until it is. */
     private void readOnIfReserved() {
-        if (!body.reservation().tryReadOn() && heldBackAtMs == 0) {
-            heldBackAtMs = server.clock().nowMs();
+        if (!body.reservation().tryReadOn() && progress.holdBack(server.clock().nowMs())) {
             updateReading();
         }
     }
 
     @Override
     public void readOn() {
-        if (heldBackAtMs != 0) {
-            // The caller could not send meanwhile, so that this time does not count against it.
-            long nowMs = server.clock().nowMs();
-            requestStartedMs += nowMs - heldBackAtMs;
-            heldBackAtMs = 0;
-            rate.ifPresent(measured -> measured.startWindow(nowMs));
-        }
+        progress.readOn(server.clock().nowMs());
         updateReading();
         sendContinue();
     }
@@ -260,13 +244,13 @@
     }
 
     private void updateReading() {
-        boolean reads = decodesOn() && heldBackAtMs == 0 && !undecoded.isHolding();
+        boolean reads = decodesOn() && !progress.heldBack() && !undecoded.isHolding();
         context.channel().config().setAutoRead(reads);
     }
 
     /** Asks for the body of a request that waits for this, after the responses to the previous ones. */
     private void sendContinue() {
-        if (!continueExpected || heldBackAtMs != 0 || closing || current.isPresent() || !queued.isEmpty()) {
+        if (!continueExpected || progress.heldBack() || closing || current.isPresent() || !queued.isEmpty()) {
             return;
         }
         continueExpected = false;
@@ -280,8 +264,7 @@
             return;
         }
         int bytes = content.content().readableBytes();
-        long nowMs = server.clock().nowMs();
-        rate.ifPresent(measured -> measured.onReceived(bytes, nowMs));
+        progress.onBody(bytes, server.clock().nowMs());
         if (body.bytes() + bytes > server.limits().maxBodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
@@ -323,8 +306,7 @@
     private void enqueue(ReceivedCall call) {
         head = null;
         continueExpected = false;
-        requestStartedMs = 0;
-        heldBackAtMs = 0;
+        progress.onEnd();
         partialHeadBytes = 0;
         queuedHeapBytes += headHeapBytes;
         queued.add(new ReceivedCall(call.call(), call.reservation(), headHeapBytes));
@@ -368,7 +350,7 @@
         headHeapBytes = 0;
         refusal = Optional.of(status);
         discardBody();
-        heldBackAtMs = 0;
+        progress.stopHoldingBack();
         updateReading();
         if (current.isEmpty() && queued.isEmpty()) {
             sendRefusal(status);
@@ -396,13 +378,13 @@
         long nowMs = server.clock().nowMs();
         RequestLimits limits = server.limits();
         boolean slowHead = head == null
-                && requestStartedMs != 0
+                && progress.started()
                 && current.isEmpty()
                 && queued.isEmpty()
-                && nowMs - requestStartedMs > limits.headerTimeoutMs();
-        boolean slowBody = head != null && heldBackAtMs == 0 && nowMs - requestStartedMs > limits.idleTimeoutMs();
+                && progress.ageMs(nowMs) > limits.headerTimeoutMs();
+        boolean slowBody = head != null && !progress.heldBack() && progress.ageMs(nowMs) > limits.idleTimeoutMs();
         boolean idle = head == null
-                && requestStartedMs == 0
+                && !progress.started()
                 && current.isEmpty()
                 && queued.isEmpty()
                 && nowMs - lastActiveMs > limits.idleTimeoutMs();
@@ -410,9 +392,7 @@
             scheduleTimeoutCheck();
             return;
         }
-        boolean slowRate = head != null
-                && heldBackAtMs == 0
-                && rate.filter(measured -> measured.tooSlow(nowMs)).isPresent();
+        boolean slowRate = head != null && progress.tooSlow(nowMs);
         if (slowHead || slowBody) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (slowRate) {
@@ -438,7 +418,7 @@
 
     /** Returns whether no request is open, not even a part of one. */
     private boolean isIdle() {
-        return current.isEmpty() && queued.isEmpty() && head == null && requestStartedMs == 0;
+        return current.isEmpty() && queued.isEmpty() && head == null && !progress.started();
     }
 
     /** Returns whether no complete request has been read that has no response yet. */
@@ -459,22 +439,12 @@
     /** Checks the bytes of responses that the caller has not read; returns how many. */
     long checkUnread(long nowMs) {
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
-        long pendingBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
-        if (pendingBytes == 0 || pendingBytes < unreadBytes || unreadBytes == 0) {
-            unreadSinceMs = nowMs;
-        }
-        unreadBytes = pendingBytes;
-        return pendingBytes;
-    }
-
-    /** Returns how many bytes of responses the caller had not read when this was checked last. */
-    long unreadBytes() {
-        return unreadBytes;
+        return unread.onChecked(buffer == null ? 0 : buffer.totalPendingWriteBytes(), nowMs);
     }
 
     /** Returns since when the caller has read none of the bytes of responses that are due to it. */
     long unreadSinceMs() {
-        return unreadSinceMs;
+        return unread.sinceMs();
     }
 
     @Override
