CallerConnection: the assembly of requests and the queue of calls are classes of their own

Cause: 519 lines that read, queued, timed and answered. Change: RequestAssembler (from decoded parts to requests), CallQueue (the current request and those behind it), and an enum in place of a second handler method for requests that are refused before their body was read. No change of behaviour.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -27,6 +27,7 @@
 import org.hawthornglade.core.team.TeamQuota;
 import org.hawthornglade.gateway.http.CallHandler;
 import org.hawthornglade.gateway.http.IncomingCall;
+import org.hawthornglade.gateway.http.UnreadBody;
 import org.hawthornglade.gateway.port.CallRequest;
 
 /** Receives calls: reads their headers, finds their routes and starts an exchange for each of them. */
@@ -162,7 +163,7 @@
     }
 
     @Override
-    public void onNoMemory(IncomingCall call) {
+    public void onUnreadBody(IncomingCall call, UnreadBody reason) {
         RequestId id = context.protocol().readCall(call.head()).fold(invalid -> RequestId.of("none"), CallRequest::id);
         sendError(call, id, ResultCode.BODY_MEMORY_FULL, NO_MEMORY_RETRY_AFTER_MS, "no memory for its body");
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallHandler.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallHandler.java
@@ -9,8 +9,8 @@
     /** Handles a call that was read completely; the response may be sent later. */
     void onCall(IncomingCall call);
 
-    /** Refuses a call whose body was not read, because there is no memory for it; the connection is closed after it. */
-    default void onNoMemory(IncomingCall call) {
+    /** Refuses a call whose body was not read; the connection is closed after the response. */
+    default void onUnreadBody(IncomingCall call, UnreadBody reason) {
         call.response().send(HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -1,12 +1,11 @@
 package org.hawthornglade.gateway.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
@@ -15,64 +14,45 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
-import java.util.OptionalLong;
-import org.hawthornglade.core.caller.TransferRate;
 import org.hawthornglade.core.overload.RetryNotice;
-import org.hawthornglade.core.serving.RequestLimits;
-import org.hawthornglade.gateway.memory.BodyReader;
+import org.hawthornglade.gateway.http.CallQueue.ReceivedCall;
 import org.hawthornglade.gateway.memory.BodyReservation;
-import org.hawthornglade.gateway.memory.RequestBodyBudget;
-
-/** A connection from a caller: reads requests, handles them one at a time and keeps the responses in order. */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyReader, HeadBudget.Holder {
-    /** The decoder gets this much at a time outside of bodies: few requests follow the last that may be queued. */
-    private static final int SLICE_BYTES = 1_024;
-    /** The decoder gets this much at a time in a body without a length. */
-    private static final int CHUNKED_SLICE_BYTES = 4_096;
-    /** Limits for a read, so that little is held undecoded: outside of bodies, and in a body without a length. */
-    private static final int MAX_HEAD_READ_BYTES = 4_096;
-
-    private static final int MAX_CHUNKED_READ_BYTES = 16_384;
-    /** Upper estimate of the heap of an incomplete head for each of its bytes: the shortest fields have 4 bytes. */
-    private static final int HEAP_PER_HEAD_BYTE = 32;
+
+/** A connection from a caller: handles its requests one at a time and keeps the responses in order. */
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements RequestAssembler.Listener, HeadBudget.Holder {
     /** A new connection is kept open for this time during a stop, because its first request may be in transit. */
     private static final long FIRST_REQUEST_GRACE_MS = 250;
+    /** Timeouts are checked at most this often. */
+    private static final long MIN_TIMEOUT_CHECK_MS = 100;
 
     private final CallerServer server;
     private final UndecodedBytes undecoded = new UndecodedBytes(this);
-    private final Deque<ReceivedCall> queued = new ArrayDeque<>();
-    private Optional<ReceivedCall> current = Optional.empty();
-    private ChannelHandlerContext context;
-    private HttpRequest head;
-    private RequestBody body;
-    private final RequestProgress progress = new RequestProgress();
+    private final CallQueue calls = new CallQueue();
     private final UnreadBytes unread = new UnreadBytes();
-    private boolean continueExpected;
+    private ChannelHandlerContext context;
+    private RequestAssembler assembler;
     private boolean refusing;
     private Optional<HttpResponseStatus> refusal = Optional.empty();
     private Optional<RetryNotice> retryNotice = Optional.empty();
     private boolean closing;
     private long lastActiveMs;
     private boolean receivedBytes;
-    /** The bytes of a head that is not complete. */
-    private int partialHeadBytes;
-    /** The estimated heap of a complete head whose body is not complete. */
-    private int headHeapBytes;
-
-    private int queuedHeapBytes;
 
     CallerConnection(CallerServer server) {
         this.server = server;
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+        assembler = new RequestAssembler(server, added.alloc(), this);
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext active) {
-        context = active;
         lastActiveMs = server.clock().nowMs();
         server.opened(this);
         scheduleTimeoutCheck();
@@ -82,7 +62,8 @@
     public void channelRead(ChannelHandlerContext reader, Object message) {
         try {
             if (!refusing) {
-                read((HttpObject) message);
+                assembler.read((HttpObject) message);
+                sendContinue();
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -95,25 +76,17 @@
 
     /** Returns whether received bytes may be decoded: not while enough requests are queued. */
     boolean decodesOn() {
-        return refusing || queued.size() < server.callerLimits().maxPipelinedRequests();
+        return refusing || calls.waitingCount() < server.callerLimits().maxPipelinedRequests();
     }
 
     /** Returns how many bytes may be decoded at once. */
     int sliceBytes() {
-        if (body == null) {
-            return SLICE_BYTES;
-        }
-        return (int) Math.max(SLICE_BYTES, body.announcedBytes() > 0 ? body.lackingBytes() : CHUNKED_SLICE_BYTES);
+        return assembler.sliceBytes();
     }
 
     /** Returns how many bytes a read may bring. */
     int maxReadBytes() {
-        if (body == null) {
-            return MAX_HEAD_READ_BYTES;
-        }
-        return body.announcedBytes() > 0
-                ? (int) Math.max(MAX_HEAD_READ_BYTES, Math.min(RequestBodyBudget.MAX_READ_BYTES, body.lackingBytes()))
-                : MAX_CHUNKED_READ_BYTES;
+        return assembler.maxReadBytes();
     }
 
     /** Accounts for the heads that are held after all received bytes that may be decoded have been. */
@@ -126,7 +99,7 @@
         if (closing) {
             return;
         }
-        server.heads().set(this, (long) partialHeadBytes * HEAP_PER_HEAD_BYTE + headHeapBytes + queuedHeapBytes);
+        server.heads().set(this, assembler.headHeapBytes() + calls.waitingHeapBytes());
     }
 
     @Override
@@ -134,157 +107,35 @@
         Channels.close(context.channel());
     }
 
-    /** Records bytes of a request that are decoded next, before its head is complete. */
+    /** Records bytes that are decoded next. */
     void onBytesReceived(int bytes) {
         receivedBytes = true;
-        if (head == null && !refusing) {
-            partialHeadBytes += bytes;
-        }
-        progress.onBytes(server.clock().nowMs());
-    }
-
-    private void read(HttpObject message) {
-        if (message instanceof HttpRequest request) {
-            startRequest(request);
-        }
-        if (message instanceof HttpContent content && head != null) {
-            addContent(content);
-        }
-    }
-
-    private void startRequest(HttpRequest request) {
-        Optional<HttpResponseStatus> fault =
-                RequestValidator.fault(request, server.limits().maxBodyBytes());
-        if (fault.isPresent()) {
-            reportTooLong(request);
-            refuse(fault.get());
-            return;
-        }
-        onBytesReceived(0);
-        partialHeadBytes = 0;
-        headHeapBytes = HeadBudget.bytesOf(request);
-        head = request;
-        body = openBody(request);
-        progress.onHead(new TransferRate(
-                server.callerLimits().minBodyBytesPerS(),
-                HttpUtil.getContentLength(request, 0L),
-                server.clock().nowMs()));
-        if (!server.bodies().fits(HttpUtil.getContentLength(request, 0L))) {
-            refuseForMemory();
-            return;
-        }
-        continueExpected = HttpUtil.is100ContinueExpected(request);
-        readOnIfReserved();
-        sendContinue();
-    }
-
-    private void reportTooLong(HttpRequest request) {
-        int status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code();
-        Throwable cause = request.decoderResult().cause();
-        if (cause instanceof CountedHeaders.TooManyFieldsException) {
-            server.listener().onRefused("fields", status, server.callerLimits().maxHeaderFields());
-        } else if (cause instanceof TooLongFrameException) {
-            server.listener().onRefused("head_bytes", status, server.limits().maxHeaderBytes());
-        }
-    }
-
-    private RequestBody openBody(HttpRequest request) {
-        if (!server.keepsBodies()) {
-            return new RequestBody(
-                    context.alloc(),
-                    server.bodies().open(OptionalLong.of(0), server.limits().maxBodyBytes(), this),
-                    0);
-        }
-        OptionalLong announcedBytes = HttpUtil.isTransferEncodingChunked(request)
-                ? OptionalLong.empty()
-                : OptionalLong.of(HttpUtil.getContentLength(request, 0L));
-        BodyReservation reservation =
-                server.bodies().open(announcedBytes, server.limits().maxBodyBytes(), this);
-        return new RequestBody(context.alloc(), reservation, announcedBytes.orElse(0));
-    }
-
-    /** Reads on if memory is reserved for the next bytes; else the connection is not read until it is. */
-    private void readOnIfReserved() {
-        if (!body.reservation().tryReadOn() && progress.holdBack(server.clock().nowMs())) {
-            updateReading();
+        if (!refusing) {
+            assembler.onBytesReceived(bytes);
         }
     }
 
     @Override
-    public void readOn() {
-        progress.readOn(server.clock().nowMs());
+    public void onReadabilityChanged() {
         updateReading();
         sendContinue();
     }
 
-    @Override
-    public void refuseOverdue() {
-        refuseForMemory();
-        startNext();
-    }
-
-    /** Refuses the request in its turn; the rest of it is discarded, so that the caller can read the response. */
-    private void refuseForMemory() {
-        server.bodies().reportRefused(body.reservation());
-        discardBody();
-        refusing = true;
-        PendingResponse response = new PendingResponse(this, context.channel(), head.method(), true);
-        enqueue(new ReceivedCall(
-                new IncomingCall(
-                        head, Unpooled.EMPTY_BUFFER, response, server.clock().nowMs(), !hasNoCall()),
-                Optional.empty(),
-                0));
-    }
-
-    private void discardBody() {
-        if (body != null) {
-            body.discard();
-            body = null;
-        }
-    }
-
     private void updateReading() {
-        boolean reads = decodesOn() && !progress.heldBack() && !undecoded.isHolding();
+        boolean reads = decodesOn() && !assembler.heldBack() && !undecoded.isHolding();
         context.channel().config().setAutoRead(reads);
     }
 
     /** Asks for the body of a request that waits for this, after the responses to the previous ones. */
     private void sendContinue() {
-        if (!continueExpected || progress.heldBack() || closing || current.isPresent() || !queued.isEmpty()) {
+        if (!assembler.continueDue() || closing || !calls.isEmpty()) {
             return;
         }
-        continueExpected = false;
+        assembler.onContinueSent();
         Channels.write(
                 context.channel(), new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
 
-    private void addContent(HttpContent content) {
-        if (content.decoderResult().isFailure()) {
-            refuse(HttpResponseStatus.BAD_REQUEST);
-            return;
-        }
-        int bytes = content.content().readableBytes();
-        progress.onBody(bytes, server.clock().nowMs());
-        if (body.bytes() + bytes > server.limits().maxBodyBytes()) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            return;
-        }
-        if (server.keepsBodies() && !body.reservation().tryReceive(bytes)) {
-            refuseForMemory();
-            return;
-        }
-        if (server.keepsBodies()) {
-            body.add(content.content());
-        } else {
-            body.skip(bytes);
-        }
-        if (content instanceof LastHttpContent) {
-            finishRequest();
-        } else {
-            readOnIfReserved();
-        }
-    }
-
     void onRetryAfter(RetryNotice notice) {
         retryNotice = Optional.of(notice);
     }
@@ -293,24 +144,28 @@
         return retryNotice;
     }
 
-    private void finishRequest() {
-        PendingResponse response =
-                new PendingResponse(this, context.channel(), head.method(), !HttpUtil.isKeepAlive(head));
-        BodyReservation reservation = body.reservation();
-        IncomingCall call =
-                new IncomingCall(head, body.complete(), response, server.clock().nowMs(), !hasNoCall());
-        body = null;
-        enqueue(new ReceivedCall(call, Optional.of(reservation), 0));
+    @Override
+    public void onComplete(HttpRequest head, ByteBuf body, BodyReservation reservation, int headHeapBytes) {
+        IncomingCall call = call(head, body, !HttpUtil.isKeepAlive(head));
+        enqueue(new ReceivedCall(call, Optional.of(reservation), Optional.empty(), headHeapBytes));
+    }
+
+    /** Refuses the request in its turn; the rest of it is discarded, so that the caller can read the response. */
+    @Override
+    public void onUnreadBody(HttpRequest head, UnreadBody reason, int headHeapBytes) {
+        refusing = true;
+        IncomingCall call = call(head, Unpooled.EMPTY_BUFFER, true);
+        enqueue(new ReceivedCall(call, Optional.empty(), Optional.of(reason), headHeapBytes));
+        startNext();
+    }
+
+    private IncomingCall call(HttpRequest head, ByteBuf body, boolean closeRequested) {
+        PendingResponse response = new PendingResponse(this, context.channel(), head.method(), closeRequested);
+        return new IncomingCall(head, body, response, server.clock().nowMs(), !hasNoCall());
     }
 
     private void enqueue(ReceivedCall call) {
-        head = null;
-        continueExpected = false;
-        progress.onEnd();
-        partialHeadBytes = 0;
-        queuedHeapBytes += headHeapBytes;
-        queued.add(new ReceivedCall(call.call(), call.reservation(), headHeapBytes));
-        headHeapBytes = 0;
+        calls.add(call);
         server.callOpened();
         updateReading();
     }
@@ -324,35 +179,31 @@
 
     private void startNext() {
         // A response that the caller does not read must not be followed by others that take memory too.
-        if (current.isPresent()
-                || queued.isEmpty()
+        if (calls.current().isPresent()
+                || !calls.hasWaiting()
                 || closing
                 || !context.channel().isWritable()) {
             return;
         }
-        ReceivedCall next = queued.poll();
-        queuedHeapBytes -= next.headHeapBytes();
+        ReceivedCall next = calls.startNext();
         accountForHeads();
         updateReading();
         undecoded.resume();
-        current = Optional.of(next);
-        if (next.reservation().isPresent()) {
-            server.handler().onCall(next.call());
+        if (next.refusal().isPresent()) {
+            server.handler().onUnreadBody(next.call(), next.refusal().get());
         } else {
-            server.handler().onNoMemory(next.call());
+            server.handler().onCall(next.call());
         }
     }
 
     /** Refuses an invalid or slow request after the responses to the previous ones; nothing more is read. */
-    private void refuse(HttpResponseStatus status) {
+    @Override
+    public void onInvalid(HttpResponseStatus status) {
         refusing = true;
-        partialHeadBytes = 0;
-        headHeapBytes = 0;
         refusal = Optional.of(status);
-        discardBody();
-        progress.stopHoldingBack();
+        assembler.discard();
         updateReading();
-        if (current.isEmpty() && queued.isEmpty()) {
+        if (calls.isEmpty()) {
             sendRefusal(status);
         }
     }
@@ -367,7 +218,7 @@
     }
 
     private void scheduleTimeoutCheck() {
-        long checkEveryMs = Math.max(100, server.limits().headerTimeoutMs() / 3);
+        long checkEveryMs = Math.max(MIN_TIMEOUT_CHECK_MS, server.limits().headerTimeoutMs() / 3);
         server.timers().after(checkEveryMs, this::checkTimeouts);
     }
 
@@ -375,37 +226,26 @@
         if (!context.channel().isActive()) {
             return;
         }
-        long nowMs = server.clock().nowMs();
-        RequestLimits limits = server.limits();
-        boolean slowHead = head == null
-                && progress.started()
-                && current.isEmpty()
-                && queued.isEmpty()
-                && progress.ageMs(nowMs) > limits.headerTimeoutMs();
-        boolean slowBody = head != null && !progress.heldBack() && progress.ageMs(nowMs) > limits.idleTimeoutMs();
-        boolean idle = head == null
-                && !progress.started()
-                && current.isEmpty()
-                && queued.isEmpty()
-                && nowMs - lastActiveMs > limits.idleTimeoutMs();
+        scheduleTimeoutCheck();
         if (refusing) {
-            scheduleTimeoutCheck();
             return;
         }
-        boolean slowRate = head != null && progress.tooSlow(nowMs);
-        if (slowHead || slowBody) {
-            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (slowRate) {
-            server.listener()
-                    .onRefused(
-                            "body_rate",
-                            HttpResponseStatus.REQUEST_TIMEOUT.code(),
-                            server.callerLimits().minBodyBytesPerS());
-            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (idle) {
+        long nowMs = server.clock().nowMs();
+        Optional<RequestAssembler.SlowPart> slow = assembler.slowPart(server.limits(), !calls.isEmpty(), nowMs);
+        if (slow.isPresent()) {
+            refuseSlow(slow.get());
+        } else if (isIdle() && nowMs - lastActiveMs > server.limits().idleTimeoutMs()) {
             Channels.close(context.channel());
         }
-        scheduleTimeoutCheck();
+    }
+
+    private void refuseSlow(RequestAssembler.SlowPart slow) {
+        HttpResponseStatus status = HttpResponseStatus.REQUEST_TIMEOUT;
+        if (slow == RequestAssembler.SlowPart.BODY_RATE) {
+            server.listener()
+                    .onRefused("body_rate", status.code(), server.callerLimits().minBodyBytesPerS());
+        }
+        onInvalid(status);
     }
 
     /** Closes the connection if no request is open on it. */
@@ -418,17 +258,17 @@
 
     /** Returns whether no request is open, not even a part of one. */
     private boolean isIdle() {
-        return current.isEmpty() && queued.isEmpty() && head == null && !progress.started();
+        return !refusing && calls.isEmpty() && assembler.isIdle();
     }
 
     /** Returns whether no complete request has been read that has no response yet. */
     boolean hasNoCall() {
-        return current.isEmpty() && queued.isEmpty();
+        return calls.isEmpty();
     }
 
     /** Returns whether a head is complete whose body is not. */
     boolean hasHead() {
-        return head != null;
+        return assembler.hasHead();
     }
 
     /** Returns when a response was completed last, or the connection was opened. */
@@ -452,48 +292,53 @@
         server.closed(this);
         closing = true;
         server.heads().set(this, 0);
-        discardBody();
-        queued.forEach(this::discard);
-        queued.clear();
-        current.ifPresent(received -> {
-            current = Optional.empty();
-            received.call().response().callerGone();
-            discard(received);
-        });
+        assembler.discard();
+        for (ReceivedCall received : calls.removeWaiting()) {
+            received.release();
+            server.callClosed();
+        }
+        Optional<ReceivedCall> current = calls.current();
+        // Its handler may still use its body.
+        current.ifPresent(received -> received.call().response().callerGone());
+        finishCurrent();
     }
 
     /** Returns the method of the request that is being answered. */
     Optional<HttpMethod> method() {
-        return current.map(received -> received.call().head().method());
+        return calls.current().map(received -> received.call().head().method());
     }
 
     /** Returns whether a stop is in progress and no further request has been read, not even a part of its body. */
     boolean endsWithThisResponse() {
-        return server.isDraining() && queued.isEmpty() && head == null && refusal.isEmpty() && !undecoded.isHolding();
+        return server.isDraining()
+                && !calls.hasWaiting()
+                && !assembler.hasHead()
+                && refusal.isEmpty()
+                && !undecoded.isHolding();
     }
 
     /** Completes the current request and starts the next one, unless the response was the last on this connection. */
     void onResponseWritten(boolean last) {
-        current.ifPresent(this::discard);
-        current = Optional.empty();
+        finishCurrent();
         lastActiveMs = server.clock().nowMs();
         closing |= last;
         startNext();
         sendContinue();
-        if (current.isEmpty() && queued.isEmpty() && !closing) {
+        if (calls.isEmpty() && !closing) {
             refusal.ifPresent(this::sendRefusal);
         }
     }
 
-    private void discard(ReceivedCall received) {
-        received.call().body().release();
-        received.reservation().ifPresent(BodyReservation::release);
-        server.callClosed();
+    private void finishCurrent() {
+        if (calls.current().isPresent()) {
+            calls.finishCurrent();
+            server.callClosed();
+        }
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
-        current.ifPresent(received -> received.call().response().writabilityChanged());
+        calls.current().ifPresent(received -> received.call().response().writabilityChanged());
         if (context.channel().isWritable()) {
             startNext();
         }
@@ -506,14 +351,6 @@
 
     /** Returns whether the rest of a refused request may still arrive after its response. */
     boolean discardsRest() {
-        return refusing && refusal.isEmpty() && queued.isEmpty();
+        return refusing && refusal.isEmpty() && !calls.hasWaiting();
     }
-
-    /**
-     * A request with a response that is due.
-     *
-     * @param reservation the memory of its body; empty if it is refused because there was none
-     * @param headHeapBytes the estimated heap of its head
-     */
-    private record ReceivedCall(IncomingCall call, Optional<BodyReservation> reservation, int headHeapBytes) {}
 }
