A stop can be read off the log: what is open at each step, each request that was begun, and what is cut

Cause: no line named a request that never became a call (a body on its way, one queued behind another, one refused as invalid or slow), nothing told what a stop found open, and the last lines had 20 ms to be written on a thread of their own. Change: OpenWork (calls, partial requests, undelivered responses) in the lines stopping, stop-refusing, stop-failing and stop; request-unfinished for each request with a head, with how it ended; counts by how they ended for those without one, in the line stop; response-cut for a response that did not reach the system. The process ends after the log is written, at most 200 ms later. No change of what is served.

--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/stop/package-info.java
@@ -0,0 +1,2 @@
+/** Planned stops of an entry: what is open, and which step is due. */
+package org.hawthornglade.core.stop;
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
@@ -30,6 +31,7 @@
 import org.hawthornglade.core.serving.RequestLimits;
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
+import org.hawthornglade.core.stop.OpenWork;
 import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.exchange.CallReceiver;
@@ -50,6 +52,7 @@
 import org.hawthornglade.gateway.leader.DemandCollector;
 import org.hawthornglade.gateway.leader.PlacementCoordinator;
 import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.log.LogLine;
 import org.hawthornglade.gateway.loop.LoopContext;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.memory.BodyPressureLog;
@@ -71,8 +74,10 @@
     private static final String METRICS_PATH = "/metrics";
     /** Recording of metrics starts this long after the start of the entry. */
     private static final long METRICS_START_DELAY_MS = 3_000;
-    /** Time for the log to write its last lines. */
-    private static final long LOG_FLUSH_MS = 20;
+    /** Limit for the time in which the log writes its last lines. */
+    private static final long LOG_FLUSH_MS = 200;
+    /** Limit for the time in which the event loop reports what the end of the process cuts off. */
+    private static final long REPORT_MS = 100;
     /** The retry budget is divided by at least this number of entries. */
     private static final int MIN_BUDGET_PARTS = 8;
 
@@ -231,8 +236,37 @@
     /** Stops gracefully, without interrupting open calls, and returns; must not be called on the event loop. */
     public void stop() {
         long tookMs = new GracefulStop(clock, Gateway::pause, settings.graceMs(), new StopSteps()).run();
-        log.event("stop").with("took_ms", tookMs).write();
-        pause(LOG_FLUSH_MS);
+        reportCut(tookMs);
+        log.flush(LOG_FLUSH_MS);
+    }
+
+    /** Reports what is cut off by the end of the process, which follows at once. */
+    private void reportCut(long tookMs) {
+        CountDownLatch reported = new CountDownLatch(1);
+        timers.run(() -> {
+            callers.reportCutByStop();
+            LogLine line = logOpen(log.event("stop").with("took_ms", tookMs), callers.openWork());
+            receiver.addUnidentified(line).write();
+            reported.countDown();
+        });
+        if (!await(reported, REPORT_MS)) {
+            log.event("stop-without-event-loop").with("took_ms", tookMs).write();
+        }
+    }
+
+    private static boolean await(CountDownLatch latch, long timeoutMs) {
+        try {
+            return latch.await(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private static LogLine logOpen(LogLine line, OpenWork open) {
+        return line.with("calls", open.calls())
+                .with("partial_requests", open.partialRequests())
+                .with("undelivered_responses", open.undeliveredResponses());
     }
 
     private static void pause(long ms) {
@@ -367,13 +401,14 @@
                 stopping = true;
                 callers.startDraining();
                 placement.resign();
-                log.event("stopping").with("open", callers.openCalls()).write();
+                logOpen(log.event("stopping"), callers.openWork()).write();
             });
         }
 
         @Override
         public void startRefusing() {
             timers.run(() -> {
+                logOpen(log.event("stop-refusing"), callers.openWork()).write();
                 quotaGate.refuseHeld();
                 waitingCalls.refuseAll();
                 callers.closeIdle();
@@ -382,7 +417,10 @@
 
         @Override
         public void failOpenCalls() {
-            timers.run(receiver::failOpenCalls);
+            timers.run(() -> {
+                logOpen(log.event("stop-failing"), callers.openWork()).write();
+                receiver.failOpenCalls();
+            });
         }
 
         @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -26,8 +26,11 @@
 import org.hawthornglade.core.team.Team;
 import org.hawthornglade.core.team.TeamQuota;
 import org.hawthornglade.gateway.http.CallHandler;
+import org.hawthornglade.gateway.http.CutResponse;
 import org.hawthornglade.gateway.http.IncomingCall;
+import org.hawthornglade.gateway.http.UnfinishedRequest;
 import org.hawthornglade.gateway.http.UnreadBody;
+import org.hawthornglade.gateway.log.LogLine;
 import org.hawthornglade.gateway.port.CallRequest;
 
 /** Receives calls: reads their headers, finds their routes and starts an exchange for each of them. */
@@ -46,6 +49,7 @@
     private final Consumer<CallView> arrivals;
     private final Random random;
     private final StartupQueue startupQueue;
+    private final UnhandledRequestLog unhandled;
     private final Set<Exchange> open = new LinkedHashSet<>();
     private long callCount;
 
@@ -64,6 +68,7 @@
         this.arrivals = arrivals;
         this.context = context;
         this.startupQueue = new StartupQueue(context.timers());
+        this.unhandled = new UnhandledRequestLog(context.protocol(), context.log(), context.metrics());
         this.configuration = configuration;
         this.random = random;
     }
@@ -168,6 +173,21 @@
         sendError(call, id, ResultCode.BODY_MEMORY_FULL, NO_MEMORY_RETRY_AFTER_MS, "no memory for its body");
     }
 
+    @Override
+    public void onUnfinished(UnfinishedRequest request) {
+        unhandled.onUnfinished(request);
+    }
+
+    @Override
+    public void onCut(CutResponse response) {
+        unhandled.onCut(response);
+    }
+
+    /** Adds to a line how many requests ended so far before their head was complete, by how they ended. */
+    public LogLine addUnidentified(LogLine line) {
+        return unhandled.addUnidentified(line);
+    }
+
     /** Continues the calls in the startup queue if the configuration and the instances are known by now. */
     public void releaseStartupQueue() {
         if (configuration.get().isPresent() && context.fleet().listLoaded()) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallHandler.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallHandler.java
@@ -13,4 +13,10 @@
     default void onUnreadBody(IncomingCall call, UnreadBody reason) {
         call.response().send(HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     }
+
+    /** Records a request that was begun to be read and is not handled. */
+    default void onUnfinished(UnfinishedRequest request) {}
+
+    /** Records a response that did not reach its caller. */
+    default void onCut(CutResponse response) {}
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallQueue.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallQueue.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -47,6 +49,11 @@
         current = Optional.empty();
     }
 
+    /** Returns the requests behind the current one. */
+    Collection<ReceivedCall> waiting() {
+        return Collections.unmodifiableCollection(waiting);
+    }
+
     /** Removes the requests behind the current one, and returns them. */
     List<ReceivedCall> removeWaiting() {
         List<ReceivedCall> removed = new ArrayList<>(waiting);
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -17,7 +18,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import org.hawthornglade.core.overload.RetryNotice;
+import org.hawthornglade.core.stop.OpenWork;
 import org.hawthornglade.gateway.http.CallQueue.ReceivedCall;
+import org.hawthornglade.gateway.http.UnfinishedRequest.End;
 import org.hawthornglade.gateway.memory.BodyReservation;
 
 /** A connection from a caller: handles its requests one at a time and keeps the responses in order. */
@@ -32,6 +35,9 @@
     private final UndecodedBytes undecoded = new UndecodedBytes(this);
     private final CallQueue calls = new CallQueue();
     private final UnreadBytes unread = new UnreadBytes();
+    /** The request whose response is complete here, but not handed to the system. */
+    private Optional<HttpRequest> undelivered = Optional.empty();
+
     private ChannelHandlerContext context;
     private RequestAssembler assembler;
     private boolean refusing;
@@ -40,6 +46,7 @@
     private boolean closing;
     private long lastActiveMs;
     private boolean receivedBytes;
+    private End endReason = End.DISCONNECTED;
 
     CallerConnection(CallerServer server) {
         this.server = server;
@@ -104,6 +111,7 @@
 
     @Override
     public void closeForMemory() {
+        endReason = End.CLOSED_FOR_LIMITS;
         Channels.close(context.channel());
     }
 
@@ -160,7 +168,7 @@
     }
 
     private IncomingCall call(HttpRequest head, ByteBuf body, boolean closeRequested) {
-        PendingResponse response = new PendingResponse(this, context.channel(), head.method(), closeRequested);
+        PendingResponse response = new PendingResponse(this, context.channel(), head, closeRequested);
         return new IncomingCall(head, body, response, server.clock().nowMs(), !hasNoCall());
     }
 
@@ -201,6 +209,7 @@
     public void onInvalid(HttpResponseStatus status) {
         refusing = true;
         refusal = Optional.of(status);
+        assembler.unfinished(End.REFUSED, status.code()).ifPresent(server.handler()::onUnfinished);
         assembler.discard();
         updateReading();
         if (calls.isEmpty()) {
@@ -278,8 +287,7 @@
 
     /** Checks the bytes of responses that the caller has not read; returns how many. */
     long checkUnread(long nowMs) {
-        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
-        return unread.onChecked(buffer == null ? 0 : buffer.totalPendingWriteBytes(), nowMs);
+        return unread.onChecked(pendingBytes(), nowMs);
     }
 
     /** Returns since when the caller has read none of the bytes of responses that are due to it. */
@@ -287,11 +295,63 @@
         return unread.sinceMs();
     }
 
+    /** Reports what is lost with the end of the connection, but for the request that is being handled. */
+    private void reportUnfinished(End end) {
+        assembler.unfinished(end, 0).ifPresent(server.handler()::onUnfinished);
+        long nowMs = server.clock().nowMs();
+        for (ReceivedCall received : calls.waiting()) {
+            IncomingCall call = received.call();
+            int bodyBytes = call.body().readableBytes();
+            server.handler()
+                    .onUnfinished(new UnfinishedRequest(
+                            Optional.of(call.head()), end, 0, bodyBytes, nowMs - call.arrivedAtMs()));
+        }
+    }
+
+    /** Reports what the end of the process cuts off. */
+    void reportCutByStop() {
+        reportUnfinished(End.CUT_BY_STOP);
+        calls.current()
+                .ifPresent(received -> server.handler()
+                        .onUnfinished(new UnfinishedRequest(
+                                Optional.of(received.call().head()),
+                                End.CUT_BY_STOP,
+                                0,
+                                received.call().body().readableBytes(),
+                                server.clock().nowMs() - received.call().arrivedAtMs())));
+        undelivered.ifPresent(head -> server.handler().onCut(new CutResponse(head, End.CUT_BY_STOP, pendingBytes())));
+    }
+
+    /** Returns what the end of the process would cut off. */
+    OpenWork openWork() {
+        boolean partial = !closing && (!assembler.isIdle() || undecoded.isHolding());
+        return new OpenWork(calls.size(), partial ? 1 : 0, pendingBytes() > 0 ? 1 : 0);
+    }
+
+    /** Records the last response that is complete here, until it is handed to the system. */
+    void onResponseComplete(HttpRequest head, ChannelFuture written) {
+        undelivered = Optional.of(head);
+        written.addListener(done -> {
+            if (!done.isSuccess()) {
+                server.handler().onCut(new CutResponse(head, endReason, pendingBytes()));
+            }
+            if (undelivered.equals(Optional.of(head))) {
+                undelivered = Optional.empty();
+            }
+        });
+    }
+
+    private long pendingBytes() {
+        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
         server.closed(this);
         closing = true;
         server.heads().set(this, 0);
+        reportUnfinished(endReason);
         assembler.discard();
         for (ReceivedCall received : calls.removeWaiting()) {
             received.release();
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -20,6 +20,7 @@
 import org.hawthornglade.core.caller.UnreadResponses.Unread;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.hawthornglade.core.serving.RequestLimits;
+import org.hawthornglade.core.stop.OpenWork;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.loop.Timers;
 import org.hawthornglade.gateway.memory.BodyPressureListener;
@@ -192,6 +193,16 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Returns what the end of the process would cut off. */
+    public OpenWork openWork() {
+        return connections.stream().map(CallerConnection::openWork).reduce(OpenWork.NONE, OpenWork::plus);
+    }
+
+    /** Reports to the handler what the end of the process cuts off. */
+    public void reportCutByStop() {
+        connections.forEach(CallerConnection::reportCutByStop);
+    }
+
     /** Returns how many requests are open; may be called on any thread. */
     public int openCalls() {
         return openCalls;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/Channels.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/Channels.java
@@ -1,6 +1,8 @@
 package org.hawthornglade.gateway.http;
 
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.concurrent.TimeUnit;
@@ -12,12 +14,14 @@
 
     private Channels() {}
 
-    static void write(Channel channel, Object message) {
-        channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    @CanIgnoreReturnValue
+    static ChannelFuture write(Channel channel, Object message) {
+        return channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
-    static void writeAndClose(Channel channel, Object message) {
-        channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
+    @CanIgnoreReturnValue
+    static ChannelFuture writeAndClose(Channel channel, Object message) {
+        return channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
     }
 
     /**
@@ -25,8 +29,9 @@
      *
      * <p>Bytes that arrive after a close reset the connection, and the response could be lost with it.
      */
-    static void writeAndDiscardRest(Channel channel, Object message) {
-        channel.writeAndFlush(message).addListener(written -> {
+    @CanIgnoreReturnValue
+    static ChannelFuture writeAndDiscardRest(Channel channel, Object message) {
+        return channel.writeAndFlush(message).addListener(written -> {
             if (written.isSuccess()) {
                 shutdownOutput(channel);
             } else {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -21,7 +23,7 @@
 final class PendingResponse implements CallerResponse {
     private final CallerConnection connection;
     private final Channel channel;
-    private final HttpMethod method;
+    private final HttpRequest head;
     private final boolean closeRequested;
     private Runnable goneListener = () -> {};
     private Runnable writableListener = () -> {};
@@ -31,11 +33,11 @@
     /**
      * Creates a response of which nothing is written yet.
      *
-     * @param method the method of the request
+     * @param head the request
      * @param closeRequested whether the caller requested that the connection is closed after this response
      */
-    PendingResponse(CallerConnection connection, Channel channel, HttpMethod method, boolean closeRequested) {
-        this.method = method;
+    PendingResponse(CallerConnection connection, Channel channel, HttpRequest head, boolean closeRequested) {
+        this.head = head;
         this.connection = connection;
         this.channel = channel;
         this.closeRequested = closeRequested;
@@ -47,7 +49,7 @@
             content.release();
             return;
         }
-        boolean bodiless = HttpMethod.HEAD.equals(method) || status.equals(HttpResponseStatus.NOT_MODIFIED);
+        boolean bodiless = HttpMethod.HEAD.equals(head.method()) || status.equals(HttpResponseStatus.NOT_MODIFIED);
         if (!bodiless && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         }
@@ -122,14 +124,15 @@
     private void complete(HttpObject end) {
         ended = true;
         boolean last = closesConnection();
+        connection.onResponseComplete(head, write(end, last));
+        connection.onResponseWritten(last);
+    }
+
+    private ChannelFuture write(HttpObject end, boolean last) {
         if (last && connection.discardsRest()) {
-            Channels.writeAndDiscardRest(channel, end);
-        } else if (last) {
-            Channels.writeAndClose(channel, end);
-        } else {
-            Channels.write(channel, end);
+            return Channels.writeAndDiscardRest(channel, end);
         }
-        connection.onResponseWritten(last);
+        return last ? Channels.writeAndClose(channel, end) : Channels.write(channel, end);
     }
 
     @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/RequestAssembler.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/RequestAssembler.java
@@ -230,6 +230,20 @@
         listener.onComplete(completed, bytes, reservation, heapBytes);
     }
 
+    /**
+     * Returns what is known of a request that is not complete; empty if there is none.
+     *
+     * @param status the status of the response; 0 if there is none
+     */
+    Optional<UnfinishedRequest> unfinished(UnfinishedRequest.End end, int status) {
+        if (isIdle()) {
+            return Optional.empty();
+        }
+        long ageMs = progress.ageMs(server.clock().nowMs());
+        long bodyBytes = body == null ? 0 : body.bytes();
+        return Optional.of(new UnfinishedRequest(Optional.ofNullable(head), end, status, bodyBytes, ageMs));
+    }
+
     /** Releases what is held of a request that is not complete. */
     void discard() {
         if (body != null) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/log/EventLog.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/log/EventLog.java
@@ -4,7 +4,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.hawthornglade.core.time.Clock;
 
 /**
@@ -18,10 +21,12 @@
     static final int MAX_LINES_PER_S = 500;
 
     private static final int QUEUE_LINES = 2_000;
+    private static final long FLUSH_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final Clock clock;
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicInteger unwritten = new AtomicInteger();
     private long secondStartMs;
     private int linesThisSecond;
 
@@ -33,6 +38,23 @@
         writer.start();
     }
 
+    /**
+     * Waits until all lines are written.
+     *
+     * @param timeoutMs the longest time to wait
+     * @return whether they are
+     */
+    public boolean flush(long timeoutMs) {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+        while (unwritten.get() > 0) {
+            if (System.nanoTime() > untilNanos) {
+                return false;
+            }
+            LockSupport.parkNanos(FLUSH_CHECK_NANOS);
+        }
+        return true;
+    }
+
     /** Starts a line, to be completed by {@link LogLine#write()}. */
     public LogLine event(String name) {
         return new LogLine(this, name);
@@ -43,7 +65,9 @@
     }
 
     void add(String line) {
+        unwritten.incrementAndGet();
         if (!withinRate() || !queue.offer(line)) {
+            unwritten.decrementAndGet();
             dropped.incrementAndGet();
         }
     }
@@ -61,8 +85,10 @@
         try {
             while (true) {
                 StringBuilder lines = new StringBuilder(queue.take()).append('\n');
+                int count = 1;
                 for (String line = queue.poll(); line != null; line = queue.poll()) {
                     lines.append(line).append('\n');
+                    count++;
                 }
                 long droppedLines = dropped.getAndSet(0);
                 if (droppedLines > 0) {
@@ -73,6 +99,7 @@
                 byte[] bytes = lines.toString().getBytes(StandardCharsets.UTF_8);
                 out.write(bytes, 0, bytes.length);
                 out.flush();
+                unwritten.addAndGet(-count);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -16,8 +16,11 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.hawthornglade.core.dispatch.CallView;
@@ -40,6 +43,7 @@
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.serving.WeightedService;
+import org.hawthornglade.core.stop.OpenWork;
 import org.hawthornglade.core.team.TeamDirectory;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.http.CallerServer;
@@ -69,6 +73,7 @@
     private final StreamResumption resumption;
     private final Clock clock = Clock.system();
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final EventLog log;
     private final CallerServer server;
     private final CallReceiver receiver;
     private final RequestBodyBudget bodies;
@@ -122,7 +127,7 @@
             long bodyBytes)
             throws IOException {
         EventLoop loop = group.next();
-        EventLog log = new EventLog(clock, new PrintStream(logBytes, true, StandardCharsets.UTF_8));
+        log = new EventLog(clock, new PrintStream(logBytes, true, StandardCharsets.UTF_8));
         timers = new Timers(loop, log);
         fleet = new Fleet();
         List<InstanceRecord> records = new ArrayList<>();
@@ -391,6 +396,37 @@
         done.await(5, TimeUnit.SECONDS);
     }
 
+    /** Reports what the end of the process would cut off. */
+    void reportCutByStop() throws Exception {
+        group.submit(server::reportCutByStop).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Returns what the end of the process would cut off. */
+    OpenWork openWork() {
+        return onLoop(server::openWork);
+    }
+
+    /** Returns how many connections hold a part of a request. */
+    int bodiesBegun() {
+        return openWork().partialRequests();
+    }
+
+    /** Returns the counts of requests that nothing identifies, as a line. */
+    String unidentified() {
+        return onLoop(() -> {
+            receiver.addUnidentified(log.event("unidentified")).write();
+            return log.flush(READ_TIMEOUT_MS) ? log() : "";
+        });
+    }
+
+    private <T> T onLoop(Callable<T> action) {
+        try {
+            return group.submit(action).get(5, TimeUnit.SECONDS);
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Returns the metrics of calls as text, after the event loop has handled what came before. */
     String metrics() throws Exception {
         return group.submit(metrics::text).get(5, TimeUnit.SECONDS);
