A stop looks and acts in one turn of the event loop

Callers could see: a request that had been read and passed on was cut off with the process, and no line named it (what the users' record shows; that it was this is not shown). Cause: the stopping thread looked at a counter and only queued its orders (refuse, fail, close) for the event loop. It never waited for them: after 250 ms and a counter of 0 the process ended, also if the loop was held up all that time and read and passed on a request between the last look and the end. A failing order also left out those queued with it. Change: StopSequence (core, without threads) decides which step is due from the time and the open work; GracefulStop runs each look and its steps together on the loop, and the stopping thread waits for the last one, which stops reading. The counter that was kept beside the connections is gone. What is open after CLOSE is failed at the end of the time, too. GracefulStopTest, loops held up for 0.3 to 9 s.

--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -8,9 +8,6 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import org.hawthornglade.core.dispatch.CallScreen;
 import org.hawthornglade.core.dispatch.CallView;
@@ -32,6 +29,7 @@
 import org.hawthornglade.core.serving.ServiceDefinition;
 import org.hawthornglade.core.serving.ServingConfiguration;
 import org.hawthornglade.core.stop.OpenWork;
+import org.hawthornglade.core.stop.StopStep;
 import org.hawthornglade.core.store.StoreEra;
 import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.exchange.CallReceiver;
@@ -76,8 +74,6 @@
     private static final long METRICS_START_DELAY_MS = 3_000;
     /** Limit for the time in which the log writes its last lines. */
     private static final long LOG_FLUSH_MS = 200;
-    /** Limit for the time in which the event loop reports what the end of the process cuts off. */
-    private static final long REPORT_MS = 100;
     /** The retry budget is divided by at least this number of entries. */
     private static final int MIN_BUDGET_PARTS = 8;
 
@@ -235,32 +231,12 @@
 
     /** Stops gracefully, without interrupting open calls, and returns; must not be called on the event loop. */
     public void stop() {
-        long tookMs = new GracefulStop(clock, Gateway::pause, settings.graceMs(), new StopSteps()).run();
-        reportCut(tookMs);
-        log.flush(LOG_FLUSH_MS);
-    }
-
-    /** Reports what is cut off by the end of the process, which follows at once. */
-    private void reportCut(long tookMs) {
-        CountDownLatch reported = new CountDownLatch(1);
-        timers.run(() -> {
-            callers.reportCutByStop();
-            LogLine line = logOpen(log.event("stop").with("took_ms", tookMs), callers.openWork());
-            receiver.addUnidentified(line).write();
-            reported.countDown();
-        });
-        if (!await(reported, REPORT_MS)) {
-            log.event("stop-without-event-loop").with("took_ms", tookMs).write();
-        }
-    }
-
-    private static boolean await(CountDownLatch latch, long timeoutMs) {
-        try {
-            return latch.await(timeoutMs, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
+        GracefulStop stop = new GracefulStop(timers, clock, settings.graceMs(), new StoppingEntry(clock.nowMs()));
+        stop.start();
+        if (!stop.awaitEnd()) {
+            log.event("stop-overdue").with("grace_ms", settings.graceMs()).write();
         }
+        log.flush(LOG_FLUSH_MS);
     }
 
     private static LogLine logOpen(LogLine line, OpenWork open) {
@@ -269,10 +245,6 @@
                 .with("undelivered_responses", open.undeliveredResponses());
     }
 
-    private static void pause(long ms) {
-        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ms));
-    }
-
     private void checkPeriodically() {
         fleet.expire(clock.nowMs());
         metrics.set("request_body_bytes", (int) bodies.reservedBytes());
@@ -393,44 +365,54 @@
         waitingCalls.reconsider();
     }
 
-    /** The steps of a stop, run on the event loop. */
-    private final class StopSteps implements GracefulStop.Steps {
-        @Override
-        public void begin() {
-            timers.run(() -> {
-                stopping = true;
-                callers.startDraining();
-                placement.resign();
-                logOpen(log.event("stopping"), callers.openWork()).write();
-            });
+    /** This entry as its stop sees it. */
+    private final class StoppingEntry implements GracefulStop.Entry {
+        private final long startMs;
+
+        StoppingEntry(long startMs) {
+            this.startMs = startMs;
         }
 
         @Override
-        public void startRefusing() {
-            timers.run(() -> {
-                logOpen(log.event("stop-refusing"), callers.openWork()).write();
-                quotaGate.refuseHeld();
-                waitingCalls.refuseAll();
-                callers.closeIdle();
-            });
+        public OpenWork openWork() {
+            return new OpenWork(callers.openWork().calls(), 0, 0);
         }
 
         @Override
-        public void failOpenCalls() {
-            timers.run(() -> {
-                logOpen(log.event("stop-failing"), callers.openWork()).write();
-                receiver.failOpenCalls();
-            });
+        public void perform(StopStep step, OpenWork open) {
+            switch (step) {
+                case LEAVE_ROTATION -> leaveRotation();
+                case REFUSE -> refuse();
+                case FAIL -> fail();
+                case CLOSE -> callers.close();
+                case END -> end();
+            }
         }
 
-        @Override
-        public void close() {
-            timers.run(callers::close);
+        private void leaveRotation() {
+            logOpen(log.event("stopping"), callers.openWork()).write();
+            stopping = true;
+            callers.startDraining();
+            placement.resign();
         }
 
-        @Override
-        public int openCalls() {
-            return callers.openCalls();
+        private void refuse() {
+            logOpen(log.event("stop-refusing"), callers.openWork()).write();
+            quotaGate.refuseHeld();
+            waitingCalls.refuseAll();
+            callers.closeIdle();
+        }
+
+        private void fail() {
+            logOpen(log.event("stop-failing"), callers.openWork()).write();
+            receiver.failOpenCalls();
+        }
+
+        private void end() {
+            callers.stopReading();
+            callers.reportCutByStop();
+            LogLine line = log.event("stop").with("took_ms", clock.nowMs() - startMs);
+            receiver.addUnidentified(logOpen(line, callers.openWork())).write();
         }
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
@@ -1,87 +1,86 @@
 package org.hawthornglade.gateway;
 
-import java.util.function.LongConsumer;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.hawthornglade.core.stop.OpenWork;
+import org.hawthornglade.core.stop.StopSequence;
+import org.hawthornglade.core.stop.StopStep;
 import org.hawthornglade.core.time.Clock;
+import org.hawthornglade.gateway.loop.Timers;
 
 /**
  * Stops an entry step by step, without interrupting open calls.
  *
- * <p>First the entry leaves the load balancer's rotation, and serves all calls until that has taken effect. Then it
- * refuses new and waiting calls, which the end of the process could interrupt, and stops after its last open call.
- * Calls that are still open when the time is over get an error instead of a closed connection.
+ * <p>Each look at what is open and the steps that follow from it run together on the event loop, so that nothing is read
+ * in between. The stopping thread only waits for the last step.
  */
 final class GracefulStop {
-    /** Time for which the load balancer may still send new connections. */
-    private static final long BALANCER_REACTION_MS = 2_500;
-    /** Time reserved for closing after the last call. */
-    private static final long EXIT_RESERVE_MS = 700;
-    /** Time to read and refuse the requests on the connections that were accepted last, after listening has ended. */
-    private static final long ACCEPTED_REQUEST_MS = 250;
     /** Interval at which the progress of the stop is checked. */
     private static final long CHECK_INTERVAL_MS = 20;
+    /** The process ends this long before the end of the grace, also if the event loop does not come to its last step. */
+    private static final long MIN_RESERVE_MS = 250;
+    /** The least time that the event loop has for all steps. */
+    private static final long MIN_DURATION_MS = 1_000;
 
-    /** The steps of a stop; called on the stopping thread. */
-    interface Steps {
-        /** Leaves the rotation and releases the roles that other entries can take over. */
-        void begin();
+    /** The entry that stops; used on the event loop. */
+    interface Entry {
+        /** Returns what the end of the process would cut off now. */
+        OpenWork openWork();
 
-        /** Refuses new and waiting calls from now on. */
-        void startRefusing();
-
-        /** Ends the open calls with an error, because the process ends before their responses. */
-        void failOpenCalls();
-
-        /** Stops listening. */
-        void close();
-
-        /** Returns the number of open calls. */
-        int openCalls();
+        /**
+         * Carries out a step.
+         *
+         * @param open what was open when the step was decided
+         */
+        void perform(StopStep step, OpenWork open);
     }
 
+    private final Timers timers;
     private final Clock clock;
-    private final LongConsumer pauseMs;
     private final long graceMs;
-    private final Steps steps;
+    private final Entry entry;
+    private final StopSequence sequence;
+    private final CountDownLatch ended = new CountDownLatch(1);
 
     /**
-     * Creates a stop that has not started.
+     * Creates a stop that begins now.
      *
-     * @param pauseMs makes the stopping thread wait for the given number of milliseconds
      * @param graceMs the maximum duration of the stop
      */
-    GracefulStop(Clock clock, LongConsumer pauseMs, long graceMs, Steps steps) {
-        this.pauseMs = pauseMs;
+    GracefulStop(Timers timers, Clock clock, long graceMs, Entry entry) {
+        this.timers = timers;
         this.clock = clock;
         this.graceMs = graceMs;
-        this.steps = steps;
+        this.entry = entry;
+        this.sequence = new StopSequence(clock.nowMs(), graceMs);
     }
 
-    /** Runs the steps until the process may end; returns the duration in milliseconds. */
-    long run() {
-        long startMs = clock.nowMs();
-        steps.begin();
-        waitUntil(startMs + Math.min(BALANCER_REACTION_MS, graceMs - EXIT_RESERVE_MS));
-        steps.startRefusing();
-        long latestMs = startMs + graceMs - EXIT_RESERVE_MS;
-        waitForCalls(latestMs);
-        if (steps.openCalls() > 0) {
-            steps.failOpenCalls();
-        }
-        steps.close();
-        waitUntil(clock.nowMs() + ACCEPTED_REQUEST_MS);
-        waitForCalls(latestMs + ACCEPTED_REQUEST_MS);
-        return clock.nowMs() - startMs;
+    /** Begins; may be called on any thread. */
+    void start() {
+        timers.run(this::check);
     }
 
-    private void waitForCalls(long latestMs) {
-        while (clock.nowMs() < latestMs && steps.openCalls() > 0) {
-            pauseMs.accept(CHECK_INTERVAL_MS);
+    private void check() {
+        if (sequence.ended()) {
+            return;
+        }
+        timers.after(CHECK_INTERVAL_MS, this::check);
+        OpenWork open = entry.openWork();
+        for (StopStep step : sequence.next(clock.nowMs(), open)) {
+            timers.runNow(() -> entry.perform(step, open));
+        }
+        if (sequence.ended()) {
+            ended.countDown();
         }
     }
 
-    private void waitUntil(long untilMs) {
-        while (clock.nowMs() < untilMs) {
-            pauseMs.accept(CHECK_INTERVAL_MS);
+    /** Waits until the process may end; returns whether all steps were carried out in time. */
+    boolean awaitEnd() {
+        try {
+            return ended.await(Math.max(MIN_DURATION_MS, graceMs - MIN_RESERVE_MS), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
         }
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -46,6 +46,7 @@
     private boolean closing;
     private long lastActiveMs;
     private boolean receivedBytes;
+    private boolean readingStopped;
     private End endReason = End.DISCONNECTED;
 
     CallerConnection(CallerServer server) {
@@ -129,8 +130,14 @@
         sendContinue();
     }
 
+    /** Stops reading for good, because the process ends. */
+    void stopReading() {
+        readingStopped = true;
+        updateReading();
+    }
+
     private void updateReading() {
-        boolean reads = decodesOn() && !assembler.heldBack() && !undecoded.isHolding();
+        boolean reads = !readingStopped && decodesOn() && !assembler.heldBack() && !undecoded.isHolding();
         context.channel().config().setAutoRead(reads);
     }
 
@@ -174,7 +181,6 @@
 
     private void enqueue(ReceivedCall call) {
         calls.add(call);
-        server.callOpened();
         updateReading();
     }
 
@@ -355,12 +361,10 @@
         assembler.discard();
         for (ReceivedCall received : calls.removeWaiting()) {
             received.release();
-            server.callClosed();
         }
-        Optional<ReceivedCall> current = calls.current();
         // Its handler may still use its body.
-        current.ifPresent(received -> received.call().response().callerGone());
-        finishCurrent();
+        calls.current().ifPresent(received -> received.call().response().callerGone());
+        calls.finishCurrent();
     }
 
     /** Returns the method of the request that is being answered. */
@@ -379,7 +383,7 @@
 
     /** Completes the current request and starts the next one, unless the response was the last on this connection. */
     void onResponseWritten(boolean last) {
-        finishCurrent();
+        calls.finishCurrent();
         lastActiveMs = server.clock().nowMs();
         closing |= last;
         startNext();
@@ -389,13 +393,6 @@
         }
     }
 
-    private void finishCurrent() {
-        if (calls.current().isPresent()) {
-            calls.finishCurrent();
-            server.callClosed();
-        }
-    }
-
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
         calls.current().ifPresent(received -> received.call().response().writabilityChanged());
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -50,7 +50,6 @@
     private final boolean keepsBodies;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listener;
-    private volatile int openCalls;
     private boolean draining;
 
     /** Creates a server that does not listen yet, with budgets of its own. */
@@ -203,23 +202,9 @@
         connections.forEach(CallerConnection::reportCutByStop);
     }
 
-    /** Returns how many requests are open; may be called on any thread. */
-    public int openCalls() {
-        return openCalls;
-    }
-
-    void callOpened() {
-        changeOpenCalls(1);
-    }
-
-    void callClosed() {
-        changeOpenCalls(-1);
-    }
-
-    /** Changes the number of open calls; called on the event loop only. */
-    private void changeOpenCalls(int change) {
-        int now = openCalls;
-        openCalls = now + change;
+    /** Stops reading from all connections, because the process ends. */
+    public void stopReading() {
+        connections.forEach(CallerConnection::stopReading);
     }
 
     boolean isDraining() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/loop/Timers.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/loop/Timers.java
@@ -23,6 +23,11 @@
         loop.execute(() -> runAndLogFailure(action));
     }
 
+    /** Runs an action at once; must be called on the event loop. */
+    public void runNow(Runnable action) {
+        runAndLogFailure(action);
+    }
+
     /** Runs an action once after a delay. */
     public Timeout after(long delayMs, Runnable action) {
         Future<?> scheduled =
--- a/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
@@ -2,72 +2,93 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.hawthornglade.core.stop.OpenWork;
+import org.hawthornglade.core.stop.StopStep;
+import org.hawthornglade.core.time.ManualClock;
+import org.hawthornglade.gateway.log.EventLog;
+import org.hawthornglade.gateway.loop.Timers;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class GracefulStopTest {
+    private static final int TICK_MS = 10;
 
-    private long nowMs;
+    private final ManualClock clock = new ManualClock(0);
+    private final EmbeddedChannel loop = new EmbeddedChannel();
+    private final EventLog log =
+            new EventLog(clock, new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+    private final Timers timers = new Timers(loop.eventLoop(), log);
+    private final List<StopStep> steps = new ArrayList<>();
 
-    /** An entry whose last open call ends at a given time. */
-    private final class Entry implements GracefulStop.Steps {
-        private final long lastCallEndsMs;
-        private final List<String> steps = new ArrayList<>();
+    /** An entry in which a step may fail. */
+    private final class Entry implements GracefulStop.Entry {
+        private final StopStep failing;
 
-        Entry(long lastCallEndsMs) {
-            this.lastCallEndsMs = lastCallEndsMs;
+        Entry(StopStep failing) {
+            this.failing = failing;
         }
 
         @Override
-        public void begin() {
-            steps.add("begin");
+        public OpenWork openWork() {
+            return OpenWork.NONE;
         }
 
         @Override
-        public void startRefusing() {
-            steps.add("refuse at " + nowMs / 100 * 100);
-        }
-
-        @Override
-        public void failOpenCalls() {
-            steps.add("fail at " + nowMs / 100 * 100);
-        }
-
-        @Override
-        public void close() {
-            steps.add("close at " + nowMs / 100 * 100);
+        public void perform(StopStep step, OpenWork open) {
+            steps.add(step);
+            if (step == failing) {
+                throw new IllegalStateException("a step fails");
+            }
         }
+    }
 
-        @Override
-        public int openCalls() {
-            return nowMs < lastCallEndsMs ? 1 : 0;
+    private void advance(long ms) {
+        for (long passedMs = 0; passedMs < ms; passedMs += TICK_MS) {
+            clock.advance(TICK_MS);
+            loop.advanceTimeBy(TICK_MS, TimeUnit.MILLISECONDS);
+            loop.runPendingTasks();
         }
     }
 
-    /** The caller of the last accepted connection was cut off without a response. */
+    /** Guards against a step whose failure leaves out the ones after it. */
     @ParameterizedTest
-    @CsvSource({"0, 8000, 250", "60000, 8000, 0"})
-    void lastAcceptedConnectionHasTimeToGetAResponse(long lastCallEndsMs, long graceMs, long minAfterCloseMs) {
-        Entry entry = new Entry(lastCallEndsMs);
-        long tookMs = new GracefulStop(() -> nowMs, ms -> nowMs += ms, graceMs, entry).run();
-        long closedMs = Math.max(2_500, Math.min(lastCallEndsMs, graceMs - 700));
-        assertThat(tookMs).isAtLeast(closedMs + minAfterCloseMs);
-        assertThat(tookMs).isAtMost(graceMs);
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "FAIL")
+    void stepThatFailsIsLoggedAndTheOthersFollow(StopStep failing) {
+        loop.freezeTime();
+        GracefulStop stop = new GracefulStop(timers, clock, 8_000, new Entry(failing));
+        stop.start();
+        advance(4_000);
+        assertThat(steps)
+                .containsExactly(StopStep.LEAVE_ROTATION, StopStep.REFUSE, StopStep.CLOSE, StopStep.END)
+                .inOrder();
+        assertThat(stop.awaitEnd()).isTrue();
     }
 
+    /**
+     * Guards against a process that ends on what it saw before its event loop was held up: the loop then read a request,
+     * passed it on, and the process ended with it.
+     */
     @ParameterizedTest
-    @CsvSource({"0, 8000, 2500", "4000, 8000, 4000", "60000, 8000, 7300", "60000, 2000, 1300"})
-    void refusesAfterTheBalancerHasReactedAndEndsWithItsLastCall(long lastCallEndsMs, long graceMs, long closedMs) {
-        Entry entry = new Entry(lastCallEndsMs);
-        new GracefulStop(() -> nowMs, ms -> nowMs += ms, graceMs, entry).run();
-        long refusedMs = Math.min(2_500, graceMs - 700);
-        List<String> expected = new ArrayList<>(List.of("begin", "refuse at " + refusedMs, "close at " + closedMs));
-        if (lastCallEndsMs > graceMs) {
-            // A call that outlasts the grace was cut off without a response.
-            expected.add(2, "fail at " + closedMs);
-        }
-        assertThat(entry.steps).containsExactlyElementsIn(expected).inOrder();
+    @ValueSource(longs = {300, 700, 3_000, 9_000})
+    void processEndsOnlyAfterTheEventLoopHasCarriedOutTheSteps(long heldUpMs) {
+        loop.freezeTime();
+        GracefulStop stop = new GracefulStop(timers, clock, 8_000, new Entry(null));
+        stop.start();
+        advance(2_400);
+        clock.advance(heldUpMs);
+        assertThat(steps).containsExactly(StopStep.LEAVE_ROTATION);
+        advance(1_000);
+        assertThat(steps)
+                .containsAtLeast(StopStep.REFUSE, StopStep.CLOSE, StopStep.END)
+                .inOrder();
+        assertThat(stop.awaitEnd()).isTrue();
     }
 }
