A planned stop counts requests that are on their way, and refuses them with an answer

Callers saw: a connection that ended while they sent a body, or just after its last byte, 2.8 s after the SIGTERM, with 5 s of the grace left; the server had not got the request. Cause: only complete requests counted as open, so that the process ended while it held heads and parts of bodies; also what was held back for memory or not decoded. Change: connections with a part of a request are open work. At REFUSE, requests whose bodies are not complete get 503 with STOPPING at once, before their bodies are; a head that is on its way is waited for, and refused when complete or at the end of the grace. They have not run, and are never passed on.

--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -375,7 +375,8 @@
 
         @Override
         public OpenWork openWork() {
-            return new OpenWork(callers.openWork().calls(), 0, 0);
+            OpenWork open = callers.openWork();
+            return new OpenWork(open.calls(), open.partialRequests(), 0);
         }
 
         @Override
@@ -400,12 +401,13 @@
             logOpen(log.event("stop-refusing"), callers.openWork()).write();
             quotaGate.refuseHeld();
             waitingCalls.refuseAll();
-            callers.closeIdle();
+            callers.startRefusing();
         }
 
         private void fail() {
             logOpen(log.event("stop-failing"), callers.openWork()).write();
             receiver.failOpenCalls();
+            callers.refusePartial();
         }
 
         private void end() {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -170,7 +170,12 @@
     @Override
     public void onUnreadBody(IncomingCall call, UnreadBody reason) {
         RequestId id = context.protocol().readCall(call.head()).fold(invalid -> RequestId.of("none"), CallRequest::id);
-        sendError(call, id, ResultCode.BODY_MEMORY_FULL, NO_MEMORY_RETRY_AFTER_MS, "no memory for its body");
+        switch (reason) {
+            case NO_MEMORY ->
+                sendError(call, id, ResultCode.BODY_MEMORY_FULL, NO_MEMORY_RETRY_AFTER_MS, "no memory for its body");
+            case STOPPING ->
+                sendError(call, id, ResultCode.STOPPING, STOPPING_RETRY_AFTER_MS, "stopping before its body was read");
+        }
     }
 
     @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -187,6 +187,9 @@
     /** Starts the next request once all that has arrived is known, so that it is not answered as the last one. */
     @Override
     public void channelReadComplete(ChannelHandlerContext reader) {
+        if (server.isRefusing()) {
+            assembler.refuseAtStop();
+        }
         startNext();
         reader.fireChannelReadComplete();
     }
@@ -271,6 +274,19 @@
         }
     }
 
+    /** Refuses the request whose body is not complete, because the entry stops; closes an idle connection. */
+    void startRefusing() {
+        assembler.refuseAtStop();
+        closeIfIdle();
+    }
+
+    /** Refuses a request whose head is not complete, because the process ends. */
+    void refusePartial() {
+        if (!refusing && !closing && !assembler.isIdle()) {
+            onInvalid(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     /** Returns whether no request is open, not even a part of one. */
     private boolean isIdle() {
         return !refusing && calls.isEmpty() && assembler.isIdle();
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -51,6 +51,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listener;
     private boolean draining;
+    private boolean refusing;
 
     /** Creates a server that does not listen yet, with budgets of its own. */
     public CallerServer(
@@ -187,11 +188,24 @@
         closeIdle();
     }
 
-    /** Closes the connections without an open request, except newly opened ones. */
-    public void closeIdle() {
+    private void closeIdle() {
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /**
+     * Refuses, from now on, requests whose bodies are not complete when all that has arrived is read, and closes the
+     * connections without an open request, except newly opened ones.
+     */
+    public void startRefusing() {
+        refusing = true;
+        List.copyOf(connections).forEach(CallerConnection::startRefusing);
+    }
+
+    /** Refuses the requests whose heads are not complete, because the process ends. */
+    public void refusePartial() {
+        List.copyOf(connections).forEach(CallerConnection::refusePartial);
+    }
+
     /** Returns what the end of the process would cut off. */
     public OpenWork openWork() {
         return connections.stream().map(CallerConnection::openWork).reduce(OpenWork.NONE, OpenWork::plus);
@@ -211,6 +225,10 @@
         return draining;
     }
 
+    boolean isRefusing() {
+        return refusing;
+    }
+
     RequestLimits limits() {
         return limits.get();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/RequestAssembler.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/RequestAssembler.java
@@ -185,6 +185,13 @@
         refuseUnread(UnreadBody.NO_MEMORY);
     }
 
+    /** Refuses the request whose body is not complete, if there is one, because the entry stops. */
+    void refuseAtStop() {
+        if (head != null) {
+            refuseUnread(UnreadBody.STOPPING);
+        }
+    }
+
     /** Refuses the request whose body is not complete. */
     private void refuseUnread(UnreadBody reason) {
         HttpRequest refused = head;
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -386,14 +386,14 @@
         group.submit(server::startDraining).get(5, TimeUnit.SECONDS);
     }
 
-    /** Closes the connections without an open request, as in a stop. */
-    void closeIdle() throws InterruptedException {
-        CountDownLatch done = new CountDownLatch(1);
-        timers.run(() -> {
-            server.closeIdle();
-            done.countDown();
-        });
-        done.await(5, TimeUnit.SECONDS);
+    /** Closes the connections without an open request, and refuses requests that are not complete, as in a stop. */
+    void closeIdle() throws Exception {
+        group.submit(server::startRefusing).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Refuses the requests whose heads are not complete, as at the end of a stop. */
+    void refusePartial() throws Exception {
+        group.submit(server::refusePartial).get(5, TimeUnit.SECONDS);
     }
 
     /** Reports what the end of the process would cut off. */
