A planned stop counts responses that are not known to be with their callers

Cause: a call was over when its last bytes were given to Netty, and the last response of a connection was followed by a close at once, so that nothing told whether the caller had it. Change: a connection with bytes that are not handed to the system, or whose last response is not followed by the caller's close, is open work. During a stop the entry ends its side of the connection after the last response and waits for the caller to close, up to 1 s after the system has all bytes. Requests behind a last response get a line (after_close).

--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -375,8 +375,7 @@
 
         @Override
         public OpenWork openWork() {
-            OpenWork open = callers.openWork();
-            return new OpenWork(open.calls(), open.partialRequests(), 0);
+            return callers.openWork();
         }
 
         @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -28,6 +28,10 @@
         implements RequestAssembler.Listener, HeadBudget.Holder {
     /** A new connection is kept open for this time during a stop, because its first request may be in transit. */
     private static final long FIRST_REQUEST_GRACE_MS = 250;
+    /** Time in which the rest of a refused request is discarded. */
+    private static final long REST_OF_REQUEST_MS = 3_000;
+    /** Time in which a caller closes its connection once it has the last response; longer if it is slow to read it. */
+    private static final long DELIVERY_MS = 1_000;
     /** Timeouts are checked at most this often. */
     private static final long MIN_TIMEOUT_CHECK_MS = 100;
 
@@ -72,6 +76,8 @@
             if (!refusing) {
                 assembler.read((HttpObject) message);
                 sendContinue();
+            } else if (closing && refusal.isEmpty() && message instanceof HttpRequest head) {
+                server.handler().onUnfinished(new UnfinishedRequest(Optional.of(head), End.AFTER_CLOSE, 0, 0, 0));
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -252,7 +258,9 @@
         Optional<RequestAssembler.SlowPart> slow = assembler.slowPart(server.limits(), !calls.isEmpty(), nowMs);
         if (slow.isPresent()) {
             refuseSlow(slow.get());
-        } else if (isIdle() && nowMs - lastActiveMs > server.limits().idleTimeoutMs()) {
+        } else if (isIdle()
+                && pendingBytes() == 0
+                && nowMs - lastActiveMs > server.limits().idleTimeoutMs()) {
             Channels.close(context.channel());
         }
     }
@@ -347,7 +355,8 @@
     /** Returns what the end of the process would cut off. */
     OpenWork openWork() {
         boolean partial = !closing && (!assembler.isIdle() || undecoded.isHolding());
-        return new OpenWork(calls.size(), partial ? 1 : 0, pendingBytes() > 0 ? 1 : 0);
+        boolean undeliveredResponse = closing || pendingBytes() > 0;
+        return new OpenWork(calls.size(), partial ? 1 : 0, undeliveredResponse ? 1 : 0);
     }
 
     /** Records the last response that is complete here, until it is handed to the system. */
@@ -402,6 +411,8 @@
         calls.finishCurrent();
         lastActiveMs = server.clock().nowMs();
         closing |= last;
+        // What follows the last response is discarded.
+        refusing |= last;
         startNext();
         sendContinue();
         if (calls.isEmpty() && !closing) {
@@ -422,8 +433,16 @@
         Channels.close(failed.channel());
     }
 
-    /** Returns whether the rest of a refused request may still arrive after its response. */
-    boolean discardsRest() {
-        return refusing && refusal.isEmpty() && !calls.hasWaiting();
+    /**
+     * Returns how long the caller has to close the connection after the last response; empty if it is closed at once.
+     *
+     * <p>The rest of a refused request may still arrive. At a stop, the response may have to be with the caller before
+     * the process ends.
+     */
+    Optional<Long> awaitCloseMs() {
+        if (refusing && refusal.isEmpty() && !calls.hasWaiting()) {
+            return Optional.of(REST_OF_REQUEST_MS);
+        }
+        return server.isDraining() ? Optional.of(DELIVERY_MS) : Optional.empty();
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/Channels.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/Channels.java
@@ -9,9 +9,6 @@
 
 /** Writes and closes without waiting; if a write fails, the channel is closed and its handler is notified. */
 final class Channels {
-    /** The rest of a refused request is discarded for this time. */
-    private static final long DISCARD_REST_MS = 3_000;
-
     private Channels() {}
 
     @CanIgnoreReturnValue
@@ -27,23 +24,26 @@
     /**
      * Writes, and closes when the other side has closed or after a time.
      *
-     * <p>Bytes that arrive after a close reset the connection, and the response could be lost with it.
+     * <p>Bytes that arrive after a close reset the connection, and the response could be lost with it. An end of the
+     * process, or of its machine, would cut off what the system has not delivered yet.
+     *
+     * @param timeoutMs how long to wait for the other side after the message is handed to the system
      */
     @CanIgnoreReturnValue
-    static ChannelFuture writeAndDiscardRest(Channel channel, Object message) {
+    static ChannelFuture writeAndAwaitClose(Channel channel, Object message, long timeoutMs) {
         return channel.writeAndFlush(message).addListener(written -> {
             if (written.isSuccess()) {
-                shutdownOutput(channel);
+                shutdownOutput(channel, timeoutMs);
             } else {
                 close(channel);
             }
         });
     }
 
-    private static void shutdownOutput(Channel channel) {
+    private static void shutdownOutput(Channel channel, long timeoutMs) {
         ((DuplexChannel) channel).shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         channel.eventLoop()
-                .schedule(() -> close(channel), DISCARD_REST_MS, TimeUnit.MILLISECONDS)
+                .schedule(() -> close(channel), timeoutMs, TimeUnit.MILLISECONDS)
                 .addListener(done -> {});
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -129,10 +129,13 @@
     }
 
     private ChannelFuture write(HttpObject end, boolean last) {
-        if (last && connection.discardsRest()) {
-            return Channels.writeAndDiscardRest(channel, end);
+        if (!last) {
+            return Channels.write(channel, end);
         }
-        return last ? Channels.writeAndClose(channel, end) : Channels.write(channel, end);
+        return connection
+                .awaitCloseMs()
+                .map(timeoutMs -> Channels.writeAndAwaitClose(channel, end, timeoutMs))
+                .orElseGet(() -> Channels.writeAndClose(channel, end));
     }
 
     @Override
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/UnfinishedRequest.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/UnfinishedRequest.java
@@ -17,6 +17,8 @@
     public enum End {
         /** Refused as invalid or too slow. */
         REFUSED,
+        /** Sent behind a response that announced the end of the connection. */
+        AFTER_CLOSE,
         /** The connection ended before it was complete or in turn. */
         DISCONNECTED,
         /** Its connection was closed because the limits on connections and memory were reached. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -229,6 +229,7 @@
 
     /** Returns the text that was logged so far. */
     String log() {
+        log.flush(READ_TIMEOUT_MS);
         return logBytes.toString(StandardCharsets.UTF_8);
     }
 
@@ -447,6 +448,10 @@
         return group.submit(bodies::waiting).get(5, TimeUnit.SECONDS);
     }
 
+    int port() {
+        return port;
+    }
+
     /** Opens a connection as a caller. */
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
