A response that its caller reads slowly is not broken off as silent

Cause: the limit for an endpoint's silence before its response went on while the response was passed on, and a stream's limit between events went on while the entry did not read the endpoint because its caller did not read. Then the attempt was given up, and what had begun could not go on. Change: the limit ends when a response is passed on, and stands still while the endpoint is not read. The part on streams is by reading.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -288,9 +288,17 @@
         applyBackpressure();
     }
 
+    /** Reads from the endpoint only while the caller reads; an endpoint that is not read is not silent. */
     private void applyBackpressure() {
-        if (!ended && connection != null) {
-            connection.setReading(exchange.response().writable());
+        if (ended || connection == null) {
+            return;
+        }
+        boolean reading = exchange.response().writable();
+        connection.setReading(reading);
+        if (!reading) {
+            silenceLimit.cancel();
+        } else if (events != null && prefillDone) {
+            silenceLimit.startBetweenEvents();
         }
     }
 
@@ -315,6 +323,8 @@
             return;
         }
         forwarding = true;
+        // From here on the response cannot come from elsewhere.
+        silenceLimit.cancel();
         exchange.response().onWritable(this::applyBackpressure);
         forward(buffered);
         forwardPiece(content);
