A kept connection is closed only after its caller has the response before

Callers saw: the end of a large response that they read slowly was missing on a connection that was kept open, when a stop began, when the connection counted as idle, or when there were too many connections. Cause: a connection without an open call was closed at once; Netty drops what it has not handed to the system yet. Change: such a connection is half-closed after its bytes in a stop, is not idle while it has some, and is chosen last when connections are to be closed for the limit. The idle timeout and the limit of connections: by reading.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -274,12 +274,19 @@
         onInvalid(status);
     }
 
-    /** Closes the connection if no request is open on it. */
+    /** Closes the connection if no request is open on it, once its caller has the last response. */
     void closeIfIdle() {
         boolean justOpened = !receivedBytes && server.clock().nowMs() - lastActiveMs < FIRST_REQUEST_GRACE_MS;
-        if (!justOpened && !undecoded.isHolding() && isIdle()) {
+        if (justOpened || undecoded.isHolding() || !isIdle()) {
+            return;
+        }
+        if (pendingBytes() == 0) {
             Channels.close(context.channel());
+            return;
         }
+        closing = true;
+        refusing = true;
+        Channels.writeAndAwaitClose(context.channel(), Unpooled.EMPTY_BUFFER, DELIVERY_MS);
     }
 
     /** Refuses the request whose body is not complete, because the entry stops; closes an idle connection. */
@@ -310,6 +317,11 @@
         return assembler.hasHead();
     }
 
+    /** Returns whether bytes of a response are not handed to the system. */
+    boolean hasPendingBytes() {
+        return pendingBytes() > 0;
+    }
+
     /** Returns when a response was completed last, or the connection was opened. */
     long lastActiveMs() {
         return lastActiveMs;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -273,6 +273,7 @@
             CallerConnection shed = connections.stream()
                     .filter(CallerConnection::hasNoCall)
                     .min(Comparator.comparing(CallerConnection::hasHead)
+                            .thenComparing(CallerConnection::hasPendingBytes)
                             .thenComparingLong(CallerConnection::lastActiveMs))
                     .orElse(connection);
             // The end of a channel is reported later; until then the next new connection would choose it again.
