A refused request's connection is closed after its caller, not before

Callers saw: a reset connection in place of the 400, 408, 413 or 501 that was sent to them, when they were still sending. Cause: the connection was closed right after the refusal; what arrived then reset it.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -238,7 +238,7 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        Channels.writeAndClose(context.channel(), response);
+        Channels.writeAndAwaitClose(context.channel(), response, REST_OF_REQUEST_MS);
     }
 
     private void scheduleTimeoutCheck() {
