A request that is refused for its length is logged with its id

Cause: its head was complete, but the assembler did not keep it, so that it was only counted. Change: the head is kept for the line. Measured: UnfinishedRequestTest, row 'too long'.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/RequestAssembler.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/RequestAssembler.java
@@ -117,6 +117,7 @@
                 RequestValidator.fault(request, server.limits().maxBodyBytes());
         if (fault.isPresent()) {
             reportTooLong(request);
+            head = request.decoderResult().isSuccess() ? request : null;
             listener.onInvalid(fault.get());
             return;
         }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/UnfinishedRequestTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/UnfinishedRequestTest.java
@@ -21,13 +21,19 @@
         "chunks, , disconnected, 3",
         "chunks, stop, cut_by_stop, 3",
         "invalid chunk, , refused, 0",
+        "too long, , refused, 0",
     })
     void requestWithoutWholeBodyIsLogged(String body, String event, String end, int bodyBytes) throws Exception {
         String sent =
-                body.equals("length") ? LENGTH + "hello" : CHUNKED + (body.equals("chunks") ? "3\r\nabc\r\n" : "x");
+                switch (body) {
+                    case "length" -> LENGTH + "hello";
+                    case "chunks" -> CHUNKED + "3\r\nabc\r\n";
+                    case "too long" -> "Content-Length: 1000000\r\n\r\n";
+                    default -> CHUNKED + "x\r\n";
+                };
         String line = " request=r-1 end=" + end;
         try (Socket socket = entry.connect()) {
-            TestEntry.send(socket, HEAD + sent + (body.startsWith("invalid") ? "\r\n" : ""));
+            TestEntry.send(socket, HEAD + sent);
             await(() -> entry.bodiesBegun() == 1 || entry.log().contains(line));
             if (event != null) {
                 entry.reportCutByStop();
