A stop does not close a connection without notice after a stream that began before it

Callers saw: the next request on a kept connection met a close that nothing had announced, when the stream before it had begun before the SIGTERM (14 ms apart in the soak); it was not read, and had to be sent again. Cause: whether a response is the last of its connection was decided again at its end, when its head was already sent. Change: only a response that announced the end closes the connection; after another one the next request is answered, with the announcement. Measured: StopWithOpenCallsTest.connectionGoesOnAfterAStreamThatDidNotAnnounceItsEnd, 2 of 2 rows failed before, pass.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/PendingResponse.java
@@ -110,12 +110,8 @@
         writableListener.run();
     }
 
-    private boolean closesConnection() {
-        return closeRequested || closeAnnounced || connection.endsWithThisResponse();
-    }
-
     private void addCloseHeader(HttpHeaders headers) {
-        if (closesConnection()) {
+        if (closeRequested || connection.endsWithThisResponse()) {
             closeAnnounced = true;
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -123,7 +119,8 @@
 
     private void complete(HttpObject end) {
         ended = true;
-        boolean last = closesConnection();
+        // Without the announcement, the caller's next request could meet the close.
+        boolean last = closeRequested || closeAnnounced;
         connection.onResponseComplete(head, write(end, last));
         connection.onResponseWritten(last);
     }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithOpenCallsTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithOpenCallsTest.java
@@ -70,6 +70,34 @@
         }
     }
 
+    /**
+     * Guards against a stop that closes a connection without notice after a stream that began before it: the caller's
+     * next request met the close, and was lost.
+     */
+    @ParameterizedTest
+    @CsvSource({"false, 200", "true, 503"})
+    void connectionGoesOnAfterAStreamThatDidNotAnnounceItsEnd(boolean refusing, int status) throws Exception {
+        String nextResponse = HEAD + "Content-Length: 1\r\n\r\nx";
+        local.respond(STREAM_HEAD + FIRST_EVENT, ConnectionAction.CLOSE_WHEN_RELEASED);
+        local.respond(nextResponse, ConnectionAction.KEEP_OPEN);
+        remote.respond(STREAM_HEAD + SECOND_EVENT, ConnectionAction.KEEP_OPEN);
+        remote.respond(nextResponse, ConnectionAction.KEEP_OPEN);
+        try (Socket socket = entry.connect()) {
+            TestEntry.send(socket, TestEntry.post("/resumable/x", "r-1", "a"));
+            assertThat(TestEntry.read(socket, "first")).startsWith("HTTP/1.1 200");
+            entry.startDraining();
+            if (refusing) {
+                entry.startRefusing();
+            }
+            local.release();
+            TestEntry.read(socket, "0\r\n\r\n");
+            TestEntry.send(socket, TestEntry.post("/safe/x", "r-2", "a"));
+            String next = TestEntry.read(socket, "");
+            assertThat(next).startsWith("HTTP/1.1 " + status);
+            assertThat(next).contains("connection: close");
+        }
+    }
+
     private void fillRemote(int requests) throws Exception {
         entry.onFleet((fleet, nowMs) ->
                 fleet.endpoint(InstanceId.of("i-1")).orElseThrow().load().updateOthers(requests, nowMs + FULL_FOR_MS));
