--- a/app/src/test/java/org/hawthornglade/app/process/StopSoakTest.java
+++ b/app/src/test/java/org/hawthornglade/app/process/StopSoakTest.java
@@ -24,7 +24,6 @@
  * <p>{@code bin/soak} runs it with more seeds.
  */
 @Tag("process")
-@Tag("known-red")
 final class StopSoakTest {
     private static final int ENTRIES = Integer.getInteger("soak.entries", 2);
     private static final int SEEDS = Integer.getInteger("soak.seeds", 1);
