--- a/core/src/main/java/org/hawthornglade/core/stop/StopSequence.java
+++ b/core/src/main/java/org/hawthornglade/core/stop/StopSequence.java
@@ -6,11 +6,10 @@
  * Decides which step of a planned stop is due.
  *
  * <p>First the entry leaves the load balancer's rotation, and serves all calls until that has taken effect. Then it
- * refuses new and waiting calls, which the end of the process could cut off, and ends after its last open work. What is
- * still open when the time is over is failed, so that it gets an error instead of a closed connection.
+ * refuses new and waiting calls, which the end of the process could cut off, and ends when nothing is open any more.
+ * What is still open when the time is over is failed: it gets an error instead of a closed connection.
  *
- * <p>A decision holds for the moment of the look at the open work: its steps must be carried out before anything else is
- * read.
+ * <p>A decision holds for the moment of the look at the open work: its steps are carried out before more is read.
  */
 public final class StopSequence {
     /** Time for which the load balancer may still send new connections. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
@@ -11,13 +11,13 @@
 /**
  * Stops an entry step by step, without interrupting open calls.
  *
- * <p>Each look at what is open and the steps that follow from it run together on the event loop, so that nothing is read
- * in between. The stopping thread only waits for the last step.
+ * <p>Each look at what is open and the steps that follow from it run together on the event loop: nothing is read in
+ * between. The stopping thread only waits for the last step.
  */
 final class GracefulStop {
     /** Interval at which the progress of the stop is checked. */
     private static final long CHECK_INTERVAL_MS = 20;
-    /** The process ends this long before the end of the grace, also if the event loop does not come to its last step. */
+    /** Time before the end of the grace at which the process ends even without the last step. */
     private static final long MIN_RESERVE_MS = 250;
     /** The least time that the event loop has for all steps. */
     private static final long MIN_DURATION_MS = 1_000;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallQueue.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallQueue.java
@@ -24,6 +24,12 @@
      */
     record ReceivedCall(
             IncomingCall call, Optional<BodyReservation> reservation, Optional<UnreadBody> refusal, int headHeapBytes) {
+        /** Returns what is known of the request if it ends without being handled. */
+        UnfinishedRequest unfinished(UnfinishedRequest.End end, long nowMs) {
+            int bodyBytes = call.body().readableBytes();
+            return new UnfinishedRequest(Optional.of(call.head()), end, 0, bodyBytes, nowMs - call.arrivedAtMs());
+        }
+
         void release() {
             call.body().release();
             reservation.ifPresent(BodyReservation::release);
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -39,9 +39,11 @@
     private final UndecodedBytes undecoded = new UndecodedBytes(this);
     private final CallQueue calls = new CallQueue();
     private final UnreadBytes unread = new UnreadBytes();
-    /** The request whose response is complete here, but not handed to the system. */
+    /** The request of the last response that is complete here, while responses are not handed to the system. */
     private Optional<HttpRequest> undelivered = Optional.empty();
 
+    private int undeliveredCount;
+
     private ChannelHandlerContext context;
     private RequestAssembler assembler;
     private boolean refusing;
@@ -341,26 +343,14 @@
     private void reportUnfinished(End end) {
         assembler.unfinished(end, 0).ifPresent(server.handler()::onUnfinished);
         long nowMs = server.clock().nowMs();
-        for (ReceivedCall received : calls.waiting()) {
-            IncomingCall call = received.call();
-            int bodyBytes = call.body().readableBytes();
-            server.handler()
-                    .onUnfinished(new UnfinishedRequest(
-                            Optional.of(call.head()), end, 0, bodyBytes, nowMs - call.arrivedAtMs()));
-        }
+        calls.waiting().forEach(call -> server.handler().onUnfinished(call.unfinished(end, nowMs)));
     }
 
     /** Reports what the end of the process cuts off. */
     void reportCutByStop() {
         reportUnfinished(End.CUT_BY_STOP);
-        calls.current()
-                .ifPresent(received -> server.handler()
-                        .onUnfinished(new UnfinishedRequest(
-                                Optional.of(received.call().head()),
-                                End.CUT_BY_STOP,
-                                0,
-                                received.call().body().readableBytes(),
-                                server.clock().nowMs() - received.call().arrivedAtMs())));
+        long nowMs = server.clock().nowMs();
+        calls.current().ifPresent(call -> server.handler().onUnfinished(call.unfinished(End.CUT_BY_STOP, nowMs)));
         undelivered.ifPresent(head -> server.handler().onCut(new CutResponse(head, End.CUT_BY_STOP, pendingBytes())));
     }
 
@@ -374,11 +364,13 @@
     /** Records the last response that is complete here, until it is handed to the system. */
     void onResponseComplete(HttpRequest head, ChannelFuture written) {
         undelivered = Optional.of(head);
+        undeliveredCount++;
         written.addListener(done -> {
             if (!done.isSuccess()) {
                 server.handler().onCut(new CutResponse(head, endReason, pendingBytes()));
             }
-            if (undelivered.equals(Optional.of(head))) {
+            undeliveredCount--;
+            if (undeliveredCount == 0) {
                 undelivered = Optional.empty();
             }
         });
--- a/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
@@ -73,8 +73,8 @@
     }
 
     /**
-     * Guards against a process that ends on what it saw before its event loop was held up: the loop then read a request,
-     * passed it on, and the process ended with it.
+     * Guards against a process that ends on what it saw before its event loop was held up: the loop then read a
+     * request, passed it on, and the process ended with it.
      */
     @ParameterizedTest
     @ValueSource(longs = {300, 700, 3_000, 9_000})
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/RefusedWhileSendingTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/RefusedWhileSendingTest.java
@@ -12,7 +12,7 @@
     private static final String PIECE = "x".repeat(10_000);
     private static final String HEAD = "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r-1\r\n";
 
-    /** The response to a refused request was lost with its connection, which was reset while the caller sent the rest. */
+    /** The response to a refused request was lost: its connection was reset while the caller sent the rest. */
     @ParameterizedTest
     @CsvSource({"Content-Length: 2000000, 413", "Transfer-Encoding: gzip, 501", "Content-Length: x, 400"})
     void responseReachesACallerThatSendsOn(String field, int status) throws Exception {
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithPartialRequestsTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithPartialRequestsTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.Socket;
-import java.time.Duration;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -48,10 +47,6 @@
     }
 
     private void awaitPartialRequest() {
-        long endNs = System.nanoTime() + Duration.ofSeconds(10).toNanos();
-        while (entry.openWork().partialRequests() == 0 && System.nanoTime() < endNs) {
-            Thread.onSpinWait();
-        }
-        assertThat(entry.openWork().partialRequests()).isEqualTo(1);
+        await(() -> entry.openWork().partialRequests() == 1);
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithUndeliveredResponsesTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithUndeliveredResponsesTest.java
@@ -6,11 +6,9 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import org.hawthornglade.gateway.exchange.ScriptedEndpoint.ConnectionAction;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -28,7 +26,7 @@
             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             + "f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n";
 
-    /** LOST: a stop did not count a response that was complete at the entry, and the process ended with the rest of it. */
+    /** LOST: a stop did not count a response that was complete at the entry; the process ended with the rest. */
     @ParameterizedTest(name = "{0}")
     @CsvSource({"/safe/x", "/stream/x", "/unknown/x"})
     void lastResponseIsOpenUntilItsCallerHasIt(String path) throws Exception {
@@ -45,7 +43,7 @@
         await(() -> entry.openWork().isEmpty());
     }
 
-    /** LOST: a stop closed a kept connection without an open call, and with it the end of a response that is read slowly. */
+    /** LOST: a stop closed a kept connection, and with it the end of a response that is read slowly. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void responseOfAKeptConnectionIsDeliveredWhole(boolean chunked) throws Exception {
@@ -82,12 +80,4 @@
         }
         return bytes;
     }
-
-    private static void await(BooleanSupplier condition) {
-        long endNs = System.nanoTime() + Duration.ofSeconds(10).toNanos();
-        while (!condition.getAsBoolean() && System.nanoTime() < endNs) {
-            Thread.onSpinWait();
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
-    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/UnfinishedRequestTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/UnfinishedRequestTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.Socket;
-import java.time.Duration;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -54,12 +52,4 @@
         await(() -> entry.unidentified().contains(" unidentified_disconnected=1"));
         assertThat(entry.log()).doesNotContain("request-unfinished");
     }
-
-    private static void await(BooleanSupplier condition) {
-        long endNs = System.nanoTime() + Duration.ofSeconds(10).toNanos();
-        while (!condition.getAsBoolean() && System.nanoTime() < endNs) {
-            Thread.onSpinWait();
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
-    }
 }
