Stops and silences can be read off the log: open calls by name, time of the stop, attempts given up

Cause: in the users' record no line of the stopped entry names the request. A call has one line, at its end: a process that is killed before has none; and no line tells that an attempt was given up for its endpoint's silence. Change: call-open names each call that is open when a stop begins and when it begins to refuse, and each that arrives in a stop; every line of a stop has stop_ms; endpoint-silent tells whether the attempt was given up, with counters; stop-overdue has the last look at what was open. No decision changes.

--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -234,11 +234,18 @@
         GracefulStop stop = new GracefulStop(timers, clock, settings.graceMs(), new StoppingEntry(clock.nowMs()));
         stop.start();
         if (!stop.awaitEnd()) {
-            log.event("stop-overdue").with("grace_ms", settings.graceMs()).write();
+            logOverdue(stop.lastLook());
         }
         log.flush(LOG_FLUSH_MS);
     }
 
+    private void logOverdue(GracefulStop.Look lastLook) {
+        LogLine line = log.event("stop-overdue")
+                .with("grace_ms", settings.graceMs())
+                .with("look_ms_ago", clock.nowMs() - lastLook.atMs());
+        logOpen(line, lastLook.open()).write();
+    }
+
     private static LogLine logOpen(LogLine line, OpenWork open) {
         return line.with("calls", open.calls())
                 .with("partial_requests", open.partialRequests())
@@ -390,7 +397,9 @@
         }
 
         private void leaveRotation() {
+            log.onStop(startMs);
             logOpen(log.event("stopping"), callers.openWork()).write();
+            receiver.logOpenCalls();
             stopping = true;
             callers.startDraining();
             placement.resign();
@@ -398,6 +407,7 @@
 
         private void refuse() {
             logOpen(log.event("stop-refusing"), callers.openWork()).write();
+            receiver.logOpenCalls();
             quotaGate.refuseHeld();
             waitingCalls.refuseAll();
             callers.startRefusing();
--- a/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
@@ -35,12 +35,21 @@
         void perform(StopStep step, OpenWork open);
     }
 
+    /**
+     * A look at what was open.
+     *
+     * @param atMs when
+     * @param open what was open
+     */
+    record Look(long atMs, OpenWork open) {}
+
     private final Timers timers;
     private final Clock clock;
     private final long graceMs;
     private final Entry entry;
     private final StopSequence sequence;
     private final CountDownLatch ended = new CountDownLatch(1);
+    private volatile Look lastLook;
 
     /**
      * Creates a stop that begins now.
@@ -53,6 +62,7 @@
         this.graceMs = graceMs;
         this.entry = entry;
         this.sequence = new StopSequence(clock.nowMs(), graceMs);
+        this.lastLook = new Look(clock.nowMs(), OpenWork.NONE);
     }
 
     /** Begins; may be called on any thread. */
@@ -66,6 +76,7 @@
         }
         timers.after(CHECK_INTERVAL_MS, this::check);
         OpenWork open = entry.openWork();
+        lastLook = new Look(clock.nowMs(), open);
         for (StopStep step : sequence.next(clock.nowMs(), open)) {
             timers.runNow(() -> entry.perform(step, open));
         }
@@ -74,6 +85,11 @@
         }
     }
 
+    /** Returns the last look at what was open, or the beginning of the stop; may be called on any thread. */
+    Look lastLook() {
+        return lastLook;
+    }
+
     /** Waits until the process may end; returns whether all steps were carried out in time. */
     boolean awaitEnd() {
         try {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -174,10 +174,15 @@
 
     /** Abandons a silent attempt, unless the call may not run elsewhere; then it keeps waiting at this endpoint. */
     private void onSilence() {
-        if (ended || !exchange.canRetryElsewhere()) {
+        if (ended) {
             return;
         }
-        abandon(OutboundFailure.TIMED_OUT);
+        boolean givenUp = exchange.canRetryElsewhere();
+        boolean begun = exchange.response().started();
+        exchange.record().logSilence(context.log(), context.metrics(), silenceLimit.limitMs(), begun, givenUp);
+        if (givenUp) {
+            abandon(OutboundFailure.TIMED_OUT);
+        }
     }
 
     /** Cancels the attempt; closing the connection notifies the endpoint. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallReceiver.java
@@ -52,6 +52,7 @@
     private final UnhandledRequestLog unhandled;
     private final Set<Exchange> open = new LinkedHashSet<>();
     private long callCount;
+    private boolean stopping;
 
     /**
      * Creates a receiver.
@@ -223,6 +224,15 @@
                 new Exchange(context, ++callCount, call, request, view, quotaHold, known.version(), open::remove);
         open.add(exchange);
         exchange.start();
+        if (stopping) {
+            exchange.logOpen();
+        }
+    }
+
+    /** Logs the open calls, and from now on each new one, because this entry stops. */
+    public void logOpenCalls() {
+        stopping = true;
+        open.forEach(Exchange::logOpen);
     }
 
     /** Ends all open calls with an error, because this entry stops before their responses. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/CallRecord.java
@@ -154,6 +154,37 @@
         return demand.sharedParts().stream().map(part -> part.id().value()).collect(Collectors.joining(","));
     }
 
+    /** Logs a call that is open while its entry stops: its line is missing if the process ends before the call. */
+    void logOpen(EventLog log, CallStage stage, long nowMs) {
+        LogLine line = log.event("call-open")
+                .with("request", id)
+                .with("route", view.route().name())
+                .with("stage", stage)
+                .with("age_ms", nowMs - view.arrivedAtMs());
+        if (sends > 0) {
+            line.with("instance", instance).with("sent_ms_ago", nowMs - sentAtMs);
+        }
+        line.write();
+    }
+
+    /**
+     * Logs that an endpoint has been silent for longer than the limit for a call that may be repeated.
+     *
+     * @param silentMs the limit
+     * @param begun whether a part of the response was passed on
+     * @param givenUp whether the attempt is given up for another one
+     */
+    void logSilence(EventLog log, GatewayMetrics metrics, long silentMs, boolean begun, boolean givenUp) {
+        metrics.count(givenUp ? "silent_attempts_given_up" : "silent_attempts_kept");
+        log.event("endpoint-silent")
+                .with("request", id)
+                .with("instance", instance)
+                .with("silent_ms", silentMs)
+                .with("begun", begun)
+                .with("given_up", givenUp)
+                .write();
+    }
+
     void write(EventLog log, GatewayMetrics metrics, ResultCode code, int status, long nowMs) {
         LogLine line = log.event("call")
                 .with("request", id)
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -221,6 +221,20 @@
         }
     }
 
+    /** Logs the call if it is open. */
+    void logOpen() {
+        if (!ended) {
+            record.logOpen(context.log(), stage(), context.clock().nowMs());
+        }
+    }
+
+    private CallStage stage() {
+        if (response.started()) {
+            return CallStage.BEGUN;
+        }
+        return attempt == null ? CallStage.WAITING : CallStage.SENT;
+    }
+
     /** Ends an open call because this entry stops before the response. */
     void failAtStop() {
         if (ended) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/SilenceLimit.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/SilenceLimit.java
@@ -16,6 +16,7 @@
     private final Route route;
     private final Runnable onSilence;
     private Timers.Timeout timeout;
+    private long limitMs;
 
     /**
      * Creates a limit that is not started.
@@ -38,13 +39,19 @@
         start(route.gapTargetMs() * GAP_TARGET_FACTOR);
     }
 
-    private void start(long limitMs) {
+    private void start(long usualLimitMs) {
         cancel();
+        limitMs = Math.max(MIN_LIMIT_MS, usualLimitMs);
         if (route.repeatable()) {
-            timeout = timers.after(Math.max(MIN_LIMIT_MS, limitMs), onSilence);
+            timeout = timers.after(limitMs, onSilence);
         }
     }
 
+    /** Returns the limit that was started last. */
+    long limitMs() {
+        return limitMs;
+    }
+
     void cancel() {
         if (timeout != null) {
             timeout.cancel();
--- a/gateway/src/main/java/org/hawthornglade/gateway/log/EventLog.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/log/EventLog.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,7 @@
     private final AtomicInteger unwritten = new AtomicInteger();
     private long secondStartMs;
     private int linesThisSecond;
+    private volatile OptionalLong stopStartedMs = OptionalLong.empty();
 
     /** Creates a log and starts its writer thread. */
     public EventLog(Clock clock, PrintStream out) {
@@ -60,6 +62,20 @@
         return new LogLine(this, name);
     }
 
+    /**
+     * States on each further line how long the process has been stopping.
+     *
+     * @param startedMs when the stop began
+     */
+    public void onStop(long startedMs) {
+        stopStartedMs = OptionalLong.of(startedMs);
+    }
+
+    /** Returns when the stop of the process began; empty before it. */
+    OptionalLong stopStartedMs() {
+        return stopStartedMs;
+    }
+
     long nowMs() {
         return clock.nowMs();
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/log/LogLine.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/log/LogLine.java
@@ -9,7 +9,9 @@
 
     LogLine(EventLog log, String name) {
         this.log = log;
-        text.append("at=").append(log.nowMs()).append(" event=").append(name);
+        long nowMs = log.nowMs();
+        text.append("at=").append(nowMs).append(" event=").append(name);
+        log.stopStartedMs().ifPresent(startedMs -> with("stop_ms", nowMs - startedMs));
     }
 
     /** Adds a field; a value with blanks, quotes, equals signs or control characters is quoted. */
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/ScriptedEndpoint.java
@@ -37,11 +37,14 @@
      * A scripted response.
      *
      * @param text the bytes; {@code %ID%} stands for the request's id, {@code %LATE%} for the previous response on the
-     *     same connection, or nothing
+     *     same connection, or nothing; what follows {@code %PAUSE%} is sent when {@link #release} is called
      * @param connectionAction what happens to the connection afterwards
      */
     record Script(String text, ConnectionAction connectionAction) {}
 
+    /** Stands for a pause in a script. */
+    static final String PAUSE = "%PAUSE%";
+
     /** The time of the first start of an endpoint. */
     static final long FIRST_BORN_MS = 1;
 
@@ -171,8 +174,7 @@
             released.acquireUninterruptibly();
         }
         OutputStream out = socket.getOutputStream();
-        out.write(response.getBytes(StandardCharsets.ISO_8859_1));
-        out.flush();
+        sendParts(response, out);
         switch (action) {
             case KEEP_OPEN, SEND_WHEN_RELEASED -> {
                 return true;
@@ -186,6 +188,20 @@
         return false;
     }
 
+    private void sendParts(String response, OutputStream out) throws IOException {
+        int pauseAt = response.indexOf(PAUSE);
+        if (pauseAt >= 0) {
+            write(response.substring(0, pauseAt), out);
+            released.acquireUninterruptibly();
+        }
+        write(pauseAt < 0 ? response : response.substring(pauseAt + PAUSE.length()), out);
+    }
+
+    private static void write(String text, OutputStream out) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
     private static void repeatLastByte(String response, OutputStream out) throws IOException {
         byte[] piece =
                 response.substring(response.length() - 1).repeat(PIECE_BYTES).getBytes(StandardCharsets.ISO_8859_1);
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithOpenCallsTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithOpenCallsTest.java
@@ -41,6 +41,28 @@
         }
     }
 
+    /** Guards against a killed process of which nothing tells which calls it had when it was asked to stop. */
+    @ParameterizedTest
+    @CsvSource({"false, SENT", "true, BEGUN"})
+    void callsThatAreOpenInAStopAreNamedBeforeTheyEnd(boolean begun, String stage) throws Exception {
+        local.respond(begun ? STREAM_HEAD + FIRST_EVENT : "", ConnectionAction.WAIT_FOR_CLOSE);
+        remote.respond("", ConnectionAction.WAIT_FOR_CLOSE);
+        try (Socket before = entry.connect();
+                Socket after = entry.connect()) {
+            TestEntry.send(before, TestEntry.post("/stream/x", "r-1", "a"));
+            local.takeRequest();
+            if (begun) {
+                TestEntry.read(before, "first");
+            }
+            entry.logOpenCalls();
+            TestEntry.send(after, TestEntry.post("/unsafe/x", "r-2", "a"));
+            remote.takeRequest();
+            assertThat(entry.log()).contains("event=call-open request=r-1 route=stream stage=" + stage);
+            assertThat(entry.log()).contains("event=call-open request=r-2 route=unsafe");
+            assertThat(entry.log()).doesNotContain("event=call ");
+        }
+    }
+
     private static final String STREAM_HEAD =
             HEAD + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String FIRST_EVENT = "13\r\nid: 1\ndata: first\n\n\r\n";
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -342,6 +342,14 @@
         group.submit(waitingCalls::reconsider).get(5, TimeUnit.SECONDS);
     }
 
+    /** Logs the open calls, as at the steps of a stop. */
+    void logOpenCalls() {
+        onLoop(() -> {
+            receiver.logOpenCalls();
+            return true;
+        });
+    }
+
     /** Refuses waiting and new calls, as late in a stop. */
     void startRefusing() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
--- /dev/null
+++ b/gateway/src/test/java/org/hawthornglade/gateway/log/EventLogTest.java
@@ -0,0 +1,36 @@
+package org.hawthornglade.gateway.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.hawthornglade.core.time.ManualClock;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EventLogTest {
+    private static final long FLUSH_MS = 10_000;
+
+    private final ManualClock clock = new ManualClock(100);
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+    private final EventLog log = new EventLog(clock, new PrintStream(written, true, StandardCharsets.UTF_8));
+
+    private String text() {
+        log.flush(FLUSH_MS);
+        return written.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Guards against lines of a stop that do not tell how long the stop had lasted. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 7_300})
+    void linesOfAStopTellHowLongItHasLasted(long stopMs) {
+        log.event("before").write();
+        log.onStop(clock.nowMs());
+        clock.advance(stopMs);
+        log.event("call").with("request", "r-1").write();
+        assertThat(text())
+                .isEqualTo("at=100 event=before\nat=" + (100 + stopMs) + " event=call stop_ms=" + stopMs
+                        + " request=r-1\n");
+    }
+}
