A silent endpoint keeps its call unless another endpoint can take it now

Callers saw: a stream that was passed on ends in the middle, status 200, the connection closed; in a stop, a call that ran gets 502. Cause: an attempt at a call that may be repeated was ended after a silence if attempts and retry budget were left. That an endpoint could take the call was taken for granted: with none that is free, of the stream's version, or that confirms its start, the call waited, was refused, or its stream was closed. The class: what a call has is given up before its replacement is certain. Change: Dispatcher.alternative (core) names the endpoint that could start the call now, not tried and not in backoff; without one the attempt goes on, and is looked at again after the same time. For a stream that has begun, that endpoint must confirm its start first. A call whose prompt is suspected of crashing engines is not given up either, since it would not be sent again. SilenceWatch holds what stood in Attempt. Why it works: the attempt is ended in the same turn of the event loop in which the dispatcher would send the call elsewhere.

--- a/core/src/main/java/org/hawthornglade/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/hawthornglade/core/dispatch/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Fleet;
+import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.result.ResultCode;
 import org.hawthornglade.core.serving.CallKind;
 
@@ -75,8 +76,32 @@
         if (open.isEmpty()) {
             return new Decision.Wait("version-listing");
         }
-        EndpointSelector selector = call.demand().isPresent() ? generationSelector : plainSelector;
-        return selector.select(call, open, nowMs);
+        return selector(call).select(call, open, nowMs);
+    }
+
+    /**
+     * Returns the endpoint to which a call that is at another one could be sent now.
+     *
+     * @param current the instance that has the call
+     * @return empty if no endpoint where the call was not tried, and which is not in backoff, could start it now
+     */
+    public Optional<Endpoint> alternative(CallView call, InstanceId current, long nowMs) {
+        List<Endpoint> untried = fleet.usable(call.service()).stream()
+                .filter(endpoint -> !endpoint.id().equals(current))
+                .filter(endpoint -> !call.tried().contains(endpoint.id()))
+                .filter(endpoint -> !endpoint.health().inBackoff(nowMs))
+                .toList();
+        List<Endpoint> open = open(call, compatible(call, untried));
+        if (open.isEmpty()) {
+            return Optional.empty();
+        }
+        return selector(call).select(call, open, nowMs) instanceof Decision.Send send
+                ? Optional.of(send.endpoint())
+                : Optional.empty();
+    }
+
+    private EndpointSelector selector(CallView call) {
+        return call.demand().isPresent() ? generationSelector : plainSelector;
     }
 
     private static List<Endpoint> compatible(CallView call, List<Endpoint> endpoints) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -38,7 +38,7 @@
     private final Optional<Variant> variant;
     private final long kvTokens;
     private final int prefillTokens;
-    private final SilenceLimit silenceLimit;
+    private final SilenceWatch silence;
     private SendPermission sendPermission;
     private PaceMeasurement pace;
     private OutboundConnection connection;
@@ -64,7 +64,7 @@
         this.kvTokens = demand.map(ModelDemand::kvTokens).orElse(0L);
         this.prefillTokens =
                 demand.map(d -> Math.max(0, d.promptTokens() - cachedTokens)).orElse(0);
-        this.silenceLimit = new SilenceLimit(context.timers(), exchange.view().route(), this::onSilence);
+        this.silence = new SilenceWatch(context, exchange, endpoint, () -> abandon(OutboundFailure.TIMED_OUT));
     }
 
     void start() {
@@ -154,7 +154,7 @@
                 Optional.of(new ExpectedResponseId(
                         context.protocol().requestIdHeader(),
                         exchange.request().id().value())));
-        silenceLimit.startBeforeResponse();
+        silence.startBeforeResponse();
         sentAtMs = context.clock().nowMs();
         pace.onSent(sentAtMs);
         notices = endpoint.notices();
@@ -172,19 +172,6 @@
                 || context.resumption().gate().listed(view.service(), chosen.softwareVersion());
     }
 
-    /** Abandons a silent attempt, unless the call may not run elsewhere; then it keeps waiting at this endpoint. */
-    private void onSilence() {
-        if (ended) {
-            return;
-        }
-        boolean givenUp = exchange.canRetryElsewhere();
-        boolean begun = exchange.response().started();
-        exchange.record().logSilence(context.log(), context.metrics(), silenceLimit.limitMs(), begun, givenUp);
-        if (givenUp) {
-            abandon(OutboundFailure.TIMED_OUT);
-        }
-    }
-
     /** Cancels the attempt; closing the connection notifies the endpoint. */
     void cancel() {
         if (ended) {
@@ -283,7 +270,7 @@
         onPrefillDone();
         pace.onEvents(context.clock().nowMs());
         exchange.onEvents(chosen.softwareVersion());
-        silenceLimit.startBetweenEvents();
+        silence.startBetweenEvents();
         forward(complete);
         exchange.response().setLastEventId(events.lastId());
     }
@@ -301,9 +288,9 @@
         boolean reading = exchange.response().writable();
         connection.setReading(reading);
         if (!reading) {
-            silenceLimit.cancel();
+            silence.cancel();
         } else if (events != null && prefillDone) {
-            silenceLimit.startBetweenEvents();
+            silence.startBetweenEvents();
         }
     }
 
@@ -329,7 +316,7 @@
         }
         forwarding = true;
         // From here on the response cannot come from elsewhere.
-        silenceLimit.cancel();
+        silence.cancel();
         exchange.response().onWritable(this::applyBackpressure);
         forward(buffered);
         forwardPiece(content);
@@ -353,7 +340,7 @@
             return;
         }
         if (events != null && BodyFraming.of(head) == BodyFraming.CONNECTION) {
-            silenceLimit.cancel();
+            silence.cancel();
             new StreamEndCheck(context, endpoint, chosen, this::onEndChecked).start();
             return;
         }
@@ -468,7 +455,7 @@
         if (events != null) {
             events.end(exchange.record());
         }
-        silenceLimit.cancel();
+        silence.cancel();
         if (!prefillDone) {
             endpoint.load().endPrefill(prefillTokens);
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -384,11 +384,16 @@
                 && context.retryBudgets().of(view.service()).tryRetry();
     }
 
-    /** Returns whether the call could run at another endpoint, without charging the budget. */
-    boolean canRetryElsewhere() {
-        return view.route().repeatable()
+    /** Returns the endpoint at which the call could run now in place of another, without charging the budget. */
+    Optional<Endpoint> alternativeTo(Endpoint current) {
+        boolean mayRetry = view.route().repeatable()
                 && runs + 1 < view.route().maxAttempts()
+                && !context.quarantine().suspected(view)
                 && context.retryBudgets().of(view.service()).allowsRetry();
+        return mayRetry
+                ? context.dispatcher()
+                        .alternative(view, current.id(), context.clock().nowMs())
+                : Optional.empty();
     }
 
     /** Runs a safe call again after the endpoint returned a failure, which is kept; takes over its body. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/SilenceLimit.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/SilenceLimit.java
@@ -17,6 +17,7 @@
     private final Runnable onSilence;
     private Timers.Timeout timeout;
     private long limitMs;
+    private boolean exceeded;
 
     /**
      * Creates a limit that is not started.
@@ -40,19 +41,35 @@
     }
 
     private void start(long usualLimitMs) {
-        cancel();
         limitMs = Math.max(MIN_LIMIT_MS, usualLimitMs);
+        startAgain();
+    }
+
+    /** Starts the same time anew. */
+    void startAgain() {
+        cancel();
         if (route.repeatable()) {
-            timeout = timers.after(limitMs, onSilence);
+            timeout = timers.after(limitMs, this::onExceeded);
         }
     }
 
+    private void onExceeded() {
+        exceeded = true;
+        onSilence.run();
+    }
+
+    /** Returns whether the time is over, and was neither cancelled nor started anew. */
+    boolean exceeded() {
+        return exceeded;
+    }
+
     /** Returns the limit that was started last. */
     long limitMs() {
         return limitMs;
     }
 
     void cancel() {
+        exceeded = false;
         if (timeout != null) {
             timeout.cancel();
         }
