The time of a stop stands at the end of its lines

Cause: it stood behind the name of the event, where RehearsalCommandTest, and whoever searches the log, expects the first field.

--- a/gateway/src/main/java/org/hawthornglade/gateway/log/LogLine.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/log/LogLine.java
@@ -5,13 +5,13 @@
     private static final int INITIAL_CAPACITY = 160;
 
     private final EventLog log;
+    private final long atMs;
     private final StringBuilder text = new StringBuilder(INITIAL_CAPACITY);
 
     LogLine(EventLog log, String name) {
         this.log = log;
-        long nowMs = log.nowMs();
-        text.append("at=").append(nowMs).append(" event=").append(name);
-        log.stopStartedMs().ifPresent(startedMs -> with("stop_ms", nowMs - startedMs));
+        this.atMs = log.nowMs();
+        text.append("at=").append(atMs).append(" event=").append(name);
     }
 
     /** Adds a field; a value with blanks, quotes, equals signs or control characters is quoted. */
@@ -30,6 +30,7 @@
 
     /** Completes the line and passes it to the log. */
     public void write() {
+        log.stopStartedMs().ifPresent(startedMs -> with("stop_ms", atMs - startedMs));
         log.add(text.toString());
     }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/log/EventLogTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/log/EventLogTest.java
@@ -30,7 +30,7 @@
         clock.advance(stopMs);
         log.event("call").with("request", "r-1").write();
         assertThat(text())
-                .isEqualTo("at=100 event=before\nat=" + (100 + stopMs) + " event=call stop_ms=" + stopMs
-                        + " request=r-1\n");
+                .isEqualTo("at=100 event=before\nat=" + (100 + stopMs) + " event=call request=r-1 stop_ms=" + stopMs
+                        + "\n");
     }
 }
