The grace of a stop counts from its signal

Callers would see: requests passed on more than 3 s after a SIGTERM, and the process killed before it fails what is open, without a line. Cause: the stop counted its grace from the moment at which it had the lock that a start or a reload holds. The platform counts from the signal. Change: ProcessLifecycle notes when the stop was requested, before it waits; StopSequence and GracefulStop count from then. stop_ms of the line stopping shows how late the first step came. Test: ProcessLifecycleTest.timeOfAStopCountsFromItsSignal, 3 rows; StopSequenceTest, GracefulStopTest, EarlySignalTest pass.

--- a/app/src/main/java/org/hawthornglade/app/gateway/GatewayCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayCommand.java
@@ -7,6 +7,7 @@
 import org.hawthornglade.app.Command;
 import org.hawthornglade.app.ExitCode;
 import org.hawthornglade.core.stop.ProcessLifecycle;
+import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.platform.SettingsFile;
 
 /** Runs an entry on the users' platform until the process is stopped. */
@@ -26,12 +27,13 @@
         if (path == null) {
             throw new IOException(SettingsFile.PATH_VARIABLE + " is not set");
         }
-        ProcessLifecycle lifecycle = new ProcessLifecycle();
+        Clock clock = Clock.system();
+        ProcessLifecycle lifecycle = new ProcessLifecycle(clock);
         // Installed before the process listens: until then a signal ends it, and cuts off what it has accepted.
         HangupSignal.install(lifecycle::requestReload);
         Runtime.getRuntime().addShutdownHook(new Thread(lifecycle::stop, "stop"));
         Path file = Path.of(path);
-        lifecycle.start(new GatewayProcess(() -> SettingsFile.read(file), out));
+        lifecycle.start(new GatewayProcess(clock, () -> SettingsFile.read(file), out));
         return ExitCode.RUNNING;
     }
 }
--- a/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/GatewayProcess.java
@@ -26,14 +26,13 @@
     }
 
     private final EventLoop loop = new NioEventLoopGroup(1).next();
-    private final Clock clock = Clock.system();
     private final EventLog log;
     private final Timers timers;
     private final Gateway gateway;
     private final Platform platform;
     private final SettingsSource source;
 
-    GatewayProcess(SettingsSource source, PrintStream out) throws IOException {
+    GatewayProcess(Clock clock, SettingsSource source, PrintStream out) throws IOException {
         this.source = source;
         GatewaySettings settings = source.read();
         log = new EventLog(clock, out);
@@ -69,8 +68,8 @@
     }
 
     @Override
-    public void stop() {
-        gateway.stop();
+    public void stop(long requestedAtMs) {
+        gateway.stop(requestedAtMs);
     }
 
     /** Supplies the settings of the process. */
@@ -86,8 +85,4 @@
     Timers timers() {
         return timers;
     }
-
-    Clock clock() {
-        return clock;
-    }
 }
--- a/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
+++ b/app/src/main/java/org/hawthornglade/app/gateway/RehearsalCommand.java
@@ -14,6 +14,7 @@
 import org.hawthornglade.app.Command;
 import org.hawthornglade.app.ExitCode;
 import org.hawthornglade.core.stop.ProcessLifecycle;
+import org.hawthornglade.core.time.Clock;
 import org.hawthornglade.gateway.GatewaySettings;
 import org.hawthornglade.platform.SettingsFile;
 import org.hawthornglade.platform.standin.StandinPlatform;
@@ -35,10 +36,11 @@
 
     @Override
     public ExitCode run(PrintStream out) throws Exception {
-        ProcessLifecycle lifecycle = new ProcessLifecycle();
+        Clock clock = Clock.system();
+        ProcessLifecycle lifecycle = new ProcessLifecycle(clock);
         HangupSignal.install(lifecycle::requestReload);
-        GatewayProcess process = new GatewayProcess(this::settings, out);
-        new StandinPlatform(process.loop(), process.timers(), process.clock(), firstPort + GATEWAY_PORT_COUNT).start();
+        GatewayProcess process = new GatewayProcess(clock, this::settings, out);
+        new StandinPlatform(process.loop(), process.timers(), clock, firstPort + GATEWAY_PORT_COUNT).start();
         lifecycle.start(process);
         int failed = 0;
         HttpClient client = HttpClient.newHttpClient();
--- a/core/src/main/java/org/hawthornglade/core/stop/ProcessLifecycle.java
+++ b/core/src/main/java/org/hawthornglade/core/stop/ProcessLifecycle.java
@@ -1,6 +1,7 @@
 package org.hawthornglade.core.stop;
 
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.hawthornglade.core.time.Clock;
 
 /**
  * Starts, reloads and stops a process one after another, whenever its signals arrive.
@@ -16,14 +17,24 @@
         /** Reads the settings again. */
         void reload();
 
-        /** Stops, and returns when the process can end. */
-        void stop();
+        /**
+         * Stops, and returns when the process can end.
+         *
+         * @param requestedAtMs when the stop was requested, from which its time counts
+         */
+        void stop(long requestedAtMs);
     }
 
+    private final Clock clock;
     private final AtomicBoolean stopRequested = new AtomicBoolean();
     private final AtomicBoolean reloadRequested = new AtomicBoolean();
     private Service service;
 
+    /** Creates a lifecycle of a process that has not started. */
+    public ProcessLifecycle(Clock clock) {
+        this.clock = clock;
+    }
+
     /** Starts a service, unless a stop was requested. */
     public synchronized void start(Service started) {
         if (stopRequested.get()) {
@@ -49,13 +60,14 @@
 
     /** Stops the service, after its start if that is in progress; returns when the process can end. */
     public void stop() {
+        long requestedAtMs = clock.nowMs();
         stopRequested.set(true);
-        stopStarted();
+        stopStarted(requestedAtMs);
     }
 
-    private synchronized void stopStarted() {
+    private synchronized void stopStarted(long requestedAtMs) {
         if (service != null) {
-            service.stop();
+            service.stop(requestedAtMs);
         }
     }
 }
--- a/core/src/main/java/org/hawthornglade/core/stop/StopSequence.java
+++ b/core/src/main/java/org/hawthornglade/core/stop/StopSequence.java
@@ -34,13 +34,14 @@
     private Phase phase = Phase.NOT_STARTED;
 
     /**
-     * Creates a stop that begins now.
+     * Creates a stop.
      *
-     * @param graceMs the maximum duration of the stop
+     * @param startMs when it was requested
+     * @param graceMs its maximum duration from then
      */
-    public StopSequence(long nowMs, long graceMs) {
-        failAtMs = nowMs + Math.max(0, graceMs - EXIT_RESERVE_MS);
-        refuseAtMs = Math.min(nowMs + BALANCER_REACTION_MS, failAtMs);
+    public StopSequence(long startMs, long graceMs) {
+        failAtMs = startMs + Math.max(0, graceMs - EXIT_RESERVE_MS);
+        refuseAtMs = Math.min(startMs + BALANCER_REACTION_MS, failAtMs);
     }
 
     /** Returns the steps that are due, in their order. */
--- a/core/src/test/java/org/hawthornglade/core/stop/ProcessLifecycleTest.java
+++ b/core/src/test/java/org/hawthornglade/core/stop/ProcessLifecycleTest.java
@@ -4,11 +4,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.hawthornglade.core.time.ManualClock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ProcessLifecycleTest {
-    private final ProcessLifecycle lifecycle = new ProcessLifecycle();
+    private static final long SIGNAL_AT_MS = 100;
+
+    private final ManualClock clock = new ManualClock(SIGNAL_AT_MS);
+    private final ProcessLifecycle lifecycle = new ProcessLifecycle(clock);
     private final List<String> done = new ArrayList<>();
 
     /** Does what comes while it starts, too. */
@@ -31,11 +36,51 @@
         }
 
         @Override
-        public void stop() {
+        public void stop(long requestedAtMs) {
             done.add("stop");
         }
     }
 
+    /** Takes some time to start, in which the process gets a signal. */
+    private final class SlowService implements ProcessLifecycle.Service {
+        private final long startMs;
+        private final Thread signal;
+        private long stopRequestedAtMs;
+
+        SlowService(long startMs, Thread signal) {
+            this.startMs = startMs;
+            this.signal = signal;
+        }
+
+        @Override
+        public void start() {
+            signal.start();
+            while (signal.getState() != Thread.State.BLOCKED) {
+                Thread.onSpinWait();
+            }
+            clock.advance(startMs);
+        }
+
+        @Override
+        public void reload() {}
+
+        @Override
+        public void stop(long requestedAtMs) {
+            stopRequestedAtMs = requestedAtMs;
+        }
+    }
+
+    /** LOST: a stop that was requested during a start counted its grace from the end of the start, and was killed. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 700, 9_000})
+    void timeOfAStopCountsFromItsSignal(long startMs) throws Exception {
+        Thread signal = new Thread(lifecycle::stop, "signal");
+        SlowService service = new SlowService(startMs, signal);
+        lifecycle.start(service);
+        signal.join();
+        assertThat(service.stopRequestedAtMs).isEqualTo(SIGNAL_AT_MS);
+    }
+
     private void perform(String signal) {
         if (signal.equals("TERM")) {
             lifecycle.stop();
--- a/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/Gateway.java
@@ -229,9 +229,14 @@
         log.event("reload").with("restart_needed", !applied.equals(changed)).write();
     }
 
-    /** Stops gracefully, without interrupting open calls, and returns; must not be called on the event loop. */
-    public void stop() {
-        GracefulStop stop = new GracefulStop(timers, clock, settings.graceMs(), new StoppingEntry(clock.nowMs()));
+    /**
+     * Stops gracefully, without interrupting open calls, and returns; must not be called on the event loop.
+     *
+     * @param requestedAtMs when the stop was requested; the process is killed at the end of the grace from then
+     */
+    public void stop(long requestedAtMs) {
+        StoppingEntry entry = new StoppingEntry(requestedAtMs);
+        GracefulStop stop = new GracefulStop(timers, clock, requestedAtMs, settings.graceMs(), entry);
         stop.start();
         if (!stop.awaitEnd()) {
             logOverdue(stop.lastLook());
--- a/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GracefulStop.java
@@ -45,6 +45,7 @@
 
     private final Timers timers;
     private final Clock clock;
+    private final long startMs;
     private final long graceMs;
     private final Entry entry;
     private final StopSequence sequence;
@@ -52,16 +53,18 @@
     private volatile Look lastLook;
 
     /**
-     * Creates a stop that begins now.
+     * Creates a stop.
      *
-     * @param graceMs the maximum duration of the stop
+     * @param startMs when it began
+     * @param graceMs its maximum duration
      */
-    GracefulStop(Timers timers, Clock clock, long graceMs, Entry entry) {
+    GracefulStop(Timers timers, Clock clock, long startMs, long graceMs, Entry entry) {
         this.timers = timers;
         this.clock = clock;
+        this.startMs = startMs;
         this.graceMs = graceMs;
         this.entry = entry;
-        this.sequence = new StopSequence(clock.nowMs(), graceMs);
+        this.sequence = new StopSequence(startMs, graceMs);
         this.lastLook = new Look(clock.nowMs(), OpenWork.NONE);
     }
 
@@ -93,7 +96,8 @@
     /** Waits until the process may end; returns whether all steps were carried out in time. */
     boolean awaitEnd() {
         try {
-            return ended.await(Math.max(MIN_DURATION_MS, graceMs - MIN_RESERVE_MS), TimeUnit.MILLISECONDS);
+            long leftMs = startMs + graceMs - MIN_RESERVE_MS - clock.nowMs();
+            return ended.await(Math.max(MIN_DURATION_MS, leftMs), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
--- a/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/GracefulStopTest.java
@@ -63,7 +63,7 @@
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "FAIL")
     void stepThatFailsIsLoggedAndTheOthersFollow(StopStep failing) {
         loop.freezeTime();
-        GracefulStop stop = new GracefulStop(timers, clock, 8_000, new Entry(failing));
+        GracefulStop stop = new GracefulStop(timers, clock, clock.nowMs(), 8_000, new Entry(failing));
         stop.start();
         advance(4_000);
         assertThat(steps)
@@ -80,7 +80,7 @@
     @ValueSource(longs = {300, 700, 3_000, 9_000})
     void processEndsOnlyAfterTheEventLoopHasCarriedOutTheSteps(long heldUpMs) {
         loop.freezeTime();
-        GracefulStop stop = new GracefulStop(timers, clock, 8_000, new Entry(null));
+        GracefulStop stop = new GracefulStop(timers, clock, clock.nowMs(), 8_000, new Entry(null));
         stop.start();
         advance(2_400);
         clock.advance(heldUpMs);
