No line of a stop is dropped

Operators saw: of the calls that a stop fails at the end of its grace, those beyond 500 in a second would have had no line. Cause: the log's limit of lines a second, and of lines that wait, holds for the lines of a stop too. A stop ends all open calls in one turn. Change: no limit from the beginning of a stop; the line log-dropped has its time, without which it was not found among the others. Test: EventLogTest.noLineOfAStopIsDropped, 2 of 2 rows failed before (501 and 5,000 lines).

--- a/gateway/src/main/java/org/hawthornglade/gateway/log/EventLog.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/log/EventLog.java
@@ -3,8 +3,8 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -15,7 +15,8 @@
  * Writes events as lines of key=value pairs.
  *
  * <p>Lines are written on a separate thread. If it falls behind, or if more than {@link #MAX_LINES_PER_S} lines are
- * logged within a second, lines are dropped and their number is written instead.
+ * logged within a second, lines are dropped and their number is written instead. No line of a stop is dropped, since it
+ * may be all that tells of a request.
  */
 public final class EventLog {
     /** Limit for the lines written within a second. */
@@ -25,7 +26,7 @@
     private static final long FLUSH_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final Clock clock;
-    private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final BlockingQueue<String> queue = new LinkedBlockingQueue<>();
     private final AtomicLong dropped = new AtomicLong();
     private final AtomicInteger unwritten = new AtomicInteger();
     private long secondStartMs;
@@ -63,7 +64,7 @@
     }
 
     /**
-     * States on each further line how long the process has been stopping.
+     * Drops no line from now on, and states on each how long the process has been stopping.
      *
      * @param startedMs when the stop began
      */
@@ -81,11 +82,12 @@
     }
 
     void add(String line) {
-        unwritten.incrementAndGet();
-        if (!withinRate() || !queue.offer(line)) {
-            unwritten.decrementAndGet();
+        if (stopStartedMs.isEmpty() && (queue.size() >= QUEUE_LINES || !withinRate())) {
             dropped.incrementAndGet();
+            return;
         }
+        unwritten.incrementAndGet();
+        queue.add(line);
     }
 
     private synchronized boolean withinRate() {
@@ -108,7 +110,9 @@
                 }
                 long droppedLines = dropped.getAndSet(0);
                 if (droppedLines > 0) {
-                    lines.append("event=log-dropped lines=")
+                    lines.append("at=")
+                            .append(clock.nowMs())
+                            .append(" event=log-dropped lines=")
                             .append(droppedLines)
                             .append('\n');
                 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/log/EventLogTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/log/EventLogTest.java
@@ -21,6 +21,34 @@
         return written.toString(StandardCharsets.UTF_8);
     }
 
+    private long calls() {
+        return text().lines().filter(line -> line.contains("event=call ")).count();
+    }
+
+    /** Guards against a stop with many open calls, of which only some had a line. */
+    @ParameterizedTest
+    @ValueSource(ints = {EventLog.MAX_LINES_PER_S + 1, 5_000})
+    void noLineOfAStopIsDropped(int lines) {
+        log.onStop(clock.nowMs());
+        for (int line = 0; line < lines; line++) {
+            log.event("call").with("request", line).write();
+        }
+        assertThat(calls()).isEqualTo(lines);
+    }
+
+    /** Guards against a disk or pipe that is filled by repeated events. */
+    @ParameterizedTest
+    @ValueSource(ints = {EventLog.MAX_LINES_PER_S + 1, 5_000})
+    void linesBeyondTheLimitAreCountedOutsideOfAStop(int lines) {
+        for (int line = 0; line < lines; line++) {
+            log.event("call").with("request", line).write();
+        }
+        clock.advance(1_000);
+        log.event("last").write();
+        assertThat(text()).contains("event=log-dropped lines=");
+        assertThat(calls()).isAtMost(EventLog.MAX_LINES_PER_S);
+    }
+
     /** Guards against lines of a stop that do not tell how long the stop had lasted. */
     @ParameterizedTest
     @ValueSource(longs = {0, 7_300})
