Connections that arrive while an entry stops listening are answered

Cause: the listener was closed in the turn of the event loop that fails the open calls. The system resets what it has accepted and the entry has not. Change: the listener is closed when the event loop has looked once more and accepted nothing, within 50 ms; requests get 503 meanwhile. A connection that arrives between the last look and the close, some microseconds, is still reset.

--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerServer.java
@@ -36,6 +36,10 @@
     private static final AdaptiveRecvByteBufAllocator READS =
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, RequestBodyBudget.MAX_READ_BYTES);
     private static final long OVERDUE_CHECK_INTERVAL_MS = 100;
+    /** Time between two looks at what has arrived before the listener is closed, which resets it. */
+    private static final long LAST_ACCEPT_MS = 1;
+    /** Limit for the time in which more connections are accepted before the listener is closed. */
+    private static final long LAST_ACCEPTS_MS = 50;
     /** A caller that has read nothing for this time is not reading its responses. */
     private static final long UNREAD_GRACE_MS = 1_000;
 
@@ -50,6 +54,7 @@
     private final boolean keepsBodies;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listener;
+    private long accepted;
     private boolean draining;
     private boolean refusing;
 
@@ -154,6 +159,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        accepted++;
                         CallerConnection connection = new CallerConnection(CallerServer.this);
                         channel.config().setRecvByteBufAllocator(new LimitedReads(READS, connection::maxReadBytes));
                         channel.pipeline()
@@ -180,14 +186,28 @@
         this.draining = true;
     }
 
-    /** Stops listening and closes the connections without an open request, except newly opened ones. */
+    /**
+     * Stops listening, once the event loop has accepted the connections that have arrived, and closes the connections
+     * without an open request, except newly opened ones.
+     */
     public void close() {
         if (listener != null) {
-            Channels.close(listener);
+            closeListener(accepted, clock.nowMs() + LAST_ACCEPTS_MS);
         }
         closeIdle();
     }
 
+    /** Closes the listener when the event loop has looked once more and accepted nothing, or at a time. */
+    private void closeListener(long acceptedBefore, long untilMs) {
+        timers.after(LAST_ACCEPT_MS, () -> {
+            if (accepted > acceptedBefore && clock.nowMs() < untilMs) {
+                closeListener(accepted, untilMs);
+            } else {
+                Channels.close(listener);
+            }
+        });
+    }
+
     private void closeIdle() {
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithPartialRequestsTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StopWithPartialRequestsTest.java
@@ -46,6 +46,19 @@
         }
     }
 
+    /** Guards against a stop that resets connections which the system had accepted, and the entry had not looked at. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 20})
+    void connectionThatArrivesWhileTheEntryStopsListeningIsAnswered(int connections) throws Exception {
+        entry.startRefusing();
+        for (Socket socket : entry.connectWhileClosing(connections)) {
+            try (socket) {
+                TestEntry.send(socket, TestEntry.post("/safe/x", "r-1", "a"));
+                assertThat(TestEntry.read(socket, "\r\n\r\n")).startsWith("HTTP/1.1 503");
+            }
+        }
+    }
+
     private void awaitPartialRequest() {
         await(() -> entry.openWork().partialRequests() == 1);
     }
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/TestEntry.java
@@ -400,6 +400,18 @@
         group.submit(server::startRefusing).get(5, TimeUnit.SECONDS);
     }
 
+    /** Opens connections while the event loop is busy, and stops listening in the same turn. */
+    List<Socket> connectWhileClosing(int count) {
+        return onLoop(() -> {
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                sockets.add(connect());
+            }
+            server.close();
+            return sockets;
+        });
+    }
+
     /** Refuses the requests whose heads are not complete, as at the end of a stop. */
     void refusePartial() throws Exception {
         group.submit(server::refusePartial).get(5, TimeUnit.SECONDS);
