--- a/app/src/test/java/org/hawthornglade/app/process/NodeProcess.java
+++ b/app/src/test/java/org/hawthornglade/app/process/NodeProcess.java
@@ -85,6 +85,11 @@
         return process.exitValue();
     }
 
+    /** Waits for the end of the process; returns false if it does not end in time. */
+    boolean awaitExit(long timeoutMs) throws InterruptedException {
+        return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Freezes the process by SIGSTOP. */
     void freeze() throws IOException, InterruptedException {
         signal("-STOP");
