--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -32,8 +32,6 @@
  * stated that it did not run it, or if no connection could be made.
  */
 public final class Exchange {
-    /** A call is refused after this many attempts that ended without running it. */
-    private static final int MAX_REJECTIONS = 6;
     /** Time for which an endpoint that was too busy, or is changing its models, gets no calls for that model. */
     private static final long REJECTED_PAUSE_MS = 60;
     /** Time for which an endpoint that has not loaded the model gets no calls for it. */
@@ -52,13 +50,11 @@
     private final CallRecord record;
     private final KeptResponse keptResponse;
     private final WaitingPlace place;
+    private final RunHistory history;
     private final PermitWaiter permitWaiter = new PermitWaiter();
     private Timers.Timeout deadline;
     private Attempt attempt;
-    private int runs;
-    private int rejections;
     private boolean streamBegun;
-    private boolean reachedEndpoint;
     private boolean ended;
 
     Exchange(
@@ -81,6 +77,7 @@
         this.record = new CallRecord(request.id(), view, configurationVersion);
         this.keptResponse = new KeptResponse(context.bufferBudget());
         this.place = new WaitingPlace(context, this);
+        this.history = new RunHistory(context, view);
     }
 
     public CallView view() {
@@ -189,7 +186,7 @@
             return false;
         }
         record.onStartPredicted(nowMs + predicted.get().startInMs());
-        boolean mayRefuse = runs == 0 && !response.started() && !keptResponse.present();
+        boolean mayRefuse = !history.hasRun() && !response.started() && !keptResponse.present();
         long leftMs = view.abandonAtMs() - nowMs;
         if (!mayRefuse || !predicted.get().tooLate(leftMs, place.hasWaited())) {
             return false;
@@ -240,7 +237,7 @@
         if (ended) {
             return;
         }
-        boolean mayHaveRun = runs > 0 || (attempt != null && attempt.sent());
+        boolean mayHaveRun = mayHaveRun();
         cancelAttempt();
         record.addNote("stopping");
         ResultCode code = mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : ResultCode.STOPPING;
@@ -318,7 +315,7 @@
     /** Handles a rejection: the endpoint has stated that it did not run the call. */
     void onRejected(Endpoint endpoint, ResponseHead head) {
         attempt = null;
-        reachedEndpoint = true;
+        history.onReached();
         record.addNote("rejected-" + head.status() + ":" + endpoint.id());
         long nowMs = context.clock().nowMs();
         boolean misdirected =
@@ -342,8 +339,7 @@
         if (ended) {
             return;
         }
-        rejections++;
-        if (rejections >= MAX_REJECTIONS) {
+        if (!history.onNotRun()) {
             refuse(ResultCode.QUEUE_FULL, BUSY_RETRY_AFTER_MS);
             return;
         }
@@ -353,7 +349,7 @@
     /** Handles an attempt that may have run and ended without a complete response. */
     void onAttemptFailed(Endpoint endpoint, OutboundFailure failure, long sentAtMs) {
         attempt = null;
-        runs++;
+        history.onRun();
         view.tried().add(endpoint.id());
         if (response.started()) {
             view.onProgress(context.clock().nowMs());
@@ -377,23 +373,12 @@
 
     /** Returns whether the call may run once more, and charges the retry to the budget. */
     boolean tryAcquireRetry() {
-        return !ended
-                && view.route().repeatable()
-                && runs < view.route().maxAttempts()
-                && !context.quarantine().suspected(view)
-                && context.retryBudgets().of(view.service()).tryRetry();
+        return !ended && history.tryAcquireRetry();
     }
 
     /** Returns the endpoint at which the call could run now in place of another, without charging the budget. */
     Optional<Endpoint> alternativeTo(Endpoint current) {
-        boolean mayRetry = view.route().repeatable()
-                && runs + 1 < view.route().maxAttempts()
-                && !context.quarantine().suspected(view)
-                && context.retryBudgets().of(view.service()).allowsRetry();
-        return mayRetry
-                ? context.dispatcher()
-                        .alternative(view, current.id(), context.clock().nowMs())
-                : Optional.empty();
+        return history.alternativeTo(current);
     }
 
     /** Runs a safe call again after the endpoint returned a failure, which is kept; takes over its body. */
@@ -412,7 +397,7 @@
 
     /** Counts an attempt that ran until its response. */
     void countRun() {
-        runs++;
+        history.onRun();
     }
 
     /** Ends the call after a complete response. */
@@ -453,7 +438,7 @@
         }
         recordShortage();
         record.onRetryAfter(retryAfterMs);
-        ResultCode reported = runs > 0 ? ResultCode.ENDPOINT_FAILED : code;
+        ResultCode reported = history.hasRun() ? ResultCode.ENDPOINT_FAILED : code;
         long statedMs = reported.hasRetryAfter() ? retryAfterMs : 0;
         place.onRefused(statedMs);
         fail(reported, statedMs);
@@ -463,7 +448,7 @@
         if (ended) {
             return;
         }
-        boolean mayHaveRun = runs > 0 || (attempt != null && attempt.sent());
+        boolean mayHaveRun = mayHaveRun();
         cancelAttempt();
         ResultCode code = mayHaveRun ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.DEADLINE_PASSED_WAITING;
         fail(code, mayHaveRun ? 0 : BUSY_RETRY_AFTER_MS);
@@ -484,15 +469,21 @@
         if (ended) {
             return;
         }
-        boolean mayHaveRun = runs > 0 || (attempt != null && attempt.sent());
+        boolean mayHaveRun = mayHaveRun();
         cancelAttempt();
         record.addNote("caller-left");
         end(mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : ResultCode.CANCELLED_BEFORE_START, 0);
     }
 
+    private boolean mayHaveRun() {
+        return history.hasRun() || (attempt != null && attempt.sent());
+    }
+
     private void cancelAttempt() {
         if (attempt != null) {
-            reachedEndpoint |= attempt.sent();
+            if (attempt.sent()) {
+                history.onReached();
+            }
             attempt.cancel();
             attempt = null;
         }
@@ -500,7 +491,7 @@
 
     private void end(ResultCode code, int status) {
         ended = true;
-        if (code.execution() == Execution.NOT_RUN && runs == 0 && !reachedEndpoint) {
+        if (code.execution() == Execution.NOT_RUN && !history.hasReached()) {
             quotaHold.refund();
         }
         keptResponse.release();
