An endpoint that is silent and keeps its call is passed over for others

Change: the first silence of an attempt that goes on counts as a lost response for the choice of endpoints. Test: SilentEndpointInStopTest.otherCallsAvoidTheSilentEndpoint, 1 of 2 rows failed before (a call that may not be repeated).

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/SilenceWatch.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/SilenceWatch.java
@@ -15,7 +15,8 @@
     private final Endpoint endpoint;
     private final Runnable onGivenUp;
     private final SilenceLimit limit;
-    private boolean keptLogged;
+    /** Whether the endpoint has been silent for longer than the limit, and kept the call. */
+    private boolean silent;
 
     /**
      * Creates a watch that is not started.
@@ -69,8 +70,9 @@
     }
 
     private void keep() {
-        if (!keptLogged) {
-            keptLogged = true;
+        if (!silent) {
+            silent = true;
+            endpoint.health().onResponseLost(context.clock().nowMs());
             log(false);
         }
         limit.startAgain();
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/SilentEndpointInStopTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/SilentEndpointInStopTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** An endpoint pauses for longer than the limit for its silence, and nothing else can take the call. */
 class SilentEndpointInStopTest {
@@ -50,8 +51,7 @@
         List<String> versions = List.of("v1", obstacle == Obstacle.OTHER_VERSION ? "v2" : "v1");
         entry = new TestEntry(listed, versions.subList(0, listed.size()), TestEntry.LIMITS, new RetryBudgets(0.1, 10));
         if (obstacle == Obstacle.FULL) {
-            entry.onFleet((fleet, nowMs) ->
-                    fleet.endpoint(InstanceId.of("i-1")).orElseThrow().load().updateOthers(SLOTS, nowMs + FULL_FOR_MS));
+            occupyOther(SLOTS);
         }
         if (obstacle == Obstacle.START_NOT_CONFIRMED) {
             silent.hideStart();
@@ -59,6 +59,11 @@
         }
     }
 
+    private void occupyOther(int requests) throws Exception {
+        entry.onFleet((fleet, nowMs) ->
+                fleet.endpoint(InstanceId.of("i-1")).orElseThrow().load().updateOthers(requests, nowMs + FULL_FOR_MS));
+    }
+
     static Stream<Arguments> begunStreams() {
         return Stream.of(Obstacle.values())
                 .flatMap(obstacle -> Stream.of(false, true).map(stopping -> Arguments.of(obstacle, stopping)));
@@ -103,6 +108,23 @@
         }
     }
 
+    /** Guards against further calls to an endpoint that is silent, whose own call it keeps. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/safe/x", "/unsafe/x"})
+    void otherCallsAvoidTheSilentEndpoint(String path) throws Exception {
+        start(Obstacle.START_NOT_CONFIRMED);
+        silent.respond(STREAM_HEAD + FIRST, ConnectionAction.WAIT_FOR_CLOSE);
+        other.respond(SIGNED + "Content-Length: 0\r\n\r\n", ConnectionAction.KEEP_OPEN);
+        try (Socket stream = entry.connect()) {
+            TestEntry.send(stream, TestEntry.post("/resumable/x", "r-1", "a"));
+            TestEntry.read(stream, "first");
+            awaitSilence(false);
+            occupyOther(SLOTS / 2);
+            assertThat(entry.call(path)).startsWith("HTTP/1.1 200");
+            assertThat(other.unreadRequests()).isEqualTo(1);
+        }
+    }
+
     private void awaitSilence(boolean stopping) throws Exception {
         if (stopping) {
             entry.startDraining();
