The limit of callers' connections follows the descriptors that the platform states

The platform states 4,100 in limits.maxFds; 48 calls that wait or run are few when one entry serves for four. Change: stated descriptors go before the system's limit.

--- a/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/GatewaySettings.java
@@ -51,9 +51,10 @@
     /**
      * Reads limits for callers' connections; those that are not named have their defaults.
      *
+     * @param maxDescriptors the descriptors that the process may open; 0 if nothing states them
      * @throws IllegalArgumentException if a limit is not a number or out of range
      */
-    public static CallerLimits callerLimits(JsonNode json) {
+    public static CallerLimits callerLimits(JsonNode json, double maxDescriptors) {
         CallerLimits defaults = CallerLimits.DEFAULT;
         return new CallerLimits(
                 (int) JsonFields.number(json, "maxConnections", defaults.maxConnections()),
@@ -61,7 +62,8 @@
                 (int) JsonFields.number(json, "maxPipelinedRequests", defaults.maxPipelinedRequests()),
                 (long) JsonFields.number(json, "maxHeadsBytes", (double) defaults.maxHeadsBytes()),
                 (long) JsonFields.number(json, "unreadTimeoutMs", (double) defaults.unreadTimeoutMs()),
-                (long) JsonFields.number(json, "minBodyBytesPerS", (double) defaults.minBodyBytesPerS()));
+                (long) JsonFields.number(json, "minBodyBytesPerS", (double) defaults.minBodyBytesPerS()),
+                (int) maxDescriptors);
     }
 
     /**
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerLimits.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerLimits.java
@@ -10,6 +10,7 @@
  *     from the maximum heap
  * @param unreadTimeoutMs the time after which a connection is closed whose caller reads no byte of its responses
  * @param minBodyBytesPerS the rate at which a body above 64 KiB must arrive; 0 for none
+ * @param maxDescriptors the descriptors that the process may open; 0 for the limit of the system
  */
 public record CallerLimits(
         int maxConnections,
@@ -17,12 +18,13 @@
         int maxPipelinedRequests,
         long maxHeadsBytes,
         long unreadTimeoutMs,
-        long minBodyBytesPerS) {
+        long minBodyBytesPerS,
+        int maxDescriptors) {
     /** The most fields, of one letter and no value, that a head of 16,384 bytes can hold. */
     private static final int MOST_LEGAL_HEADER_FIELDS = 4_096;
 
     /** The limits of settings that state none. */
-    public static final CallerLimits DEFAULT = new CallerLimits(0, MOST_LEGAL_HEADER_FIELDS, 8, 0, 15_000, 0);
+    public static final CallerLimits DEFAULT = new CallerLimits(0, MOST_LEGAL_HEADER_FIELDS, 8, 0, 15_000, 0, 0);
 
     /** The share of the heap that heads may take. */
     private static final int HEADS_HEAP_DIVISOR = 6;
@@ -39,6 +41,7 @@
         requireRange("maxHeadsBytes", maxHeadsBytes, 0, Long.MAX_VALUE);
         requireRange("unreadTimeoutMs", unreadTimeoutMs, 1_000, 600_000);
         requireRange("minBodyBytesPerS", minBodyBytesPerS, 0, 1_000_000_000);
+        requireRange("maxDescriptors", maxDescriptors, 0, 100_000_000);
     }
 
     private static void requireRange(String name, long value, long min, long max) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerResources.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerResources.java
@@ -50,7 +50,9 @@
     }
 
     private int connections() {
-        return limits.maxConnections() > 0 ? limits.maxConnections() : DescriptorLimit.callerConnections();
+        return limits.maxConnections() > 0
+                ? limits.maxConnections()
+                : DescriptorLimit.callerConnections(limits.maxDescriptors());
     }
 
     /** Returns the estimated heap of the heads that are held now, in bytes. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/DescriptorLimit.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/DescriptorLimit.java
@@ -23,8 +23,14 @@
 
     private DescriptorLimit() {}
 
-    static int callerConnections() {
-        return callerConnections(openFiles(), Runtime.getRuntime().maxMemory());
+    /**
+     * Returns how many connections of callers the process may have.
+     *
+     * @param statedDescriptors the descriptors that the settings allow; 0 if they state none
+     */
+    static int callerConnections(int statedDescriptors) {
+        long descriptors = statedDescriptors > 0 ? statedDescriptors : openFiles();
+        return callerConnections(descriptors, Runtime.getRuntime().maxMemory());
     }
 
     static int callerConnections(long openFiles, long heapBytes) {
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/DescriptorLimitTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/DescriptorLimitTest.java
@@ -14,4 +14,11 @@
     void leavesDescriptorsAndHeapForAllElse(long openFiles, int connections) {
         assertThat(DescriptorLimit.callerConnections(openFiles, HEAP_BYTES)).isEqualTo(connections);
     }
+
+    /** Guards against a limit of the system that is not the one of the platform. */
+    @ParameterizedTest
+    @CsvSource({"1000, 550", "400, 100"})
+    void statedDescriptorsGoBeforeTheLimitOfTheSystem(int statedDescriptors, int connections) {
+        assertThat(DescriptorLimit.callerConnections(statedDescriptors)).isEqualTo(connections);
+    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/http/RefusedCallersTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/http/RefusedCallersTest.java
@@ -53,7 +53,7 @@
                 call -> causes.add("call"),
                 RequestBodyBudget.ofEntry(clock, BodyPressureListener.NONE),
                 new CallerResources(
-                        new CallerLimits(0, MAX_FIELDS, 8, 0, 15_000, 1_024), new RecordedPressure(causes)));
+                        new CallerLimits(0, MAX_FIELDS, 8, 0, 15_000, 1_024, 0), new RecordedPressure(causes)));
         int port = server.listen(new InstanceAddress("127.0.0.1", 0));
         socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(POLL_MS);
