--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A small deployment in separate processes on loopback: a store, servers and gateways started as the deploy file says. */
@@ -19,6 +20,8 @@
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
     static final long CHECK_IN_MS = 1_200;
     private static final long MAX_START_MS = 20_000;
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 32_000;
 
     /** A gateway that runs or can be started again. */
     static final class Gateway {
@@ -79,23 +82,24 @@
     }
 
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(Http.HOST))) {
-            return socket.getLocalPort();
-        }
+        return freePorts(1);
     }
 
-    /** Returns the first of some ports that are free and follow each other. */
+    /**
+     * Returns the first of some ports that are free and follow each other, below those that the system gives to outgoing
+     * connections.
+     */
     private static int freePorts(int count) throws IOException {
         while (true) {
-            int first = freePort();
+            int first = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT - count);
             List<ServerSocket> held = new ArrayList<>();
             try {
                 for (int i = 0; i < count; i++) {
                     held.add(new ServerSocket(first + i, 1, InetAddress.getByName(Http.HOST)));
                 }
                 return first;
-            } catch (IOException | IllegalArgumentException e) {
-                // Another one is tried.
+            } catch (IOException e) {
+                // Others are tried.
             } finally {
                 for (ServerSocket socket : held) {
                     socket.close();
