--- a/review/standins-2/StaleLeader.java
+++ b/review/standins-2/StaleLeader.java
@@ -11,6 +11,7 @@
 
 /** Kills the leader once, then freezes the next one several times, and reads the orders in the server's record. */
 public final class StaleLeader {
+    private static final long DOWN_MS = 3_000;
     private static final int FREEZES = 6;
     private static final long FREEZE_MS = 6_000;
     private static final long PAUSE_MS = 4_500;
@@ -83,7 +84,7 @@
         Deployment.Gateway first = gateways.get(lastHolder(deployment));
         deployment.signal(first.process, "KILL", first.node);
         first.process.waitFor();
-        Deployment.pause(1_000);
+        Deployment.pause(DOWN_MS);
         deployment.start(first);
         deployment.awaitReady(first);
         Deployment.pause(PAUSE_MS);
