--- a/review/standins-2/SpotNotice.java
+++ b/review/standins-2/SpotNotice.java
@@ -13,7 +13,8 @@
     private static final int EVENTS = 40;
     private static final int GAP_MS = 100;
     private static final long NOTICE_MS = 2_000;
-    private static final int STREAMS = 100;
+    private static final int SERVERS = 7;
+    private static final int STREAMS = 320;
     /** One stream of so many has neither a length nor chunks. */
     private static final int UNFRAMED_OF = 20;
 
@@ -38,7 +39,9 @@
     private static int run(Deployment deployment) throws Exception {
         deployment.put("op", "config", Config.json(List.of("m1"), 4));
         Process leaving = server(deployment, "i-1");
-        server(deployment, "i-2");
+        for (int i = 2; i <= SERVERS; i++) {
+            server(deployment, "i-" + i);
+        }
         Deployment.Gateway gateway = deployment.gateway("front-a-1");
         deployment.start(gateway);
         deployment.awaitReady(gateway);
@@ -51,7 +54,7 @@
             String id = path.replace("/", "") + "-" + i;
             ids.add(id);
             answers.add(requesters.submit(() -> request(gateway, path, id)));
-            Deployment.pause(10);
+            Deployment.pause(3);
         }
         Deployment.pause(500);
         if (Deployment.TROUBLE) {
--- a/review/standins-2/VersionMix.java
+++ b/review/standins-2/VersionMix.java
@@ -10,7 +10,8 @@
 public final class VersionMix {
     private static final int EVENTS = 40;
     private static final int GAP_MS = 100;
-    private static final int STREAMS = 40;
+    private static final int SERVERS = 6;
+    private static final int STREAMS = 150;
     /** More streams than this must not hold events of two versions. */
     private static final int MIXED_LIMIT = 2;
 
@@ -39,7 +40,9 @@
         deployment.put("op", "config", Config.json(List.of("m1"), 4));
         int port = Deployment.freePort();
         Process first = server(deployment, "i-1", port, "v1");
-        server(deployment, "i-2", Deployment.freePort(), "v1");
+        for (int i = 2; i <= SERVERS; i++) {
+            server(deployment, "i-" + i, Deployment.freePort(), "v1");
+        }
         Deployment.Gateway gateway = deployment.gateway("front-a-1");
         deployment.start(gateway);
         deployment.awaitReady(gateway);
@@ -60,7 +63,7 @@
         for (int i = 0; i < STREAMS; i++) {
             String id = "review-" + i;
             answers.add(requesters.submit(() -> request(gateway, id)));
-            Deployment.pause(20);
+            Deployment.pause(6);
         }
         if (Deployment.TROUBLE) {
             Deployment.pause(BEFORE_CRASH_MS);
