Lease: each claim is logged with its reason, the row it replaces and that row's age

Change: Leadership returns a LeaseClaim with a ClaimReason; LeaseManager logs 'lease-claimed', LeaderConnection logs 'leader-refused'. What an entry has observed of the row is a class of its own (LeaseObservation). No change of behaviour. Result: the tests of core/lease pass.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -57,10 +57,9 @@
     private final long leaseMs;
     private final boolean enginesCheckTokens;
     private final ChartInstance<LeadershipState, LeadershipEvent> state = LeadershipChart.CHART.start();
-    private StoredLease seen = new StoredLease(new StoreRevision(StoreEra.NONE, -1), Optional.empty());
+    private final LeaseObservation observation;
     private StoreEra era = StoreEra.NONE;
     private StoreRevision claimed = new StoreRevision(StoreEra.NONE, 0);
-    private long seenSinceMs;
     private long nextReadMs;
     private long nextCheckOfLeaderMs;
     private long nextRenewalMs;
@@ -91,6 +90,7 @@
         this.address = address;
         this.nonce = nonce;
         this.leaseMs = enginesCheckTokens ? Math.min(leaseMs, FENCED_LEASE_MS) : leaseMs;
+        this.observation = new LeaseObservation(node, address, this.leaseMs + SAFETY_MARGIN_MS, enginesCheckTokens);
     }
 
     /** Handles the era of the store that a response or another entry has named. */
@@ -114,7 +114,7 @@
 
     /** Returns whether the leader that this entry follows has not renewed its lease for so long that it may be lost. */
     private boolean leaderMayBeReplaced(long nowMs) {
-        return enginesCheckTokens && nowMs - seenSinceMs > leaseMs && nowMs >= nextCheckOfLeaderMs;
+        return enginesCheckTokens && observation.unchangedMs(nowMs) > leaseMs && nowMs >= nextCheckOfLeaderMs;
     }
 
     /**
@@ -150,8 +150,8 @@
      */
     public void onLeaderMessage(StoreRevision revision, long nowMs) {
         onStoreEra(revision.era(), nowMs);
-        if (state.state() == LeadershipState.FOLLOWING && revision.isAfter(seen.revision())) {
-            observe(new StoredLease(revision, seen.row()), nowMs);
+        if (state.state() == LeadershipState.FOLLOWING && revision.isAfter(seen().revision())) {
+            observe(new StoredLease(revision, seen().row()), nowMs);
         }
     }
 
@@ -173,7 +173,7 @@
      * @param endedLeader the address of a leader whose process is known to have ended
      * @return the claim to be written, if the lease is free
      */
-    public Optional<LeaseWrite> onRead(StoredLease stored, Optional<String> endedLeader, long nowMs) {
+    public Optional<LeaseClaim> onRead(StoredLease stored, Optional<String> endedLeader, long nowMs) {
         callInFlight = false;
         onStoreEra(stored.revision().era(), nowMs);
         if (era.isAfter(stored.revision().era())) {
@@ -181,17 +181,20 @@
         }
         observe(stored, nowMs);
         if (mustClaimAgain()) {
-            return claimAgain(stored);
+            return claimAgain(stored, nowMs);
         }
-        if (state.state() != LeadershipState.FOLLOWING || !leaseFree(endedLeader, nowMs)) {
+        if (state.state() != LeadershipState.FOLLOWING) {
             return Optional.empty();
         }
-        fire(LeadershipEvent.CLAIM_SENT);
-        return Optional.of(claim(stored));
+        Optional<ClaimReason> reason = observation.claimReason(era, endedLeader, nowMs);
+        if (reason.isPresent()) {
+            fire(LeadershipEvent.CLAIM_SENT);
+        }
+        return reason.map(each -> claim(stored, each, nowMs));
     }
 
     /** Claims the lease that this entry has, unless another entry has claimed it since the restore. */
-    private Optional<LeaseWrite> claimAgain(StoredLease stored) {
+    private Optional<LeaseClaim> claimAgain(StoredLease stored, long nowMs) {
         boolean others = stored.row()
                 .filter(row -> row.era().equals(era) && !row.nonce().equals(nonce))
                 .isPresent();
@@ -199,10 +202,10 @@
             stepDown();
             return Optional.empty();
         }
-        return Optional.of(claim(stored));
+        return Optional.of(claim(stored, ClaimReason.STORE_RESTORED, nowMs));
     }
 
-    private LeaseWrite claim(StoredLease stored) {
+    private LeaseClaim claim(StoredLease stored, ClaimReason reason, long nowMs) {
         callInFlight = true;
         // The version of the write is not known yet, but it is higher than that of the row.
         long least = FencingToken.of(stored.revision()).value() + 1;
@@ -212,36 +215,16 @@
                 .filter(row -> row.era().equals(era))
                 .map(LeaseRow::quotaHolders)
                 .orElse("");
-        return new LeaseWrite(stored.revision(), new LeaseRow(node, address, token, nonce, 0, false, era, holders));
+        LeaseRow claiming = new LeaseRow(node, address, token, nonce, 0, false, era, holders);
+        return new LeaseClaim(
+                new LeaseWrite(stored.revision(), claiming), reason, stored, observation.unchangedMs(nowMs));
     }
 
     private void observe(StoredLease stored, long nowMs) {
-        if (!stored.revision().equals(seen.revision())) {
-            seenSinceMs = nowMs;
-        }
-        seen = stored;
+        observation.observe(stored, nowMs);
         newestToken = Math.max(newestToken, stored.row().map(LeaseRow::token).orElse(0L));
     }
 
-    private boolean leaseFree(Optional<String> endedLeader, long nowMs) {
-        if (seen.row().isEmpty() && enginesCheckTokens) {
-            return true;
-        }
-        boolean waited = nowMs - seenSinceMs > leaseMs + SAFETY_MARGIN_MS;
-        StoreEra writtenIn = seen.row().map(LeaseRow::era).orElse(StoreEra.NONE);
-        if (era.isAfter(writtenIn)) {
-            return waited;
-        }
-        if (seen.row().isEmpty()) {
-            return true;
-        }
-        LeaseRow row = seen.row().get();
-        // A holder with the same name and address is an earlier process of this entry, which has ended.
-        boolean predecessor = row.holder().equals(node) && row.address().equals(address);
-        boolean holderEnded = endedLeader.equals(Optional.of(row.address()));
-        return row.released() || predecessor || holderEnded || waited;
-    }
-
     /** Handles the success of a claim or renewal; the lease is valid from when it was sent. */
     public void onWritten(LeaseWrite write, StoreRevision revision, long sentAtMs, long wallSentMs) {
         callInFlight = false;
@@ -251,8 +234,7 @@
             return;
         }
         withoutStoreSinceMs = Optional.empty();
-        seen = new StoredLease(revision, Optional.of(write.row()));
-        seenSinceMs = sentAtMs;
+        observation.onOwnWrite(new StoredLease(revision, Optional.of(write.row())), sentAtMs);
         if (write.row().renewals() == 0) {
             claimed = revision;
             newestToken = Math.max(newestToken, token().value());
@@ -314,7 +296,7 @@
         }
         callInFlight = true;
         return Optional.of(
-                new LeaseWrite(seen.revision(), seen.row().orElseThrow().renewed(token())));
+                new LeaseWrite(seen().revision(), seen().row().orElseThrow().renewed(token())));
     }
 
     /** Returns whether this entry may send orders now. */
@@ -394,8 +376,8 @@
             fire(LeadershipEvent.STOP);
         }
         return holdsRow
-                ? Optional.of(
-                        new LeaseWrite(seen.revision(), seen.row().orElseThrow().release()))
+                ? Optional.of(new LeaseWrite(
+                        seen().revision(), seen().row().orElseThrow().release()))
                 : Optional.empty();
     }
 
@@ -410,7 +392,7 @@
 
     /** Returns the lease as last read or written. */
     public StoredLease seen() {
-        return seen;
+        return observation.seen();
     }
 
     private void fire(LeadershipEvent event) {
--- /dev/null
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
@@ -0,0 +1,89 @@
+package org.hawthornglade.core.lease;
+
+import java.util.Optional;
+import org.hawthornglade.core.store.StoreEra;
+import org.hawthornglade.core.store.StoreRevision;
+
+/** What an entry has observed of the lease row, and whether the lease is free by that. */
+final class LeaseObservation {
+    private final String node;
+    private final String address;
+    private final boolean enginesCheckTokens;
+    /** How long a row must be unchanged for its lease to have expired, in milliseconds. */
+    private final long expiryMs;
+
+    private StoredLease seen = new StoredLease(new StoreRevision(StoreEra.NONE, -1), Optional.empty());
+    private long seenSinceMs;
+
+    /**
+     * Creates the observation of an entry that has not read the row yet.
+     *
+     * @param node the name of the entry
+     * @param address the address at which other entries reach it
+     * @param expiryMs how long a row must be unchanged for its lease to have expired, in milliseconds
+     * @param enginesCheckTokens whether engines refuse a fencing token older than one they have seen
+     */
+    LeaseObservation(String node, String address, long expiryMs, boolean enginesCheckTokens) {
+        this.node = node;
+        this.address = address;
+        this.expiryMs = expiryMs;
+        this.enginesCheckTokens = enginesCheckTokens;
+    }
+
+    /** Records the row that was read, or that a message of its holder implies. */
+    void observe(StoredLease stored, long nowMs) {
+        if (!stored.revision().equals(seen.revision())) {
+            seenSinceMs = nowMs;
+        }
+        seen = stored;
+    }
+
+    /** Records a row that this entry has written itself, at the time when the write was sent. */
+    void onOwnWrite(StoredLease written, long sentAtMs) {
+        seen = written;
+        seenSinceMs = sentAtMs;
+    }
+
+    /** Returns the row as last read or written. */
+    StoredLease seen() {
+        return seen;
+    }
+
+    /** Returns how long the row was observed without a change, in milliseconds. */
+    long unchangedMs(long nowMs) {
+        return nowMs - seenSinceMs;
+    }
+
+    /**
+     * Returns why the lease is free by the row that was read; empty if it may be in force.
+     *
+     * @param era the newest era of the store that is known
+     * @param endedLeader the address of a leader whose process is known to have ended
+     */
+    Optional<ClaimReason> claimReason(StoreEra era, Optional<String> endedLeader, long nowMs) {
+        if (seen.row().isEmpty() && enginesCheckTokens) {
+            return Optional.of(ClaimReason.NO_ROW);
+        }
+        Optional<ClaimReason> expired =
+                unchangedMs(nowMs) > expiryMs ? Optional.of(ClaimReason.EXPIRED) : Optional.empty();
+        StoreEra writtenIn = seen.row().map(LeaseRow::era).orElse(StoreEra.NONE);
+        if (era.isAfter(writtenIn)) {
+            return expired;
+        }
+        if (seen.row().isEmpty()) {
+            return Optional.of(ClaimReason.NO_ROW);
+        }
+        LeaseRow row = seen.row().get();
+        if (row.released()) {
+            return Optional.of(ClaimReason.RELEASED);
+        }
+        // A holder with the same name and address is an earlier process of this entry, which has ended.
+        if (row.holder().equals(node) && row.address().equals(address)) {
+            return Optional.of(ClaimReason.EARLIER_PROCESS);
+        }
+        if (endedLeader.equals(Optional.of(row.address()))) {
+            return Optional.of(ClaimReason.CONNECTION_REFUSED);
+        }
+        return expired;
+    }
+}
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -32,7 +32,8 @@
         leadership.onReadSent(0);
         LeaseWrite claim = leadership
                 .onRead(new StoredLease(revision(0), Optional.empty()), Optional.empty(), 0)
-                .orElseThrow();
+                .orElseThrow()
+                .write();
         leadership.onWritten(claim, revision(5), 0, WALL_MS);
         return leadership;
     }
@@ -47,7 +48,8 @@
     void claimsAFreeLeaseWithAHigherToken() {
         Leadership leadership = entry(true);
         StoredLease released = new StoredLease(revision(9), Optional.of(OTHERS_ROW.release()));
-        LeaseWrite claim = leadership.onRead(released, Optional.empty(), 0).orElseThrow();
+        LeaseWrite claim =
+                leadership.onRead(released, Optional.empty(), 0).orElseThrow().write();
         assertThat(claim.expected().number()).isEqualTo(9);
         assertThat(claim.row().token()).isGreaterThan(OTHERS_ROW.token());
         assertThat(leadership.leading()).isFalse();
@@ -71,7 +73,7 @@
         Leadership leadership = entry(enginesCheckTokens);
         StoredLease held = new StoredLease(revision(9), Optional.of(OTHERS_ROW));
         assertThat(leadership.onRead(held, Optional.empty(), 100)).isEmpty();
-        Optional<LeaseWrite> claim = leadership.onRead(held, Optional.empty(), 100 + unchangedMs);
+        Optional<LeaseClaim> claim = leadership.onRead(held, Optional.empty(), 100 + unchangedMs);
         assertThat(claim.isPresent()).isEqualTo(claims);
     }
 
@@ -97,7 +99,8 @@
         LeaseWrite claim = leadership
                 .onRead(stored, Optional.empty(), 0)
                 .or(() -> leadership.onRead(stored, Optional.empty(), LEASE_MS + 1_000))
-                .orElseThrow();
+                .orElseThrow()
+                .write();
         assertThat(claim.row().quotaHolders()).isEqualTo(kept);
         assertThat(claim.row().renewed(new FencingToken(9)).quotaHolders()).isEqualTo(kept);
     }
@@ -128,7 +131,8 @@
         LeaseRow own = new LeaseRow("a", ADDRESS, 7, "a-0", 4, false, StoreEra.NONE);
         LeaseWrite claim = leadership
                 .onRead(new StoredLease(revision(9), Optional.of(own)), Optional.empty(), 0)
-                .orElseThrow();
+                .orElseThrow()
+                .write();
         assertThat(claim.row().token()).isGreaterThan(own.token());
     }
 
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hawthornglade.core.lease.Leadership;
+import org.hawthornglade.core.lease.LeaseClaim;
 import org.hawthornglade.core.lease.LeaseRow;
 import org.hawthornglade.core.lease.LeaseWrite;
 import org.hawthornglade.core.lease.StoredLease;
@@ -84,8 +85,20 @@
             leadership.onReadWhileFollowing(result.get(), clock.nowMs());
             return;
         }
-        Optional<LeaseWrite> claim = leadership.onRead(result.get(), endedLeader, clock.nowMs());
-        claim.ifPresent(this::write);
+        Optional<LeaseClaim> claim = leadership.onRead(result.get(), endedLeader, clock.nowMs());
+        claim.ifPresent(this::logClaim);
+        claim.map(LeaseClaim::write).ifPresent(this::write);
+    }
+
+    private void logClaim(LeaseClaim claim) {
+        Optional<LeaseRow> replaced = claim.replaced().row();
+        log.event("lease-claimed")
+                .with("reason", claim.reason())
+                .with("revision", claim.replaced().revision().number())
+                .with("holder", replaced.map(LeaseRow::holder).orElse(""))
+                .with("process", replaced.map(LeaseRow::nonce).orElse(""))
+                .with("unchanged_ms", claim.unchangedMs())
+                .write();
     }
 
     private void write(LeaseWrite write) {
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
@@ -146,6 +146,8 @@
             endedLeader = done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException)
                     ? Optional.of(address.toString())
                     : Optional.empty();
+            endedLeader.ifPresent(
+                    ended -> log.event("leader-refused").with("address", ended).write());
         });
     }
 
