Lease: the end of an attempt to connect to the leader is an event of Leadership

Cause: whether a refused connection proves anything was decided by what the caller passed to onRead, so no test of core/lease could show how old the sign was. Change: LeaderConnection reports each attempt that has ended (ConnectionAttempt); LeaseObservation keeps the refused address.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -155,8 +155,14 @@
         }
     }
 
+    /** Records the end of an attempt to connect to the leader. */
+    public void onConnectionAttempt(ConnectionAttempt attempt) {
+        observation.onConnectionAttempt(attempt);
+    }
+
     /** Records that a read was sent. */
     public void onReadSent(long nowMs) {
+        observation.onReadSent();
         callInFlight = true;
         nextReadMs = nowMs + READ_INTERVAL_MS;
         nextCheckOfLeaderMs = nowMs + LEADER_CHECK_INTERVAL_MS;
@@ -170,10 +176,9 @@
     /**
      * Handles the row that was read.
      *
-     * @param endedLeader the address of a leader whose process is known to have ended
      * @return the claim to be written, if the lease is free
      */
-    public Optional<LeaseClaim> onRead(StoredLease stored, Optional<String> endedLeader, long nowMs) {
+    public Optional<LeaseClaim> onRead(StoredLease stored, long nowMs) {
         callInFlight = false;
         onStoreEra(stored.revision().era(), nowMs);
         if (era.isAfter(stored.revision().era())) {
@@ -186,7 +191,7 @@
         if (state.state() != LeadershipState.FOLLOWING) {
             return Optional.empty();
         }
-        Optional<ClaimReason> reason = observation.claimReason(era, endedLeader, nowMs);
+        Optional<ClaimReason> reason = observation.claimReason(era, nowMs);
         if (reason.isPresent()) {
             fire(LeadershipEvent.CLAIM_SENT);
         }
--- a/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
@@ -14,6 +14,8 @@
 
     private StoredLease seen = new StoredLease(new StoreRevision(StoreEra.NONE, -1), Optional.empty());
     private long seenSinceMs;
+    private Optional<String> refusedAddress = Optional.empty();
+    private Optional<String> refusedAddressAtRead = Optional.empty();
 
     /**
      * Creates the observation of an entry that has not read the row yet.
@@ -44,6 +46,16 @@
         seenSinceMs = sentAtMs;
     }
 
+    /** Records that a read was sent. */
+    void onReadSent() {
+        refusedAddressAtRead = refusedAddress;
+    }
+
+    /** Records the end of an attempt to connect to the holder. */
+    void onConnectionAttempt(ConnectionAttempt attempt) {
+        refusedAddress = attempt.refused() ? Optional.of(attempt.address()) : Optional.empty();
+    }
+
     /** Returns the row as last read or written. */
     StoredLease seen() {
         return seen;
@@ -58,9 +70,8 @@
      * Returns why the lease is free by the row that was read; empty if it may be in force.
      *
      * @param era the newest era of the store that is known
-     * @param endedLeader the address of a leader whose process is known to have ended
      */
-    Optional<ClaimReason> claimReason(StoreEra era, Optional<String> endedLeader, long nowMs) {
+    Optional<ClaimReason> claimReason(StoreEra era, long nowMs) {
         if (seen.row().isEmpty() && enginesCheckTokens) {
             return Optional.of(ClaimReason.NO_ROW);
         }
@@ -81,7 +92,7 @@
         if (row.holder().equals(node) && row.address().equals(address)) {
             return Optional.of(ClaimReason.EARLIER_PROCESS);
         }
-        if (endedLeader.equals(Optional.of(row.address()))) {
+        if (refusedAddressAtRead.equals(Optional.of(row.address()))) {
             return Optional.of(ClaimReason.CONNECTION_REFUSED);
         }
         return expired;
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -31,7 +31,7 @@
         Leadership leadership = entry(enginesCheckTokens);
         leadership.onReadSent(0);
         LeaseWrite claim = leadership
-                .onRead(new StoredLease(revision(0), Optional.empty()), Optional.empty(), 0)
+                .onRead(new StoredLease(revision(0), Optional.empty()), 0)
                 .orElseThrow()
                 .write();
         leadership.onWritten(claim, revision(5), 0, WALL_MS);
@@ -48,8 +48,7 @@
     void claimsAFreeLeaseWithAHigherToken() {
         Leadership leadership = entry(true);
         StoredLease released = new StoredLease(revision(9), Optional.of(OTHERS_ROW.release()));
-        LeaseWrite claim =
-                leadership.onRead(released, Optional.empty(), 0).orElseThrow().write();
+        LeaseWrite claim = leadership.onRead(released, 0).orElseThrow().write();
         assertThat(claim.expected().number()).isEqualTo(9);
         assertThat(claim.row().token()).isGreaterThan(OTHERS_ROW.token());
         assertThat(leadership.leading()).isFalse();
@@ -72,8 +71,8 @@
             boolean enginesCheckTokens, long unchangedMs, boolean claims) {
         Leadership leadership = entry(enginesCheckTokens);
         StoredLease held = new StoredLease(revision(9), Optional.of(OTHERS_ROW));
-        assertThat(leadership.onRead(held, Optional.empty(), 100)).isEmpty();
-        Optional<LeaseClaim> claim = leadership.onRead(held, Optional.empty(), 100 + unchangedMs);
+        assertThat(leadership.onRead(held, 100)).isEmpty();
+        Optional<LeaseClaim> claim = leadership.onRead(held, 100 + unchangedMs);
         assertThat(claim.isPresent()).isEqualTo(claims);
     }
 
@@ -81,12 +80,11 @@
     @CsvSource({"10, 2300, true", "10, 2200, false", "11, 2300, false"})
     void rowCountsAsUnchangedSinceTheLeadersMessageAfterItsWrite(long readRevision, long readAtMs, boolean claims) {
         Leadership leadership = entry(true);
-        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), Optional.empty(), 0);
+        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), 0);
         leadership.onLeaderMessage(revision(10), 0);
         StoredLease read =
                 new StoredLease(revision(readRevision), Optional.of(OTHERS_ROW.renewed(new FencingToken(7))));
-        assertThat(leadership.onRead(read, Optional.empty(), readAtMs).isPresent())
-                .isEqualTo(claims);
+        assertThat(leadership.onRead(read, readAtMs).isPresent()).isEqualTo(claims);
     }
 
     /** Guards against granting quotas by a list of entries from before a restore of the store: it may be too short. */
@@ -97,8 +95,8 @@
         LeaseRow row = new LeaseRow("b", "10.0.0.2:7000", 7, "b-1", 4, true, new StoreEra(1), "27:0000000a");
         StoredLease stored = new StoredLease(new StoreRevision(new StoreEra(era), 9), Optional.of(row));
         LeaseWrite claim = leadership
-                .onRead(stored, Optional.empty(), 0)
-                .or(() -> leadership.onRead(stored, Optional.empty(), LEASE_MS + 1_000))
+                .onRead(stored, 0)
+                .or(() -> leadership.onRead(stored, LEASE_MS + 1_000))
                 .orElseThrow()
                 .write();
         assertThat(claim.row().quotaHolders()).isEqualTo(kept);
@@ -108,12 +106,9 @@
     @Test
     void renewalRestartsTheWait() {
         Leadership leadership = entry(false);
-        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), Optional.empty(), 0);
-        leadership.onRead(
-                new StoredLease(revision(10), Optional.of(OTHERS_ROW.renewed(new FencingToken(7)))),
-                Optional.empty(),
-                3_000);
-        assertThat(leadership.onRead(new StoredLease(revision(10), Optional.of(OTHERS_ROW)), Optional.empty(), 6_000))
+        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), 0);
+        leadership.onRead(new StoredLease(revision(10), Optional.of(OTHERS_ROW.renewed(new FencingToken(7)))), 3_000);
+        assertThat(leadership.onRead(new StoredLease(revision(10), Optional.of(OTHERS_ROW)), 6_000))
                 .isEmpty();
     }
 
@@ -122,7 +117,9 @@
     void takesOverAtOnceFromALeaderWhoseProcessHasEnded(String ended, boolean claims) {
         Leadership leadership = entry(true);
         StoredLease held = new StoredLease(revision(9), Optional.of(OTHERS_ROW));
-        assertThat(leadership.onRead(held, Optional.of(ended), 0).isPresent()).isEqualTo(claims);
+        leadership.onConnectionAttempt(new ConnectionAttempt(ended, 0, true));
+        leadership.onReadSent(0);
+        assertThat(leadership.onRead(held, 0).isPresent()).isEqualTo(claims);
     }
 
     @Test
@@ -130,7 +127,7 @@
         Leadership leadership = entry(true);
         LeaseRow own = new LeaseRow("a", ADDRESS, 7, "a-0", 4, false, StoreEra.NONE);
         LeaseWrite claim = leadership
-                .onRead(new StoredLease(revision(9), Optional.of(own)), Optional.empty(), 0)
+                .onRead(new StoredLease(revision(9), Optional.of(own)), 0)
                 .orElseThrow()
                 .write();
         assertThat(claim.row().token()).isGreaterThan(own.token());
@@ -231,7 +228,7 @@
     @CsvSource({"true, true, false", "true, false, true", "false, false, false"})
     void followerOfALeaderThatDoesNotRenewReadsTheRow(boolean enginesCheckTokens, boolean renews, boolean reads) {
         Leadership leadership = entry(enginesCheckTokens);
-        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), Optional.empty(), 0);
+        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), 0);
         boolean read = false;
         for (long ms = 300; ms <= 6_000; ms += 300) {
             leadership.onLeaderMessage(revision(renews ? 9 + ms : 9), ms);
@@ -244,7 +241,7 @@
     @Test
     void rowThatIsReadWhileFollowingNamesTheNewerLeaderAndIsNotClaimed() {
         Leadership leadership = entry(true);
-        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), Optional.empty(), 0);
+        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), 0);
         leadership.onReadSent(4_000);
         leadership.onReadWhileFollowing(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), 4_010);
         assertThat(leadership.shouldRead(true, 4_900)).isFalse();
--- a/core/src/test/java/org/hawthornglade/core/lease/LeaseRestoreTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeaseRestoreTest.java
@@ -73,9 +73,7 @@
         private void call(Leadership entry, Consumer<LeaseWrite> onWrite) {
             if (entry.shouldRead(false, nowMs)) {
                 entry.onReadSent(nowMs);
-                entry.onRead(store.read(), Optional.empty(), nowMs)
-                        .map(LeaseClaim::write)
-                        .ifPresent(onWrite);
+                entry.onRead(store.read(), nowMs).map(LeaseClaim::write).ifPresent(onWrite);
                 return;
             }
             entry.renewal(nowMs).ifPresent(onWrite);
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
@@ -52,12 +52,12 @@
     }
 
     /** Reads, claims or renews the lease as needed; to be called periodically. */
-    void check(boolean leaderAlive, Optional<String> endedLeader) {
+    void check(boolean leaderAlive) {
         long nowMs = clock.nowMs();
         leadership.check(nowMs, wallClock.nowMs());
         if (leadership.shouldRead(leaderAlive, nowMs)) {
             leadership.onReadSent(nowMs);
-            store.read(result -> onRead(result, leaderAlive, endedLeader));
+            store.read(result -> onRead(result, leaderAlive));
             return;
         }
         leadership
@@ -75,7 +75,7 @@
         return leadership.leaseValid(clock.nowMs(), wallClock.nowMs());
     }
 
-    private void onRead(Either<Failure, StoredLease> result, boolean leaderAlive, Optional<String> endedLeader) {
+    private void onRead(Either<Failure, StoredLease> result, boolean leaderAlive) {
         if (result.isLeft()) {
             leadership.onReadFailed();
             logFaultChange("lease-read-failed", result.getLeft().message());
@@ -85,7 +85,7 @@
             leadership.onReadWhileFollowing(result.get(), clock.nowMs());
             return;
         }
-        Optional<LeaseClaim> claim = leadership.onRead(result.get(), endedLeader, clock.nowMs());
+        Optional<LeaseClaim> claim = leadership.onRead(result.get(), clock.nowMs());
         claim.ifPresent(this::logClaim);
         claim.map(LeaseClaim::write).ifPresent(this::write);
     }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -7,6 +7,7 @@
 import org.hawthornglade.core.fleet.Fleet;
 import org.hawthornglade.core.fleet.InstanceAddress;
 import org.hawthornglade.core.fleet.InstancePlacement;
+import org.hawthornglade.core.lease.ConnectionAttempt;
 import org.hawthornglade.core.lease.FencingToken;
 import org.hawthornglade.core.lease.Leadership;
 import org.hawthornglade.core.lease.LeaseRow;
@@ -167,7 +168,7 @@
     }
 
     private void check() {
-        lease.check(leaderConnection.leaderAlive(), leaderConnection.endedLeader());
+        lease.check(leaderConnection.leaderAlive());
         boolean leading = leadership.leading();
         if (wasLeading && !leading) {
             followers.disconnectAll();
@@ -316,6 +317,11 @@
         quarantine.onReport(entry, report);
     }
 
+    @Override
+    public void onConnectionAttempt(ConnectionAttempt attempt) {
+        leadership.onConnectionAttempt(attempt);
+    }
+
     @Override
     public void onLeaderConnected() {
         sendDemand(true);
--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
@@ -10,6 +10,7 @@
 import java.net.ConnectException;
 import java.util.Optional;
 import org.hawthornglade.core.fleet.InstanceAddress;
+import org.hawthornglade.core.lease.ConnectionAttempt;
 import org.hawthornglade.core.limit.LimitUpdate;
 import org.hawthornglade.core.quarantine.QuarantineReport;
 import org.hawthornglade.core.quarantine.QuarantineUpdate;
@@ -41,6 +42,9 @@
         /** Handles the answer to a report on quotas. */
         void onQuotas(QuotaUpdate update);
 
+        /** Handles the end of an attempt to connect. */
+        void onConnectionAttempt(ConnectionAttempt attempt);
+
         /** Handles a new connection, on which the demand can be sent. */
         void onLeaderConnected();
 
@@ -54,7 +58,6 @@
     private final Listener listener;
     private Optional<InstanceAddress> target = Optional.empty();
     private Optional<PeerChannel> open = Optional.empty();
-    private Optional<String> endedLeader = Optional.empty();
     private boolean connecting;
     private long lastAttemptMs;
     private long receivedAtMs;
@@ -87,11 +90,6 @@
         return open.isPresent() && clock.nowMs() - receivedAtMs <= SILENCE_TIMEOUT_MS;
     }
 
-    /** Returns the address of the leader if its process is known to have ended. */
-    public Optional<String> endedLeader() {
-        return endedLeader;
-    }
-
     /** Connects if needed and closes a connection that has been silent too long; must be called regularly. */
     public void check() {
         long nowMs = clock.nowMs();
@@ -129,6 +127,7 @@
 
     private void connect(InstanceAddress address) {
         connecting = true;
+        long startedAtMs = clock.nowMs();
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -142,15 +141,18 @@
                 });
         bootstrap.connect(address.host(), address.port()).addListener(done -> {
             connecting = false;
-            // The host refuses the connection because nothing listens on the port: the process has ended.
-            endedLeader = done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException)
-                    ? Optional.of(address.toString())
-                    : Optional.empty();
-            endedLeader.ifPresent(
-                    ended -> log.event("leader-refused").with("address", ended).write());
+            onAttempted(address, startedAtMs, done.cause());
         });
     }
 
+    private void onAttempted(InstanceAddress address, long startedAtMs, Throwable cause) {
+        boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        if (refused) {
+            log.event("leader-refused").with("address", address).write();
+        }
+        listener.onConnectionAttempt(new ConnectionAttempt(address.toString(), startedAtMs, refused));
+    }
+
     /** Handles the events of the connection. */
     private final class Events implements PeerChannel.Listener {
         @Override
--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/LeaseManagerTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/LeaseManagerTest.java
@@ -36,7 +36,7 @@
 
     private void run(long forMs) {
         for (long untilMs = nowMs + forMs; nowMs < untilMs; nowMs += 50) {
-            lease.check(false, Optional.empty());
+            lease.check(false);
         }
     }
 
