Lease: a refused connection frees only the row that was known when it was made

Cause: the address of the last refused connection was kept until the next attempt to connect ended, and a leader makes none. It was taken for a proof about whatever row named that address later (old), and as of when the read was sent (about another row). Change: LeaseObservation binds a refusal to the revision of the row that was known when the attempt began. Each write of the row, and a connection that is accepted later, voids it. Why it works: a renewal or claim changes the revision, so a sign from before it names another one.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -162,7 +162,6 @@
 
     /** Records that a read was sent. */
     public void onReadSent(long nowMs) {
-        observation.onReadSent();
         callInFlight = true;
         nextReadMs = nowMs + READ_INTERVAL_MS;
         nextCheckOfLeaderMs = nowMs + LEADER_CHECK_INTERVAL_MS;
--- a/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
@@ -14,8 +14,8 @@
 
     private StoredLease seen = new StoredLease(new StoreRevision(StoreEra.NONE, -1), Optional.empty());
     private long seenSinceMs;
-    private Optional<String> refusedAddress = Optional.empty();
-    private Optional<String> refusedAddressAtRead = Optional.empty();
+    /** The revision that the row had when its holder's host refused a connection. */
+    private Optional<StoreRevision> refusedAtRevision = Optional.empty();
 
     /**
      * Creates the observation of an entry that has not read the row yet.
@@ -46,14 +46,18 @@
         seenSinceMs = sentAtMs;
     }
 
-    /** Records that a read was sent. */
-    void onReadSent() {
-        refusedAddressAtRead = refusedAddress;
-    }
-
-    /** Records the end of an attempt to connect to the holder. */
+    /**
+     * Records the end of an attempt to connect to the holder.
+     *
+     * <p>A refusal tells about the row that was known when the attempt began, and nothing about a later one: the holder
+     * may have started again, or another one may have followed.
+     */
     void onConnectionAttempt(ConnectionAttempt attempt) {
-        refusedAddress = attempt.refused() ? Optional.of(attempt.address()) : Optional.empty();
+        boolean toHolder = seen.row().map(LeaseRow::address).equals(Optional.of(attempt.address()));
+        if (!toHolder || attempt.startedAtMs() < seenSinceMs) {
+            return;
+        }
+        refusedAtRevision = attempt.refused() ? Optional.of(seen.revision()) : Optional.empty();
     }
 
     /** Returns the row as last read or written. */
@@ -92,7 +96,7 @@
         if (row.holder().equals(node) && row.address().equals(address)) {
             return Optional.of(ClaimReason.EARLIER_PROCESS);
         }
-        if (refusedAddressAtRead.equals(Optional.of(row.address()))) {
+        if (refusedAtRevision.equals(Optional.of(seen.revision()))) {
             return Optional.of(ClaimReason.CONNECTION_REFUSED);
         }
         return expired;
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -112,14 +112,29 @@
                 .isEmpty();
     }
 
+    /**
+     * Guards against a claim of a live leader's lease after its address refused a connection, when that was before the
+     * row was written, to another process, or followed by a connection.
+     */
     @ParameterizedTest
-    @CsvSource({"10.0.0.2:7000, true", "10.0.0.3:7000, false"})
-    void takesOverAtOnceFromALeaderWhoseProcessHasEnded(String ended, boolean claims) {
+    @CsvSource({
+        "10.0.0.2:7000, 100, 9, false, true",
+        "10.0.0.3:7000, 100, 9, false, false",
+        "10.0.0.2:7000, 99, 9, false, false",
+        "10.0.0.2:7000, 100, 10, false, false",
+        "10.0.0.2:7000, 100, 9, true, false",
+    })
+    void refusedConnectionFreesOnlyTheRowThatWasKnownWhenItWasMade(
+            String refusing, long startedAtMs, long readRevision, boolean acceptedLater, boolean claims) {
         Leadership leadership = entry(true);
-        StoredLease held = new StoredLease(revision(9), Optional.of(OTHERS_ROW));
-        leadership.onConnectionAttempt(new ConnectionAttempt(ended, 0, true));
-        leadership.onReadSent(0);
-        assertThat(leadership.onRead(held, 0).isPresent()).isEqualTo(claims);
+        leadership.onRead(new StoredLease(revision(9), Optional.of(OTHERS_ROW)), 100);
+        leadership.onConnectionAttempt(new ConnectionAttempt(refusing, startedAtMs, true));
+        if (acceptedLater) {
+            leadership.onConnectionAttempt(new ConnectionAttempt(refusing, 300, false));
+        }
+        leadership.onReadSent(1_300);
+        StoredLease read = new StoredLease(revision(readRevision), Optional.of(OTHERS_ROW));
+        assertThat(leadership.onRead(read, 1_300).isPresent()).isEqualTo(claims);
     }
 
     @Test
