Lease: a refused connection replaces no wait where engines check no tokens, and no renewal that is there

Cause: a refused connection was taken for a proof that the holder's process has ended. It is none: the host may refuse while the process lives, orders and renews. Even a true one lets a holder return within the time of a lease (turns). Change: it counts only where engines check tokens, and there only if a renewal is missing. Else the row has to be unchanged for the lease and its margin. Why it works: where engines check no tokens, only time proves that a lease has ended.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -17,9 +17,10 @@
  * clocks may stop while a machine is suspended; a leader detects this by the wall clock and renews the lease before it
  * sends further orders.
  *
- * <p>There are two exceptions. A follower takes over immediately if the leader's host refuses connections, because its
- * process has ended. And where engines check fencing tokens, a leader that cannot reach the store continues beyond its
- * lease for as long as engines answer: if another entry has taken over, the engines refuse the older token.
+ * <p>There are two exceptions where engines check fencing tokens, since they refuse the older token of a leader that was
+ * replaced by mistake. A follower takes over without waiting for the end of the lease if the leader's host refuses
+ * connections and a renewal is missing. And a leader that cannot reach the store continues beyond its lease for as long
+ * as engines answer.
  *
  * <p>A store that was restored from an older copy may have lost the row of a lease that is in force, and may show an
  * earlier one. A row that was not written since the restore therefore frees nothing: another entry waits for as long as
@@ -90,7 +91,12 @@
         this.address = address;
         this.nonce = nonce;
         this.leaseMs = enginesCheckTokens ? Math.min(leaseMs, FENCED_LEASE_MS) : leaseMs;
-        this.observation = new LeaseObservation(node, address, this.leaseMs + SAFETY_MARGIN_MS, enginesCheckTokens);
+        this.observation = new LeaseObservation(
+                node,
+                address,
+                this.leaseMs + SAFETY_MARGIN_MS,
+                this.leaseMs / RENEWALS_PER_LEASE + SAFETY_MARGIN_MS,
+                enginesCheckTokens);
     }
 
     /** Handles the era of the store that a response or another entry has named. */
--- a/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
@@ -11,6 +11,8 @@
     private final boolean enginesCheckTokens;
     /** How long a row must be unchanged for its lease to have expired, in milliseconds. */
     private final long expiryMs;
+    /** How long a row must be unchanged for its holder to have missed a renewal, in milliseconds. */
+    private final long missedRenewalMs;
 
     private StoredLease seen = new StoredLease(new StoreRevision(StoreEra.NONE, -1), Optional.empty());
     private long seenSinceMs;
@@ -23,12 +25,14 @@
      * @param node the name of the entry
      * @param address the address at which other entries reach it
      * @param expiryMs how long a row must be unchanged for its lease to have expired, in milliseconds
+     * @param missedRenewalMs how long a row must be unchanged for its holder to have missed a renewal, in milliseconds
      * @param enginesCheckTokens whether engines refuse a fencing token older than one they have seen
      */
-    LeaseObservation(String node, String address, long expiryMs, boolean enginesCheckTokens) {
+    LeaseObservation(String node, String address, long expiryMs, long missedRenewalMs, boolean enginesCheckTokens) {
         this.node = node;
         this.address = address;
         this.expiryMs = expiryMs;
+        this.missedRenewalMs = missedRenewalMs;
         this.enginesCheckTokens = enginesCheckTokens;
     }
 
@@ -96,9 +100,17 @@
         if (row.holder().equals(node) && row.address().equals(address)) {
             return Optional.of(ClaimReason.EARLIER_PROCESS);
         }
-        if (refusedAtRevision.equals(Optional.of(seen.revision()))) {
-            return Optional.of(ClaimReason.CONNECTION_REFUSED);
-        }
-        return expired;
+        return holderSeemsEnded(nowMs) ? Optional.of(ClaimReason.CONNECTION_REFUSED) : expired;
+    }
+
+    /**
+     * Returns whether the holder's process seems to have ended: its host refuses connections, and a renewal is missing.
+     *
+     * <p>This is no proof, since the host of a live holder may refuse connections while the store does not answer it. It
+     * is enough only where engines refuse the orders of a holder that another one has replaced.
+     */
+    private boolean holderSeemsEnded(long nowMs) {
+        boolean refused = refusedAtRevision.equals(Optional.of(seen.revision()));
+        return enginesCheckTokens && refused && unchangedMs(nowMs) > missedRenewalMs;
     }
 }
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -137,6 +137,28 @@
         assertThat(leadership.onRead(read, 1_300).isPresent()).isEqualTo(claims);
     }
 
+    /**
+     * Guards against a takeover from a live leader whose host refuses connections: it may still order where engines
+     * check no tokens, and renews its lease where the store answers it.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "true, 900, false",
+        "true, 1000, false",
+        "true, 1100, true",
+        "false, 1100, false",
+        "false, 3400, false",
+        "false, 3500, true",
+    })
+    void refusedConnectionReplacesTheWaitOnlyWhereEnginesCheckTokensAndARenewalIsMissing(
+            boolean enginesCheckTokens, long unchangedMs, boolean claims) {
+        Leadership leadership = entry(enginesCheckTokens);
+        StoredLease held = new StoredLease(revision(9), Optional.of(OTHERS_ROW));
+        leadership.onRead(held, 100);
+        leadership.onConnectionAttempt(new ConnectionAttempt("10.0.0.2:7000", 200, true));
+        assertThat(leadership.onRead(held, 100 + unchangedMs).isPresent()).isEqualTo(claims);
+    }
+
     @Test
     void restartedEntryTakesOverFromItself() {
         Leadership leadership = entry(true);
