Lease: an entry does not take a released lease back within its duration where engines check no tokens

The users' rule counts holders that take turns within leaseMs. Cause: a released row was free for everybody at once, also for the entry that had led until shortly before. Change: a claim names the previous holder in the row (previousHolder). Where engines check no tokens, that entry waits until the released row is as old as an expired one; all others take it over at once. Why it works: the claim of the entry in between was later than the last order of the one before, so a row that is unchanged for longer than a lease leaves no turn within one. A chain of three entries, each stopped within the same 3 s, is not covered.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -225,7 +225,9 @@
                 .filter(row -> row.era().equals(era))
                 .map(LeaseRow::quotaHolders)
                 .orElse("");
-        LeaseRow claiming = new LeaseRow(node, address, token, nonce, 0, false, era, holders);
+        String previousHolder =
+                stored.row().map(row -> row.previousHolderFor(node)).orElse("");
+        LeaseRow claiming = new LeaseRow(node, address, token, nonce, 0, false, era, holders, previousHolder);
         return new LeaseClaim(
                 new LeaseWrite(stored.revision(), claiming), reason, stored, observation.unchangedMs(nowMs));
     }
--- a/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
@@ -94,7 +94,7 @@
         }
         LeaseRow row = seen.row().get();
         if (row.released()) {
-            return Optional.of(ClaimReason.RELEASED);
+            return mayTakeTurns(row) ? expired : Optional.of(ClaimReason.RELEASED);
         }
         // A holder with the same name and address is an earlier process of this entry, which has ended.
         if (row.holder().equals(node) && row.address().equals(address)) {
@@ -103,6 +103,15 @@
         return holderSeemsEnded(nowMs) ? Optional.of(ClaimReason.CONNECTION_REFUSED) : expired;
     }
 
+    /**
+     * Returns whether this entry may have led within the duration of a lease, before the entry that has released it.
+     *
+     * <p>Engines that check no tokens cannot tell two entries that lead in turn from two that lead at once.
+     */
+    private boolean mayTakeTurns(LeaseRow released) {
+        return !enginesCheckTokens && released.previousHolder().equals(node);
+    }
+
     /**
      * Returns whether the holder's process seems to have ended: its host refuses connections, and a renewal is missing.
      *
--- a/core/src/test/java/org/hawthornglade/core/lease/LeaseSearchTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeaseSearchTest.java
@@ -30,7 +30,10 @@
                                 EnumSet.of(Disruption.RESTART_LATER, Disruption.FREEZE),
                                 EnumSet.of(Disruption.RESTART_LATER, Disruption.STORE_LOST_FOR_ONE),
                                 EnumSet.of(Disruption.RESTART_AT_ONCE, Disruption.STORE_SLOW),
-                                EnumSet.of(Disruption.CONNECTIONS_REFUSED))
+                                EnumSet.of(Disruption.CONNECTIONS_REFUSED),
+                                EnumSet.of(
+                                        Disruption.PLANNED_STOP, Disruption.RESTART_AT_ONCE, Disruption.RESPONSES_LOST),
+                                EnumSet.allOf(Disruption.class))
                         .map(disruptions -> Arguments.of(enginesCheckTokens, disruptions)));
     }
 
