Lease: a leader whose lease may have ended does not claim it again after a restore of the store

Cause: that it leads was taken from before the suspension; the row of the one that followed was lost by the restore, or was written in an earlier era, which was not looked at. Change: such a leader steps down if its lease has ended by its steady clock, or if the clocks tell of a suspension since its last renewal. Where engines check tokens nothing changes. Why it works: a lease that is valid by both clocks can't have been followed by another one.

--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -66,6 +66,7 @@
     private long nextRenewalMs;
     private long leaseUntilMs;
     private long wallClockOffsetMs;
+    private boolean suspendedSinceRenewal;
     private long checkedAtMs;
     private long runningSinceMs;
     private long storeUnreachableAtMs = Long.MIN_VALUE / 2;
@@ -203,18 +204,26 @@
         return reason.map(each -> claim(stored, each, nowMs));
     }
 
-    /** Claims the lease that this entry has, unless another entry has claimed it since the restore. */
+    /** Claims the lease that this entry has, unless it may have ended or another entry has claimed it since the restore. */
     private Optional<LeaseClaim> claimAgain(StoredLease stored, long nowMs) {
         boolean others = stored.row()
                 .filter(row -> row.era().equals(era) && !row.nonce().equals(nonce))
                 .isPresent();
-        if (others) {
+        if (others || mayHaveEnded(nowMs)) {
             stepDown();
             return Optional.empty();
         }
         return Optional.of(claim(stored, ClaimReason.STORE_RESTORED, nowMs));
     }
 
+    /**
+     * Returns whether the lease of this leader may have ended, so that another entry may have led before the restore.
+     * Where engines check tokens, they refuse the older one.
+     */
+    private boolean mayHaveEnded(long nowMs) {
+        return !enginesCheckTokens && (nowMs >= leaseUntilMs || suspendedSinceRenewal);
+    }
+
     private LeaseClaim claim(StoredLease stored, ClaimReason reason, long nowMs) {
         callInFlight = true;
         // The version of the write is not known yet, but it is higher than that of the row.
@@ -256,6 +265,7 @@
         }
         leaseUntilMs = sentAtMs + leaseMs - SAFETY_MARGIN_MS;
         wallClockOffsetMs = wallSentMs - sentAtMs;
+        suspendedSinceRenewal = false;
         nextRenewalMs = sentAtMs + leaseMs / RENEWALS_PER_LEASE;
     }
 
@@ -319,8 +329,12 @@
 
     /** Returns whether the lease is valid now, so that no other entry can have taken over. */
     public boolean leaseValid(long nowMs, long wallNowMs) {
-        boolean suspended = Math.abs(wallNowMs - nowMs - wallClockOffsetMs) > MAX_CLOCK_DRIFT_MS;
-        return state.state() == LeadershipState.LEADING && nowMs < leaseUntilMs && !suspended;
+        return state.state() == LeadershipState.LEADING && nowMs < leaseUntilMs && !suspended(nowMs, wallNowMs);
+    }
+
+    /** Returns whether this process may have been suspended, with its steady clock, since its last renewal. */
+    private boolean suspended(long nowMs, long wallNowMs) {
+        return Math.abs(wallNowMs - nowMs - wallClockOffsetMs) > MAX_CLOCK_DRIFT_MS;
     }
 
     private boolean continuesWithoutStore(long nowMs) {
@@ -363,6 +377,7 @@
         if (state.state() != LeadershipState.LEADING) {
             return;
         }
+        suspendedSinceRenewal |= suspended(nowMs, wallNowMs);
         if (nowMs >= leaseUntilMs && !callInFlight && !continuesWithoutStore(nowMs)) {
             stepDown();
         } else if (!mayOrder(nowMs, wallNowMs)) {
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -186,6 +186,22 @@
                 .isEqualTo(previous);
     }
 
+    /**
+     * Guards against a leader that claims its lease again after a restore of the store although it was suspended for
+     * longer than its lease, so that another one may lead by a row that the restore has lost.
+     */
+    @ParameterizedTest
+    @CsvSource({"false, 500, 500, true", "false, 500, 6000, false", "false, 6000, 6000, false", "true, 500, 6000, true"
+    })
+    void leaderClaimsItsLeaseAgainAfterARestoreOnlyIfItMustStillHoldIt(
+            boolean enginesCheckTokens, long steadyMs, long wallMs, boolean claims) {
+        Leadership leadership = leader(enginesCheckTokens);
+        leadership.renewal(1_000);
+        leadership.check(steadyMs, WALL_MS + wallMs);
+        StoredLease restored = new StoredLease(new StoreRevision(new StoreEra(1), 4), Optional.of(OTHERS_ROW));
+        assertThat(leadership.onRead(restored, steadyMs).isPresent()).isEqualTo(claims);
+    }
+
     @Test
     void restartedEntryTakesOverFromItself() {
         Leadership leadership = entry(true);
--- a/core/src/test/java/org/hawthornglade/core/lease/LeaseSearchTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeaseSearchTest.java
@@ -33,6 +33,7 @@
                                 EnumSet.of(Disruption.CONNECTIONS_REFUSED),
                                 EnumSet.of(
                                         Disruption.PLANNED_STOP, Disruption.RESTART_AT_ONCE, Disruption.RESPONSES_LOST),
+                                EnumSet.of(Disruption.STORE_RESTORED, Disruption.FREEZE, Disruption.STORE_LOST_FOR_ONE),
                                 EnumSet.allOf(Disruption.class))
                         .map(disruptions -> Arguments.of(enginesCheckTokens, disruptions)));
     }
