Lease: whether the followed leader is alive is looked at when the row arrives

Cause: LeaseManager looked at the connection when it sent the read. The answer may come much later, and the row of a leader that was found again meanwhile was then claimed if it was old enough, as that of a leader that goes on without the store is. Change: the look is taken when the answer is handled. Result: LeaseManagerTest has both cases; the one with the leader found is the former code's by its interface (the value was captured).

--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/LeaseManager.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hawthornglade.core.lease.Leadership;
@@ -51,11 +52,15 @@
         return leadership.seen().row().map(LeaseRow::quotaHolders).orElse("");
     }
 
-    /** Reads, claims or renews the lease as needed; to be called periodically. */
-    void check(boolean leaderAlive) {
+    /**
+     * Reads, claims or renews the lease as needed; to be called periodically.
+     *
+     * @param leaderAlive returns whether the leader that this entry follows is alive
+     */
+    void check(BooleanSupplier leaderAlive) {
         long nowMs = clock.nowMs();
         leadership.check(nowMs, wallClock.nowMs());
-        if (leadership.shouldRead(leaderAlive, nowMs)) {
+        if (leadership.shouldRead(leaderAlive.getAsBoolean(), nowMs)) {
             leadership.onReadSent(nowMs);
             store.read(result -> onRead(result, leaderAlive));
             return;
@@ -75,13 +80,14 @@
         return leadership.leaseValid(clock.nowMs(), wallClock.nowMs());
     }
 
-    private void onRead(Either<Failure, StoredLease> result, boolean leaderAlive) {
+    private void onRead(Either<Failure, StoredLease> result, BooleanSupplier leaderAlive) {
         if (result.isLeft()) {
             leadership.onReadFailed();
             logFaultChange("lease-read-failed", result.getLeft().message());
             return;
         }
-        if (leaderAlive) {
+        // The leader may have been found again since the read was sent.
+        if (leaderAlive.getAsBoolean()) {
             leadership.onReadWhileFollowing(result.get(), clock.nowMs());
             return;
         }
--- a/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/leader/PlacementCoordinator.java
@@ -168,7 +168,7 @@
     }
 
     private void check() {
-        lease.check(leaderConnection.leaderAlive());
+        lease.check(leaderConnection::leaderAlive);
         boolean leading = leadership.leading();
         if (wasLeading && !leading) {
             followers.disconnectAll();
--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/LeaseManagerTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/LeaseManagerTest.java
@@ -15,6 +15,8 @@
 import org.hawthornglade.core.store.StoreRevision;
 import org.hawthornglade.gateway.log.EventLog;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What the writes of the lease row tell about the entries that may use quotas. */
 class LeaseManagerTest {
@@ -26,6 +28,7 @@
             Optional.of(new LeaseRow("b", "10.0.0.2:7000", 5, "b-1", 3, true, ERA, FORMER, ""))));
     private final List<String> settled = new ArrayList<>();
     private String holders = "2:0000000a0000000b";
+    private boolean leaderAlive;
     private long nowMs = 1_000;
     private final LeaseManager lease = new LeaseManager(
             new Leadership("a", "10.0.0.1:7000", "a-1", 1_800, true),
@@ -36,7 +39,7 @@
 
     private void run(long forMs) {
         for (long untilMs = nowMs + forMs; nowMs < untilMs; nowMs += 50) {
-            lease.check(false);
+            lease.check(() -> leaderAlive);
         }
     }
 
@@ -65,4 +68,15 @@
         assertThat(settled.get(1)).isEqualTo(holders);
         assertThat(store.row().quotaHolders()).isEqualTo(holders);
     }
+
+    /** Guards against a claim of the lease of a leader that was found while the store's answer was on its way. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whetherTheLeaderIsAliveIsLookedAtWhenTheRowArrives(boolean found) {
+        store.delayResponses();
+        run(50);
+        leaderAlive = found;
+        store.respond();
+        assertThat(store.row().holder()).isEqualTo(found ? "b" : "a");
+    }
 }
--- a/gateway/src/test/java/org/hawthornglade/gateway/leader/MemoryLeaseStore.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/leader/MemoryLeaseStore.java
@@ -1,6 +1,8 @@
 package org.hawthornglade.gateway.leader;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.hawthornglade.core.lease.LeaseRow;
@@ -14,6 +16,8 @@
 /** A lease row in memory; a write that is applied may have an unknown outcome for its writer. */
 final class MemoryLeaseStore implements LeaseStore {
     private StoredLease stored;
+    private final List<Runnable> delayed = new ArrayList<>();
+    private boolean delayResponses;
     private boolean outcomeKnown = true;
 
     MemoryLeaseStore(StoredLease stored) {
@@ -24,13 +28,28 @@
         outcomeKnown = known;
     }
 
+    /** Delays the responses to reads until {@link #respond()}. */
+    void delayResponses() {
+        delayResponses = true;
+    }
+
+    /** Sends the responses that were delayed. */
+    void respond() {
+        List.copyOf(delayed).forEach(Runnable::run);
+        delayed.clear();
+    }
+
     LeaseRow row() {
         return stored.row().orElseThrow();
     }
 
     @Override
     public void read(Consumer<Either<Failure, StoredLease>> done) {
-        done.accept(Either.right(stored));
+        StoredLease read = stored;
+        delayed.add(() -> done.accept(Either.right(read)));
+        if (!delayResponses) {
+            respond();
+        }
     }
 
     @Override
