--- a/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/Leadership.java
@@ -17,10 +17,10 @@
  * clocks may stop while a machine is suspended; a leader detects this by the wall clock and renews the lease before it
  * sends further orders.
  *
- * <p>There are two exceptions where engines check fencing tokens, since they refuse the older token of a leader that was
- * replaced by mistake. A follower takes over without waiting for the end of the lease if the leader's host refuses
- * connections and a renewal is missing. And a leader that cannot reach the store continues beyond its lease for as long
- * as engines answer.
+ * <p>There are two exceptions where engines check fencing tokens, since they refuse the older token of a leader that
+ * was replaced by mistake. A follower takes over without waiting for the end of the lease if the leader's host refuses
+ * connections and a renewal is missing. And a leader that cannot reach the store continues beyond its lease for as
+ * long as engines answer.
  *
  * <p>A store that was restored from an older copy may have lost the row of a lease that is in force, and may show an
  * earlier one. A row that was not written since the restore therefore frees nothing: another entry waits for as long as
@@ -204,7 +204,7 @@
         return reason.map(each -> claim(stored, each, nowMs));
     }
 
-    /** Claims the lease that this entry has, unless it may have ended or another entry has claimed it since the restore. */
+    /** Claims the lease of this leader, unless it may have ended or another entry has claimed it since the restore. */
     private Optional<LeaseClaim> claimAgain(StoredLease stored, long nowMs) {
         boolean others = stored.row()
                 .filter(row -> row.era().equals(era) && !row.nonce().equals(nonce))
--- a/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
+++ b/core/src/main/java/org/hawthornglade/core/lease/LeaseObservation.java
@@ -115,8 +115,8 @@
     /**
      * Returns whether the holder's process seems to have ended: its host refuses connections, and a renewal is missing.
      *
-     * <p>This is no proof, since the host of a live holder may refuse connections while the store does not answer it. It
-     * is enough only where engines refuse the orders of a holder that another one has replaced.
+     * <p>This is no proof, since the host of a live holder may refuse connections while the store does not answer it.
+     * It is enough only where engines refuse the orders of a holder that another one has replaced.
      */
     private boolean holderSeemsEnded(long nowMs) {
         boolean refused = refusedAtRevision.equals(Optional.of(seen.revision()));
--- a/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
+++ b/core/src/test/java/org/hawthornglade/core/lease/LeadershipTest.java
@@ -159,7 +159,7 @@
         assertThat(leadership.onRead(held, 100 + unchangedMs).isPresent()).isEqualTo(claims);
     }
 
-    /** Guards against two entries that take turns within a lease, by two planned stops, where engines check no tokens. */
+    /** Guards against two entries that take turns within a lease, by planned stops, where engines check no tokens. */
     @ParameterizedTest
     @CsvSource({"false, a, 3400, false", "false, a, 3500, true", "false, c, 0, true", "true, a, 0, true"})
     void releasedLeaseIsNotTakenBackWithinItsDurationWhereEnginesCheckNoTokens(
