A stream does not begin at an instance whose start is in doubt

Cause: the start of an instance was asked for only before a stream goes on. A first run took its version from a record that an entry could know to be doubtful: connections to the instance were lost or refused, or the list could not be read. Change: such a first run of a stream asks as well (StartCheck), once for each connection; a sign is settled by an answer with the same start. A start that is another one, or is not told, gets no stream. Why it works: a connection stays with the process that accepted it, so a start that is told after it was opened holds for all that is sent over it. It remains: a restart within the feed's delay that no connection shows, and services without models.

--- a/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/hawthornglade/core/fleet/Endpoint.java
@@ -14,6 +14,7 @@
     private EndpointHealth health = new EndpointHealth();
     private EndpointNotices notices = new EndpointNotices();
     private Permits permits = new Permits();
+    private StartDoubt startDoubt = new StartDoubt();
     private ServerPace pace;
     private final EndpointLoad load = new EndpointLoad();
     private final PrefixCache prefixCache = new PrefixCache();
@@ -50,6 +51,11 @@
         return permits;
     }
 
+    /** Returns whether the instance may run since another start than that of its record. */
+    public StartDoubt startDoubt() {
+        return startDoubt;
+    }
+
     /** Returns the service rate and the concurrency limit of this run of the instance. */
     public ServerPace pace() {
         return pace;
@@ -76,6 +82,7 @@
             health = new EndpointHealth();
             notices = new EndpointNotices();
             permits = new Permits();
+            startDoubt = new StartDoubt();
             pace = new ServerPace(newer.slots());
         }
         record = newer;
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -12,6 +12,7 @@
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.SendPermission;
+import org.hawthornglade.core.fleet.StartDoubt;
 import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.notice.EndpointNotices;
@@ -93,6 +94,7 @@
         }
         finish();
         endpoint.health().onUnreachable(context.clock().nowMs());
+        endpoint.startDoubt().onSign();
         pace.onUnreachable(context.clock().nowMs());
         exchange.onConnectFailed(endpoint);
     }
@@ -102,12 +104,33 @@
             opened.cancel();
             return;
         }
-        if (exchange.view().streamVersion().isEmpty()) {
+        if (!startUncertain(opened)) {
             sendOver(opened);
             return;
         }
+        StartDoubt doubt = endpoint.startDoubt();
+        long signs = doubt.signs();
         // Asked after the connection was opened: what has started since then did not accept it.
-        context.startCheck().check(chosen, result -> onStartChecked(opened, result));
+        context.startCheck().check(chosen, result -> {
+            if (result == StartCheck.Result.SAME) {
+                doubt.onConfirmed(signs);
+                opened.confirmStart();
+            }
+            onStartChecked(opened, result);
+        });
+    }
+
+    /**
+     * Returns whether a stream goes on, or would begin at an instance that may run since another start than its record
+     * tells: there is a sign of it, or the list cannot be read.
+     */
+    private boolean startUncertain(OutboundConnection opened) {
+        if (exchange.view().streamVersion().isPresent()) {
+            return true;
+        }
+        boolean stream = exchange.view().route().kind() == CallKind.STREAM;
+        boolean uncertain = endpoint.startDoubt().present() || !context.fleet().listed(endpoint.id());
+        return stream && uncertain && !opened.startConfirmed();
     }
 
     private void onStartChecked(OutboundConnection opened, StartCheck.Result result) {
@@ -442,6 +465,9 @@
         finish();
         long nowMs = context.clock().nowMs();
         pace.onFailed(failure, nowMs);
+        if (failure == OutboundFailure.CLOSED || failure == OutboundFailure.BROKEN_OFF) {
+            endpoint.startDoubt().onSign();
+        }
         if (failure == OutboundFailure.TIMED_OUT || failure == OutboundFailure.CLOSED) {
             endpoint.health().onResponseLost(nowMs);
         } else {
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/OutboundConnection.java
@@ -59,6 +59,7 @@
     private boolean releasing;
 
     private BodyFraming framing = BodyFraming.NONE;
+    private boolean startConfirmed;
     private long idleSinceMs;
     private long idleLimitMs;
 
@@ -118,6 +119,16 @@
         channel.config().setAutoRead(on);
     }
 
+    /** Records that the process at the other end is the one that was expected; it is so until the connection closes. */
+    public void confirmStart() {
+        startConfirmed = true;
+    }
+
+    /** Returns whether the process at the other end is known to be the one that was expected. */
+    public boolean startConfirmed() {
+        return startConfirmed;
+    }
+
     /** Returns whether the connection has not been closed by either side. */
     public boolean isOpen() {
         return channel.isActive();
--- a/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
+++ b/gateway/src/test/java/org/hawthornglade/gateway/exchange/StreamVersionTest.java
@@ -177,6 +177,54 @@
         assertThat(entry.call("/resumable/x")).endsWith(chunk(SECOND) + "0\r\n\r\n");
     }
 
+    /**
+     * A stream that began at an instance which had started again with other software, before the list showed it, was
+     * taken for one of the version in the list and went on there: one answer held two versions (review/7).
+     */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("unconfirmedStarts")
+    void streamDoesNotBeginAfterARestartThatTheListDoesNotShow(String name, Consumer<ScriptedEndpoint> restart)
+            throws Exception {
+        start("v1", "v1");
+        endpoints.get(0).respond(begun(), ConnectionAction.RESET).respond(begun(), ConnectionAction.RESET);
+        endpoints.get(1).respond(rest(), ConnectionAction.KEEP_OPEN);
+        endpoints.get(1).respond(REJECTION, ConnectionAction.KEEP_OPEN).respond(rest(), ConnectionAction.KEEP_OPEN);
+        assertThat(entry.call("/resumable/x")).endsWith(chunk(SECOND) + "0\r\n\r\n");
+        restart.accept(endpoints.get(0));
+        String received = entry.call("/resumable/x");
+        assertThat(received).doesNotContain(FIRST);
+        assertThat(received).endsWith(chunk(SECOND) + "0\r\n\r\n");
+        assertThat(endpoints.get(0).unreadRequests()).isEqualTo(1);
+    }
+
+    /** The same with no sign of the restart but that the list cannot be read (review/7). */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("unconfirmedStarts")
+    void streamDoesNotBeginAtAnUnknownStartWhileTheListCannotBeRead(String name, Consumer<ScriptedEndpoint> restart)
+            throws Exception {
+        start("v1", "v1");
+        endpoints.get(0).respond(begun(), ConnectionAction.RESET);
+        endpoints.get(1).respond(rest(), ConnectionAction.KEEP_OPEN);
+        entry.onFleet((fleet, nowMs) -> fleet.onListLost());
+        restart.accept(endpoints.get(0));
+        assertThat(entry.call("/resumable/x")).doesNotContain(FIRST);
+        assertThat(endpoints.get(0).unreadRequests()).isEqualTo(0);
+    }
+
+    /** Guards against a report from an instance for each stream while the list cannot be read. */
+    @Test
+    void startIsConfirmedOnceForEachConnection() throws Exception {
+        start("v1");
+        endpoints.get(0).respond(rest(), ConnectionAction.KEEP_OPEN).respond(rest(), ConnectionAction.KEEP_OPEN);
+        entry.onFleet((fleet, nowMs) -> fleet.onListLost());
+        assertThat(entry.call("/resumable/x")).endsWith("0\r\n\r\n");
+        endpoints.get(0).hideStart();
+        try (Socket caller = entry.connect()) {
+            TestEntry.send(caller, TestEntry.post("/resumable/x", "r-2", "hello"));
+            assertThat(TestEntry.read(caller, "0\r\n\r\n")).contains(SECOND);
+        }
+    }
+
     /** Instances that name no version were taken for instances of one version. */
     @Test
     void unknownVersionsAreNotCompatible() throws Exception {
