A response without a length that a crash cuts off is not complete

Cause: whether the instance had ended was asked only at the end of a stream; any other response that ended with its connection counted as complete unless it was reset. Change: each success that ends with its connection is checked (ResponseEndCheck, the former StreamEndCheck). Cut off: a call that may run again does, any other gets 502, which promises nothing. The metric is unframed_responses_cut now. Why it works: a process that has crashed refuses connections.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -362,12 +362,21 @@
         if (events != null && !endEvents()) {
             return;
         }
-        if (events != null && BodyFraming.of(head) == BodyFraming.CONNECTION) {
-            silence.cancel();
-            new StreamEndCheck(context, endpoint, chosen, this::onEndChecked).start();
+        if (!endsWithConnection()) {
+            complete();
             return;
         }
-        complete();
+        silence.cancel();
+        new ResponseEndCheck(context, endpoint, chosen, this::onEndChecked).start();
+    }
+
+    /** Returns whether the response is a success whose end looks the same if its instance has failed. */
+    private boolean endsWithConnection() {
+        boolean bodiless = HttpMethod.HEAD.equals(exchange.call().head().method());
+        return responseHead.isSuccess()
+                && !responseHead.notRun()
+                && !bodiless
+                && BodyFraming.of(head) == BodyFraming.CONNECTION;
     }
 
     /** Passes on what stands after the last event; returns whether the stream has ended properly. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/StreamEndCheck.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ResponseEndCheck.java
@@ -12,8 +12,8 @@
  * out, regardless of what it was running, and one that has stopped as planned, which has announced it and ends its work
  * before. Where it cannot be told, the response counts as complete.
  */
-final class StreamEndCheck {
-    /** How long the end of a stream waits for an answer of the instance, in milliseconds. */
+final class ResponseEndCheck {
+    /** How long the end of a response waits for an answer of the instance, in milliseconds. */
     static final long LIMIT_MS = 5;
 
     private final ExchangeContext context;
@@ -29,7 +29,7 @@
      * @param chosen the record by which the endpoint was chosen
      * @param crashed receives once whether the instance has crashed
      */
-    StreamEndCheck(ExchangeContext context, Endpoint endpoint, InstanceRecord chosen, Consumer<Boolean> crashed) {
+    ResponseEndCheck(ExchangeContext context, Endpoint endpoint, InstanceRecord chosen, Consumer<Boolean> crashed) {
         this.context = context;
         this.endpoint = endpoint;
         this.chosen = chosen;
@@ -62,7 +62,7 @@
                 && !stopsAfterItsWork();
     }
 
-    /** Returns whether the instance may close its listener after its last response: it leaves, and not at a set time. */
+    /** Returns whether the instance leaves at no set time, and so may close its listener after its last response. */
     private boolean stopsAfterItsWork() {
         return endpoint.leaving() && endpoint.record().remainingMs().isEmpty();
     }
@@ -76,7 +76,7 @@
             limit.cancel();
         }
         if (hasCrashed) {
-            context.metrics().count("streams_cut_between_events");
+            context.metrics().count("unframed_responses_cut");
         }
         crashed.accept(hasCrashed);
     }
