Exchange, Attempt and CallerConnection: avoidance of endpoints, load, confirmation of starts and delivery are classes of their own

Change: EndpointAvoidance (what a rejection changes for later calls), AttemptLoad (what an attempt adds to its endpoint's load), StartConfirmation (whether a start has to be asked for), ResponseDelivery (what a caller has not received yet). No change of behaviour.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -8,12 +8,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import org.hawthornglade.core.dispatch.CallView;
-import org.hawthornglade.core.dispatch.ModelDemand;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.InstanceRecord;
 import org.hawthornglade.core.fleet.SendPermission;
-import org.hawthornglade.core.fleet.StartDoubt;
-import org.hawthornglade.core.fleet.Variant;
 import org.hawthornglade.core.id.InstanceId;
 import org.hawthornglade.core.notice.EndpointNotices;
 import org.hawthornglade.core.serving.CallKind;
@@ -36,9 +33,8 @@
     /** The record of the moment of choice. */
     private final InstanceRecord chosen;
 
-    private final Optional<Variant> variant;
-    private final long kvTokens;
-    private final int prefillTokens;
+    private final AttemptLoad load;
+    private final StartConfirmation startConfirmation;
     private final SilenceWatch silence;
     private SendPermission sendPermission;
     private PaceMeasurement pace;
@@ -52,7 +48,6 @@
     private int reservedBytes;
     private long forwardedBytes;
     private boolean forwarding;
-    private boolean prefillDone;
     private boolean ended;
 
     Attempt(ExchangeContext context, Exchange exchange, Endpoint endpoint, int cachedTokens) {
@@ -60,17 +55,14 @@
         this.exchange = exchange;
         this.endpoint = endpoint;
         this.chosen = endpoint.record();
-        Optional<ModelDemand> demand = exchange.view().demand();
-        this.variant = demand.map(d -> new Variant(d.model(), d.adapter()));
-        this.kvTokens = demand.map(ModelDemand::kvTokens).orElse(0L);
-        this.prefillTokens =
-                demand.map(d -> Math.max(0, d.promptTokens() - cachedTokens)).orElse(0);
+        this.load = new AttemptLoad(endpoint, exchange.view(), cachedTokens);
+        this.startConfirmation = new StartConfirmation(context, exchange.view(), endpoint, chosen);
         this.silence = new SilenceWatch(context, exchange, endpoint, () -> abandon(OutboundFailure.TIMED_OUT));
     }
 
     void start() {
         sendPermission = new SendPermission(endpoint, context.clock().nowMs());
-        endpoint.load().begin(variant, kvTokens, prefillTokens);
+        load.begin();
         pace = new PaceMeasurement(
                 context, exchange.view(), endpoint, context.clock().nowMs());
         boolean sendOnce = !exchange.view().route().repeatable();
@@ -104,33 +96,7 @@
             opened.cancel();
             return;
         }
-        if (!startUncertain(opened)) {
-            sendOver(opened);
-            return;
-        }
-        StartDoubt doubt = endpoint.startDoubt();
-        long signs = doubt.signs();
-        // Asked after the connection was opened: what has started since then did not accept it.
-        context.startCheck().check(chosen, result -> {
-            if (result == StartCheck.Result.SAME) {
-                doubt.onConfirmed(signs);
-                opened.confirmStart();
-            }
-            onStartChecked(opened, result);
-        });
-    }
-
-    /**
-     * Returns whether a stream goes on, or would begin at an instance that may run since another start than its record
-     * tells: there is a sign of it, or the list cannot be read.
-     */
-    private boolean startUncertain(OutboundConnection opened) {
-        if (exchange.view().streamVersion().isPresent()) {
-            return true;
-        }
-        boolean stream = exchange.view().route().kind() == CallKind.STREAM;
-        boolean uncertain = endpoint.startDoubt().present() || !context.fleet().listed(endpoint.id());
-        return stream && uncertain && !opened.startConfirmed();
+        startConfirmation.confirm(opened, result -> onStartChecked(opened, result));
     }
 
     private void onStartChecked(OutboundConnection opened, StartCheck.Result result) {
@@ -290,7 +256,7 @@
     }
 
     private void forwardComplete(ByteBuf complete) {
-        onPrefillDone();
+        load.onPrefillDone();
         pace.onEvents(context.clock().nowMs());
         exchange.onEvents(chosen.softwareVersion());
         silence.startBetweenEvents();
@@ -312,7 +278,7 @@
         connection.setReading(reading);
         if (!reading) {
             silence.cancel();
-        } else if (events != null && prefillDone) {
+        } else if (events != null && load.prefillDone()) {
             silence.startBetweenEvents();
         }
     }
@@ -345,15 +311,6 @@
         forwardPiece(content);
     }
 
-    private void onPrefillDone() {
-        if (prefillDone) {
-            return;
-        }
-        prefillDone = true;
-        endpoint.load().endPrefill(prefillTokens);
-        exchange.view().demand().ifPresent(demand -> endpoint.prefixCache().add(demand.variant(), demand.prefix()));
-    }
-
     @Override
     public void onEnd() {
         if (ended) {
@@ -425,7 +382,7 @@
      * <p>The end of a connection looks the same whether the endpoint has finished or failed.
      */
     private boolean streamBrokenOff() {
-        boolean noEvents = !prefillDone;
+        boolean noEvents = !load.prefillDone();
         return events.insideEvent() || (noEvents && BodyFraming.of(head) == BodyFraming.CONNECTION);
     }
 
@@ -491,12 +448,9 @@
             events.end(exchange.record());
         }
         silence.cancel();
-        if (!prefillDone) {
-            endpoint.load().endPrefill(prefillTokens);
-        }
         context.bufferBudget().release(reservedBytes);
         reservedBytes = 0;
-        endpoint.load().end(variant, kvTokens);
+        load.end();
         pace.onEnded();
     }
 }
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Exchange.java
@@ -11,7 +11,6 @@
 import org.hawthornglade.core.dispatch.ReplicaShortage;
 import org.hawthornglade.core.fleet.Endpoint;
 import org.hawthornglade.core.fleet.Permits;
-import org.hawthornglade.core.id.ModelName;
 import org.hawthornglade.core.id.SoftwareVersion;
 import org.hawthornglade.core.overload.StartPrediction;
 import org.hawthornglade.core.result.Execution;
@@ -32,10 +31,6 @@
  * stated that it did not run it, or if no connection could be made.
  */
 public final class Exchange {
-    /** Time for which an endpoint that was too busy, or is changing its models, gets no calls for that model. */
-    private static final long REJECTED_PAUSE_MS = 60;
-    /** Time for which an endpoint that has not loaded the model gets no calls for it. */
-    private static final long MISSING_MODEL_PAUSE_MS = 300;
     /** Retry-After when no further attempt is allowed. */
     private static final long BUSY_RETRY_AFTER_MS = 500;
 
@@ -51,6 +46,7 @@
     private final KeptResponse keptResponse;
     private final WaitingPlace place;
     private final RunHistory history;
+    private final EndpointAvoidance avoidance;
     private final PermitWaiter permitWaiter = new PermitWaiter();
     private Timers.Timeout deadline;
     private Attempt attempt;
@@ -78,6 +74,7 @@
         this.keptResponse = new KeptResponse(context.bufferBudget());
         this.place = new WaitingPlace(context, this);
         this.history = new RunHistory(context, view);
+        this.avoidance = new EndpointAvoidance(context, view);
     }
 
     public CallView view() {
@@ -300,15 +297,8 @@
     /** Handles an instance that was not asked to go on with a stream, since it may have started again. */
     void onStartUnconfirmed(Endpoint endpoint, StartCheck.Result result) {
         attempt = null;
-        view.tried().add(endpoint.id());
         record.addNote("start-" + result + ":" + endpoint.id());
-        context.metrics().count("starts_unconfirmed");
-        boolean present =
-                context.fleet().endpoint(endpoint.id()).filter(endpoint::equals).isPresent();
-        if (present && result == StartCheck.Result.OTHER) {
-            // Its next record brings it back; until then its software and its models are unknown.
-            context.fleet().onMisdirected(endpoint.id());
-        }
+        avoidance.onStartUnconfirmed(endpoint, result);
         retryNotRun();
     }
 
@@ -317,17 +307,7 @@
         attempt = null;
         history.onReached();
         record.addNote("rejected-" + head.status() + ":" + endpoint.id());
-        long nowMs = context.clock().nowMs();
-        boolean misdirected =
-                head.instance().isPresent() && !head.instance().get().equals(endpoint.id());
-        if (misdirected) {
-            context.fleet().onMisdirected(endpoint.id());
-        } else if (view.demand().isPresent()) {
-            ModelName model = view.demand().get().model();
-            endpoint.excludeModel(model, nowMs + (head.misdirected() ? MISSING_MODEL_PAUSE_MS : REJECTED_PAUSE_MS));
-        } else {
-            view.tried().add(endpoint.id());
-        }
+        avoidance.onRejected(endpoint, head);
         if (!context.retryBudgets().of(view.service()).tryRetry()) {
             refuse(ResultCode.QUEUE_FULL, BUSY_RETRY_AFTER_MS);
             return;
--- a/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/http/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -38,11 +37,10 @@
     private final CallerServer server;
     private final UndecodedBytes undecoded = new UndecodedBytes(this);
     private final CallQueue calls = new CallQueue();
-    private final UnreadBytes unread = new UnreadBytes();
-    private final UnsentResponses unsent = new UnsentResponses();
 
     private ChannelHandlerContext context;
     private RequestAssembler assembler;
+    private ResponseDelivery delivery;
     private boolean refusing;
     private Optional<HttpResponseStatus> refusal = Optional.empty();
     private Optional<RetryNotice> retryNotice = Optional.empty();
@@ -60,6 +58,7 @@
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         assembler = new RequestAssembler(server, added.alloc(), this);
+        delivery = new ResponseDelivery(added.channel(), server.handler()::onCut);
     }
 
     @Override
@@ -258,7 +257,7 @@
         if (slow.isPresent()) {
             refuseSlow(slow.get());
         } else if (isIdle()
-                && pendingBytes() == 0
+                && delivery.pendingBytes() == 0
                 && nowMs - lastActiveMs > server.limits().idleTimeoutMs()) {
             Channels.close(context.channel());
         }
@@ -279,7 +278,7 @@
         if (justOpened || undecoded.isHolding() || !isIdle()) {
             return;
         }
-        if (pendingBytes() == 0) {
+        if (delivery.pendingBytes() == 0) {
             Channels.close(context.channel());
             return;
         }
@@ -318,7 +317,7 @@
 
     /** Returns whether bytes of a response are not handed to the system. */
     boolean hasPendingBytes() {
-        return pendingBytes() > 0;
+        return delivery.pendingBytes() > 0;
     }
 
     /** Returns when a response was completed last, or the connection was opened. */
@@ -328,12 +327,12 @@
 
     /** Checks the bytes of responses that the caller has not read; returns how many. */
     long checkUnread(long nowMs) {
-        return unread.onChecked(pendingBytes(), nowMs);
+        return delivery.checkUnread(nowMs);
     }
 
     /** Returns since when the caller has read none of the bytes of responses that are due to it. */
     long unreadSinceMs() {
-        return unread.sinceMs();
+        return delivery.unreadSinceMs();
     }
 
     /** Reports what is lost with the end of the connection, but for the request that is being handled. */
@@ -348,24 +347,19 @@
         reportUnfinished(End.CUT_BY_STOP);
         long nowMs = server.clock().nowMs();
         calls.current().ifPresent(call -> server.handler().onUnfinished(call.unfinished(End.CUT_BY_STOP, nowMs)));
-        unsent.last().ifPresent(head -> server.handler().onCut(new CutResponse(head, End.CUT_BY_STOP, pendingBytes())));
+        delivery.reportCutByStop();
     }
 
     /** Returns what the end of the process would cut off. */
     OpenWork openWork() {
         boolean partial = !closing && (!assembler.isIdle() || undecoded.isHolding());
-        boolean undeliveredResponse = closing || pendingBytes() > 0;
+        boolean undeliveredResponse = closing || delivery.pendingBytes() > 0;
         return new OpenWork(calls.size(), partial ? 1 : 0, undeliveredResponse ? 1 : 0);
     }
 
     /** Records the last response that is complete here, until it is handed to the system. */
     void onResponseComplete(HttpRequest head, ChannelFuture written) {
-        unsent.add(head, written, () -> server.handler().onCut(new CutResponse(head, endReason, pendingBytes())));
-    }
-
-    private long pendingBytes() {
-        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        delivery.add(head, written, () -> endReason);
     }
 
     @Override
