A plain response without a length waits until a process that crashes has closed its listener

Cause, by reading: a crash closes the sockets of a process one after the other. A connection that was opened before the listener was closed, or an answer after 5 ms, counted as complete, as decision 0037 tells of streams. Change: a response that is no stream is checked 20 ms after its end, for up to 50 ms. Streams as before, since their ends must not be late.

--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/Attempt.java
@@ -324,7 +324,10 @@
             return;
         }
         silence.cancel();
-        new ResponseEndCheck(context, endpoint, chosen, this::onEndChecked).start();
+        ResponseEndCheck check = events != null
+                ? ResponseEndCheck.ofStream(context, endpoint, chosen, this::onEndChecked)
+                : ResponseEndCheck.ofResponse(context, endpoint, chosen, this::onEndChecked);
+        check.start();
     }
 
     /** Returns whether the response is a success whose end looks the same if its instance has failed. */
--- a/gateway/src/main/java/org/hawthornglade/gateway/exchange/ResponseEndCheck.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/exchange/ResponseEndCheck.java
@@ -13,27 +13,57 @@
  * before. Where it cannot be told, the response counts as complete.
  */
 final class ResponseEndCheck {
-    /** How long the end of a response waits for an answer of the instance, in milliseconds. */
-    static final long LIMIT_MS = 5;
+    /** How long the end of a stream waits for an answer of the instance, in milliseconds. */
+    private static final long STREAM_LIMIT_MS = 5;
+    /** How long the end of another response waits for an answer of the instance, in milliseconds. */
+    private static final long RESPONSE_LIMIT_MS = 50;
+    /** The time in which a process that crashes closes all its sockets, its listener too, in milliseconds. */
+    private static final long CRASH_MS = 20;
 
     private final ExchangeContext context;
     private final Endpoint endpoint;
     private final InstanceRecord chosen;
     private final Consumer<Boolean> crashed;
+    private final long delayMs;
+    private final long limitMs;
     private Timers.Timeout limit;
     private boolean done;
 
+    private ResponseEndCheck(
+            ExchangeContext context,
+            Endpoint endpoint,
+            InstanceRecord chosen,
+            Consumer<Boolean> crashed,
+            long delayMs,
+            long limitMs) {
+        this.context = context;
+        this.endpoint = endpoint;
+        this.chosen = chosen;
+        this.crashed = crashed;
+        this.delayMs = delayMs;
+        this.limitMs = limitMs;
+    }
+
     /**
-     * Creates a check.
+     * Creates a check of a stream, whose caller gets the end within a few milliseconds.
      *
      * @param chosen the record by which the endpoint was chosen
      * @param crashed receives once whether the instance has crashed
      */
-    ResponseEndCheck(ExchangeContext context, Endpoint endpoint, InstanceRecord chosen, Consumer<Boolean> crashed) {
-        this.context = context;
-        this.endpoint = endpoint;
-        this.chosen = chosen;
-        this.crashed = crashed;
+    static ResponseEndCheck ofStream(
+            ExchangeContext context, Endpoint endpoint, InstanceRecord chosen, Consumer<Boolean> crashed) {
+        return new ResponseEndCheck(context, endpoint, chosen, crashed, 0, STREAM_LIMIT_MS);
+    }
+
+    /**
+     * Creates a check of a response that is no stream, which can wait until a process that crashes has ended.
+     *
+     * @param chosen the record by which the endpoint was chosen
+     * @param crashed receives once whether the instance has crashed
+     */
+    static ResponseEndCheck ofResponse(
+            ExchangeContext context, Endpoint endpoint, InstanceRecord chosen, Consumer<Boolean> crashed) {
+        return new ResponseEndCheck(context, endpoint, chosen, crashed, CRASH_MS, RESPONSE_LIMIT_MS);
     }
 
     void start() {
@@ -41,6 +71,14 @@
             crashed.accept(false);
             return;
         }
+        if (delayMs > 0) {
+            context.timers().after(delayMs, this::connect);
+        } else {
+            connect();
+        }
+    }
+
+    private void connect() {
         context.connections().pool(chosen).checkAccepting(accepting -> end(!accepting && expectedToAccept()));
         // The connection is opened by a task of the event loop; the time that the loop takes until then does not count.
         context.timers().run(this::startLimit);
@@ -48,7 +86,7 @@
 
     private void startLimit() {
         if (!done) {
-            limit = context.timers().after(LIMIT_MS, () -> end(false));
+            limit = context.timers().after(limitMs, () -> end(false));
         }
     }
 
