A leader is alive only if it has sent a message on the open connection

Cause: the system accepts connections for a process that stands still, and each counted as a live leader for 1.2 s. Since the look at it is taken when the row arrives, the row always found one; before, the look fell between two connections by luck. Change: LeaderConnection counts messages only.

--- a/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
+++ b/gateway/src/main/java/org/hawthornglade/gateway/peer/LeaderConnection.java
@@ -61,6 +61,7 @@
     private boolean connecting;
     private long lastAttemptMs;
     private long receivedAtMs;
+    private boolean heard;
 
     /** Creates an object that is not connected yet. */
     public LeaderConnection(EventLoop loop, Clock clock, EventLog log, Listener listener) {
@@ -85,9 +86,13 @@
         open.ifPresent(PeerChannel::close);
     }
 
-    /** Returns whether the connection is open and the leader has not been silent too long. */
+    /**
+     * Returns whether the leader has sent a message on the open connection and has not been silent too long since.
+     *
+     * <p>A connection alone tells nothing: the system accepts it for a process that stands still.
+     */
     public boolean leaderAlive() {
-        return open.isPresent() && clock.nowMs() - receivedAtMs <= SILENCE_TIMEOUT_MS;
+        return open.isPresent() && heard && clock.nowMs() - receivedAtMs <= SILENCE_TIMEOUT_MS;
     }
 
     /** Connects if needed and closes a connection that has been silent too long; must be called regularly. */
@@ -158,6 +163,7 @@
         @Override
         public void onOpen(PeerChannel channel) {
             open = Optional.of(channel);
+            heard = false;
             receivedAtMs = clock.nowMs();
             log.event("leader-connected")
                     .with("address", target.map(InstanceAddress::toString).orElse(""))
@@ -167,6 +173,7 @@
 
         @Override
         public void onMessage(PeerChannel channel, PeerMessage message) {
+            heard = true;
             receivedAtMs = clock.nowMs();
             if (message.isSetPlacement()) {
                 listener.onPlacements(PeerCodec.placement(message.getPlacement(), receivedAtMs));
